--- /dev/null
+++ b/Makefile
@@ -0,0 +1,40 @@
+# Each target sets up the virtual environment first when it is missing.
+VENV ?= .venv
+PYTHON ?= python3
+BIN = $(VENV)/bin
+READY = $(VENV)/.ready
+
+.PHONY: demo test check format bench bench-relay capacity clean
+
+$(READY): requirements.txt
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --disable-pip-version-check -r requirements.txt
+	touch $(READY)
+
+demo: $(READY)
+	$(BIN)/python -m lab.demo
+
+test: $(READY)
+	$(BIN)/python -m tests
+
+check: $(READY)
+	$(BIN)/ruff format --check .
+	$(BIN)/ruff check .
+	$(BIN)/mypy
+
+format: $(READY)
+	$(BIN)/ruff format .
+	$(BIN)/ruff check --fix .
+
+bench: $(READY)
+	$(BIN)/python -m lab.bench
+
+bench-relay: $(READY)
+	$(BIN)/python -m lab.bench_relay
+
+capacity: $(READY)
+	$(BIN)/python -m lab.capacity
+
+clean:
+	rm -rf .venv .work .mypy_cache .ruff_cache
+	find . -name __pycache__ -prune -exec rm -rf {} +
--- /dev/null
+++ b/lab/__init__.py
@@ -0,0 +1,1 @@
+"""Experiments, the demonstration and stand-ins for outside systems."""
--- /dev/null
+++ b/lab/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for the outside systems that the product meets."""
--- /dev/null
+++ b/lab/standins/engine.py
@@ -0,0 +1,195 @@
+"""A stand-in for a model engine: the engine model behind HTTP with SSE.
+
+A prompt holds its output length as `len=N`. The text of token `i` is
+`<tag>.<i> `, with a tag of the generation, so that a reader can tell from the
+text alone whether tokens are missing, doubled or of another generation. A
+prompt that holds the word `poison` ends the process.
+"""
+
+import hashlib
+import os
+import re
+from typing import Any
+
+import anyio
+import attrs
+import orjson
+
+from lab.enginemodel import EngineModel, EngineParameters, Sequence
+from lab.standins.serve import MAX_BODY_BYTES, parser, serve
+from rhubarbwinch.httpapi import App, Request, Responder
+
+DEFAULT_TOKENS = 20
+POISON = "poison"
+_LENGTH = re.compile(r"len=(\d+)")
+SSE = [(b"content-type", b"text/event-stream")]
+
+
+@attrs.define
+class Generation:
+    """A generation and its readers.
+
+    Attributes:
+        name: The generation id.
+        chat: Whether it speaks the chat format.
+        sequence: Its place in the model.
+        changed: Set when a token was added.
+    """
+
+    name: str
+    chat: bool
+    sequence: Sequence
+    changed: anyio.Event = attrs.field(factory=anyio.Event)
+
+    @property
+    def tag(self) -> str:
+        """Stands in the text of each token."""
+        return hashlib.sha256(self.name.encode()).hexdigest()[:6]
+
+    def event(self, index: int) -> bytes:
+        """Returns the event of a token."""
+        last = index + 1 >= self.sequence.output_tokens
+        text = f"{self.tag}.{index} "
+        choice: dict[str, Any] = {
+            "index": 0,
+            "finish_reason": "stop" if last else None,
+        }
+        if self.chat:
+            choice["delta"] = {"role": "assistant", "content": text}
+        else:
+            choice["text"] = text
+        kind = "chat.completion.chunk" if self.chat else "text_completion"
+        data = {
+            "id": self.name,
+            "object": kind,
+            "created": 0,
+            "model": "stand-in",
+            "choices": [choice],
+        }
+        head = f"id: {self.name}:{index}\ndata: ".encode()
+        return head + orjson.dumps(data) + b"\n\n"
+
+
+class Engine:
+    """The engine's HTTP interface.
+
+    Args:
+        parameters: The model's speed and size.
+        speed: How many times faster than real time it runs.
+    """
+
+    def __init__(self, parameters: EngineParameters, speed: float) -> None:
+        self._model = EngineModel(parameters)
+        self._speed = speed
+        self._generations: dict[str, Generation] = {}
+        self._log: list[dict[str, Any]] = []
+        self._work = anyio.Event()
+
+    def app(self) -> App:
+        """Returns the application."""
+        app = App(MAX_BODY_BYTES)
+        app.route("POST", "/v1/completions", self._start)
+        app.route("POST", "/v1/chat/completions", self._start)
+        app.route("GET", "/v1/generations/", self._resume)
+        app.route("DELETE", "/v1/generations/", self._cancel)
+        app.route("GET", "/load", self._load)
+        app.route("GET", "/log", self._show_log)
+        return app
+
+    async def run(self) -> None:
+        """Runs the model's steps until cancelled."""
+        while True:
+            if not self._model.running and not self._model.waiting:
+                await self._work.wait()
+            self._work = anyio.Event()
+            step = self._model.step()
+            await anyio.sleep(step.ms / 1000 / self._speed)
+            for sequence in step.advanced:
+                generation = self._generations[sequence.name]
+                generation.changed.set()
+                generation.changed = anyio.Event()
+
+    async def _start(self, request: Request, responder: Responder) -> None:
+        body = orjson.loads(request.body)
+        name = request.headers["x-generation-id"]
+        text = request.body.decode()
+        if POISON in text:
+            # The kind of request that crashes each engine that runs it.
+            os._exit(1)
+        found = _LENGTH.search(text)
+        wanted = int(found[1]) if found else DEFAULT_TOKENS
+        sequence = Sequence(
+            name,
+            prompt_tokens=len(text) // 4,
+            output_tokens=min(wanted, body["max_tokens"]),
+            priority=int(request.headers.get("x-priority", 0)),
+        )
+        chat = "chat" in request.path
+        generation = Generation(name, chat, sequence)
+        self._generations[name] = generation
+        self._log.append({"generation": name, "tokens": sequence.output_tokens})
+        self._model.add(sequence)
+        self._work.set()
+        await self._send(generation, 0, responder)
+
+    async def _resume(self, request: Request, responder: Responder) -> None:
+        name = request.path.rpartition("/")[2]
+        generation = self._generations.get(name)
+        if generation is None:
+            await responder.json(b"{}", 404)
+            return
+        start = int(request.query.removeprefix("from="))
+        await self._send(generation, start, responder)
+
+    async def _cancel(self, request: Request, responder: Responder) -> None:
+        self._model.cancel(request.path.rpartition("/")[2])
+        await responder.json(b"{}")
+
+    async def _send(
+        self, generation: Generation, index: int, responder: Responder
+    ) -> None:
+        await responder.start(200, SSE)
+        sequence = generation.sequence
+        while index < sequence.output_tokens:
+            changed = generation.changed
+            while index < sequence.done_tokens:
+                await responder.write(generation.event(index))
+                index += 1
+            if index < sequence.output_tokens:
+                await changed.wait()
+        await responder.write(b"data: [DONE]\n\n", more=False)
+
+    async def _load(self, _: Request, responder: Responder) -> None:
+        model = self._model
+        data = {
+            "age_ms": 0,
+            "running": model.running,
+            "waiting": model.waiting,
+            "used_tokens": model.used_tokens,
+            "capacity_tokens": model.parameters.capacity_tokens,
+            "step_ms": model.last_step_ms,
+            "preemptions": model.preemptions,
+        }
+        await responder.json(orjson.dumps(data))
+
+    async def _show_log(self, _: Request, responder: Responder) -> None:
+        await responder.json(orjson.dumps(self._log))
+
+
+async def _run(engine: Engine, address: str) -> None:
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(engine.run)
+        await serve(engine.app(), address)
+
+
+def main() -> None:
+    """Runs the stand-in."""
+    options_parser = parser("Model engine")
+    options_parser.add_argument("--speed", type=float, default=1.0)
+    options = options_parser.parse_args()
+    engine = Engine(EngineParameters(), options.speed)
+    anyio.run(_run, engine, options.listen)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/lab/standins/serve.py
@@ -0,0 +1,32 @@
+"""Runs a stand-in's HTTP interface as a process."""
+
+import argparse
+import os
+
+os.environ["UV_USE_IO_URING"] = "0"
+
+import anyio
+import hypercorn.asyncio
+from hypercorn.config import Config
+
+from rhubarbwinch.httpapi import App
+
+MAX_BODY_BYTES = 16 << 20
+
+
+def parser(description: str) -> argparse.ArgumentParser:
+    """Returns a parser with the options that all stand-ins share."""
+    found = argparse.ArgumentParser(description=description)
+    found.add_argument("--listen", required=True, help="a.b.c.d:port")
+    return found
+
+
+async def serve(app: App, address: str) -> None:
+    """Serves until cancelled."""
+    config = Config()
+    config.bind = [address]
+    config.errorlog = None
+    config.graceful_timeout = 0.1
+    await hypercorn.asyncio.serve(
+        app, config, shutdown_trigger=anyio.sleep_forever
+    )
--- /dev/null
+++ b/lab/standins/service.py
@@ -0,0 +1,43 @@
+"""A stand-in for a plain service: answers calls and logs each of them."""
+
+from typing import Any
+
+import anyio
+import orjson
+
+from lab.standins.serve import MAX_BODY_BYTES, parser, serve
+from rhubarbwinch.httpapi import App, Request, Responder
+
+
+class Service:
+    """The service's HTTP interface."""
+
+    def __init__(self) -> None:
+        self._log: list[dict[str, Any]] = []
+
+    def app(self) -> App:
+        """Returns the application."""
+        app = App(MAX_BODY_BYTES)
+        app.route("GET", "/log", self._show_log)
+        app.route("*", "/", self._call)
+        return app
+
+    async def _call(self, request: Request, responder: Responder) -> None:
+        key = request.headers.get("idempotency-key", "")
+        call = {"method": request.method, "path": request.path, "key": key}
+        self._log.append(call)
+        answer = {"number": len(self._log)} | call
+        await responder.json(orjson.dumps(answer))
+
+    async def _show_log(self, _: Request, responder: Responder) -> None:
+        await responder.json(orjson.dumps(self._log))
+
+
+def main() -> None:
+    """Runs the stand-in."""
+    options = parser("Plain service").parse_args()
+    anyio.run(serve, Service().app(), options.listen)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/rhubarbwinch/accepted.py
@@ -0,0 +1,157 @@
+"""The accepted configuration: records in force, in chunks under one head.
+
+The head names a generation and the digest of each chunk. Chunks never change;
+a change of a record writes one new chunk and moves the head by
+compare-and-swap.
+"""
+
+import hashlib
+from collections.abc import Iterable
+from typing import Any
+
+import attrs
+import orjson
+import xxhash
+
+from rhubarbwinch import keys, records
+from rhubarbwinch.exceptions import (
+    CodecError,
+    RecordError,
+    StoreUnavailable,
+)
+from rhubarbwinch.records import (
+    AccountSpec,
+    ModelSpec,
+    PoolSpec,
+    Record,
+    ServiceSpec,
+)
+from rhubarbwinch.store import Store
+
+SLOTS = 64
+
+
+@attrs.frozen
+class Head:
+    """What is in force.
+
+    Attributes:
+        generation: Raised by one with each change.
+        chunks: The digests, a chunk for each slot; empty if it has none.
+    """
+
+    generation: int = 0
+    chunks: list[str] = attrs.field(factory=lambda: [""] * SLOTS)
+
+    def to_bytes(self) -> bytes:
+        """Returns the head as JSON."""
+        return orjson.dumps(attrs.asdict(self))
+
+
+def parse_head(data: bytes) -> Head:
+    """Returns the head in its JSON form.
+
+    Raises:
+        CodecError: It is not a head.
+    """
+    try:
+        value = orjson.loads(data)
+        return Head(int(value["generation"]), [str(c) for c in value["chunks"]])
+    except (ValueError, KeyError, TypeError) as error:
+        raise CodecError(f"not a head: {error}") from error
+
+
+def slot_of(record: Record) -> int:
+    """Returns the slot whose chunk holds the record."""
+    return xxhash.xxh3_64_intdigest(record.key.encode()) % SLOTS
+
+
+def pack_chunks(all_records: Iterable[Record]) -> list[bytes]:
+    """Returns each slot's chunk, empty for a slot without records."""
+    slots: list[list[Any]] = [[] for _ in range(SLOTS)]
+    for record in sorted(all_records, key=lambda r: r.key):
+        slots[slot_of(record)].append(orjson.Fragment(record.to_bytes()))
+    return [orjson.dumps(slot) if slot else b"" for slot in slots]
+
+
+def digest(chunk: bytes) -> str:
+    """Returns the name of a chunk; empty for an empty one."""
+    return hashlib.sha256(chunk).hexdigest()[:32] if chunk else ""
+
+
+def unpack_chunk(chunk: bytes) -> list[Record]:
+    """Returns the records of a chunk."""
+    return [records.parse(item) for item in orjson.loads(chunk or b"[]")]
+
+
+@attrs.frozen
+class Snapshot:
+    """A generation of the configuration, checked and indexed by name."""
+
+    generation: int = 0
+    records: dict[str, Record] = attrs.field(factory=dict)
+    models: dict[str, ModelSpec] = attrs.field(factory=dict)
+    pools: dict[str, PoolSpec] = attrs.field(factory=dict)
+    accounts: dict[str, AccountSpec] = attrs.field(factory=dict)
+    services: dict[str, ServiceSpec] = attrs.field(factory=dict)
+
+    def pools_of(self, target: str) -> list[str]:
+        """Returns the names of a target's pools, sorted."""
+        return sorted(n for n, p in self.pools.items() if p.target == target)
+
+    def pools_near(self, target: str, data_center: str) -> list[str]:
+        """Returns a target's pools, those in `data_center` first."""
+        return sorted(
+            self.pools_of(target),
+            key=lambda name: self.pools[name].data_center != data_center,
+        )
+
+
+def make_snapshot(generation: int, items: Iterable[Record]) -> Snapshot:
+    """Builds a snapshot; records of a newer schema are kept but not indexed."""
+    snapshot = Snapshot(generation)
+    index: dict[str, dict[str, Any]] = {
+        "model": snapshot.models,
+        "pool": snapshot.pools,
+        "account": snapshot.accounts,
+        "service": snapshot.services,
+    }
+    for record in items:
+        snapshot.records[record.key] = record
+        try:
+            index[record.kind][record.name] = records.check(record)
+        except RecordError:
+            # An older program beside a newer one keeps what it can't read.
+            continue
+    return snapshot
+
+
+async def read_head(store: Store) -> tuple[Head, int]:
+    """Returns the head in the store and its revision, 0 if there is none."""
+    entry = await store.get(keys.ACCEPTED_HEAD)
+    if entry is None:
+        return Head(), 0
+    return parse_head(entry.value), entry.revision
+
+
+async def read_chunk(store: Store, name: str) -> bytes:
+    """Returns a chunk.
+
+    Raises:
+        StoreUnavailable: The store does not have it.
+        CodecError: Its content does not match its name.
+    """
+    entry = await store.get(keys.chunk(name))
+    if entry is None:
+        raise StoreUnavailable(f"chunk {name} is missing")
+    if digest(entry.value) != name:
+        raise CodecError(f"chunk {name} has other content")
+    return entry.value
+
+
+async def write_chunk(store: Store, chunk: bytes) -> str:
+    """Writes a chunk if it is not there; returns its name."""
+    name = digest(chunk)
+    if name:
+        await store.swap(keys.chunk(name), 0, chunk)
+    return name
--- /dev/null
+++ b/rhubarbwinch/apikeys.py
@@ -0,0 +1,39 @@
+"""API keys of client accounts, kept as salted hashes."""
+
+import hashlib
+import hmac
+
+from rhubarbwinch.accepted import Snapshot
+from rhubarbwinch.records import KeyHash
+
+
+def hash_key(key: str, salt: str) -> str:
+    """Returns the SHA-256 of a salt and an API key, in hexadecimal."""
+    return hashlib.sha256(f"{salt}:{key}".encode()).hexdigest()
+
+
+def matches(key: str, stored: KeyHash) -> bool:
+    """Tells whether a key is the one that was hashed, in constant time."""
+    return hmac.compare_digest(hash_key(key, stored.salt), stored.digest)
+
+
+class KeyChecker:
+    """Finds the account of an API key: `account.secret`."""
+
+    def __init__(self) -> None:
+        self._generation = -1
+        self._known: dict[str, str] = {}
+
+    def account_of(self, key: str, snapshot: Snapshot) -> str | None:
+        """Returns the account's name, or None if the key is not valid."""
+        if snapshot.generation != self._generation:
+            self._known.clear()
+            self._generation = snapshot.generation
+        if key in self._known:
+            return self._known[key]
+        name, _, _ = key.rpartition(".")
+        spec = snapshot.accounts.get(name)
+        if spec is None or not any(matches(key, item) for item in spec.keys):
+            return None
+        self._known[key] = name
+        return name
--- /dev/null
+++ b/rhubarbwinch/broker.py
@@ -0,0 +1,184 @@
+"""The broker: answers permit requests for the pools it owns."""
+
+import random
+
+import anyio
+import attrs
+
+from rhubarbwinch import metrics
+from rhubarbwinch.accepted import Snapshot
+from rhubarbwinch.admission import Admission, Decision, LoadReport
+from rhubarbwinch.clock import Clock
+from rhubarbwinch.config import BrokerSettings
+from rhubarbwinch.daemon import Daemon
+from rhubarbwinch.endpoints import EndpointClient
+from rhubarbwinch.exceptions import EndpointError
+from rhubarbwinch.members import Role
+from rhubarbwinch.messages import (
+    PermitRelease,
+    PermitReply,
+    PermitRequest,
+    ProgressReport,
+)
+from rhubarbwinch.verdict import Reason, not_run
+
+TICK_MS = 20
+LOAD_SILENCE_MS = 1000
+
+
+@attrs.define
+class _Waiter:
+    """A permit request whose decision is not made."""
+
+    done: anyio.Event = attrs.field(factory=anyio.Event)
+    reply: PermitReply | None = None
+
+
+class PoolKeeper:
+    """The pools of a broker and the requests that wait for them.
+
+    Args:
+        clock: The source of time.
+        rng: Breaks ties.
+        counters: Where permits and refusals are counted.
+    """
+
+    def __init__(
+        self, clock: Clock, rng: random.Random, counters: metrics.Metrics
+    ) -> None:
+        self._clock = clock
+        self._rng = rng
+        self._metrics = counters
+        self._pools: dict[str, Admission] = {}
+        self._waiters: dict[str, _Waiter] = {}
+
+    def configure(self, snapshot: Snapshot) -> None:
+        """Takes the pools of a new configuration."""
+        for name, spec in snapshot.pools.items():
+            if name in self._pools:
+                self._pools[name].configure(spec)
+            else:
+                self._pools[name] = Admission(spec, self._clock, self._rng)
+        for name in self._pools.keys() - snapshot.pools.keys():
+            del self._pools[name]
+
+    async def answer(self, request: PermitRequest) -> PermitReply:
+        """Returns the decision on a request, after its wait in the queue."""
+        pool = self._pools.get(request.pool)
+        if pool is None:
+            detail = f"no pool {request.pool}"
+            return PermitReply(failure=not_run(Reason.NO_ENDPOINT, detail))
+        waiter = _Waiter()
+        self._waiters[request.request_id] = waiter
+        try:
+            self._spread(pool.submit(request))
+            await waiter.done.wait()
+        finally:
+            self._waiters.pop(request.request_id, None)
+        if waiter.reply is None:
+            raise AssertionError("a waiter was woken without a decision")
+        return waiter.reply
+
+    async def release(self, release: PermitRelease) -> None:
+        """Takes a permit back; an unknown pool means any of them."""
+        pools = [self._pools.get(release.pool)]
+        if not release.pool:
+            pools = list(self._pools.values())
+        for pool in filter(None, pools):
+            self._spread(pool.release(release))
+
+    async def report_progress(self, report: ProgressReport) -> None:
+        """Takes an entry's open streams."""
+        if report.pool in self._pools:
+            self._pools[report.pool].report_progress(report)
+
+    def report_load(self, pool: str, report: LoadReport) -> None:
+        """Takes an engine's load."""
+        if pool in self._pools:
+            self._pools[pool].report_load(report)
+
+    def tick(self) -> None:
+        """Decides what the passing of time decides."""
+        for pool in self._pools.values():
+            self._spread(pool.decide())
+        queued = sum(pool.queued for pool in self._pools.values())
+        self._metrics.gauge(metrics.QUEUED, queued)
+
+    def _spread(self, decisions: list[Decision]) -> None:
+        for decision in decisions:
+            granted = decision.reply.grant is not None
+            name = metrics.PERMITS if granted else metrics.REFUSALS
+            self._metrics.count(name)
+            waiter = self._waiters.get(decision.request_id)
+            if waiter is not None:
+                waiter.reply = decision.reply
+                waiter.done.set()
+
+
+class Broker:
+    """The broker's program.
+
+    Args:
+        settings: What it was told.
+    """
+
+    def __init__(self, settings: BrokerSettings) -> None:
+        self._daemon = Daemon(Role.BROKER, settings)
+        self._settings = settings
+        self._endpoints = EndpointClient(LOAD_SILENCE_MS)
+        self._keeper = PoolKeeper(
+            self._daemon.clock,
+            random.Random(self._daemon.incarnation),
+            self._daemon.metrics,
+        )
+
+    async def run(self) -> None:
+        """Runs until asked to stop."""
+        daemon = self._daemon
+        daemon.follower.on_change(self._keeper.configure)
+        daemon.server.on(PermitRequest, self._keeper.answer)
+        daemon.server.on(PermitRelease, self._keeper.release)
+        daemon.server.on(ProgressReport, self._keeper.report_progress)
+        daemon.add("tick", self._tick)
+        daemon.add("load", self._read_loads)
+        await daemon.run()
+        await self._endpoints.close()
+
+    async def _tick(self) -> None:
+        while True:
+            await self._daemon.clock.sleep(TICK_MS)
+            self._keeper.tick()
+
+    async def _read_loads(self) -> None:
+        while True:
+            await self._daemon.clock.sleep(self._settings.load_poll_ms)
+            snapshot = self._daemon.follower.snapshot
+            async with anyio.create_task_group() as tasks:
+                for name, spec in snapshot.pools.items():
+                    if spec.target not in snapshot.models:
+                        continue
+                    for endpoint in spec.endpoints:
+                        tasks.start_soon(
+                            self._read_load,
+                            name,
+                            endpoint.name,
+                            endpoint.address,
+                        )
+
+    async def _read_load(self, pool: str, name: str, address: str) -> None:
+        try:
+            data = await self._endpoints.read_json(f"http://{address}/load")
+        except EndpointError:
+            # A silent engine is judged by the calls that fail on it.
+            return
+        report = LoadReport(
+            endpoint=name,
+            at_ms=self._daemon.clock.now() - int(data.get("age_ms", 0)),
+            running=int(data["running"]),
+            waiting=int(data["waiting"]),
+            used_tokens=int(data["used_tokens"]),
+            capacity_tokens=int(data["capacity_tokens"]),
+            step_ms=float(data["step_ms"]),
+            preemptions=int(data["preemptions"]),
+        )
+        self._keeper.report_load(pool, report)
--- /dev/null
+++ b/rhubarbwinch/ctl.py
@@ -0,0 +1,120 @@
+"""What the operators' command line does."""
+
+import enum
+import sys
+import tomllib
+from pathlib import Path
+from typing import Any
+
+import attrs
+import orjson
+
+from rhubarbwinch import codec, keys, records
+from rhubarbwinch.accepted import read_head
+from rhubarbwinch.exceptions import ConflictError, RecordError
+from rhubarbwinch.members import Member
+from rhubarbwinch.records import Record
+from rhubarbwinch.store import Store
+
+
+class ExitStatus(enum.IntEnum):
+    """Exit statuses of the command line."""
+
+    OK = 0
+    FAILED = 1
+    USAGE = 2
+    INVALID = 3
+    CONFLICT = 4
+    STORE = 5
+
+
+class Output(enum.StrEnum):
+    """How results are printed."""
+
+    TABLE = "table"
+    JSON = "json"
+
+
+def read_records(paths: list[str]) -> list[Record]:
+    """Returns the records in TOML or JSON files.
+
+    A TOML file holds `[[record]]` tables; a JSON file a list of records.
+
+    Raises:
+        RecordError: A file or record is not valid.
+    """
+    found = []
+    for path in paths:
+        try:
+            data = Path(path).read_bytes()
+            if path.endswith(".json"):
+                items = orjson.loads(data)
+            else:
+                items = tomllib.loads(data.decode()).get("record", [])
+        except (OSError, ValueError) as error:
+            raise RecordError(
+                path, "-", str(error), "a readable file"
+            ) from None
+        found += [records.parse(item, path) for item in items]
+    for record in found:
+        records.check(record)
+    return found
+
+
+async def apply(store: Store, items: list[Record]) -> list[Record]:
+    """Writes records that have changed; returns those.
+
+    Raises:
+        ConflictError: Another operator changed a record meanwhile.
+    """
+    changed = []
+    for record in items:
+        key = keys.record(record.kind, record.name)
+        current = await store.get(key)
+        if current is not None and current.value == record.to_bytes():
+            continue
+        expected = current.revision if current else 0
+        swap = await store.swap(key, expected, record.to_bytes())
+        if not swap.won:
+            raise ConflictError(record.key, swap.revision)
+        changed.append(record)
+    return changed
+
+
+async def list_records(store: Store, kind: str = "") -> list[Record]:
+    """Returns the records of a kind, or all."""
+    prefix = keys.RECORDS + (f"{kind}/" if kind else "")
+    listing = await store.scan(prefix)
+    return [records.parse(entry.value, entry.key) for entry in listing.entries]
+
+
+@attrs.frozen
+class Status:
+    """What is in force and who is there."""
+
+    generation: int
+    members: list[Member]
+
+
+async def read_status(store: Store) -> Status:
+    """Returns the generation in the store and the members."""
+    head, _ = await read_head(store)
+    listing = await store.scan(keys.MEMBERS)
+    members = [codec.decode(entry.value, Member) for entry in listing.entries]
+    return Status(head.generation, members)
+
+
+def print_rows(rows: list[dict[str, Any]], output: Output) -> None:
+    """Prints rows as a table for people or as JSON for programs."""
+    if output is Output.JSON:
+        sys.stdout.write(orjson.dumps(rows).decode() + "\n")
+        return
+    if not rows:
+        return
+    names = list(rows[0])
+    table = [names] + [[str(row[name]) for name in names] for row in rows]
+    widths = [max(len(line[i]) for line in table) for i in range(len(names))]
+    for line in table:
+        cells = zip(line, widths, strict=True)
+        text = "  ".join(cell.ljust(width) for cell, width in cells)
+        sys.stdout.write(text.rstrip() + "\n")
--- /dev/null
+++ b/rhubarbwinch/daemon.py
@@ -0,0 +1,160 @@
+"""What every program shares: its supervisor tree, links and configuration."""
+
+import signal
+from collections.abc import Awaitable, Callable
+
+import anyio
+import attrs
+import hypercorn.asyncio
+from hypercorn.config import Config
+from hypercorn.typing import ASGIFramework
+
+from rhubarbwinch import events, identity
+from rhubarbwinch.clock import Clock, SystemClock
+from rhubarbwinch.config import Settings
+from rhubarbwinch.exceptions import StoreError
+from rhubarbwinch.follower import Follower
+from rhubarbwinch.links import Links, LinkServer
+from rhubarbwinch.members import Member, Members, Registration, Role
+from rhubarbwinch.metrics import Metrics
+from rhubarbwinch.store import STORES, Store
+from rhubarbwinch.supervisor import Supervisor
+
+DRAIN_CHECK_MS = 20
+MAX_HEADER_BYTES = 32 << 10
+
+
+@attrs.define
+class Drain:
+    """The state of a shutdown.
+
+    Attributes:
+        started: Set when the program must take no new work.
+        open_count: Returns how many requests are still open.
+    """
+
+    started: bool = False
+    open_count: Callable[[], int] = lambda: 0
+
+
+class Daemon:
+    """One program: builds the parts and runs them under a supervisor.
+
+    Args:
+        role: What the program does.
+        settings: What it was told.
+        clock: The source of time.
+        store: The platform's store; built from the settings by default.
+    """
+
+    def __init__(
+        self,
+        role: Role,
+        settings: Settings,
+        clock: Clock | None = None,
+        store: Store | None = None,
+    ) -> None:
+        self.settings = settings
+        self.clock = clock or SystemClock()
+        self.incarnation = identity.new_incarnation()
+        self.metrics = Metrics(settings.statsd, role)
+        make_store = STORES.get(settings.store_kind)
+        self.store = store or make_store(
+            settings.store, settings.store_timeout_ms
+        )
+        self.drain = Drain()
+        self.links = Links(self.incarnation, settings.link_keys)
+        self.server = LinkServer(settings.link, settings.link_keys)
+        self.follower = Follower(self.store, self.clock)
+        me = Member(
+            settings.name,
+            role,
+            settings.data_center,
+            settings.region,
+            self.incarnation,
+            settings.link,
+            settings.http,
+        )
+        self.members = Members(me)
+        self.registration = Registration(
+            self.store, self.members, self.clock, settings.lease_ms
+        )
+        self._tree = Supervisor(settings.name, self.clock)
+        self._shutdown = anyio.Event()
+
+    def add(self, name: str, run: Callable[[], Awaitable[None]]) -> None:
+        """Adds a task to the supervisor tree; call it before `run`."""
+        self._tree.add(name, run)
+
+    def serve_http(self, app: ASGIFramework) -> None:
+        """Adds the HTTP interface; call it before `run`."""
+        config = Config()
+        config.bind = [self.settings.http]
+        config.accesslog = None
+        config.errorlog = None
+        config.h11_max_incomplete_size = MAX_HEADER_BYTES
+        config.graceful_timeout = self.settings.drain_ms / 1000
+        config.keep_alive_timeout = 75
+
+        async def run() -> None:
+            await hypercorn.asyncio.serve(
+                app, config, shutdown_trigger=self._shutdown.wait
+            )
+
+        self.add("http", run)
+
+    async def run(self) -> None:
+        """Runs until SIGTERM or SIGINT, then drains and returns.
+
+        Raises:
+            RestartLimitError: A task failed too often.
+        """
+        self.add("link-server", self.server.run)
+        self.add("links", self.links.run)
+        self.add("registration", self.registration.run)
+        self.add("follower", self.follower.run)
+        try:
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(self._watch_signals, tasks)
+                events.STARTED.log(name=self.settings.name)
+                await self._tree.run()
+                tasks.cancel_scope.cancel()
+        except* Exception as group:
+            # The task group wraps what the tree raised.
+            raise group.exceptions[0] from None
+        finally:
+            with anyio.CancelScope(shield=True), anyio.move_on_after(2):
+                await self._say_goodbye()
+        events.STOPPED.log(name=self.settings.name)
+
+    async def _say_goodbye(self) -> None:
+        try:
+            await self.registration.close()
+        except StoreError as error:
+            events.STORE_DOWN.log(error=str(error))
+        await self.store.close()
+
+    async def _watch_signals(self, tasks: anyio.abc.TaskGroup) -> None:
+        with anyio.open_signal_receiver(
+            signal.SIGTERM, signal.SIGINT
+        ) as signals:
+            async for _ in signals:
+                break
+        await self.leave()
+        tasks.cancel_scope.cancel()
+
+    async def leave(self) -> None:
+        """Takes no new work and waits for what is open, up to the limit."""
+        events.DRAINING.log(name=self.settings.name)
+        self.drain.started = True
+        self.members.leave()
+        self.registration.hurry()
+        end = self.clock.now() + self.settings.drain_ms
+        # One more reading of the members lets the others see this one leave.
+        await self.clock.sleep(min(self.settings.drain_ms, 500))
+        while self.drain.open_count() and self.clock.now() < end:
+            await self.clock.sleep(DRAIN_CHECK_MS)
+        if self.drain.open_count():
+            events.DRAIN_LIMIT.log(open=self.drain.open_count())
+        self._shutdown.set()
+        await self.clock.sleep(DRAIN_CHECK_MS)
--- /dev/null
+++ b/rhubarbwinch/entry.py
@@ -0,0 +1,171 @@
+"""The entry: speaks HTTP with callers."""
+
+import orjson
+
+from rhubarbwinch import identity, metrics, rendezvous
+from rhubarbwinch.apikeys import KeyChecker
+from rhubarbwinch.config import EntrySettings
+from rhubarbwinch.daemon import Daemon
+from rhubarbwinch.endpoints import EndpointClient
+from rhubarbwinch.exceptions import LinkError
+from rhubarbwinch.generate import Generator, parse_call
+from rhubarbwinch.httpapi import App, Refused, Request, Responder
+from rhubarbwinch.members import Role
+from rhubarbwinch.messages import ProgressReport, StreamProgress
+from rhubarbwinch.permits import PermitClient, pool_owner
+from rhubarbwinch.plain import PREFIX, PlainCaller
+from rhubarbwinch.verdict import Reason, not_run
+
+ENTRIES_TTL_MS = 5000
+REPORT_MS = 1000
+RETRY_AFTER_MS = 1000
+
+
+class Entry:
+    """The entry's program.
+
+    Args:
+        settings: What it was told.
+    """
+
+    def __init__(self, settings: EntrySettings) -> None:
+        daemon = Daemon(Role.ENTRY, settings)
+        self._daemon = daemon
+        self._keys = KeyChecker()
+        self._endpoints = EndpointClient(settings.endpoint_silence_ms)
+        self._permits = PermitClient(
+            daemon.links, daemon.members, settings.permit_timeout_ms
+        )
+        ids = identity.IdMaker(daemon.incarnation, settings.stream_secret)
+        self._generator = Generator(
+            self._permits,
+            self._endpoints,
+            ids,
+            daemon.clock,
+            daemon.metrics,
+            settings.name,
+            settings.data_center,
+        )
+        self._plain = PlainCaller(
+            self._permits,
+            self._endpoints,
+            ids,
+            settings.name,
+            settings.data_center,
+        )
+        self._open = 0
+        self._app = App(settings.max_body_bytes)
+
+    async def run(self) -> None:
+        """Runs until asked to stop."""
+        daemon = self._daemon
+        self._app.route("POST", "/v1/completions", self._generate)
+        self._app.route("POST", "/v1/chat/completions", self._generate)
+        self._app.route("GET", "/v1/entries", self._entries)
+        self._app.route("GET", "/healthz", self._healthz)
+        self._app.route("GET", "/readyz", self._readyz)
+        self._app.route("*", PREFIX, self._call_plain)
+        daemon.drain.open_count = lambda: self._open
+        daemon.serve_http(self._app)
+        daemon.add("reports", self._report)
+        await daemon.run()
+        await self._endpoints.close()
+
+    def _account(self, request: Request) -> str:
+        """Returns the caller's account.
+
+        Raises:
+            Refused: The key is not valid, or the program is draining.
+        """
+        if self._daemon.drain.started:
+            detail = "this entry is leaving; others: " + ", ".join(
+                m.http for m in self._daemon.members.serving(Role.ENTRY)
+            )
+            raise Refused(not_run(Reason.DRAINING, detail, RETRY_AFTER_MS))
+        snapshot = self._daemon.follower.snapshot
+        account = self._keys.account_of(request.api_key, snapshot)
+        if account is None:
+            raise Refused(not_run(Reason.UNAUTHENTICATED, "unknown API key"))
+        self._daemon.metrics.count(metrics.REQUESTS)
+        return account
+
+    async def _generate(self, request: Request, responder: Responder) -> None:
+        account = self._account(request)
+        snapshot = self._daemon.follower.snapshot
+        self._open += 1
+        try:
+            last = request.headers.get("last-event-id")
+            if last is None:
+                call = parse_call(account, request, snapshot)
+                await self._generator.serve(call, snapshot, responder)
+                return
+            after = identity.parse_event_id(last)
+            if after is None:
+                raise Refused(not_run(Reason.BAD_REQUEST, "Last-Event-ID"))
+            await self._generator.resume(account, after, snapshot, responder)
+        finally:
+            self._open -= 1
+
+    async def _call_plain(self, request: Request, responder: Responder) -> None:
+        account = self._account(request)
+        snapshot = self._daemon.follower.snapshot
+        self._open += 1
+        try:
+            await self._plain.serve(account, request, snapshot, responder)
+        finally:
+            self._open -= 1
+
+    async def _entries(self, request: Request, responder: Responder) -> None:
+        """Lists the entries, in an order of the account's own."""
+        snapshot = self._daemon.follower.snapshot
+        account = self._keys.account_of(request.api_key, snapshot) or ""
+        entries = {m.name: m for m in self._daemon.members.serving(Role.ENTRY)}
+        order = rendezvous.ranking(account, entries)
+        listed = [
+            {
+                "name": name,
+                "address": entries[name].http,
+                "data_center": entries[name].data_center,
+            }
+            for name in order
+        ]
+        data = {"entries": listed, "ttl_ms": ENTRIES_TTL_MS}
+        await responder.json(orjson.dumps(data))
+
+    async def _healthz(self, _: Request, responder: Responder) -> None:
+        await responder.json(b'{"alive":true}')
+
+    async def _readyz(self, _: Request, responder: Responder) -> None:
+        generation = self._daemon.follower.snapshot.generation
+        ready = generation > 0 and not self._daemon.drain.started
+        data = {"ready": ready, "generation": generation}
+        await responder.json(orjson.dumps(data), 200 if ready else 503)
+
+    async def _report(self) -> None:
+        """Tells the owners of pools which streams are open."""
+        pools: set[str] = set()
+        while True:
+            await self._daemon.clock.sleep(REPORT_MS)
+            held = self._permits.open_permits
+            now = {permit.request.pool for permit in held}
+            for pool in sorted(pools | now):
+                streams = [
+                    StreamProgress(p.request, p.grant.endpoint, 0)
+                    for p in held
+                    if p.request.pool == pool
+                ]
+                await self._send_report(pool, streams)
+            pools = now
+
+    async def _send_report(
+        self, pool: str, streams: list[StreamProgress]
+    ) -> None:
+        broker = pool_owner(pool, self._daemon.members)
+        if broker is None:
+            return
+        report = ProgressReport(self._daemon.settings.name, pool, streams)
+        try:
+            await self._daemon.links.send(broker.link, report)
+        except LinkError:
+            # The next report goes to the pool's next owner.
+            return
--- /dev/null
+++ b/rhubarbwinch/events.py
@@ -0,0 +1,131 @@
+"""Numbered log events; docs/events.md is their catalogue."""
+
+import enum
+import logging as stdlib_logging
+import sys
+from typing import Any
+
+import orjson
+from absl import logging
+
+
+class LogFormat(enum.StrEnum):
+    """How log lines are written."""
+
+    TEXT = "text"
+    JSON = "json"
+
+
+_LEVELS = {
+    logging.DEBUG: "debug",
+    logging.INFO: "info",
+    logging.WARNING: "warning",
+    logging.ERROR: "error",
+}
+
+
+class _Output:
+    """What all events share: the format and the process's name."""
+
+    def __init__(self) -> None:
+        self.format = LogFormat.TEXT
+        self.process = "-"
+
+
+_output = _Output()
+_all: dict[int, "Event"] = {}
+
+
+def configure(log_format: LogFormat, level: str, process: str) -> None:
+    """Sets the format, the lowest level written and the process's name."""
+    _output.format = log_format
+    _output.process = process
+    logging.set_verbosity(level)
+    logging.set_stderrthreshold(level)
+    logging.use_absl_handler()
+    # Our own events tell of each call that matters.
+    stdlib_logging.getLogger("httpx").setLevel(stdlib_logging.WARNING)
+
+
+class Event:
+    """A kind of log line.
+
+    Args:
+        number: The number; never given to another event.
+        name: The name in logs, in lower case with dashes.
+        level: An absl level: `logging.INFO`, `WARNING` or `ERROR`.
+        meaning: One sentence for operators.
+    """
+
+    def __init__(
+        self, number: int, name: str, level: int, meaning: str
+    ) -> None:
+        if number in _all:
+            raise ValueError(f"event {number} is defined twice")
+        self.number = number
+        self.name = name
+        self.level = level
+        self.meaning = meaning
+        _all[number] = self
+
+    def log(self, **fields: Any) -> None:
+        """Writes the event with its fields."""
+        if not logging.vlog_is_on(self.level):
+            return
+        if _output.format is LogFormat.JSON:
+            line = {
+                "event": self.number,
+                "name": self.name,
+                "process": _output.process,
+                "level": _LEVELS[self.level],
+            }
+            data = orjson.dumps(line | fields, default=str)
+            sys.stderr.write(data.decode() + "\n")
+            return
+        text = " ".join(f"{key}={value}" for key, value in fields.items())
+        logging.log(self.level, "RW%04d %s %s", self.number, self.name, text)
+
+
+def catalogue() -> list[Event]:
+    """Returns every event, in the order of the numbers."""
+    return [_all[number] for number in sorted(_all)]
+
+
+STARTED = Event(1, "started", logging.INFO, "The program is ready.")
+STOPPED = Event(2, "stopped", logging.INFO, "The program ended as asked.")
+DRAINING = Event(3, "draining", logging.INFO, "The program takes no new work.")
+DRAIN_LIMIT = Event(
+    4, "drain-limit", logging.WARNING, "Streams were open at the drain limit."
+)
+CHILD_FAILED = Event(
+    10, "child-failed", logging.WARNING, "A task failed and is restarted."
+)
+RESTART_LIMIT = Event(
+    11, "restart-limit", logging.ERROR, "A task failed too often."
+)
+STORE_DOWN = Event(20, "store-down", logging.WARNING, "The store fails calls.")
+STORE_UP = Event(21, "store-up", logging.INFO, "The store answers again.")
+CONFIG_IN_FORCE = Event(
+    30, "config-in-force", logging.INFO, "A new generation is in force."
+)
+CONFIG_OLDER = Event(
+    31, "config-older", logging.WARNING, "An older generation was ignored."
+)
+RECORD_REJECTED = Event(
+    32, "record-rejected", logging.WARNING, "A record failed its checks."
+)
+PEER_REFUSED = Event(
+    40, "peer-refused", logging.WARNING, "A peer's message was refused."
+)
+MEMBER_CHANGED = Event(
+    41, "member-changed", logging.INFO, "A member appeared, left or was lost."
+)
+REQUEST_FAILED = Event(
+    50, "request-failed", logging.INFO, "A request ended with a verdict."
+)
+STREAM_RESUMED = Event(
+    51, "stream-resumed", logging.INFO, "A stream was resumed at its engine."
+)
+ENDPOINT_LOST = Event(
+    52, "endpoint-lost", logging.WARNING, "An endpoint failed a call."
+)
--- /dev/null
+++ b/rhubarbwinch/exceptions.py
@@ -0,0 +1,96 @@
+"""All exceptions of the package."""
+
+
+class RhubarbwinchError(Exception):
+    """The base of every exception raised by this package."""
+
+
+class SettingError(RhubarbwinchError):
+    """A setting is missing or has a value that is not allowed.
+
+    Args:
+        name: The flag's name without dashes, such as `listen`.
+        value: The value as it was given.
+        allowed: What is allowed, in words.
+    """
+
+    def __init__(self, name: str, value: object, allowed: str) -> None:
+        super().__init__(f"setting --{name}: {value!r}; allowed: {allowed}")
+        self.name = name
+
+
+class RecordError(RhubarbwinchError):
+    """A record failed its checks.
+
+    Args:
+        record: The record's key, `kind/name`.
+        field: The field's dotted path.
+        value: The value that was found.
+        allowed: What is allowed, in words.
+    """
+
+    def __init__(
+        self, record: str, field: str, value: object, allowed: str
+    ) -> None:
+        super().__init__(
+            f"record {record}: field {field}: {value!r}; allowed: {allowed}"
+        )
+        self.record = record
+        self.field = field
+        self.value = value
+        self.allowed = allowed
+
+
+class StoreError(RhubarbwinchError):
+    """The key-value store did not do what was asked."""
+
+
+class StoreUnavailable(StoreError):  # noqa: N818
+    """The store was not reached: nothing was written."""
+
+
+class StoreUncertain(StoreError):  # noqa: N818
+    """The answer was lost: a write may have taken effect."""
+
+
+class CodecError(RhubarbwinchError):
+    """Bytes from a peer or the store are not a message of a known type."""
+
+
+class LinkError(RhubarbwinchError):
+    """A peer did not answer."""
+
+
+class LinkTimeout(LinkError):  # noqa: N818
+    """A peer did not answer in time; it may have acted on the request."""
+
+
+class EndpointError(RhubarbwinchError):
+    """An endpoint failed a call.
+
+    Args:
+        message: What happened.
+        sent: Whether any byte of the request may have reached the endpoint.
+    """
+
+    def __init__(self, message: str, sent: bool) -> None:
+        super().__init__(message)
+        self.sent = sent
+
+
+class ConflictError(RhubarbwinchError):
+    """Another writer changed the key first.
+
+    Args:
+        key: The key that both wrote.
+        winner_revision: The store revision of the other write.
+    """
+
+    def __init__(self, key: str, winner_revision: int) -> None:
+        super().__init__(f"{key} was changed at revision {winner_revision}")
+        self.key = key
+        self.winner_revision = winner_revision
+
+
+class RestartLimitError(RhubarbwinchError):
+    """A supervised task failed more often than its limit allows."""
--- /dev/null
+++ b/rhubarbwinch/httpapi.py
@@ -0,0 +1,226 @@
+"""The HTTP interface: requests, answers and routes over ASGI."""
+
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import anyio
+import attrs
+from hypercorn.typing import ASGIReceiveCallable, ASGISendCallable, Scope
+
+from rhubarbwinch import events, problems
+from rhubarbwinch.verdict import Failure, Reason, Verdict, not_run
+
+Headers = list[tuple[bytes, bytes]]
+
+
+class Refused(Exception):  # noqa: N818
+    """Ends a request with a failure.
+
+    Args:
+        failure: What the caller is told.
+    """
+
+    def __init__(self, failure: Failure) -> None:
+        super().__init__(failure.detail)
+        self.failure = failure
+
+
+@attrs.frozen
+class Request:
+    """A caller's request.
+
+    Attributes:
+        method: The HTTP method.
+        path: The path without the query.
+        query: The query string.
+        headers: Names in lower case; the last of equal names counts.
+        body: The whole body.
+    """
+
+    method: str
+    path: str
+    query: str
+    headers: dict[str, str]
+    body: bytes
+
+    @property
+    def api_key(self) -> str:
+        """The bearer token, or empty."""
+        scheme, _, token = self.headers.get("authorization", "").partition(" ")
+        return token.strip() if scheme.lower() == "bearer" else ""
+
+
+class Responder:
+    """Sends one answer.
+
+    Args:
+        send: The ASGI function.
+    """
+
+    def __init__(self, send: ASGISendCallable) -> None:
+        self._send = send
+        self._started = False
+
+    @property
+    def started(self) -> bool:
+        """Whether the head has been sent."""
+        return self._started
+
+    async def start(self, status: int, headers: Headers) -> None:
+        """Sends the head."""
+        self._started = True
+        await self._send(
+            {
+                "type": "http.response.start",
+                "status": status,
+                "headers": headers,
+                "trailers": False,
+            }
+        )
+
+    async def write(self, data: bytes, more: bool = True) -> None:
+        """Sends a part of the body; the last has `more=False`."""
+        await self._send(
+            {"type": "http.response.body", "body": data, "more_body": more}
+        )
+
+    async def whole(self, status: int, headers: Headers, data: bytes) -> None:
+        """Sends a whole answer."""
+        length = (b"content-length", str(len(data)).encode())
+        await self.start(status, [*headers, length])
+        await self.write(data, more=False)
+
+    async def json(self, data: bytes, status: int = 200) -> None:
+        """Sends a whole JSON answer."""
+        await self.whole(status, [(b"content-type", b"application/json")], data)
+
+    async def problem(self, failure: Failure) -> None:
+        """Sends a failure, also in the middle of an event stream."""
+        data = problems.body(failure)
+        if self._started:
+            await self.write(b"event: error\ndata: " + data + b"\n\n", False)
+            return
+        status = problems.STATUS[failure.reason]
+        await self.whole(status, problems.headers(failure), data)
+
+
+Handler = Callable[[Request, Responder], Awaitable[None]]
+
+
+@attrs.frozen
+class Route:
+    """A handler for a method and all paths that start with a prefix."""
+
+    method: str
+    prefix: str
+    handle: Handler
+
+
+class App:
+    """An ASGI application of routes.
+
+    Args:
+        max_body_bytes: A longer body is refused.
+    """
+
+    def __init__(self, max_body_bytes: int) -> None:
+        self._max_body_bytes = max_body_bytes
+        self._routes: list[Route] = []
+
+    def route(self, method: str, prefix: str, handle: Handler) -> None:
+        """Adds a route; `*` stands for any method."""
+        self._routes.append(Route(method, prefix, handle))
+
+    async def __call__(
+        self,
+        scope: Scope,
+        receive: ASGIReceiveCallable,
+        send: ASGISendCallable,
+    ) -> None:
+        """Serves one ASGI scope."""
+        if scope["type"] == "lifespan":
+            await _serve_lifespan(receive, send)
+            return
+        if scope["type"] != "http":
+            return
+        responder = Responder(send)
+        try:
+            request = await self._read(scope, receive)
+            handle = self._find(request)
+            await _until_gone(handle, request, responder, receive)
+        except Refused as refused:
+            failure = refused.failure
+            events.REQUEST_FAILED.log(
+                reason=failure.reason,
+                verdict=failure.verdict,
+                detail=failure.detail,
+            )
+            await responder.problem(failure)
+
+    async def _read(self, scope: Any, receive: ASGIReceiveCallable) -> Request:
+        body = bytearray()
+        more = True
+        while more:
+            message: Any = await receive()
+            if message["type"] == "http.disconnect":
+                raise Refused(not_run(Reason.CANCELLED, "the caller went away"))
+            body += message.get("body", b"")
+            more = message.get("more_body", False)
+            if len(body) > self._max_body_bytes:
+                detail = f"a body has at most {self._max_body_bytes} bytes"
+                raise Refused(not_run(Reason.TOO_LARGE, detail))
+        headers = {
+            name.decode("latin-1").lower(): value.decode("latin-1")
+            for name, value in scope["headers"]
+        }
+        query = scope["query_string"].decode("latin-1")
+        return Request(
+            scope["method"], scope["path"], query, headers, bytes(body)
+        )
+
+    def _find(self, request: Request) -> Handler:
+        for route in self._routes:
+            method_fits = route.method in ("*", request.method)
+            if method_fits and request.path.startswith(route.prefix):
+                return route.handle
+        detail = f"no {request.method} {request.path}"
+        raise Refused(not_run(Reason.NOT_FOUND, detail))
+
+
+async def _until_gone(
+    handle: Handler,
+    request: Request,
+    responder: Responder,
+    receive: ASGIReceiveCallable,
+) -> None:
+    """Runs a handler; cancels it when its caller disconnects."""
+    refused: list[Refused] = []
+    async with anyio.create_task_group() as tasks:
+
+        async def watch() -> None:
+            while True:
+                message: Any = await receive()
+                if message["type"] == "http.disconnect":
+                    tasks.cancel_scope.cancel()
+                    return
+
+        tasks.start_soon(watch)
+        try:
+            await handle(request, responder)
+        except Refused as error:
+            refused.append(error)
+        except Exception as error:
+            detail = f"{type(error).__name__}: {error}"
+            failure = Failure(Verdict.MAY_HAVE_RUN, Reason.INTERNAL, detail)
+            refused.append(Refused(failure))
+        tasks.cancel_scope.cancel()
+    if refused:
+        raise refused[0]
+
+
+async def _serve_lifespan(receive: Any, send: Any) -> None:
+    while True:
+        message = await receive()
+        await send({"type": f"{message['type']}.complete"})
+        if message["type"] == "lifespan.shutdown":
+            return
--- /dev/null
+++ b/rhubarbwinch/identity.py
@@ -0,0 +1,81 @@
+"""Generation ids: who made a stream, whose it is and where it runs.
+
+An id is `<incarnation>-<counter>-<tag>~<endpoint>`. Any entry can find the
+endpoint of a stream by the id alone, and the tag lets only the account that
+started the stream resume it.
+"""
+
+import hashlib
+import hmac
+import itertools
+import secrets
+
+import attrs
+
+_TAG_CHARS = 12
+
+
+def new_incarnation() -> int:
+    """Returns a random number of 63 bits for a process that starts."""
+    return secrets.randbits(63)
+
+
+@attrs.frozen
+class EventId:
+    """The id of one event of a stream.
+
+    Attributes:
+        generation: The generation id.
+        index: The event's place in the stream, from 0.
+    """
+
+    generation: str
+    index: int
+
+
+class IdMaker:
+    """Makes ids that no other process makes.
+
+    Args:
+        incarnation: This process's number.
+        secret: Signs the ids.
+    """
+
+    def __init__(self, incarnation: int, secret: str) -> None:
+        self._incarnation = f"{incarnation:x}"
+        self._secret = secret.encode()
+        self._counter = itertools.count(1)
+
+    def request_id(self, account: str) -> str:
+        """Returns a new request id for an account."""
+        base = f"{self._incarnation}-{next(self._counter):x}"
+        return f"{base}-{self._tag(base, account)}"
+
+    def is_of(self, generation: str, account: str) -> bool:
+        """Tells whether a generation was started by `account`."""
+        request_id = generation.partition("~")[0]
+        base, _, tag = request_id.rpartition("-")
+        return hmac.compare_digest(tag, self._tag(base, account))
+
+    def _tag(self, base: str, account: str) -> str:
+        text = f"{base}\0{account}".encode()
+        digest = hmac.new(self._secret, text, hashlib.sha256).hexdigest()
+        return digest[:_TAG_CHARS]
+
+
+def generation_id(request_id: str, endpoint: str) -> str:
+    """Returns the id of a request's generation at an endpoint."""
+    return f"{request_id}~{endpoint}"
+
+
+def endpoint_of(generation: str) -> str:
+    """Returns the name of the endpoint that runs a generation."""
+    return generation.partition("~")[2]
+
+
+def parse_event_id(text: str) -> EventId | None:
+    """Returns the parts of `<generation>:<index>`, or None."""
+    generation, colon, index = text.rpartition(":")
+    if not colon or not index.isdecimal() or "~" not in generation:
+        return None
+    return EventId(generation, int(index))
--- /dev/null
+++ b/rhubarbwinch/links.py
@@ -0,0 +1,285 @@
+"""Links between processes: typed calls over ZeroMQ, one peer a socket.
+
+Each frame list is (protocol version, kind, sender's incarnation, sequence
+number, body). An answer repeats the incarnation and number of its call.
+"""
+
+import itertools
+import struct
+from collections.abc import Awaitable, Callable
+from typing import Any, TypeVar
+
+import anyio
+import anyio.abc
+import attrs
+import zmq
+import zmq.asyncio
+
+from rhubarbwinch import codec, events
+from rhubarbwinch.exceptions import CodecError, LinkError, LinkTimeout
+from rhubarbwinch.version import PROTOCOL_VERSION
+
+T = TypeVar("T")
+
+_HEADER = struct.Struct("!HQQ")
+_MAX_QUEUED = 10_000
+_MAX_MESSAGE_BYTES = 4 << 20
+
+
+@attrs.frozen
+class LinkKeys:
+    """A CURVE key pair in Z85; every process of a deployment holds it."""
+
+    public: str
+    secret: str = attrs.field(repr=False)
+
+
+@attrs.define
+class LinkCounters:
+    """What links dropped; for metrics and tests."""
+
+    unknown_answers: int = 0
+    refused: int = 0
+
+
+@attrs.frozen
+class _Handler:
+    """A message's class and the function that answers it."""
+
+    kind: type
+    answer: Callable[[Any], Awaitable[Any]]
+
+
+def _pack(kind: str, incarnation: int, number: int, body: bytes) -> list[bytes]:
+    header = _HEADER.pack(PROTOCOL_VERSION, incarnation, number)
+    return [header, kind.encode(), body]
+
+
+class LinkServer:
+    """Answers calls of peers.
+
+    Args:
+        address: `a.b.c.d:port` to listen on.
+        keys: Encrypts and authenticates peers; None leaves links open.
+    """
+
+    def __init__(self, address: str, keys: LinkKeys | None = None) -> None:
+        self.counters = LinkCounters()
+        self._address = address
+        self._keys = keys
+        self._handlers: dict[str, _Handler] = {}
+
+    def on(self, kind: type[T], answer: Callable[[T], Awaitable[Any]]) -> None:
+        """Sets the function that answers messages of a class."""
+        self._handlers[kind.__name__] = _Handler(kind, answer)
+
+    async def run(self) -> None:
+        """Serves until cancelled; each call runs in a task of its own."""
+        context = zmq.asyncio.Context.instance()
+        socket = context.socket(zmq.ROUTER)
+        socket.setsockopt(zmq.LINGER, 0)
+        socket.setsockopt(zmq.MAXMSGSIZE, _MAX_MESSAGE_BYTES)
+        authenticator = _serve_keys(socket, self._keys)
+        try:
+            socket.bind(f"tcp://{self._address}")
+            async with anyio.create_task_group() as tasks:
+                while True:
+                    frames = await socket.recv_multipart()
+                    tasks.start_soon(self._answer, socket, frames)
+        finally:
+            socket.close()
+            if authenticator is not None:
+                authenticator.stop()
+
+    async def _answer(
+        self, socket: zmq.asyncio.Socket, frames: list[bytes]
+    ) -> None:
+        try:
+            peer, header, kind, body = frames
+            version, incarnation, number = _HEADER.unpack(header)
+            if version != PROTOCOL_VERSION:
+                raise CodecError(f"protocol version {version}")
+            handler = self._handlers.get(kind.decode())
+            if handler is None:
+                raise CodecError(f"unknown message {kind!r}")
+            message: Any = codec.decode(body, handler.kind)
+        except (ValueError, struct.error, CodecError) as error:
+            self.counters.refused += 1
+            events.PEER_REFUSED.log(error=str(error))
+            return
+        answer = await handler.answer(message)
+        if answer is not None and number:
+            reply = _pack(
+                type(answer).__name__, incarnation, number, codec.encode(answer)
+            )
+            await socket.send_multipart([peer, *reply])
+
+
+def _serve_keys(socket: zmq.asyncio.Socket, keys: LinkKeys | None) -> Any:
+    """Makes a socket accept only peers that hold the same key pair."""
+    if keys is None:
+        return None
+    from zmq.auth.asyncio import AsyncioAuthenticator  # noqa: PLC0415
+
+    authenticator = AsyncioAuthenticator(zmq.asyncio.Context.instance())
+    authenticator.start()
+    provider = _OneKey(keys.public)
+    authenticator.configure_curve_callback("*", credentials_provider=provider)
+    socket.curve_server = True
+    socket.curve_publickey = keys.public.encode()
+    socket.curve_secretkey = keys.secret.encode()
+    return authenticator
+
+
+class _OneKey:
+    """Accepts one public key."""
+
+    def __init__(self, public: str) -> None:
+        self._public = public.encode()
+
+    def callback(self, domain: str, key: bytes) -> bool:
+        """Tells whether a peer's public key may connect."""
+        return zmq.utils.z85.encode(key) == self._public
+
+
+class Links:
+    """Calls peers, over one socket and one receiving task for each.
+
+    Args:
+        incarnation: This process's number, new at each start.
+        keys: The deployment's key pair, or None.
+    """
+
+    def __init__(self, incarnation: int, keys: LinkKeys | None = None) -> None:
+        self.counters = LinkCounters()
+        self._incarnation = incarnation
+        self._keys = keys
+        self._numbers = itertools.count(1)
+        self._sockets: dict[str, zmq.asyncio.Socket] = {}
+        self._waiting: dict[int, _Waiting] = {}
+        self._late: dict[str, _Handler] = {}
+        self._tasks: anyio.abc.TaskGroup | None = None
+
+    async def run(
+        self, *, task_status: Any = anyio.TASK_STATUS_IGNORED
+    ) -> None:
+        """Keeps the receiving tasks until cancelled."""
+        try:
+            async with anyio.create_task_group() as tasks:
+                self._tasks = tasks
+                task_status.started()
+                await anyio.sleep_forever()
+        finally:
+            self._tasks = None
+            for socket in self._sockets.values():
+                socket.close()
+            self._sockets.clear()
+
+    async def call(
+        self, address: str, message: Any, answer: type[T], timeout_ms: int
+    ) -> T:
+        """Sends a message and returns the peer's answer.
+
+        Raises:
+            LinkError: The message was not sent.
+            LinkTimeout: No answer came in time; the peer may have acted.
+        """
+        number = next(self._numbers)
+        waiting = _Waiting()
+        self._waiting[number] = waiting
+        try:
+            await self._send(address, number, message)
+            with anyio.move_on_after(timeout_ms / 1000):
+                await waiting.done.wait()
+        finally:
+            del self._waiting[number]
+        if waiting.body is None:
+            raise LinkTimeout(f"{address} gave no answer in {timeout_ms} ms")
+        return codec.decode(waiting.body, answer)
+
+    async def send(self, address: str, message: Any) -> None:
+        """Sends a message that has no answer.
+
+        Raises:
+            LinkError: The message was not sent.
+        """
+        await self._send(address, 0, message)
+
+    def on_late(
+        self, kind: type[T], handle: Callable[[T], Awaitable[None]]
+    ) -> None:
+        """Sets what is done with answers whose call has been given up."""
+        self._late[kind.__name__] = _Handler(kind, handle)
+
+    def forget(self, address: str) -> None:
+        """Closes the socket of a peer that is gone."""
+        socket = self._sockets.pop(address, None)
+        if socket is not None:
+            socket.close()
+
+    async def _send(self, address: str, number: int, message: Any) -> None:
+        socket = self._sockets.get(address) or self._connect(address)
+        frames = _pack(
+            type(message).__name__,
+            self._incarnation,
+            number,
+            codec.encode(message),
+        )
+        try:
+            await socket.send_multipart(frames, flags=zmq.NOBLOCK)
+        except zmq.ZMQError as error:
+            raise LinkError(f"{address}: {error}") from error
+
+    def _connect(self, address: str) -> zmq.asyncio.Socket:
+        if self._tasks is None:
+            raise LinkError("links are not running")
+        socket = zmq.asyncio.Context.instance().socket(zmq.DEALER)
+        socket.setsockopt(zmq.LINGER, 0)
+        socket.setsockopt(zmq.SNDHWM, _MAX_QUEUED)
+        socket.setsockopt(zmq.RECONNECT_IVL, 50)
+        socket.setsockopt(zmq.RECONNECT_IVL_MAX, 1000)
+        # A stalled connection is given up, so that a new one can be made.
+        socket.setsockopt(zmq.HEARTBEAT_IVL, 1000)
+        socket.setsockopt(zmq.HEARTBEAT_TIMEOUT, 3000)
+        if self._keys is not None:
+            socket.curve_serverkey = self._keys.public.encode()
+            socket.curve_publickey = self._keys.public.encode()
+            socket.curve_secretkey = self._keys.secret.encode()
+        socket.connect(f"tcp://{address}")
+        self._sockets[address] = socket
+        self._tasks.start_soon(self._receive, socket)
+        return socket
+
+    async def _receive(self, socket: zmq.asyncio.Socket) -> None:
+        while not socket.closed:
+            try:
+                header, kind, body = await socket.recv_multipart()
+                version, incarnation, number = _HEADER.unpack(header)
+            except zmq.ZMQError:
+                return
+            except (ValueError, struct.error):
+                self.counters.refused += 1
+                continue
+            if version != PROTOCOL_VERSION or incarnation != self._incarnation:
+                self.counters.refused += 1
+                continue
+            waiting = self._waiting.get(number)
+            if waiting is None:
+                await self._handle_late(kind.decode(), body)
+                continue
+            waiting.body = body
+            waiting.done.set()
+
+    async def _handle_late(self, kind: str, body: bytes) -> None:
+        self.counters.unknown_answers += 1
+        handler = self._late.get(kind)
+        if handler is not None:
+            await handler.answer(codec.decode(body, handler.kind))
+
+
+@attrs.define
+class _Waiting:
+    """A call whose answer has not come."""
+
+    done: anyio.Event = attrs.field(factory=anyio.Event)
+    body: bytes | None = None
--- /dev/null
+++ b/rhubarbwinch/memstore.py
@@ -0,0 +1,180 @@
+"""A store in memory, for tests and for programs that embed the parts."""
+
+import itertools
+from collections.abc import AsyncIterator
+
+import anyio
+import attrs
+
+from rhubarbwinch.clock import Clock
+from rhubarbwinch.exceptions import StoreUnavailable, StoreUncertain
+from rhubarbwinch.store import Change, Entry, Listing, Swap
+
+
+@attrs.define
+class StoreFaults:
+    """What goes wrong with the next calls.
+
+    Attributes:
+        down: Every call fails without effect.
+        lose_answers: How many of the next writes take effect and then fail.
+    """
+
+    down: bool = False
+    lose_answers: int = 0
+
+
+@attrs.define
+class _Lease:
+    """A lease's end and the keys under it."""
+
+    ttl_ms: int
+    ends: int
+    keys: set[str] = attrs.field(factory=set)
+
+
+class MemoryStore:
+    """A key-value store without a network.
+
+    Args:
+        clock: The time by which leases lapse.
+    """
+
+    def __init__(self, clock: Clock) -> None:
+        self.faults = StoreFaults()
+        self.calls = 0
+        self._clock = clock
+        self._revision = 0
+        self._entries: dict[str, Entry] = {}
+        self._leases: dict[int, _Lease] = {}
+        self._lease_ids = itertools.count(1)
+        self._log: list[Change] = []
+        self._changed = anyio.Event()
+
+    @property
+    def revision(self) -> int:
+        """The revision of the last write."""
+        return self._revision
+
+    async def get(self, key: str) -> Entry | None:
+        """Returns the entry of `key`, or None."""
+        self._begin()
+        return self._entries.get(key)
+
+    async def scan(self, prefix: str) -> Listing:
+        """Returns all entries whose keys start with `prefix`, by key."""
+        self._begin()
+        found = [
+            self._entries[key]
+            for key in sorted(self._entries)
+            if key.startswith(prefix)
+        ]
+        return Listing(found, self._revision)
+
+    async def swap(
+        self, key: str, expected: int, value: bytes, lease: int = 0
+    ) -> Swap:
+        """Writes `value` if the key's revision is `expected`; 0 is absent."""
+        self._begin()
+        current = self._entries.get(key)
+        if (current.revision if current else 0) != expected:
+            return Swap(False, current.revision if current else 0, current)
+        if lease and lease not in self._leases:
+            raise StoreUnavailable(f"lease {lease} is gone")
+        self._revision += 1
+        entry = Entry(key, value, self._revision)
+        self._entries[key] = entry
+        for other in self._leases.values():
+            other.keys.discard(key)
+        if lease:
+            self._leases[lease].keys.add(key)
+        self._record(Change(key, self._revision, entry))
+        self._finish_write()
+        return Swap(True, self._revision)
+
+    async def delete(self, key: str, expected: int) -> Swap:
+        """Deletes the key if its revision is `expected`."""
+        self._begin()
+        current = self._entries.get(key)
+        if current is None or current.revision != expected:
+            return Swap(False, current.revision if current else 0, current)
+        self._remove(key)
+        self._finish_write()
+        return Swap(True, self._revision)
+
+    async def grant_lease(self, ttl_ms: int) -> int:
+        """Returns the id of a new lease."""
+        self._begin()
+        lease = next(self._lease_ids)
+        self._leases[lease] = _Lease(ttl_ms, self._clock.now() + ttl_ms)
+        self._finish_write()
+        return lease
+
+    async def keep_lease(self, lease: int) -> int:
+        """Renews a lease; returns the milliseconds it has left, 0 if gone."""
+        self._begin()
+        if lease not in self._leases:
+            return 0
+        held = self._leases[lease]
+        held.ends = self._clock.now() + held.ttl_ms
+        return held.ttl_ms
+
+    async def revoke_lease(self, lease: int) -> None:
+        """Ends a lease; the keys under it are deleted."""
+        self._begin()
+        self._end_lease(lease)
+
+    async def watch(self, prefix: str, after: int) -> AsyncIterator[Change]:
+        """Yields every change under `prefix` after the revision `after`."""
+        self._begin()
+        position = 0
+        while True:
+            changed = self._changed
+            while position < len(self._log):
+                change = self._log[position]
+                position += 1
+                if change.revision > after and change.key.startswith(prefix):
+                    yield change
+            await changed.wait()
+            if self.faults.down:
+                raise StoreUnavailable("the store is down")
+
+    async def close(self) -> None:
+        """Does nothing; there are no connections."""
+
+    def expire_leases(self) -> None:
+        """Ends the leases whose time is over; each call does so as well."""
+        now = self._clock.now()
+        for lease in [k for k, v in self._leases.items() if v.ends <= now]:
+            self._end_lease(lease)
+
+    def wake_watches(self) -> None:
+        """Lets watches look at the faults."""
+        self._changed.set()
+        self._changed = anyio.Event()
+
+    def _begin(self) -> None:
+        self.calls += 1
+        if self.faults.down:
+            raise StoreUnavailable("the store is down")
+        self.expire_leases()
+
+    def _finish_write(self) -> None:
+        if self.faults.lose_answers > 0:
+            self.faults.lose_answers -= 1
+            raise StoreUncertain("the answer was lost")
+
+    def _record(self, change: Change) -> None:
+        self._log.append(change)
+        self.wake_watches()
+
+    def _remove(self, key: str) -> None:
+        self._revision += 1
+        del self._entries[key]
+        self._record(Change(key, self._revision, None))
+
+    def _end_lease(self, lease: int) -> None:
+        held = self._leases.pop(lease, None)
+        for key in sorted(held.keys) if held else []:
+            if key in self._entries:
+                self._remove(key)
--- /dev/null
+++ b/rhubarbwinch/misc.py
@@ -0,0 +1,20 @@
+"""Small helpers that belong to no other module."""
+
+import re
+
+_ADDRESS = re.compile(r"^(\d{1,3}(?:\.\d{1,3}){3}):(\d{1,5})$")
+_MAX_PORT = 65_535
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """Returns the host and port of an `a.b.c.d:port` address.
+
+    Raises:
+        ValueError: The address has another form.
+    """
+    match = _ADDRESS.match(address)
+    if not match or int(match[2]) > _MAX_PORT:
+        raise ValueError(f"{address!r} is not an IP number and a port")
+    if any(int(part) > 255 for part in match[1].split(".")):
+        raise ValueError(f"{address!r} is not an IP number and a port")
+    return match[1], int(match[2])
--- /dev/null
+++ b/rhubarbwinch/permits.py
@@ -0,0 +1,135 @@
+"""The entry's side of permits: finds a pool's owner and asks it."""
+
+from collections.abc import Callable
+
+import attrs
+from result import Err, Ok, Result
+
+from rhubarbwinch import rendezvous
+from rhubarbwinch.exceptions import CodecError, LinkError, LinkTimeout
+from rhubarbwinch.links import Links
+from rhubarbwinch.members import Member, Members, Role
+from rhubarbwinch.messages import (
+    PermitGrant,
+    PermitRelease,
+    PermitReply,
+    PermitRequest,
+    StreamEnd,
+)
+from rhubarbwinch.verdict import Failure, Reason, not_run
+
+RETRY_AFTER_MS = 1000
+
+
+@attrs.frozen
+class Permit:
+    """A granted place, to be given back when its request has ended."""
+
+    request: PermitRequest
+    grant: PermitGrant
+
+
+def pool_owner(pool: str, members: Members) -> Member | None:
+    """Returns the broker that owns a pool."""
+    brokers = {m.name: m for m in members.serving(Role.BROKER)}
+    name = rendezvous.owner(pool, brokers)
+    return brokers[name] if name else None
+
+
+class PermitClient:
+    """Asks the owners of pools for permits.
+
+    Args:
+        links: The links to the brokers.
+        members: The known members.
+        timeout_ms: The longest wait for an answer, beyond the queue's.
+    """
+
+    def __init__(self, links: Links, members: Members, timeout_ms: int) -> None:
+        self._links = links
+        self._members = members
+        self._timeout_ms = timeout_ms
+        self._open: dict[str, Permit] = {}
+        links.on_late(PermitReply, self._hand_back)
+
+    @property
+    def open_permits(self) -> list[Permit]:
+        """The permits that are held."""
+        return list(self._open.values())
+
+    async def ask(self, request: PermitRequest) -> Result[Permit, Failure]:
+        """Asks for a place and returns it or why there is none."""
+        broker = pool_owner(request.pool, self._members)
+        if broker is None:
+            return Err(
+                not_run(
+                    Reason.BROKER_UNAVAILABLE,
+                    f"no broker for pool {request.pool}",
+                    RETRY_AFTER_MS,
+                )
+            )
+        try:
+            reply = await self._links.call(
+                broker.link,
+                request,
+                PermitReply,
+                request.wait_ms + self._timeout_ms,
+            )
+        except (LinkError, LinkTimeout, CodecError) as error:
+            detail = f"broker {broker.name}: {error}"
+            return Err(
+                not_run(Reason.BROKER_UNAVAILABLE, detail, RETRY_AFTER_MS)
+            )
+        if reply.grant is None:
+            missing = not_run(Reason.INTERNAL, "an empty answer")
+            return Err(reply.failure or missing)
+        permit = Permit(request, reply.grant)
+        self._open[request.request_id] = permit
+        return Ok(permit)
+
+    async def ask_any(
+        self,
+        request: PermitRequest,
+        pools: list[str],
+        new_id: Callable[[], str],
+    ) -> Result[Permit, Failure]:
+        """Asks the pools in turn until one has a place.
+
+        Each asking has an id of its own, so that a late grant can be handed
+        back without touching the permit that was taken instead.
+        """
+        answer: Result[Permit, Failure] = Err(
+            not_run(Reason.NO_ENDPOINT, f"no pool of {request.service}")
+        )
+        for pool in pools:
+            asked = attrs.evolve(request, pool=pool, request_id=new_id())
+            answer = await self.ask(asked)
+            if answer.is_ok():
+                break
+        return answer
+
+    async def give_back(
+        self, permit: Permit, end: StreamEnd, tokens: int = 0
+    ) -> None:
+        """Returns a permit; a lost message is made good by the reports."""
+        self._open.pop(permit.request.request_id, None)
+        request = permit.request
+        release = PermitRelease(request.request_id, request.pool, end, tokens)
+        broker = pool_owner(request.pool, self._members)
+        if broker is not None:
+            await self._send(broker.link, release)
+
+    async def _hand_back(self, reply: PermitReply) -> None:
+        """Returns a permit whose request has been given up."""
+        if reply.grant is None:
+            return
+        release = PermitRelease(reply.grant.request_id, "", StreamEnd.UNUSED)
+        for broker in self._members.serving(Role.BROKER):
+            await self._send(broker.link, release)
+
+    async def _send(self, address: str, release: PermitRelease) -> None:
+        try:
+            await self._links.send(address, release)
+        except LinkError:
+            # The broker is gone; the next owner learns from the reports.
+            return
--- /dev/null
+++ b/rhubarbwinch/registry.py
@@ -0,0 +1,50 @@
+"""Registries of named implementations, filled by decorators."""
+
+from collections.abc import Callable, Iterator
+from typing import Generic, TypeVar
+
+T = TypeVar("T")
+
+
+class Registry(Generic[T]):
+    """Maps names to implementations of one interface.
+
+    Args:
+        what: What is registered, for error messages: `placement policy`.
+    """
+
+    def __init__(self, what: str) -> None:
+        self._what = what
+        self._items: dict[str, T] = {}
+
+    def register(self, name: str) -> Callable[[T], T]:
+        """Returns a decorator that registers its argument under `name`.
+
+        Raises:
+            ValueError: The name is taken.
+        """
+
+        def add(item: T) -> T:
+            if name in self._items:
+                raise ValueError(f"{self._what} {name!r} is registered twice")
+            self._items[name] = item
+            return item
+
+        return add
+
+    def get(self, name: str) -> T:
+        """Returns the implementation called `name`.
+
+        Raises:
+            KeyError: No such name; the message lists the known ones.
+        """
+        if name not in self._items:
+            known = ", ".join(sorted(self._items))
+            raise KeyError(f"no {self._what} {name!r}; known: {known}")
+        return self._items[name]
+
+    def __contains__(self, name: str) -> bool:
+        return name in self._items
+
+    def __iter__(self) -> Iterator[str]:
+        return iter(sorted(self._items))
--- /dev/null
+++ b/rhubarbwinch/supervisor.py
@@ -0,0 +1,116 @@
+"""Supervisor trees: tasks that are started again when they fail."""
+
+from collections.abc import Awaitable, Callable
+
+import anyio
+import anyio.abc
+import attrs
+
+from rhubarbwinch import events
+from rhubarbwinch.clock import Clock
+from rhubarbwinch.exceptions import RestartLimitError
+
+
+@attrs.frozen
+class RestartLimit:
+    """How often a child may fail.
+
+    Attributes:
+        count: Failures allowed within the window.
+        window_ms: The length of the window.
+        backoff_ms: The wait before the first restart; doubled for each
+            further failure in the window.
+        max_backoff_ms: The longest wait.
+    """
+
+    count: int = 5
+    window_ms: int = 60_000
+    backoff_ms: int = 50
+    max_backoff_ms: int = 5_000
+
+
+@attrs.frozen
+class Child:
+    """A task under a supervisor.
+
+    Attributes:
+        name: The name in logs.
+        run: Starts the task; returns when it is done for good.
+        limit: How often it may fail before the supervisor fails.
+    """
+
+    name: str
+    run: Callable[[], Awaitable[None]]
+    limit: RestartLimit = RestartLimit()
+
+
+class Supervisor:
+    """Runs children side by side and restarts each one that fails.
+
+    A supervisor is itself fit to be a child: its `run` raises when a child
+    passes its limit, and its own parent then decides.
+
+    Args:
+        name: The name in logs.
+        clock: The source of time.
+    """
+
+    def __init__(self, name: str, clock: Clock) -> None:
+        self._name = name
+        self._clock = clock
+        self._children: list[Child] = []
+
+    def add(
+        self,
+        name: str,
+        run: Callable[[], Awaitable[None]],
+        limit: RestartLimit | None = None,
+    ) -> None:
+        """Adds a child; call it before `run`."""
+        self._children.append(Child(name, run, limit or RestartLimit()))
+
+    async def run(self) -> None:
+        """Runs all children until each has returned.
+
+        Raises:
+            RestartLimitError: A child failed too often; the others are
+                cancelled.
+        """
+        failed: list[RestartLimitError] = []
+        async with anyio.create_task_group() as tasks:
+            for child in self._children:
+                tasks.start_soon(self._keep, child, tasks, failed)
+        if failed:
+            raise failed[0]
+
+    async def _keep(
+        self,
+        child: Child,
+        tasks: anyio.abc.TaskGroup,
+        failed: list[RestartLimitError],
+    ) -> None:
+        failures: list[int] = []
+        while True:
+            try:
+                await child.run()
+                return
+            except Exception as error:
+                now = self._clock.now()
+                limit = child.limit
+                failures = [t for t in failures if now - t < limit.window_ms]
+                failures.append(now)
+                events.CHILD_FAILED.log(
+                    child=f"{self._name}/{child.name}",
+                    error=repr(error),
+                    failures=len(failures),
+                )
+                if len(failures) > limit.count:
+                    events.RESTART_LIMIT.log(child=child.name)
+                    failed.append(
+                        RestartLimitError(f"{self._name}/{child.name}: {error}")
+                    )
+                    # The siblings depend on the child that is lost.
+                    tasks.cancel_scope.cancel()
+                    return
+                wait = limit.backoff_ms * 2 ** (len(failures) - 1)
+                await self._clock.sleep(min(wait, limit.max_backoff_ms))
--- /dev/null
+++ b/rhubarbwinch/verdict.py
@@ -0,0 +1,64 @@
+"""Verdicts: whether a request that failed may have run."""
+
+import enum
+
+import attrs
+
+
+class Verdict(enum.StrEnum):
+    """Whether a request ran at an endpoint."""
+
+    NOT_RUN = "not-run"
+    RAN = "ran"
+    MAY_HAVE_RUN = "may-have-run"
+
+
+class Reason(enum.StrEnum):
+    """Why a request failed; the last part of a problem's type URI."""
+
+    BAD_REQUEST = "bad-request"
+    UNAUTHENTICATED = "unauthenticated"
+    FORBIDDEN = "forbidden"
+    NOT_FOUND = "not-found"
+    TOO_LARGE = "too-large"
+    RATE_LIMITED = "rate-limited"
+    QUEUE_FULL = "queue-full"
+    DEADLINE = "deadline"
+    NO_ENDPOINT = "no-endpoint"
+    DRAINING = "draining"
+    QUARANTINED = "quarantined"
+    STORE_UNAVAILABLE = "store-unavailable"
+    BROKER_UNAVAILABLE = "broker-unavailable"
+    KEY_REQUIRED = "idempotency-key-required"
+    KEY_EXPIRED = "idempotency-key-expired"
+    KEY_MISMATCH = "idempotency-key-mismatch"
+    IN_PROGRESS = "in-progress"
+    OUTCOME_UNKNOWN = "outcome-unknown"
+    ENDPOINT_FAILED = "endpoint-failed"
+    STREAM_BROKEN = "stream-broken"
+    CANCELLED = "cancelled"
+    INTERNAL = "internal"
+
+
+@attrs.frozen
+class Failure:
+    """Why a request failed and whether it may have run.
+
+    Attributes:
+        verdict: Whether the request may have run.
+        reason: The kind of failure.
+        detail: One sentence for people.
+        retry_after_ms: When to try again, if that can help.
+    """
+
+    verdict: Verdict
+    reason: Reason
+    detail: str
+    retry_after_ms: int | None = None
+
+
+def not_run(
+    reason: Reason, detail: str, retry_after_ms: int | None = None
+) -> Failure:
+    """Builds the failure of a request that certainly did not run."""
+    return Failure(Verdict.NOT_RUN, reason, detail, retry_after_ms)
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests; the tree mirrors the package."""
--- /dev/null
+++ b/tests/builders.py
@@ -0,0 +1,63 @@
+"""Builders of test data."""
+
+from rhubarbwinch.apikeys import hash_key
+from rhubarbwinch.messages import PermitRequest
+from rhubarbwinch.records import Record
+
+SALT = "00ff"
+API_KEY = "acme.secret"
+
+
+def account(name="acme", services=("chat", "booking"), **spec):
+    """Returns the record of an account whose API key is `<name>.secret`."""
+    digest = hash_key(f"{name}.secret", SALT)
+    fields = {
+        "keys": [{"salt": SALT, "digest": digest}],
+        "services": list(services),
+    }
+    return Record("account", name, 2, fields | spec)
+
+
+def model(name="vintner", **spec):
+    """Returns the record of a model."""
+    return Record("model", name, 2, spec)
+
+
+def endpoint(name, address="127.0.0.1:1"):
+    """Returns the spec of an endpoint."""
+    return {"name": name, "address": address}
+
+
+def pool(target, endpoints, data_center="dc-a", **spec):
+    """Returns the record of a pool, called `<target>.<data centre>`."""
+    fields = {
+        "target": target,
+        "data_center": data_center,
+        "endpoints": list(endpoints),
+    }
+    return Record("pool", f"{target}.{data_center}", 2, fields | spec)
+
+
+def generate_service(name="chat", target="vintner", **spec):
+    """Returns the record of a service that generates."""
+    fields = {"kind": "generate", "target": target}
+    return Record("service", name, 2, fields | spec)
+
+
+def plain_service(name="booking", target="bookings", **spec):
+    """Returns the record of a plain service."""
+    fields = {"kind": "plain", "target": target}
+    return Record("service", name, 2, fields | spec)
+
+
+def permit_request(request_id="r1", **fields):
+    """Returns a permit request."""
+    base = {
+        "request_id": request_id,
+        "entry": "entry-1",
+        "pool": "vintner.dc-a",
+        "account": "acme",
+        "service": "chat",
+        "wait_ms": 1000,
+    }
+    return PermitRequest(**(base | fields))
--- /dev/null
+++ b/tests/outcomes.py
@@ -0,0 +1,20 @@
+"""A nose2 plugin that keeps each test's outcome."""
+
+from nose2 import events, result
+
+
+class Outcomes(events.Plugin):
+    """Collects the ids of passed and failed tests."""
+
+    alwaysOn = True  # noqa: N815
+    configSection = "outcomes"  # noqa: N815
+    passed = set()
+    failed = set()
+
+    def testOutcome(self, event):  # noqa: N802
+        """Is called by nose2 after each test; a subtest counts as its test."""
+        name = event.test.id().split(" ")[0]
+        if event.outcome == result.PASS and event.expected:
+            self.passed.add(name)
+        else:
+            self.failed.add(name)
