Relay: resume by rule, end by rule, keep what a caller may resume

Cause: a stream that broke before its first token after the engine had answered was reported by the last, unsent opening alone, so a request that may have run could be called "not run"; a broker's refusal of a retry did the same. A long stream was given up after 8 resumes in all, [DONE] was believed without a last token, and a caller that lost its entry lost the generation with it, because the entry cancelled it at once.

Ruled out: asking the engine for its readers (not an ability of the platform); cancelling at once (nothing left to resume).

--- a/lab/standins/engine.py
+++ b/lab/standins/engine.py
@@ -16,6 +16,7 @@
 import orjson
 
 from lab.enginemodel import EngineModel, EngineParameters, Sequence
+from lab.standins.faults import Faults
 from lab.standins.serve import MAX_BODY_BYTES, parser, serve
 from rhubarbwinch.httpapi import App, Request, Responder
 
@@ -83,6 +84,7 @@
         self._speed = speed
         self._generations: dict[str, Generation] = {}
         self._log: list[dict[str, Any]] = []
+        self._faults = Faults()
         self._work = anyio.Event()
 
     def app(self) -> App:
@@ -92,6 +94,8 @@
         app.route("POST", "/v1/chat/completions", self._start)
         app.route("GET", "/v1/generations/", self._resume)
         app.route("DELETE", "/v1/generations/", self._cancel)
+        app.route("PATCH", "/v1/generations/", self._prioritise)
+        app.route("POST", "/faults", self._set_faults)
         app.route("GET", "/load", self._load)
         app.route("GET", "/log", self._show_log)
         return app
@@ -110,6 +114,8 @@
                 generation.changed = anyio.Event()
 
     async def _start(self, request: Request, responder: Responder) -> None:
+        if await self._faults.refuses(responder):
+            return
         body = orjson.loads(request.body)
         name = request.headers["x-generation-id"]
         text = request.body.decode()
@@ -142,7 +148,18 @@
         await self._send(generation, start, responder)
 
     async def _cancel(self, request: Request, responder: Responder) -> None:
-        self._model.cancel(request.path.rpartition("/")[2])
+        name = request.path.rpartition("/")[2]
+        self._model.cancel(name)
+        self._log.append({"cancelled": name})
+        await responder.json(b"{}")
+
+    async def _prioritise(self, request: Request, responder: Responder) -> None:
+        priority = orjson.loads(request.body)["priority"]
+        self._model.set_priority(request.path.rpartition("/")[2], priority)
+        await responder.json(b"{}")
+
+    async def _set_faults(self, request: Request, responder: Responder) -> None:
+        self._faults.set(orjson.loads(request.body))
         await responder.json(b"{}")
 
     async def _send(
@@ -153,7 +170,11 @@
         while index < sequence.output_tokens:
             changed = generation.changed
             while index < sequence.done_tokens:
-                await responder.write(generation.event(index))
+                event = generation.event(index)
+                if not await self._faults.send(
+                    index, event, generation.name, responder
+                ):
+                    return
                 index += 1
             if index < sequence.output_tokens:
                 await changed.wait()
--- /dev/null
+++ b/rhubarbwinch/calls.py
@@ -0,0 +1,141 @@
+"""Generation requests as callers make them, and whole answers to them."""
+
+import hashlib
+from typing import Any
+
+import attrs
+import orjson
+
+from rhubarbwinch.accepted import Snapshot
+from rhubarbwinch.httpapi import Refused, Request, Responder
+from rhubarbwinch.records import ServiceSpec
+from rhubarbwinch.relay import Relay
+from rhubarbwinch.verdict import Reason, not_run
+
+DEFAULT_MAX_TOKENS = 4096
+BYTES_PER_TOKEN = 4
+
+
+@attrs.frozen
+class Call:
+    """A generation request that has been checked.
+
+    Attributes:
+        account: The client account.
+        service_name: What the caller named as the model.
+        service: Its record.
+        path: `/v1/completions` or `/v1/chat/completions`.
+        body: The body for the engine.
+        stream: Whether the caller wants events.
+        prompt_tokens: The estimated prompt length.
+        max_tokens: The bound on the output.
+    """
+
+    account: str
+    service_name: str
+    service: ServiceSpec
+    path: str
+    body: bytes
+    stream: bool
+    prompt_tokens: int
+    max_tokens: int
+
+    @property
+    def fingerprint(self) -> str:
+        """Digest of the account and the content."""
+        text = self.account.encode() + b"\0" + self.body
+        return hashlib.sha256(text).hexdigest()[:32]
+
+
+def parse_call(account: str, request: Request, snapshot: Snapshot) -> Call:
+    """Returns the checked call in a request.
+
+    Raises:
+        Refused: The request is not valid; it did not run.
+    """
+    try:
+        data = orjson.loads(request.body)
+    except orjson.JSONDecodeError as error:
+        raise Refused(not_run(Reason.BAD_REQUEST, f"body: {error}")) from None
+    if not isinstance(data, dict) or not isinstance(data.get("model"), str):
+        raise Refused(not_run(Reason.BAD_REQUEST, "model: a name is required"))
+    name = data["model"]
+    service = snapshot.services.get(name)
+    spec = snapshot.accounts[account]
+    if service is None or service.kind != "generate":
+        raise Refused(not_run(Reason.NOT_FOUND, f"no model {name!r}"))
+    if name not in spec.services:
+        raise Refused(not_run(Reason.FORBIDDEN, f"{name!r} is not allowed"))
+    model = snapshot.models.get(service.target)
+    context = model.context_tokens if model else DEFAULT_MAX_TOKENS
+    max_tokens = _max_tokens(data, context)
+    stream = data.get("stream", False) is True
+    data |= {"model": service.target, "max_tokens": max_tokens, "stream": True}
+    body = orjson.dumps(data)
+    return Call(
+        account=account,
+        service_name=name,
+        service=service,
+        path=request.path,
+        body=body,
+        stream=stream,
+        prompt_tokens=len(request.body) // BYTES_PER_TOKEN,
+        max_tokens=max_tokens,
+    )
+
+
+def _max_tokens(data: dict[str, Any], context: int) -> int:
+    value = data.get("max_tokens", data.get("max_completion_tokens"))
+    if value is None:
+        return min(DEFAULT_MAX_TOKENS, context)
+    if type(value) is not int or not 1 <= value <= context:
+        detail = f"max_tokens: a whole number from 1 to {context}"
+        raise Refused(not_run(Reason.BAD_REQUEST, detail))
+    return value
+
+
+async def send_whole(
+    relay: Relay,
+    call: Call,
+    generation: str,
+    responder: Responder,
+) -> None:
+    """Answers a call that wants no events.
+
+    Raises:
+        EndpointError: The stream broke; nothing has been sent to the caller.
+    """
+    chat = "chat" in call.path
+    text, finish = [], None
+    async for found in relay.events():
+        for event in found:
+            if event.is_done:
+                break
+            for choice in orjson.loads(event.data)["choices"]:
+                text.append(_text_of(choice, chat))
+                finish = choice["finish_reason"] or finish
+    content = "".join(text)
+    choice = {"index": 0, "finish_reason": finish}
+    if chat:
+        choice["message"] = {"role": "assistant", "content": content}
+    else:
+        choice["text"] = content
+    answer = {
+        "id": generation,
+        "object": "chat.completion" if chat else "text_completion",
+        "created": 0,
+        "model": call.service_name,
+        "choices": [choice],
+        "usage": {
+            "prompt_tokens": call.prompt_tokens,
+            "completion_tokens": len(text),
+            "total_tokens": call.prompt_tokens + len(text),
+        },
+    }
+    await responder.json(orjson.dumps(answer))
+
+
+def _text_of(choice: dict[str, Any], chat: bool) -> str:
+    if chat:
+        return choice["delta"].get("content") or ""
+    return choice["text"]
--- a/rhubarbwinch/config.py
+++ b/rhubarbwinch/config.py
@@ -183,6 +183,8 @@
             started a stream can resume it.
         permit_timeout_ms: The longest wait for a broker beyond the queue.
         endpoint_silence_ms: A stream without a byte for so long is resumed.
+        resume_grace_ms: How long a generation is kept for a caller that lost
+            its connection and may resume it.
     """
 
     max_body_bytes: Annotated[
@@ -207,6 +209,15 @@
             "Silence after which a stream is resumed",
         ),
     ] = 2000
+    resume_grace_ms: Annotated[
+        int,
+        _arg(
+            "resume-grace-ms",
+            10_000,
+            _number(0, 600_000),
+            "How long a generation is kept for a caller that left it",
+        ),
+    ] = 10_000
 
 
 @attrs.define(kw_only=True)
--- a/rhubarbwinch/endpoints.py
+++ b/rhubarbwinch/endpoints.py
@@ -1,14 +1,15 @@
 """Calls to endpoints over HTTP."""
 
 from collections.abc import AsyncIterator
-from contextlib import asynccontextmanager
+from contextlib import AbstractAsyncContextManager, asynccontextmanager
 from typing import Any
 
 import httpx
 import orjson
 
-from rhubarbwinch.exceptions import EndpointError
-from rhubarbwinch.sse import Splitter, StreamEvent
+from rhubarbwinch.exceptions import EndpointError, GenerationLostError
+from rhubarbwinch.relay import EventStream
+from rhubarbwinch.sse import Splitter
 
 CONNECT_S = 1.0
 GENERATION_HEADER = "x-generation-id"
@@ -40,7 +41,7 @@
         body: bytes,
         generation: str,
         priority: int,
-    ) -> Any:
+    ) -> AbstractAsyncContextManager[EventStream]:
         """Starts a generation; returns a context with its events.
 
         Raises:
@@ -54,11 +55,14 @@
         url = f"http://{address}{path}"
         return self._stream("POST", url, body, headers)
 
-    def resume(self, address: str, generation: str, index: int) -> Any:
+    def resume(
+        self, address: str, generation: str, index: int
+    ) -> AbstractAsyncContextManager[EventStream]:
         """Reads a generation again from an index; returns a context.
 
         Raises:
-            EndpointError: On entering or while reading.
+            EndpointError: On entering or while reading; a
+                `GenerationLostError` if the engine does not know it.
         """
         url = f"http://{address}/v1/generations/{generation}?from={index}"
         return self._stream("GET", url, b"", {})
@@ -69,7 +73,21 @@
         try:
             await self._client.delete(url)
         except httpx.HTTPError:
-            # The engine gives an abandoned stream up by itself.
+            # An engine that can't be reached is judged by its next call.
+            return
+
+    async def set_priority(
+        self, address: str, generation: str, priority: int
+    ) -> None:
+        """Changes a running generation's priority.
+
+        A failure to reach the engine is ignored: the priority steers the
+        engine, and no answer depends on it.
+        """
+        url = f"http://{address}/v1/generations/{generation}"
+        try:
+            await self._client.patch(url, json={"priority": priority})
+        except httpx.HTTPError:
             return
 
     async def call(
@@ -104,16 +122,12 @@
     @asynccontextmanager
     async def _stream(
         self, method: str, url: str, body: bytes, headers: dict[str, str]
-    ) -> AsyncIterator[AsyncIterator[StreamEvent]]:
+    ) -> AsyncIterator[EventStream]:
         try:
             async with self._client.stream(
                 method, url, content=body, headers=headers
             ) as response:
-                if response.status_code != httpx.codes.OK:
-                    # Engines refuse with an error status before they start.
-                    text = f"{url}: status {response.status_code}"
-                    refused = response.status_code in (429, 503)
-                    raise EndpointError(text, sent=not refused)
+                _check_status(url, response.status_code)
                 yield _events(response)
         except (httpx.ConnectError, httpx.ConnectTimeout) as error:
             raise EndpointError(f"{url}: {error!r}", sent=False) from error
@@ -121,8 +135,21 @@
             raise EndpointError(f"{url}: {error!r}", sent=True) from error
 
 
-async def _events(response: httpx.Response) -> AsyncIterator[StreamEvent]:
+def _check_status(url: str, status: int) -> None:
+    """Raises an error unless the status is 200."""
+    if status == httpx.codes.OK:
+        return
+    text = f"{url}: status {status}"
+    if status == httpx.codes.NOT_FOUND:
+        raise GenerationLostError(text)
+    # Engines that are full refuse before they start.
+    refused = status in (429, 503)
+    raise EndpointError(text, sent=not refused)
+
+
+async def _events(response: httpx.Response) -> EventStream:
     splitter = Splitter()
     async for data in response.aiter_raw():
-        for event in splitter.feed(data):
-            yield event
+        arrived = splitter.feed(data)
+        if arrived:
+            yield arrived
--- a/rhubarbwinch/entry.py
+++ b/rhubarbwinch/entry.py
@@ -1,19 +1,30 @@
 """The entry: speaks HTTP with callers."""
 
+import random
+
 import orjson
 
 from rhubarbwinch import identity, metrics, rendezvous
 from rhubarbwinch.apikeys import KeyChecker
+from rhubarbwinch.calls import parse_call
 from rhubarbwinch.config import EntrySettings
 from rhubarbwinch.daemon import Daemon
 from rhubarbwinch.endpoints import EndpointClient
 from rhubarbwinch.exceptions import LinkError
-from rhubarbwinch.generate import Generator, parse_call
+from rhubarbwinch.generate import Generator
 from rhubarbwinch.httpapi import App, Refused, Request, Responder
 from rhubarbwinch.members import Role
-from rhubarbwinch.messages import ProgressReport, StreamProgress
+from rhubarbwinch.messages import (
+    PriorityChange,
+    ProgressReport,
+    StreamProgress,
+    StreamTake,
+)
 from rhubarbwinch.permits import PermitClient, pool_owner
 from rhubarbwinch.plain import PREFIX, PlainCaller
+from rhubarbwinch.retries import RatioBudget
+from rhubarbwinch.streams import OpenStreams
+from rhubarbwinch.takeover import Takeover
 from rhubarbwinch.verdict import Reason, not_run
 
 ENTRIES_TTL_MS = 5000
@@ -37,12 +48,27 @@
             daemon.links, daemon.members, settings.permit_timeout_ms
         )
         ids = identity.IdMaker(daemon.incarnation, settings.stream_secret)
+        self._streams = OpenStreams(
+            self._permits,
+            self._endpoints,
+            daemon.clock,
+            settings.resume_grace_ms,
+        )
+        self._takeover = Takeover(
+            self._streams,
+            daemon.links,
+            daemon.members,
+            settings.permit_timeout_ms,
+        )
         self._generator = Generator(
             self._permits,
             self._endpoints,
+            self._streams,
             ids,
             daemon.clock,
             daemon.metrics,
+            RatioBudget(),
+            random.Random(daemon.incarnation),
             settings.name,
             settings.data_center,
         )
@@ -65,9 +91,12 @@
         self._app.route("GET", "/healthz", self._healthz)
         self._app.route("GET", "/readyz", self._readyz)
         self._app.route("*", PREFIX, self._call_plain)
+        daemon.server.on(StreamTake, self._streams.take_for_peer)
+        daemon.server.on(PriorityChange, self._streams.change_priority)
         daemon.drain.open_count = lambda: self._open
         daemon.serve_http(self._app)
         daemon.add("reports", self._report)
+        daemon.add("streams", self._streams.run)
         await daemon.run()
         await self._endpoints.close()
 
@@ -102,7 +131,11 @@
             after = identity.parse_event_id(last)
             if after is None:
                 raise Refused(not_run(Reason.BAD_REQUEST, "Last-Event-ID"))
-            await self._generator.resume(account, after, snapshot, responder)
+            self._generator.check_owner(account, after.generation)
+            permit = await self._takeover.take(after.generation, snapshot)
+            await self._generator.resume(
+                account, after, snapshot, responder, permit
+            )
         finally:
             self._open -= 1
 
@@ -150,7 +183,7 @@
             now = {permit.request.pool for permit in held}
             for pool in sorted(pools | now):
                 streams = [
-                    StreamProgress(p.request, p.grant.endpoint, 0)
+                    StreamProgress(p.request, p.grant.endpoint, p.tokens)
                     for p in held
                     if p.request.pool == pool
                 ]
--- a/rhubarbwinch/events.py
+++ b/rhubarbwinch/events.py
@@ -129,3 +129,39 @@
 ENDPOINT_LOST = Event(
     52, "endpoint-lost", logging.WARNING, "An endpoint failed a call."
 )
+STREAM_ABANDONED = Event(
+    400,
+    "stream-abandoned",
+    logging.INFO,
+    "A generation was ended because its caller did not come back.",
+)
+STREAM_TAKEN = Event(
+    401, "stream-taken", logging.INFO, "A caller resumed a stream here."
+)
+REQUEST_RETRIED = Event(
+    402,
+    "request-retried",
+    logging.INFO,
+    "A request of which no token went out is tried at another engine.",
+)
+RETRY_BUDGET_SPENT = Event(
+    403,
+    "retry-budget-spent",
+    logging.WARNING,
+    "A request was not tried again: its account's budget is spent.",
+)
+ANSWER_DROPPED = Event(
+    410,
+    "answer-dropped",
+    logging.INFO,
+    "An answer to an unknown or given-up call was dropped.",
+)
+HANDLER_FAILED = Event(
+    411, "handler-failed", logging.ERROR, "Handling a peer's message failed."
+)
+LINK_OVERLOADED = Event(
+    412,
+    "link-overloaded",
+    logging.WARNING,
+    "A peer's message was dropped: too many are being handled.",
+)
--- a/rhubarbwinch/exceptions.py
+++ b/rhubarbwinch/exceptions.py
@@ -58,13 +58,17 @@
 
 
 class LinkError(RhubarbwinchError):
-    """A peer did not answer."""
+    """A message was not sent, or its peer did not answer."""
 
 
 class LinkTimeout(LinkError):  # noqa: N818
     """A peer did not answer in time; it may have acted on the request."""
 
 
+class PeerFailed(LinkTimeout):
+    """A peer failed while it handled a call; it may have acted on it."""
+
+
 class EndpointError(RhubarbwinchError):
     """An endpoint failed a call.
 
@@ -78,6 +82,28 @@
         self.sent = sent
 
 
+class ForeignGenerationError(EndpointError):
+    """An engine sent an event of another generation.
+
+    Args:
+        found: What stood in place of the expected id.
+    """
+
+    def __init__(self, found: str) -> None:
+        super().__init__(f"an event of {found} came", sent=True)
+
+
+class GenerationLostError(EndpointError):
+    """An engine no longer has a generation, or has given it up.
+
+    Args:
+        message: What happened.
+    """
+
+    def __init__(self, message: str) -> None:
+        super().__init__(message, sent=True)
+
+
 class ConflictError(RhubarbwinchError):
     """Another writer changed the key first.
 
--- a/rhubarbwinch/generate.py
+++ b/rhubarbwinch/generate.py
@@ -1,124 +1,46 @@
 """Generation requests: permit, stream, retries and the caller's answer."""
 
-import hashlib
-from collections.abc import AsyncIterator
+import random
+from collections.abc import Awaitable
 from functools import partial
-from typing import Any
 
 import anyio
-import attrs
-import orjson
 from result import Err
 
-from rhubarbwinch import identity, metrics
+from rhubarbwinch import events, identity, metrics
 from rhubarbwinch.accepted import Snapshot
+from rhubarbwinch.calls import Call, send_whole
 from rhubarbwinch.clock import Clock
 from rhubarbwinch.endpoints import EndpointClient
 from rhubarbwinch.exceptions import EndpointError
-from rhubarbwinch.httpapi import Refused, Request, Responder
-from rhubarbwinch.messages import PermitRequest, StreamEnd
+from rhubarbwinch.httpapi import Refused, Responder
+from rhubarbwinch.messages import PermitGrant, PermitRequest, StreamEnd
 from rhubarbwinch.permits import Permit, PermitClient
-from rhubarbwinch.records import ServiceSpec
-from rhubarbwinch.relay import Position, relay
-from rhubarbwinch.sse import StreamEvent
+from rhubarbwinch.relay import Position, Relay
+from rhubarbwinch.retries import Backoff, RetryBudget
+from rhubarbwinch.sse import join
+from rhubarbwinch.streams import OpenStream, OpenStreams
 from rhubarbwinch.verdict import Failure, Reason, Verdict, not_run
 
 MAX_ATTEMPTS = 3
-DEFAULT_MAX_TOKENS = 4096
-BYTES_PER_TOKEN = 4
 SSE_HEADERS = [
     (b"content-type", b"text/event-stream"),
     (b"cache-control", b"no-cache"),
 ]
 
 
-@attrs.frozen
-class Call:
-    """A generation request that has been checked.
-
-    Attributes:
-        account: The client account.
-        service_name: What the caller named as the model.
-        service: Its record.
-        path: `/v1/completions` or `/v1/chat/completions`.
-        body: The body for the engine.
-        stream: Whether the caller wants events.
-        prompt_tokens: The estimated prompt length.
-        max_tokens: The bound on the output.
-    """
-
-    account: str
-    service_name: str
-    service: ServiceSpec
-    path: str
-    body: bytes
-    stream: bool
-    prompt_tokens: int
-    max_tokens: int
-
-    @property
-    def fingerprint(self) -> str:
-        """Digest of the account and the content."""
-        text = self.account.encode() + b"\0" + self.body
-        return hashlib.sha256(text).hexdigest()[:32]
-
-
-def parse_call(account: str, request: Request, snapshot: Snapshot) -> Call:
-    """Returns the checked call in a request.
-
-    Raises:
-        Refused: The request is not valid; it did not run.
-    """
-    try:
-        data = orjson.loads(request.body)
-    except orjson.JSONDecodeError as error:
-        raise Refused(not_run(Reason.BAD_REQUEST, f"body: {error}")) from None
-    if not isinstance(data, dict) or not isinstance(data.get("model"), str):
-        raise Refused(not_run(Reason.BAD_REQUEST, "model: a name is required"))
-    name = data["model"]
-    service = snapshot.services.get(name)
-    spec = snapshot.accounts[account]
-    if service is None or service.kind != "generate":
-        raise Refused(not_run(Reason.NOT_FOUND, f"no model {name!r}"))
-    if name not in spec.services:
-        raise Refused(not_run(Reason.FORBIDDEN, f"{name!r} is not allowed"))
-    model = snapshot.models.get(service.target)
-    context = model.context_tokens if model else DEFAULT_MAX_TOKENS
-    max_tokens = _max_tokens(data, context)
-    stream = data.get("stream", False) is True
-    data |= {"model": service.target, "max_tokens": max_tokens, "stream": True}
-    body = orjson.dumps(data)
-    return Call(
-        account=account,
-        service_name=name,
-        service=service,
-        path=request.path,
-        body=body,
-        stream=stream,
-        prompt_tokens=len(request.body) // BYTES_PER_TOKEN,
-        max_tokens=max_tokens,
-    )
-
-
-def _max_tokens(data: dict[str, Any], context: int) -> int:
-    value = data.get("max_tokens", data.get("max_completion_tokens"))
-    if value is None:
-        return min(DEFAULT_MAX_TOKENS, context)
-    if type(value) is not int or not 1 <= value <= context:
-        detail = f"max_tokens: a whole number from 1 to {context}"
-        raise Refused(not_run(Reason.BAD_REQUEST, detail))
-    return value
-
-
 class Generator:
     """Runs generation requests.
 
     Args:
         permits: Where places come from.
         endpoints: Calls engines.
+        streams: Looks after the open generations.
         ids: Makes generation ids.
         clock: The source of time.
         counters: Where metrics go.
+        budget: Bounds the retries of each account.
+        rng: Draws the jitter of waits.
         entry: This member's name.
         data_center: Pools here are asked first.
     """
@@ -127,17 +49,23 @@
         self,
         permits: PermitClient,
         endpoints: EndpointClient,
+        streams: OpenStreams,
         ids: identity.IdMaker,
         clock: Clock,
         counters: metrics.Metrics,
+        budget: RetryBudget,
+        rng: random.Random,
         entry: str,
         data_center: str,
     ) -> None:
         self._permits = permits
         self._endpoints = endpoints
+        self._streams = streams
         self._ids = ids
         self._clock = clock
         self._metrics = counters
+        self._budget = budget
+        self._backoff = Backoff(rng)
         self._entry = entry
         self._data_center = data_center
 
@@ -150,15 +78,37 @@
             Refused: It failed, with its verdict.
         """
         avoid: list[str] = []
+        failed: EndpointError | None = None
+        self._budget.add_request(call.account)
         while True:
-            permit = await self._permit(call, snapshot, avoid)
+            try:
+                permit = await self._permit(call, snapshot, avoid)
+            except Refused as refused:
+                if failed is None or not failed.sent:
+                    raise
+                # The first engine may have run what the broker refuses now.
+                raise Refused(_failure(failed)) from refused
             try:
                 await self._run(call, permit, responder)
                 return
             except EndpointError as error:
                 avoid.append(permit.grant.endpoint)
-                if responder.started or len(avoid) >= MAX_ATTEMPTS:
+                error.sent = error.sent or (failed is not None and failed.sent)
+                failed = error
+                if not self._may_retry(call, len(avoid), responder):
                     raise Refused(_failure(error)) from error
+            events.REQUEST_RETRIED.log(endpoint=avoid[-1], error=str(failed))
+            await self._clock.sleep(self._backoff.wait_ms(len(avoid)))
+
+    def _may_retry(
+        self, call: Call, attempts: int, responder: Responder
+    ) -> bool:
+        if responder.started or attempts >= MAX_ATTEMPTS:
+            return False
+        if self._budget.take_retry(call.account):
+            return True
+        events.RETRY_BUDGET_SPENT.log(account=call.account)
+        return False
 
     async def resume(
         self,
@@ -166,29 +116,71 @@
         after: identity.EventId,
         snapshot: Snapshot,
         responder: Responder,
+        permit: Permit | None,
     ) -> None:
         """Continues a stream after the event that its caller saw last.
 
+        Args:
+            account: The caller's account.
+            after: The last event that it saw.
+            snapshot: The configuration in force.
+            responder: Sends the answer.
+            permit: The stream's permit if its former holder gave it up.
+
         Raises:
             Refused: The stream is not the account's or is gone.
         """
-        if not self._ids.is_of(after.generation, account):
-            raise Refused(not_run(Reason.FORBIDDEN, "not your stream"))
-        address = _find_address(snapshot, after.generation)
-        if address is None:
-            failure = Failure(
-                Verdict.MAY_HAVE_RUN,
-                Reason.STREAM_BROKEN,
-                "the stream's engine is gone",
-            )
-            raise Refused(failure)
-        position = Position(after.generation, after.index + 1)
-        reopen = partial(self._endpoints.resume, address, after.generation)
+        generation = after.generation
+        self.check_owner(account, generation)
+        position = Position(generation, after.index + 1)
+        permit = permit or self._presumed_permit(account, generation, snapshot)
+        self._permits.adopt(permit)
+        address = permit.grant.address
+        reopen = partial(self._endpoints.resume, address, generation)
+        relay = Relay(position, reopen, reopen, self._clock, self._backoff)
+        stream = self._streams.add(permit, position)
+        events.STREAM_TAKEN.log(generation=generation, index=after.index + 1)
         try:
-            await self._send_events(relay(position, reopen, reopen), responder)
+            await self._follow(
+                stream, self._send_events(relay, responder, permit)
+            )
         except EndpointError as error:
+            # Its caller has seen tokens, so the generation certainly ran.
+            error.sent = True
             raise Refused(_failure(error)) from error
 
+    def check_owner(self, account: str, generation: str) -> None:
+        """Raises `Refused` unless the account started the generation."""
+        if not self._ids.is_of(generation, account):
+            raise Refused(not_run(Reason.FORBIDDEN, "not your stream"))
+
+    def _presumed_permit(
+        self, account: str, generation: str, snapshot: Snapshot
+    ) -> Permit:
+        """Returns a permit for a stream whose former holder is gone.
+
+        The pool's owner learns of it from this entry's reports.
+
+        Raises:
+            Refused: The configuration no longer has the engine.
+        """
+        name = identity.endpoint_of(generation)
+        request_id = generation.partition("~")[0]
+        for pool, spec in snapshot.pools.items():
+            for endpoint in spec.endpoints:
+                if endpoint.name == name:
+                    request = PermitRequest(
+                        request_id, self._entry, pool, account, service=""
+                    )
+                    address = endpoint.address
+                    return Permit(
+                        request, PermitGrant(request_id, name, address)
+                    )
+        detail = "the stream's engine is gone"
+        raise Refused(
+            Failure(Verdict.MAY_HAVE_RUN, Reason.STREAM_BROKEN, detail)
+        )
+
     async def _permit(
         self, call: Call, snapshot: Snapshot, avoid: list[str]
     ) -> Permit:
@@ -220,92 +212,63 @@
         grant = permit.grant
         generation = identity.generation_id(grant.request_id, grant.endpoint)
         position = Position(generation)
+        relay = Relay(
+            position,
+            lambda _: self._endpoints.start(
+                grant.address,
+                call.path,
+                call.body,
+                generation,
+                grant.priority,
+            ),
+            partial(self._endpoints.resume, grant.address, generation),
+            self._clock,
+            self._backoff,
+        )
+        stream = self._streams.add(permit, position)
+        if call.stream:
+            answer = self._send_events(relay, responder, permit)
+        else:
+            answer = send_whole(relay, call, generation, responder)
+        await self._follow(stream, answer, keep=call.stream)
+
+    async def _follow(
+        self, stream: OpenStream, answer: Awaitable[None], keep: bool = True
+    ) -> None:
+        """Sends an answer; then the stream is closed, or kept for a resume.
+
+        Raises:
+            EndpointError: The stream broke for good.
+        """
         end = StreamEnd.CANCELLED
         try:
-            stream = relay(
-                position,
-                lambda _: self._endpoints.start(
-                    grant.address,
-                    call.path,
-                    call.body,
-                    generation,
-                    grant.priority,
-                ),
-                partial(self._endpoints.resume, grant.address, generation),
-            )
-            if call.stream:
-                await self._send_events(stream, responder)
-            else:
-                await _send_whole(stream, call, generation, responder)
+            await answer
             end = StreamEnd.FINISHED
         except EndpointError as error:
             end = StreamEnd.ENDPOINT_LOST if error.sent else StreamEnd.FAILED
             raise
         finally:
             with anyio.CancelScope(shield=True):
-                tokens = position.next_index
-                await self._permits.give_back(permit, end, tokens)
-                if end is not StreamEnd.FINISHED:
-                    await self._endpoints.cancel(grant.address, generation)
+                if end is StreamEnd.CANCELLED and keep:
+                    await self._streams.leave(stream)
+                else:
+                    await self._streams.close(stream, end)
 
     async def _send_events(
-        self, stream: AsyncIterator[StreamEvent], responder: Responder
+        self, relay: Relay, responder: Responder, permit: Permit
     ) -> None:
         began = self._clock.now()
-        async for event in stream:
+        position = relay.position
+        async for found in relay.events():
             if not responder.started:
                 await responder.start(200, SSE_HEADERS)
                 elapsed = self._clock.now() - began
                 self._metrics.timing(metrics.FIRST_TOKEN, elapsed)
-            await responder.write(event.raw)
+            permit.tokens = position.next_index
+            await responder.write(join(found))
         await responder.write(b"", more=False)
 
 
-async def _send_whole(
-    stream: AsyncIterator[StreamEvent],
-    call: Call,
-    generation: str,
-    responder: Responder,
-) -> None:
-    chat = "chat" in call.path
-    text, finish = [], None
-    async for event in stream:
-        if event.is_done:
-            break
-        choice = orjson.loads(event.data)["choices"][0]
-        part = choice["delta"].get("content", "") if chat else choice["text"]
-        text.append(part or "")
-        finish = choice["finish_reason"]
-    content = "".join(text)
-    choice = {"index": 0, "finish_reason": finish}
-    if chat:
-        choice["message"] = {"role": "assistant", "content": content}
-    else:
-        choice["text"] = content
-    answer = {
-        "id": generation,
-        "object": "chat.completion" if chat else "text_completion",
-        "created": 0,
-        "model": call.service_name,
-        "choices": [choice],
-        "usage": {
-            "prompt_tokens": call.prompt_tokens,
-            "completion_tokens": len(text),
-            "total_tokens": call.prompt_tokens + len(text),
-        },
-    }
-    await responder.json(orjson.dumps(answer))
-
-
-def _find_address(snapshot: Snapshot, generation: str) -> str | None:
-    name = identity.endpoint_of(generation)
-    for pool in snapshot.pools.values():
-        for endpoint in pool.endpoints:
-            if endpoint.name == name:
-                return endpoint.address
-    return None
-
-
 def _failure(error: EndpointError) -> Failure:
     if error.sent:
         return Failure(Verdict.MAY_HAVE_RUN, Reason.STREAM_BROKEN, str(error))
--- a/rhubarbwinch/identity.py
+++ b/rhubarbwinch/identity.py
@@ -73,6 +73,14 @@
     return generation.partition("~")[2]
 
 
+def incarnation_of(generation: str) -> int | None:
+    """Returns the incarnation of the entry that made a generation's id."""
+    try:
+        return int(generation.partition("-")[0], 16)
+    except ValueError:
+        return None
+
+
 def parse_event_id(text: str) -> EventId | None:
     """Returns the parts of `<generation>:<index>`, or None."""
     generation, colon, index = text.rpartition(":")
--- a/rhubarbwinch/messages.py
+++ b/rhubarbwinch/messages.py
@@ -127,6 +127,30 @@
     priority: int
 
 
+@attrs.frozen
+class StreamTake:
+    """An entry asks the entry that made a stream to leave the stream to it.
+
+    Attributes:
+        generation: The generation id.
+    """
+
+    generation: str
+
+
+@attrs.frozen
+class StreamTaken:
+    """The answer to `StreamTake`.
+
+    Attributes:
+        request: The permit request of the stream; None if it is not held.
+        endpoint: The endpoint that the stream runs on.
+    """
+
+    request: PermitRequest | None = None
+    endpoint: str = ""
+
+
 @attrs.frozen
 class Ack:
     """An empty answer."""
--- a/rhubarbwinch/permits.py
+++ b/rhubarbwinch/permits.py
@@ -21,12 +21,19 @@
 RETRY_AFTER_MS = 1000
 
 
-@attrs.frozen
+@attrs.define(eq=False)
 class Permit:
-    """A granted place, to be given back when its request has ended."""
+    """A granted place, to be given back when its request has ended.
+
+    Attributes:
+        request: What was asked for.
+        grant: The place.
+        tokens: The tokens passed on so far, for the reports.
+    """
 
     request: PermitRequest
     grant: PermitGrant
+    tokens: int = 0
 
 
 def pool_owner(pool: str, members: Members) -> Member | None:
@@ -57,6 +64,14 @@
         """The permits that are held."""
         return list(self._open.values())
 
+    def adopt(self, permit: Permit) -> None:
+        """Takes over a permit that another entry asked for."""
+        self._open[permit.request.request_id] = permit
+
+    def drop(self, permit: Permit) -> None:
+        """Forgets a permit that another entry has taken over."""
+        self._open.pop(permit.request.request_id, None)
+
     async def ask(self, request: PermitRequest) -> Result[Permit, Failure]:
         """Asks for a place and returns it or why there is none."""
         broker = pool_owner(request.pool, self._members)
@@ -112,7 +127,7 @@
         self, permit: Permit, end: StreamEnd, tokens: int = 0
     ) -> None:
         """Returns a permit; a lost message is made good by the reports."""
-        self._open.pop(permit.request.request_id, None)
+        self.drop(permit)
         request = permit.request
         release = PermitRelease(request.request_id, request.pool, end, tokens)
         broker = pool_owner(request.pool, self._members)
--- a/rhubarbwinch/sse.py
+++ b/rhubarbwinch/sse.py
@@ -1,24 +1,31 @@
-"""Server-sent events: splitting a byte stream and reading event ids."""
+"""Server-sent events: splitting a byte stream and reading event ids.
+
+The relay handles each event of each stream, so what it needs of an event is
+found by scanning; JSON is parsed only where a scan can't decide.
+"""
+
+from typing import Any
 
 import attrs
+import orjson
 
 from rhubarbwinch.exceptions import EndpointError
 from rhubarbwinch.identity import EventId, parse_event_id
 
 MAX_EVENT_BYTES = 1 << 20
 DONE = b"data: [DONE]\n\n"
+_END = b"\n\n"
+_UNFINISHED = b'"finish_reason":null'
 
 
-@attrs.frozen
+@attrs.define
 class StreamEvent:
     """One event of a generation.
 
     Attributes:
-        id: The generation and the index; None on the last line of a stream.
         raw: The event's bytes, with the empty line that ends it.
     """
 
-    id: EventId | None
     raw: bytes
 
     @property
@@ -26,6 +33,35 @@
         """Whether this is the mark that ends the stream."""
         return self.raw == DONE
 
+    @property
+    def is_comment(self) -> bool:
+        """Whether this only keeps the connection alive."""
+        return self.raw.startswith(b":")
+
+    @property
+    def is_error(self) -> bool:
+        """Whether the engine reports that the generation failed."""
+        return self.raw.startswith(b"event: error")
+
+    @property
+    def is_last_token(self) -> bool:
+        """Whether the generation is complete with this event.
+
+        A quotation mark inside a JSON text is escaped, so the scan can't
+        mistake the text of a token for the field.
+        """
+        if _UNFINISHED in self.raw:
+            return False
+        return _has_finish_reason(self.data)
+
+    @property
+    def id(self) -> EventId | None:
+        """The generation and the index; only the first line is read."""
+        if not self.raw.startswith(b"id:"):
+            return None
+        line = self.raw[3 : self.raw.index(b"\n")]
+        return parse_event_id(line.decode("ascii", "replace").strip())
+
     @property
     def data(self) -> bytes:
         """The content of the event's data line."""
@@ -35,6 +71,24 @@
         return b""
 
 
+def _has_finish_reason(data: bytes) -> bool:
+    try:
+        content: Any = orjson.loads(data)
+    except orjson.JSONDecodeError:
+        return False
+    if not isinstance(content, dict):
+        return False
+    choices = content.get("choices") or []
+    return any(c.get("finish_reason") is not None for c in choices)
+
+
+def join(found: list[StreamEvent]) -> bytes:
+    """Returns the bytes of events that go out in one send."""
+    if len(found) == 1:
+        return found[0].raw
+    return b"".join([event.raw for event in found])
+
+
 class Splitter:
     """Cuts received bytes into events."""
 
@@ -47,16 +101,16 @@
         Raises:
             EndpointError: An event is longer than `MAX_EVENT_BYTES`.
         """
-        parts = (self._rest + data).split(b"\n\n")
+        if self._rest:
+            data = self._rest + data
+        if b"\r" in data:
+            data = data.replace(b"\r\n", b"\n")
+        if data.find(_END) == len(data) - 2 >= 0:
+            # One whole event is what a read holds nearly always.
+            self._rest = b""
+            return [StreamEvent(data)]
+        parts = data.split(_END)
         self._rest = parts.pop()
         if len(self._rest) > MAX_EVENT_BYTES:
             raise EndpointError("an event is too long", sent=True)
-        return [parse(part + b"\n\n") for part in parts if part]
-
-
-def parse(raw: bytes) -> StreamEvent:
-    """Returns the event in `raw`; only an id in its first line is read."""
-    if not raw.startswith(b"id:"):
-        return StreamEvent(None, raw)
-    text = raw[3 : raw.index(b"\n")].decode("ascii", "replace").strip()
-    return StreamEvent(parse_event_id(text), raw)
+        return [StreamEvent(part + _END) for part in parts if part]
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -1,5 +1,7 @@
 """Builders of test data."""
 
+import orjson
+
 from rhubarbwinch.apikeys import hash_key
 from rhubarbwinch.messages import PermitRequest
 from rhubarbwinch.records import Record
@@ -61,3 +63,11 @@
         "wait_ms": 1000,
     }
     return PermitRequest(**(base | fields))
+
+
+def token(generation, index, last=False):
+    """Returns the event of a token as an engine sends it."""
+    finish = "stop" if last else None
+    choice = {"index": 0, "text": f"t{index} ", "finish_reason": finish}
+    data = orjson.dumps({"choices": [choice]})
+    return b"id: %s:%d\ndata: %s\n\n" % (generation.encode(), index, data)
