Links: bad peers end nothing, and what was not sent is never sent later

Cause: a handler that raised ended the server's task group, a garbled answer or a failing on_late ended all receiving tasks, and closing one socket cancelled the others. With no connection a message was queued: its caller gave up, and the peer got it when it came back.

Now each message's failure is its own (PeerFailed, counted), a receiving task owns its socket, ZMQ_IMMEDIATE keeps messages out of queues without a connection, and LinkError is raised only for a message that was withdrawn or never taken. Ruled out: NOBLOCK sends alone (the first message to a new peer would always fail while its connection is being made).

--- a/rhubarbwinch/links.py
+++ b/rhubarbwinch/links.py
@@ -4,6 +4,7 @@
 number, body). An answer repeats the incarnation and number of its call.
 """
 
+import asyncio
 import itertools
 import struct
 from collections.abc import Awaitable, Callable
@@ -16,7 +17,12 @@
 import zmq.asyncio
 
 from rhubarbwinch import codec, events
-from rhubarbwinch.exceptions import CodecError, LinkError, LinkTimeout
+from rhubarbwinch.exceptions import (
+    CodecError,
+    LinkError,
+    LinkTimeout,
+    PeerFailed,
+)
 from rhubarbwinch.version import PROTOCOL_VERSION
 
 T = TypeVar("T")
@@ -24,6 +30,11 @@
 _HEADER = struct.Struct("!HQQ")
 _MAX_QUEUED = 10_000
 _MAX_MESSAGE_BYTES = 4 << 20
+_MAX_HANDLING = 20_000
+# How long a message waits for a connection that is being made.
+_CONNECT_MS = 250
+# The kind of an answer to a call whose handler failed.
+_FAILED = "!failed"
 
 
 @attrs.frozen
@@ -40,6 +51,8 @@
 
     unknown_answers: int = 0
     refused: int = 0
+    failed: int = 0
+    overloaded: int = 0
 
 
 @attrs.frozen
@@ -68,6 +81,7 @@
         self._address = address
         self._keys = keys
         self._handlers: dict[str, _Handler] = {}
+        self._handling = 0
 
     def on(self, kind: type[T], answer: Callable[[T], Awaitable[Any]]) -> None:
         """Sets the function that answers messages of a class."""
@@ -85,6 +99,11 @@
             async with anyio.create_task_group() as tasks:
                 while True:
                     frames = await socket.recv_multipart()
+                    if self._handling >= _MAX_HANDLING:
+                        self.counters.overloaded += 1
+                        events.LINK_OVERLOADED.log(handling=self._handling)
+                        continue
+                    self._handling += 1
                     tasks.start_soon(self._answer, socket, frames)
         finally:
             socket.close()
@@ -95,25 +114,53 @@
         self, socket: zmq.asyncio.Socket, frames: list[bytes]
     ) -> None:
         try:
-            peer, header, kind, body = frames
-            version, incarnation, number = _HEADER.unpack(header)
-            if version != PROTOCOL_VERSION:
-                raise CodecError(f"protocol version {version}")
-            handler = self._handlers.get(kind.decode())
-            if handler is None:
-                raise CodecError(f"unknown message {kind!r}")
-            message: Any = codec.decode(body, handler.kind)
+            await self._answer_checked(socket, frames)
         except (ValueError, struct.error, CodecError) as error:
             self.counters.refused += 1
             events.PEER_REFUSED.log(error=str(error))
-            return
-        answer = await handler.answer(message)
-        if answer is not None and number:
-            reply = _pack(
-                type(answer).__name__, incarnation, number, codec.encode(answer)
-            )
+        finally:
+            self._handling -= 1
+
+    async def _answer_checked(
+        self, socket: zmq.asyncio.Socket, frames: list[bytes]
+    ) -> None:
+        """Answers a message.
+
+        Raises:
+            ValueError: The frames are not a message.
+            struct.error: The header is too short or too long.
+            CodecError: It is of another version or of an unknown kind.
+        """
+        peer, header, kind, body = frames
+        version, incarnation, number = _HEADER.unpack(header)
+        if version != PROTOCOL_VERSION:
+            raise CodecError(f"protocol version {version}")
+        handler = self._handlers.get(kind.decode())
+        if handler is None:
+            raise CodecError(f"unknown message {kind!r}")
+        message: Any = codec.decode(body, handler.kind)
+        reply = await self._handle(handler, message, incarnation, number)
+        if reply and number:
             await socket.send_multipart([peer, *reply])
 
+    async def _handle(
+        self, handler: _Handler, message: Any, incarnation: int, number: int
+    ) -> list[bytes]:
+        """Returns the answer's frames; none if there is no answer."""
+        try:
+            answer = await handler.answer(message)
+        except Exception as error:
+            # One message that can't be handled must not end the others.
+            self.counters.failed += 1
+            events.HANDLER_FAILED.log(
+                message=handler.kind.__name__, error=repr(error)
+            )
+            return _pack(_FAILED, incarnation, number, b"")
+        if answer is None:
+            return []
+        body = codec.encode(answer)
+        return _pack(type(answer).__name__, incarnation, number, body)
+
 
 def _serve_keys(socket: zmq.asyncio.Socket, keys: LinkKeys | None) -> Any:
     """Makes a socket accept only peers that hold the same key pair."""
@@ -155,7 +202,7 @@
         self._incarnation = incarnation
         self._keys = keys
         self._numbers = itertools.count(1)
-        self._sockets: dict[str, zmq.asyncio.Socket] = {}
+        self._peers: dict[str, _Peer] = {}
         self._waiting: dict[int, _Waiting] = {}
         self._late: dict[str, _Handler] = {}
         self._tasks: anyio.abc.TaskGroup | None = None
@@ -171,9 +218,7 @@
                 await anyio.sleep_forever()
         finally:
             self._tasks = None
-            for socket in self._sockets.values():
-                socket.close()
-            self._sockets.clear()
+            self._peers.clear()
 
     async def call(
         self, address: str, message: Any, answer: type[T], timeout_ms: int
@@ -182,19 +227,31 @@
 
         Raises:
             LinkError: The message was not sent.
-            LinkTimeout: No answer came in time; the peer may have acted.
+            LinkTimeout: No answer came in time, or the peer failed; it may
+                have acted.
+            CodecError: The answer is of another kind; the peer has acted.
         """
         number = next(self._numbers)
         waiting = _Waiting()
         self._waiting[number] = waiting
+        is_over = False
         try:
-            await self._send(address, number, message)
+            wait_ms = min(timeout_ms, _CONNECT_MS)
+            await self._send(address, number, message, wait_ms)
             with anyio.move_on_after(timeout_ms / 1000):
                 await waiting.done.wait()
+            is_over = True
         finally:
             del self._waiting[number]
-        if waiting.body is None:
+            if waiting.kind and not is_over:
+                # The answer came while the caller was being cancelled.
+                self._handle_late(waiting.kind, waiting.body)
+        if not waiting.kind:
             raise LinkTimeout(f"{address} gave no answer in {timeout_ms} ms")
+        if waiting.kind == _FAILED:
+            raise PeerFailed(f"{address} failed to handle the message")
+        if waiting.kind != answer.__name__:
+            raise CodecError(f"{address} answered by {waiting.kind}")
         return codec.decode(waiting.body, answer)
 
     async def send(self, address: str, message: Any) -> None:
@@ -203,7 +260,7 @@
         Raises:
             LinkError: The message was not sent.
         """
-        await self._send(address, 0, message)
+        await self._send(address, 0, message, _CONNECT_MS)
 
     def on_late(
         self, kind: type[T], handle: Callable[[T], Awaitable[None]]
@@ -213,29 +270,43 @@
 
     def forget(self, address: str) -> None:
         """Closes the socket of a peer that is gone."""
-        socket = self._sockets.pop(address, None)
-        if socket is not None:
-            socket.close()
+        peer = self._peers.pop(address, None)
+        if peer is not None:
+            peer.scope.cancel()
 
-    async def _send(self, address: str, number: int, message: Any) -> None:
-        socket = self._sockets.get(address) or self._connect(address)
+    async def _send(
+        self, address: str, number: int, message: Any, wait_ms: int
+    ) -> None:
+        peer = self._peers.get(address) or self._connect(address)
         frames = _pack(
             type(message).__name__,
             self._incarnation,
             number,
             codec.encode(message),
         )
+        # Always a future; its type says only that it can be awaited.
+        sending = asyncio.ensure_future(peer.socket.send_multipart(frames))
         try:
-            await socket.send_multipart(frames, flags=zmq.NOBLOCK)
-        except zmq.ZMQError as error:
+            if not sending.done():
+                await asyncio.wait({sending}, timeout=wait_ms / 1000)
+        finally:
+            # What has not been taken yet must not go out later.
+            sending.cancel()
+        if sending.cancelled():
+            raise LinkError(f"{address}: no connection in {wait_ms} ms")
+        error = sending.exception()
+        if error is not None:
             raise LinkError(f"{address}: {error}") from error
 
-    def _connect(self, address: str) -> zmq.asyncio.Socket:
+    def _connect(self, address: str) -> "_Peer":
         if self._tasks is None:
             raise LinkError("links are not running")
         socket = zmq.asyncio.Context.instance().socket(zmq.DEALER)
         socket.setsockopt(zmq.LINGER, 0)
         socket.setsockopt(zmq.SNDHWM, _MAX_QUEUED)
+        # Without a connection nothing is queued: a message to a peer that is
+        # gone fails, and does not reach the peer after its sender gave up.
+        socket.setsockopt(zmq.IMMEDIATE, 1)
         socket.setsockopt(zmq.RECONNECT_IVL, 50)
         socket.setsockopt(zmq.RECONNECT_IVL_MAX, 1000)
         # A stalled connection is given up, so that a new one can be made.
@@ -246,35 +317,72 @@
             socket.curve_publickey = self._keys.public.encode()
             socket.curve_secretkey = self._keys.secret.encode()
         socket.connect(f"tcp://{address}")
-        self._sockets[address] = socket
-        self._tasks.start_soon(self._receive, socket)
-        return socket
-
-    async def _receive(self, socket: zmq.asyncio.Socket) -> None:
-        while not socket.closed:
-            try:
-                header, kind, body = await socket.recv_multipart()
-                version, incarnation, number = _HEADER.unpack(header)
-            except zmq.ZMQError:
-                return
-            except (ValueError, struct.error):
-                self.counters.refused += 1
-                continue
-            if version != PROTOCOL_VERSION or incarnation != self._incarnation:
-                self.counters.refused += 1
-                continue
-            waiting = self._waiting.get(number)
-            if waiting is None:
-                await self._handle_late(kind.decode(), body)
-                continue
-            waiting.body = body
-            waiting.done.set()
-
-    async def _handle_late(self, kind: str, body: bytes) -> None:
+        peer = _Peer(socket)
+        self._peers[address] = peer
+        self._tasks.start_soon(self._receive, peer)
+        return peer
+
+    async def _receive(self, peer: "_Peer") -> None:
+        """Takes answers until the peer is forgotten; owns the socket."""
+        try:
+            with peer.scope:
+                while True:
+                    await self._receive_one(peer.socket)
+        finally:
+            peer.socket.close()
+
+    async def _receive_one(self, socket: zmq.asyncio.Socket) -> None:
+        try:
+            self._take(await socket.recv_multipart())
+        except (ValueError, struct.error, CodecError) as error:
+            self.counters.refused += 1
+            events.PEER_REFUSED.log(error=str(error))
+
+    def _take(self, frames: list[bytes]) -> None:
+        """Hands an answer to its call.
+
+        Raises:
+            ValueError: The frames are not a message.
+            struct.error: The header is too short or too long.
+            CodecError: It is of another version or another process.
+        """
+        header, kind, body = frames
+        version, incarnation, number = _HEADER.unpack(header)
+        if version != PROTOCOL_VERSION or incarnation != self._incarnation:
+            raise CodecError(f"version {version}, incarnation {incarnation}")
+        waiting = self._waiting.get(number)
+        if waiting is None or waiting.kind:
+            self._handle_late(kind.decode(), body)
+            return
+        waiting.kind = kind.decode()
+        waiting.body = body
+        waiting.done.set()
+
+    def _handle_late(self, kind: str, body: bytes) -> None:
+        """Counts an answer that nobody waits for, and has it undone."""
         self.counters.unknown_answers += 1
+        events.ANSWER_DROPPED.log(kind=kind)
         handler = self._late.get(kind)
-        if handler is not None:
-            await handler.answer(codec.decode(body, handler.kind))
+        if handler is not None and self._tasks is not None:
+            message: Any = codec.decode(body, handler.kind)
+            self._tasks.start_soon(self._undo, handler, message)
+
+    async def _undo(self, handler: _Handler, message: Any) -> None:
+        try:
+            await handler.answer(message)
+        except Exception as error:
+            self.counters.failed += 1
+            events.HANDLER_FAILED.log(
+                message=handler.kind.__name__, error=repr(error)
+            )
+
+
+@attrs.frozen(eq=False)
+class _Peer:
+    """The socket to a peer and what ends its receiving task."""
+
+    socket: zmq.asyncio.Socket
+    scope: anyio.CancelScope = attrs.field(factory=anyio.CancelScope)
 
 
 @attrs.define
@@ -282,4 +390,5 @@
     """A call whose answer has not come."""
 
     done: anyio.Event = attrs.field(factory=anyio.Event)
-    body: bytes | None = None
+    kind: str = ""
+    body: bytes = b""
