--- /dev/null
+++ b/rhubarbwinch/audit.py
@@ -0,0 +1,202 @@
+"""Lists every paid action of a period once, from the store alone.
+
+A call that is not repeatable belongs to the period of its key's own time, so
+each call is in exactly one period. Tokens belong to the hour in which their
+stream ended.
+"""
+
+import datetime
+from collections.abc import Iterable
+
+import attrs
+
+from rhubarbwinch import claimkeys, codec, keys
+from rhubarbwinch.claimpages import ClaimRecord, ClaimState, Page
+from rhubarbwinch.exceptions import SettingError
+from rhubarbwinch.metering import (
+    PERIOD_MS,
+    GenerationMark,
+    MeterCount,
+    MeterDocument,
+    origin_of,
+)
+from rhubarbwinch.store import Store
+
+# One scan reads the pages whose window numbers differ in the last digit only.
+WINDOWS_A_SCAN = 10
+# A stream may be resumed or end in a later hour than it started in.
+MARGIN_PERIODS = 24
+
+
+@attrs.frozen
+class Period:
+    """Whole hours of Unix time, in milliseconds; the end is not in it."""
+
+    start_ms: int
+    end_ms: int
+
+
+@attrs.frozen
+class PaidCall:
+    """A call that is not repeatable and ran or may have run.
+
+    Attributes:
+        time: The key's own time, in UTC.
+        account: The client account.
+        service: The service that was called.
+        key: The idempotency key.
+        ran: `yes`, or `unknown` if no outcome is recorded.
+        status: The HTTP status of the answer; 0 if there is none.
+        endpoint: Where it was sent.
+        entry: The member that sent it.
+        answer: SHA-256 of the answer's body.
+    """
+
+    time: str
+    account: str
+    service: str
+    key: str
+    ran: str
+    status: int
+    endpoint: str
+    entry: str
+    answer: str
+
+
+@attrs.frozen
+class PaidTokens:
+    """The tokens passed on for an account by a service."""
+
+    account: str
+    service: str
+    generations: int
+    tokens: int
+
+
+def parse_period(start: str, end: str) -> Period:
+    """Returns the period between two times such as `2026-12-03T14`, in UTC.
+
+    Raises:
+        SettingError: They are not whole hours, or the end is not later.
+    """
+    times = []
+    for name, text in (("from", start), ("to", end)):
+        try:
+            value = datetime.datetime.fromisoformat(text)
+        except ValueError:
+            raise SettingError(name, text, "a time in ISO form") from None
+        if value.tzinfo is None:
+            value = value.replace(tzinfo=datetime.UTC)
+        ms = int(value.timestamp() * 1000)
+        if ms % PERIOD_MS:
+            raise SettingError(name, text, "a whole hour")
+        times.append(ms)
+    if times[1] <= times[0]:
+        raise SettingError("to", end, "a later time than --from")
+    return Period(times[0], times[1])
+
+
+async def list_calls(store: Store, period: Period) -> list[PaidCall]:
+    """Returns the period's calls that are not repeatable, by time and key."""
+    first = period.start_ms // claimkeys.WINDOW_MS
+    last = (period.end_ms - 1) // claimkeys.WINDOW_MS
+    found = []
+    for group in range(first // WINDOWS_A_SCAN, last // WINDOWS_A_SCAN + 1):
+        prefix = keys.claims_window(group * WINDOWS_A_SCAN)[:-1]
+        for entry in (await store.scan(prefix)).entries:
+            claims = codec.decode(entry.value, Page).claims
+            found += [_paid_call(n, record) for n, record in claims.items()]
+    listed = [call for call in found if call and _is_in(call, period)]
+    return sorted(listed, key=lambda c: (c.time, c.account, c.service, c.key))
+
+
+async def list_tokens(store: Store, period: Period) -> list[PaidTokens]:
+    """Returns the period's tokens for each account and service."""
+    first = period.start_ms // PERIOD_MS
+    after = period.end_ms // PERIOD_MS
+    documents: dict[int, list[MeterDocument]] = {}
+    for number in range(first - MARGIN_PERIODS, after + MARGIN_PERIODS):
+        listing = await store.scan(keys.meter_period(number))
+        documents[number] = [
+            codec.decode(entry.value, MeterDocument)
+            for entry in listing.entries
+        ]
+    totals: dict[tuple[str, str], MeterCount] = {}
+    for number in range(first, after):
+        for document in documents[number]:
+            for count in document.counts:
+                _add(totals, count)
+    for number, mark in _settle_marks(documents):
+        if first <= number < after:
+            _add(totals, MeterCount(mark.account, mark.service, 1, mark.tokens))
+    return [
+        PaidTokens(c.account, c.service, c.generations, c.tokens)
+        for _, c in sorted(totals.items())
+    ]
+
+
+def _is_in(call: PaidCall, period: Period) -> bool:
+    time_ms = claimkeys.time_of(call.key)
+    return period.start_ms <= time_ms < period.end_ms
+
+
+def _paid_call(name: str, record: ClaimRecord) -> PaidCall | None:
+    """Returns a claim's line; None if it was certainly not sent."""
+    if record.state is ClaimState.RELEASED:
+        return None
+    account, service, key = name.split("/")
+    outcome = record.outcome
+    time_s = claimkeys.time_of(key) / 1000
+    time = datetime.datetime.fromtimestamp(time_s, datetime.UTC)
+    return PaidCall(
+        time=time.isoformat(timespec="milliseconds"),
+        account=account,
+        service=service,
+        key=key,
+        ran="yes" if outcome else "unknown",
+        status=outcome.status if outcome else 0,
+        endpoint=record.endpoint,
+        entry=record.owner,
+        answer=outcome.digest if outcome else "",
+    )
+
+
+def _settle_marks(
+    documents: dict[int, list[MeterDocument]],
+) -> Iterable[tuple[int, GenerationMark]]:
+    """Yields each marked stream once, with the last period that marks it."""
+    marks: dict[str, list[tuple[int, GenerationMark]]] = {}
+    last_numbers: dict[str, int] = {}
+    marked_at_origin: set[str] = set()
+    for number, found in documents.items():
+        for document in found:
+            known = last_numbers.get(document.incarnation, 0)
+            last_numbers[document.incarnation] = max(
+                known, document.last_number
+            )
+            for mark in document.marks:
+                marks.setdefault(mark.generation, []).append((number, mark))
+                if origin_of(mark.generation)[0] == document.incarnation:
+                    marked_at_origin.add(mark.generation)
+    for generation, seen in marks.items():
+        origin, counter = origin_of(generation)
+        ended_at_origin = (
+            generation not in marked_at_origin
+            and counter <= last_numbers.get(origin, 0)
+        )
+        if ended_at_origin:
+            # It is in the origin's totals; this was a second reading.
+            continue
+        longest = max((mark for _, mark in seen), key=lambda m: m.tokens)
+        service = next((m.service for _, m in seen if m.service), "")
+        yield (
+            max(number for number, _ in seen),
+            attrs.evolve(longest, service=service),
+        )
+
+
+def _add(totals: dict[tuple[str, str], MeterCount], more: MeterCount) -> None:
+    name = (more.account, more.service)
+    total = totals.setdefault(name, MeterCount(*name))
+    total.generations += more.generations
+    total.tokens += more.tokens
--- /dev/null
+++ b/rhubarbwinch/claimfloor.py
@@ -0,0 +1,133 @@
+"""The oldest keys that are accepted, and the cleanup of pages below them.
+
+The floor in the store only rises. It is raised first, and pages below it are
+deleted a pass later, when no member can still accept a key of theirs. So a
+deleted page never comes back empty under a key that has run.
+"""
+
+import attrs
+from result import Err, Ok, Result
+
+from rhubarbwinch import codec, events, keys
+from rhubarbwinch.claimkeys import WINDOW_MS
+from rhubarbwinch.clock import Clock
+from rhubarbwinch.exceptions import CodecError, StoreError, StoreUnavailable
+from rhubarbwinch.store import Store
+
+REFRESH_MS = 60_000
+PASS_MS = 600_000
+CHECK_MS = 60_000
+
+
+@attrs.frozen
+class Floor:
+    """What the store holds.
+
+    Attributes:
+        window: Keys of earlier windows are refused.
+        cleaned: Pages of earlier windows are deleted.
+        at_ms: Unix time of the last pass.
+    """
+
+    window: int = 0
+    cleaned: int = 0
+    at_ms: int = 0
+
+
+class ClaimFloor:
+    """Reads the floor; a reading is used for at most `REFRESH_MS`.
+
+    Args:
+        store: The platform's store.
+        clock: The source of time.
+    """
+
+    def __init__(self, store: Store, clock: Clock) -> None:
+        self._store = store
+        self._clock = clock
+        self._window = 0
+        self._read_now: int | None = None
+        self._read_wall = 0
+
+    async def read(self) -> Result[int, StoreError]:
+        """Returns the first window whose keys are accepted."""
+        if self._is_stale():
+            now, wall = self._clock.now(), self._clock.wall()
+            try:
+                floor, _ = await read_floor(self._store)
+            except StoreError as error:
+                return Err(error)
+            self._window = max(self._window, floor.window)
+            self._read_now, self._read_wall = now, wall
+        return Ok(self._window)
+
+    def _is_stale(self) -> bool:
+        if self._read_now is None:
+            return True
+        wall = self._clock.wall() - self._read_wall
+        return max(self._clock.now() - self._read_now, wall) > REFRESH_MS
+
+
+class ClaimCleaner:
+    """Raises the floor and deletes the pages below it.
+
+    Several members may run one; a pass that loses its race does nothing.
+
+    Args:
+        store: The platform's store.
+        clock: The source of time.
+        keep_ms: How long claims are kept.
+    """
+
+    def __init__(self, store: Store, clock: Clock, keep_ms: int) -> None:
+        self._store = store
+        self._clock = clock
+        self._keep_ms = keep_ms
+
+    async def run(self) -> None:
+        """Makes passes until cancelled."""
+        while True:
+            await self._clock.sleep(CHECK_MS)
+            try:
+                await self.step()
+            except (StoreError, CodecError) as error:
+                events.STORE_DOWN.log(error=str(error))
+
+    async def step(self) -> None:
+        """Makes a pass if the last one is long enough ago."""
+        floor, revision = await read_floor(self._store)
+        now = self._clock.wall()
+        if now - floor.at_ms < PASS_MS:
+            return
+        wanted = max(floor.window, (now - self._keep_ms) // WINDOW_MS)
+        # A first pass starts where keys can first be accepted.
+        cleaned = floor.cleaned or wanted
+        count = 0
+        for window in range(cleaned, floor.window):
+            count += await self._delete(window)
+        raised = Floor(wanted, max(cleaned, floor.window), now)
+        await self._store.swap(
+            keys.CLAIMS_CURSOR, revision, codec.encode(raised)
+        )
+        events.CLAIMS_CLEANED.log(floor=wanted, pages=count)
+
+    async def _delete(self, window: int) -> int:
+        listing = await self._store.scan(keys.claims_window(window))
+        for entry in listing.entries:
+            await self._store.delete(entry.key, entry.revision)
+        return len(listing.entries)
+
+
+async def read_floor(store: Store) -> tuple[Floor, int]:
+    """Returns the floor in the store and its revision.
+
+    Raises:
+        StoreError: It can't be read; without it no key is accepted.
+    """
+    entry = await store.get(keys.CLAIMS_CURSOR)
+    if entry is None:
+        return Floor(), 0
+    try:
+        return codec.decode(entry.value, Floor), entry.revision
+    except CodecError as error:
+        raise StoreUnavailable(f"{keys.CLAIMS_CURSOR}: {error}") from error
--- /dev/null
+++ b/rhubarbwinch/claimpages.py
@@ -0,0 +1,330 @@
+"""Pages of claims: many claims in each write, one write in flight a page.
+
+Every change is idempotent: it looks for its own token in the page first. So a
+page can be read again and the change made again after a lost answer or a lost
+race, without knowing which of the two it was.
+"""
+
+import collections
+import enum
+from collections.abc import Iterable
+from typing import Protocol
+
+import anyio
+import anyio.abc
+import attrs
+from result import Err, Ok, Result
+
+from rhubarbwinch import codec, events
+from rhubarbwinch.clock import Clock
+from rhubarbwinch.exceptions import (
+    CodecError,
+    StoreError,
+    StoreUnavailable,
+    StoreUncertain,
+)
+from rhubarbwinch.store import Entry, Store, Swap
+
+# A page takes no new claims beyond this; the room up to the store's limit is
+# for the outcomes of those that it holds.
+CROWDED_PAGE_BYTES = 450_000
+MAX_BATCH = 256
+MAX_ATTEMPTS = 20
+MAX_LOST_ANSWERS = 2
+MAX_CACHED_PAGES = 32
+BURST_WRITES = 8
+
+
+class ClaimState(enum.StrEnum):
+    """How far a claim has come."""
+
+    CLAIMED = "claimed"
+    COMPLETED = "completed"
+    RELEASED = "released"
+    MAY_HAVE_RUN = "may-have-run"
+
+
+@attrs.frozen
+class Outcome:
+    """What the endpoint answered.
+
+    Attributes:
+        status: The HTTP status.
+        content_type: Of the answer.
+        body: The answer; empty if it was too long to be kept.
+        digest: SHA-256 of the whole answer.
+        kept: Whether `body` is the whole answer.
+    """
+
+    status: int
+    content_type: str = "text/plain"
+    body: bytes = b""
+    digest: str = ""
+    kept: bool = True
+
+
+@attrs.frozen
+class ClaimRecord:
+    """A claim as it stands in its page.
+
+    Attributes:
+        token: Random, new with each try to claim.
+        owner: The member that made it.
+        incarnation: The owner's incarnation.
+        state: How far it has come.
+        request: Digest of the request's content.
+        at_ms: Unix time of the claim.
+        endpoint: Where it was sent.
+        outcome: The answer, once completed.
+    """
+
+    token: str
+    owner: str
+    incarnation: int
+    state: ClaimState
+    request: str
+    at_ms: int
+    endpoint: str = ""
+    outcome: Outcome | None = None
+
+
+@attrs.define
+class Page:
+    """The claims of one window and slot, by name."""
+
+    claims: dict[str, ClaimRecord] = attrs.field(factory=dict)
+
+
+class PageChange(Protocol):
+    """A change of one claim in a page."""
+
+    @property
+    def name(self) -> str:
+        """The claim's name."""
+        ...
+
+    def apply(
+        self, current: ClaimRecord | None, crowded: bool
+    ) -> ClaimRecord | None:
+        """Returns the record to be written; `current` itself for no change.
+
+        Args:
+            current: The claim as the page has it.
+            crowded: Whether the page has no room for more claims.
+        """
+        ...
+
+
+@attrs.define
+class _Pending:
+    """A change that waits for its write, or a read without change."""
+
+    name: str
+    change: PageChange | None
+    done: anyio.Event = attrs.field(factory=anyio.Event)
+    result: Result[ClaimRecord | None, StoreError] | None = None
+
+    def finish(self, result: Result[ClaimRecord | None, StoreError]) -> None:
+        self.result = result
+        self.done.set()
+
+
+@attrs.frozen
+class _Known:
+    """A page as it was last seen, with its encoded size in bytes."""
+
+    page: Page
+    revision: int
+    size: int
+
+
+@attrs.define
+class PageCounters:
+    """What the pages cost; for metrics and measurements."""
+
+    reads: int = 0
+    writes: int = 0
+    changes: int = 0
+    lost_races: int = 0
+
+
+class ClaimPages:
+    """Reads and changes pages; `run` must be running.
+
+    Args:
+        store: The platform's store.
+        clock: The source of time.
+        writes_per_s: The most writes that this process makes in a second.
+        batched: Whether a write carries more than one change.
+    """
+
+    def __init__(
+        self,
+        store: Store,
+        clock: Clock,
+        writes_per_s: int,
+        batched: bool = True,
+    ) -> None:
+        self.counters = PageCounters()
+        self._store = store
+        self._clock = clock
+        self._interval_ms = 1000 / writes_per_s
+        self._batch = MAX_BATCH if batched else 1
+        self._next_write = float("-inf")
+        self._queues: dict[str, collections.deque[_Pending]] = {}
+        self._cache: collections.OrderedDict[str, _Known] = (
+            collections.OrderedDict()
+        )
+        self._tasks: anyio.abc.TaskGroup | None = None
+
+    async def run(self) -> None:
+        """Keeps the pages' tasks until cancelled."""
+        try:
+            async with anyio.create_task_group() as tasks:
+                self._tasks = tasks
+                await anyio.sleep_forever()
+        finally:
+            self._tasks = None
+            for queue in self._queues.values():
+                _fail(queue, StoreUncertain("the pages' task ended"))
+            self._queues.clear()
+
+    async def read(
+        self, page: str, name: str
+    ) -> Result[ClaimRecord | None, StoreError]:
+        """Returns a claim as the store holds it now."""
+        return await self._submit(page, _Pending(name, None))
+
+    async def change(
+        self, page: str, change: PageChange
+    ) -> Result[ClaimRecord | None, StoreError]:
+        """Makes a change; returns the claim as it then stands."""
+        return await self._submit(page, _Pending(change.name, change))
+
+    async def _submit(
+        self, page: str, pending: _Pending
+    ) -> Result[ClaimRecord | None, StoreError]:
+        if self._tasks is None:
+            return Err(StoreUnavailable("claims are not running"))
+        if page in self._queues:
+            self._queues[page].append(pending)
+        else:
+            self._queues[page] = collections.deque([pending])
+            self._tasks.start_soon(self._work, page)
+        await pending.done.wait()
+        if pending.result is None:
+            raise AssertionError("a change was woken without a result")
+        return pending.result
+
+    async def _work(self, page: str) -> None:
+        """Writes batches of a page until none is left."""
+        queue = self._queues[page]
+        while queue:
+            if any(pending.change for pending in queue):
+                # More may come while this write waits for its turn.
+                await self._pace()
+            count = min(len(queue), self._batch)
+            batch = [queue.popleft() for _ in range(count)]
+            try:
+                await self._write(page, batch)
+            except (StoreError, CodecError) as error:
+                self._cache.pop(page, None)
+                _fail(batch, error)
+            except BaseException:
+                _fail(batch, StoreUncertain("the write was cancelled"))
+                raise
+        del self._queues[page]
+
+    async def _pace(self) -> None:
+        """Waits for this write's turn."""
+        now = self._clock.now()
+        earliest = now - BURST_WRITES * self._interval_ms
+        self._next_write = max(self._next_write, earliest) + self._interval_ms
+        if self._next_write > now:
+            await self._clock.sleep(int(self._next_write - now) + 1)
+
+    async def _write(self, page: str, batch: list[_Pending]) -> None:
+        known = self._cache.get(page)
+        if known is None or any(pending.change is None for pending in batch):
+            known = await self._fetch(page)
+        lost_answers = 0
+        for _ in range(MAX_ATTEMPTS):
+            wanted = _apply(known, batch)
+            if wanted is known.page:
+                self._settle(page, known, batch)
+                return
+            data = codec.encode(wanted)
+            try:
+                swap = await self._swap(page, known.revision, data)
+            except StoreUncertain:
+                # The page tells whether the write took effect: our tokens
+                # stand in it or do not.
+                lost_answers += 1
+                if lost_answers > MAX_LOST_ANSWERS:
+                    raise
+                known = await self._fetch_uncertain(page)
+                continue
+            if swap.won:
+                self.counters.changes += len(batch)
+                known = _Known(wanted, swap.revision, len(data))
+                self._settle(page, known, batch)
+                return
+            self.counters.lost_races += 1
+            known = _known(swap.current)
+        raise StoreUncertain(f"{page}: lost {MAX_ATTEMPTS} races")
+
+    async def _swap(self, page: str, expected: int, data: bytes) -> Swap:
+        self.counters.writes += 1
+        return await self._store.swap(page, expected, data)
+
+    async def _fetch(self, page: str) -> _Known:
+        self.counters.reads += 1
+        return _known(await self._store.get(page))
+
+    async def _fetch_uncertain(self, page: str) -> _Known:
+        """Reads a page after a lost answer; a failure leaves it uncertain."""
+        try:
+            return await self._fetch(page)
+        except StoreUnavailable as error:
+            raise StoreUncertain(str(error)) from error
+
+    def _settle(self, page: str, known: _Known, batch: list[_Pending]) -> None:
+        self._cache[page] = known
+        self._cache.move_to_end(page)
+        if len(self._cache) > MAX_CACHED_PAGES:
+            self._cache.popitem(last=False)
+        for pending in batch:
+            pending.finish(Ok(known.page.claims.get(pending.name)))
+
+
+def _known(entry: Entry | None) -> _Known:
+    if entry is None:
+        return _Known(Page(), 0, 0)
+    page = codec.decode(entry.value, Page)
+    return _Known(page, entry.revision, len(entry.value))
+
+
+def _apply(known: _Known, batch: list[_Pending]) -> Page:
+    """Returns the page with all changes; the same object if none changed."""
+    crowded = known.size > CROWDED_PAGE_BYTES
+    claims = dict(known.page.claims)
+    changed = False
+    for pending in batch:
+        if pending.change is None:
+            continue
+        current = claims.get(pending.name)
+        wanted = pending.change.apply(current, crowded)
+        if wanted is None or wanted is current:
+            continue
+        claims[pending.name] = wanted
+        changed = True
+    return Page(claims) if changed else known.page
+
+
+def _fail(batch: Iterable[_Pending], error: Exception) -> None:
+    failure = error
+    if not isinstance(failure, StoreError):
+        events.CLAIM_PAGE_BAD.log(error=str(error))
+        failure = StoreUnavailable(str(error))
+    for pending in batch:
+        pending.finish(Err(failure))
--- a/rhubarbwinch/cmdline.py
+++ b/rhubarbwinch/cmdline.py
@@ -1,5 +1,6 @@
 """The command lines of all programs."""
 
+import enum
 import os
 import sys
 from collections.abc import Callable
@@ -12,7 +13,7 @@
 import attrs
 import cappa
 
-from rhubarbwinch import ctl, etcdstore, events
+from rhubarbwinch import audit, ctl, etcdstore, events
 from rhubarbwinch.broker import Broker
 from rhubarbwinch.config import (
     BrokerSettings,
@@ -27,8 +28,10 @@
     ConflictError,
     RecordError,
     RestartLimitError,
+    SettingError,
     StoreError,
 )
+from rhubarbwinch.store import Store
 from rhubarbwinch.version import VERSION
 
 
@@ -95,11 +98,34 @@
     """Shows members and the generation."""
 
 
+class Listed(enum.StrEnum):
+    """What the audit lists."""
+
+    CALLS = "calls"
+    TOKENS = "tokens"
+
+
+@cappa.command(name="audit", help="List the paid actions of a period.")
+@attrs.define
+class Audit:
+    """Lists the paid actions of a period."""
+
+    listed: Annotated[Listed, cappa.Arg(help="calls or tokens")]
+    start: Annotated[
+        str, cappa.Arg(long="--from", help="Whole hour, UTC: 2026-12-03T14")
+    ]
+    end: Annotated[
+        str, cappa.Arg(long="--to", help="Whole hour, not in the period")
+    ]
+
+
 @attrs.define(kw_only=True)
 class Ctl:
     """The operators' command line."""
 
-    command: cappa.Subcommands[Validate | Apply | ListRecords | ShowStatus]
+    command: cappa.Subcommands[
+        Validate | Apply | ListRecords | ShowStatus | Audit
+    ]
     store: Annotated[
         str,
         cappa.Arg(
@@ -126,6 +152,8 @@
         _fail(error, ExitStatus.INVALID)
     except ConflictError as error:
         _fail(error, ExitStatus.CONFLICT)
+    except SettingError as error:
+        _fail(error, ExitStatus.USAGE)
     except StoreError as error:
         _fail(error, ExitStatus.STORE)
 
@@ -153,9 +181,21 @@
                 rows = [attrs.asdict(m) for m in status.members]
                 rows = [row | {"accepted": status.generation} for row in rows]
                 ctl.print_rows(rows, options.output)
+            case Audit(listed, start, end):
+                rows = await _audit(store, listed, start, end)
+                ctl.print_rows(rows, options.output)
     finally:
         await store.close()
 
 
+async def _audit(
+    store: Store, listed: Listed, start: str, end: str
+) -> list[dict[str, Any]]:
+    period = audit.parse_period(start, end)
+    if listed is Listed.CALLS:
+        return [attrs.asdict(c) for c in await audit.list_calls(store, period)]
+    return [attrs.asdict(t) for t in await audit.list_tokens(store, period)]
+
+
 def _rows(found: list[Any]) -> list[dict[str, Any]]:
     return [{"kind": r.kind, "name": r.name, "schema": r.schema} for r in found]
--- a/rhubarbwinch/config.py
+++ b/rhubarbwinch/config.py
@@ -183,6 +183,10 @@
             started a stream can resume it.
         permit_timeout_ms: The longest wait for a broker beyond the queue.
         endpoint_silence_ms: A stream without a byte for so long is resumed.
+        claims_keep_hours: How long claims and counters are kept for audits;
+            no key older than this is accepted.
+        claim_writes_per_s: The most writes of claims in a second.
+        meter_flush_ms: The time between two writes of the counters.
     """
 
     max_body_bytes: Annotated[
@@ -207,6 +211,33 @@
             "Silence after which a stream is resumed",
         ),
     ] = 2000
+    claims_keep_hours: Annotated[
+        int,
+        _arg(
+            "claims-keep-hours",
+            35 * 24,
+            _number(1, 400 * 24),
+            "How long claims and counters are kept",
+        ),
+    ] = 35 * 24
+    claim_writes_per_s: Annotated[
+        int,
+        _arg(
+            "claim-writes-per-s",
+            50,
+            _number(1, 10_000),
+            "Most store writes for claims in a second",
+        ),
+    ] = 50
+    meter_flush_ms: Annotated[
+        int,
+        _arg(
+            "meter-flush-ms",
+            5_000,
+            _number(100, 600_000),
+            "Time between two writes of the counters",
+        ),
+    ] = 5_000
 
 
 @attrs.define(kw_only=True)
--- a/rhubarbwinch/entry.py
+++ b/rhubarbwinch/entry.py
@@ -4,6 +4,7 @@
 
 from rhubarbwinch import identity, metrics, rendezvous
 from rhubarbwinch.apikeys import KeyChecker
+from rhubarbwinch.claimparts import ClaimParts
 from rhubarbwinch.config import EntrySettings
 from rhubarbwinch.daemon import Daemon
 from rhubarbwinch.endpoints import EndpointClient
@@ -46,9 +47,11 @@
             settings.name,
             settings.data_center,
         )
+        self._claims = ClaimParts(daemon, settings)
         self._plain = PlainCaller(
             self._permits,
             self._endpoints,
+            self._claims.claims,
             ids,
             settings.name,
             settings.data_center,
@@ -68,6 +71,7 @@
         daemon.drain.open_count = lambda: self._open
         daemon.serve_http(self._app)
         daemon.add("reports", self._report)
+        self._claims.attach(daemon)
         await daemon.run()
         await self._endpoints.close()
 
--- a/rhubarbwinch/events.py
+++ b/rhubarbwinch/events.py
@@ -129,3 +129,33 @@
 ENDPOINT_LOST = Event(
     52, "endpoint-lost", logging.WARNING, "An endpoint failed a call."
 )
+CLAIM_PAGE_BAD = Event(
+    100, "claim-page-bad", logging.ERROR, "A page of claims can't be read."
+)
+CLAIM_TAKEN_OVER = Event(
+    101, "claim-taken-over", logging.INFO, "An unsent claim changed owners."
+)
+CLAIM_UNRECORDED = Event(
+    102,
+    "claim-unrecorded",
+    logging.WARNING,
+    "An outcome is not in the store yet; the write is retried.",
+)
+CLAIM_HELD_TOO_LONG = Event(
+    103, "claim-held-too-long", logging.WARNING, "A late send was given up."
+)
+CLAIMS_CLEANED = Event(
+    104, "claims-cleaned", logging.INFO, "Pages past their keeping are gone."
+)
+METER_UNRECORDED = Event(
+    110, "meter-unrecorded", logging.WARNING, "Counters are not in the store."
+)
+ENDPOINT_STRIKE = Event(
+    120, "endpoint-strike", logging.WARNING, "An endpoint died under a request."
+)
+QUARANTINED = Event(
+    121, "quarantined", logging.ERROR, "A request is refused at all members."
+)
+SUSPECT_CLEARED = Event(
+    122, "suspect-cleared", logging.INFO, "A suspected request has finished."
+)
--- a/rhubarbwinch/keys.py
+++ b/rhubarbwinch/keys.py
@@ -7,6 +7,7 @@
 CHUNKS = ROOT + "accepted/chunks/"
 MEMBERS = ROOT + "members/"
 CLAIMS = ROOT + "claims/"
+CLAIMS_CURSOR = ROOT + "claims-cursor"
 METERS = ROOT + "meters/"
 QUARANTINE = ROOT + "quarantine/"
 ORDERS = ROOT + "orders/"
@@ -30,3 +31,33 @@
 def member(name: str) -> str:
     """Returns the key of a member's registration."""
     return MEMBERS + name
+
+
+def claims_page(window: int, slot: int) -> str:
+    """Returns the key of the page of claims of a time window and slot."""
+    return f"{claims_window(window)}/{slot}"
+
+
+def claims_window(window: int) -> str:
+    """Returns the prefix of a window's pages; the digits sort by time."""
+    return f"{CLAIMS}{window:012d}"
+
+
+def meter(period: int, entry: str, incarnation: int) -> str:
+    """Returns the key of what an entry counted in a period."""
+    return f"{meter_period(period)}{entry}/{incarnation:x}"
+
+
+def meter_period(period: int) -> str:
+    """Returns the prefix of a period's counters."""
+    return f"{METERS}{period:08d}/"
+
+
+def suspect(fingerprint: str) -> str:
+    """Returns the key of a fingerprint's strikes."""
+    return f"{QUARANTINE}suspects/{fingerprint}"
+
+
+def trial(endpoint: str) -> str:
+    """Returns the key that is held while a suspect runs on an endpoint."""
+    return f"{QUARANTINE}trials/{endpoint}"
--- a/rhubarbwinch/messages.py
+++ b/rhubarbwinch/messages.py
@@ -130,3 +130,27 @@
 @attrs.frozen
 class Ack:
     """An empty answer."""
+
+
+@attrs.frozen
+class ClaimQuestion:
+    """Asks a claim's owner whether it can still send.
+
+    Attributes:
+        token: The claim's token.
+        incarnation: The owner's incarnation in the claim.
+    """
+
+    token: str
+    incarnation: int
+
+
+@attrs.frozen
+class ClaimAnswer:
+    """The owner's answer.
+
+    Attributes:
+        unsent: The owner never sent under the token and never will.
+    """
+
+    unsent: bool
--- /dev/null
+++ b/rhubarbwinch/metering.py
@@ -0,0 +1,227 @@
+"""Counts the tokens passed on for each client account, for the audit.
+
+An entry keeps totals in memory and writes them, as totals, to a key of its own
+for each period. Writing a total again changes nothing, so a lost answer needs
+no care. Streams that did not end here stand in the document one by one: if
+another entry resumes them, the audit counts the longer of the two accounts.
+"""
+
+import attrs
+
+from rhubarbwinch import codec, events, keys
+from rhubarbwinch.clock import Clock
+from rhubarbwinch.exceptions import StoreError, StoreUncertain
+from rhubarbwinch.store import Store
+
+PERIOD_MS = 3_600_000
+MAX_MARKS = 5_000
+CLEANED_PERIODS = 48
+
+
+@attrs.define
+class MeterCount:
+    """What was passed on for an account by a service.
+
+    Attributes:
+        account: The client account.
+        service: The service that was called.
+        generations: Streams that ended here.
+        tokens: Their tokens.
+    """
+
+    account: str
+    service: str
+    generations: int = 0
+    tokens: int = 0
+
+
+@attrs.define
+class GenerationMark:
+    """A stream that is open, broke off here or was resumed here.
+
+    Attributes:
+        generation: Its id.
+        account: The client account.
+        service: The service that was called; empty for a resumed stream.
+        tokens: The tokens passed on, from the stream's start.
+    """
+
+    generation: str
+    account: str
+    service: str
+    tokens: int = 0
+
+
+@attrs.define
+class MeterDocument:
+    """What one entry counted in one period.
+
+    Attributes:
+        incarnation: The entry's incarnation, as in its generation ids.
+        last_number: The highest number of a generation that started here.
+        counts: Totals of the streams that ended here.
+        marks: The other streams.
+    """
+
+    incarnation: str
+    last_number: int = 0
+    counts: list[MeterCount] = attrs.field(factory=list)
+    marks: list[GenerationMark] = attrs.field(factory=list)
+
+
+def origin_of(generation: str) -> tuple[str, int]:
+    """Returns the incarnation and number in a generation id."""
+    incarnation, number, _ = generation.split("-", 2)
+    return incarnation, int(number, 16)
+
+
+class Meter:
+    """Counts what this entry passes on.
+
+    Args:
+        store: The platform's store.
+        clock: The source of time.
+        entry: This member's name.
+        incarnation: This process's number.
+        flush_ms: The time between two writes.
+    """
+
+    def __init__(
+        self,
+        store: Store,
+        clock: Clock,
+        entry: str,
+        incarnation: int,
+        flush_ms: int,
+    ) -> None:
+        self._store = store
+        self._clock = clock
+        self._entry = entry
+        self._incarnation = incarnation
+        self._flush_ms = flush_ms
+        self._period = clock.wall() // PERIOD_MS
+        self._last_number = 0
+        self._counts: dict[tuple[str, str], MeterCount] = {}
+        self._open: dict[str, GenerationMark] = {}
+        self._broken: dict[str, GenerationMark] = {}
+        self._written = self._document(with_open=False)
+        self._revision: int | None = None
+
+    def start(self, generation: str, account: str, service: str) -> None:
+        """Notes a stream that starts here."""
+        _, number = origin_of(generation)
+        self._last_number = max(self._last_number, number)
+        mark = GenerationMark(generation, account, service)
+        self._open[generation] = mark
+
+    def resume(self, generation: str, account: str, tokens: int) -> None:
+        """Notes a stream that another entry started."""
+        mark = GenerationMark(generation, account, "", tokens)
+        self._open[generation] = mark
+
+    def progress(self, generation: str, tokens: int) -> None:
+        """Notes how many tokens of a stream have been passed on."""
+        mark = self._open.get(generation)
+        if mark is not None:
+            mark.tokens = tokens
+
+    def end(self, generation: str, finished: bool) -> None:
+        """Notes the end of a stream, whole or broken off."""
+        mark = self._open.pop(generation, None)
+        if mark is None:
+            return
+        if (finished and mark.service) or len(self._broken) >= MAX_MARKS:
+            self._add(mark)
+        elif mark.tokens:
+            self._broken[generation] = mark
+
+    async def run(self) -> None:
+        """Writes until cancelled."""
+        while True:
+            await self._clock.sleep(self._flush_ms)
+            await self.flush()
+
+    async def flush(self) -> None:
+        """Writes the totals; an outage leaves them for the next time."""
+        now = self._clock.wall() // PERIOD_MS
+        try:
+            if now > self._period:
+                # The old period is closed without its open streams before
+                # they appear in the new one.
+                await self._write(self._document(with_open=False))
+                self._start_period(now)
+            await self._write(self._document(with_open=True))
+        except StoreError as error:
+            self._revision = None
+            events.METER_UNRECORDED.log(error=str(error))
+
+    def _add(self, mark: GenerationMark) -> None:
+        name = (mark.account, mark.service)
+        count = self._counts.setdefault(name, MeterCount(*name))
+        count.generations += 1
+        count.tokens += mark.tokens
+
+    def _start_period(self, period: int) -> None:
+        self._period = period
+        self._counts = {}
+        self._broken = {}
+        self._written = self._document(with_open=False)
+        self._revision = 0
+
+    def _document(self, with_open: bool) -> bytes:
+        marks = list(self._broken.values())
+        if with_open:
+            marks += [mark for mark in self._open.values() if mark.tokens]
+        document = MeterDocument(
+            f"{self._incarnation:x}",
+            self._last_number,
+            list(self._counts.values()),
+            marks,
+        )
+        return codec.encode(document)
+
+    async def _write(self, data: bytes) -> None:
+        if data == self._written:
+            return
+        key = keys.meter(self._period, self._entry, self._incarnation)
+        if self._revision is None:
+            # The last write's answer may have been lost.
+            entry = await self._store.get(key)
+            self._revision = entry.revision if entry else 0
+        swap = await self._store.swap(key, self._revision, data)
+        if not swap.won:
+            raise StoreUncertain(f"{key}: an earlier write took effect late")
+        self._revision = swap.revision
+        self._written = data
+
+
+class MeterCleaner:
+    """Deletes counters that are past their keeping.
+
+    Args:
+        store: The platform's store.
+        clock: The source of time.
+        keep_ms: How long counters are kept.
+    """
+
+    def __init__(self, store: Store, clock: Clock, keep_ms: int) -> None:
+        self._store = store
+        self._clock = clock
+        self._keep_ms = keep_ms
+
+    async def run(self) -> None:
+        """Makes a pass each period until cancelled."""
+        while True:
+            await self._clock.sleep(PERIOD_MS)
+            try:
+                await self.step()
+            except StoreError as error:
+                events.STORE_DOWN.log(error=str(error))
+
+    async def step(self) -> None:
+        """Deletes the periods that ended before the time of keeping."""
+        end = (self._clock.wall() - self._keep_ms) // PERIOD_MS
+        for period in range(end - CLEANED_PERIODS, end):
+            listing = await self._store.scan(keys.meter_period(period))
+            for entry in listing.entries:
+                await self._store.delete(entry.key, entry.revision)
--- a/rhubarbwinch/plain.py
+++ b/rhubarbwinch/plain.py
@@ -3,10 +3,15 @@
 from functools import partial
 
 import anyio
+import attrs
+import httpx
 from result import Err
 
-from rhubarbwinch import identity
+from rhubarbwinch import claimkeys, identity
 from rhubarbwinch.accepted import Snapshot
+from rhubarbwinch.claimkeys import ClaimKey
+from rhubarbwinch.claimpages import Outcome
+from rhubarbwinch.claims import Claim, Claims, make_outcome
 from rhubarbwinch.endpoints import EndpointClient
 from rhubarbwinch.exceptions import EndpointError
 from rhubarbwinch.httpapi import Refused, Request, Responder
@@ -17,6 +22,7 @@
 
 PREFIX = "/services/"
 MAX_ATTEMPTS = 3
+REPLAYED = (b"idempotency-replayed", b"true")
 _PASSED_ON = ("content-type", "accept", "traceparent", "idempotency-key")
 
 
@@ -34,12 +40,77 @@
     return True
 
 
+def claim_key(
+    account: str, name: str, service: ServiceSpec, request: Request, path: str
+) -> ClaimKey | None:
+    """Returns the key under which a request runs at most once.
+
+    The service's record or the caller, by sending a key, asks for it.
+
+    Raises:
+        Refused: The key is missing or not a UUIDv7.
+    """
+    text = request.headers.get(claimkeys.HEADER)
+    if text is None:
+        if is_repeatable(service, request.method, path):
+            return None
+        detail = "this call needs an Idempotency-Key, a UUIDv7"
+        raise Refused(not_run(Reason.KEY_REQUIRED, detail))
+    parsed = claimkeys.parse_uuid7(text)
+    if parsed is None:
+        detail = "the Idempotency-Key has to be a UUIDv7 (RFC 9562)"
+        raise Refused(not_run(Reason.KEY_REQUIRED, detail))
+    digest = claimkeys.content_digest(
+        request.method, path, request.query, request.body
+    )
+    return ClaimKey(account, name, parsed, digest, service.retention_ms)
+
+
+@attrs.frozen
+class PlainCall:
+    """A call of a plain service that has been checked.
+
+    Attributes:
+        account: The client account.
+        name: The service's name.
+        service: Its record.
+        request: What the caller sent.
+        path: The path at the endpoint.
+        key: The key under which it runs at most once; None if repeatable.
+    """
+
+    account: str
+    name: str
+    service: ServiceSpec
+    request: Request
+    path: str
+    key: ClaimKey | None
+
+
+def parse_call(account: str, request: Request, snapshot: Snapshot) -> PlainCall:
+    """Returns the checked call of `/services/<service>/<path>`.
+
+    Raises:
+        Refused: It is not valid; it did not run.
+    """
+    name, _, rest = request.path.removeprefix(PREFIX).partition("/")
+    service = snapshot.services.get(name)
+    if service is None or service.kind != "plain":
+        raise Refused(not_run(Reason.NOT_FOUND, f"no service {name!r}"))
+    if name not in snapshot.accounts[account].services:
+        raise Refused(not_run(Reason.FORBIDDEN, f"{name!r} not allowed"))
+    path = f"/{rest}"
+    key = claim_key(account, name, service, request, path)
+    return PlainCall(account, name, service, request, path, key)
+
+
 class PlainCaller:
     """Runs calls of plain services.
 
     Args:
         permits: Where places come from.
         endpoints: Calls endpoints.
+        claims: Keeps calls that are not repeatable from running twice.
         ids: Makes request ids.
         entry: This member's name.
         data_center: Pools here are asked first.
@@ -49,12 +120,14 @@
         self,
         permits: PermitClient,
         endpoints: EndpointClient,
+        claims: Claims,
         ids: identity.IdMaker,
         entry: str,
         data_center: str,
     ) -> None:
         self._permits = permits
         self._endpoints = endpoints
+        self._claims = claims
         self._ids = ids
         self._entry = entry
         self._data_center = data_center
@@ -71,61 +144,137 @@
         Raises:
             Refused: It failed, with its verdict.
         """
-        name, _, rest = request.path.removeprefix(PREFIX).partition("/")
-        service = snapshot.services.get(name)
-        if service is None or service.kind != "plain":
-            raise Refused(not_run(Reason.NOT_FOUND, f"no service {name!r}"))
-        if name not in snapshot.accounts[account].services:
-            raise Refused(not_run(Reason.FORBIDDEN, f"{name!r} not allowed"))
-        repeatable = is_repeatable(service, request.method, f"/{rest}")
+        call = parse_call(account, request, snapshot)
+        if call.key is not None:
+            await self._serve_once(call, call.key, snapshot, responder)
+            return
         avoid: list[str] = []
         while True:
-            permit = await self._permit(
-                account, name, service, snapshot, avoid, repeatable
-            )
+            permit = await self._permit(call, snapshot, avoid)
             try:
-                await self._call(permit, request, f"/{rest}", responder)
-                return
+                response = await self._exchange(permit, call)
+                break
             except EndpointError as error:
                 avoid.append(permit.grant.endpoint)
-                may_retry = repeatable or not error.sent
-                if not may_retry or len(avoid) >= MAX_ATTEMPTS:
+                if len(avoid) >= MAX_ATTEMPTS:
                     raise Refused(_failure(error)) from error
+        await _pass_on(response, responder)
 
-    async def _permit(
+    async def _serve_once(
         self,
-        account: str,
-        name: str,
-        service: ServiceSpec,
+        call: PlainCall,
+        key: ClaimKey,
         snapshot: Snapshot,
-        avoid: list[str],
-        repeatable: bool,
+        responder: Responder,
+    ) -> None:
+        """Answers with the recorded outcome, or runs the call."""
+        while True:
+            found = await self._claims.find(key)
+            if isinstance(found, Err):
+                raise Refused(found.err_value)
+            if found.ok_value is not None:
+                await _replay(found.ok_value, responder)
+                return
+            # The permit comes first: a call that is refused a place costs
+            # the store no write, and a claim is sent as soon as it is held.
+            permit = await self._permit(call, snapshot, [])
+            claim = await self._take(permit, key)
+            if claim is not None:
+                break
+        response = await self._run_claimed(claim, permit, call, snapshot)
+        await _pass_on(response, responder)
+
+    async def _take(self, permit: Permit, key: ClaimKey) -> Claim | None:
+        """Claims a key; None if another request was first."""
+        claim = None
+        try:
+            taken = await self._claims.take(key)
+            if isinstance(taken, Err):
+                if taken.err_value.reason is Reason.IN_PROGRESS:
+                    return None
+                raise Refused(taken.err_value)
+            claim = taken.ok_value
+            return claim
+        finally:
+            if claim is None:
+                with anyio.CancelScope(shield=True):
+                    await self._permits.give_back(permit, StreamEnd.UNUSED)
+
+    async def _run_claimed(
+        self, claim: Claim, permit: Permit, call: PlainCall, snapshot: Snapshot
+    ) -> httpx.Response:
+        """Sends a claimed call; again only if no byte went out."""
+        avoid: list[str] = []
+        try:
+            while True:
+                try:
+                    return await self._send(claim, permit, call)
+                except EndpointError as error:
+                    avoid.append(permit.grant.endpoint)
+                    if error.sent or len(avoid) >= MAX_ATTEMPTS:
+                        raise Refused(_failure(error)) from error
+                permit = await self._permit(call, snapshot, avoid)
+        finally:
+            if not claim.sent:
+                with anyio.CancelScope(shield=True):
+                    await self._claims.release(claim)
+
+    async def _send(
+        self, claim: Claim, permit: Permit, call: PlainCall
+    ) -> httpx.Response:
+        # A caller that goes away does not cut a call that has been sent:
+        # its outcome is recorded for the caller's next try.
+        with anyio.CancelScope(shield=True):
+            if not self._claims.begin_send(claim, permit.grant.endpoint):
+                await self._permits.give_back(permit, StreamEnd.UNUSED)
+                detail = "the claim was held for too long before the send"
+                raise Refused(not_run(Reason.DEADLINE, detail, 1000))
+            try:
+                response = await self._exchange(permit, call)
+            except EndpointError as error:
+                if error.sent:
+                    await self._claims.lose(claim)
+                else:
+                    claim.mark_unsent()
+                raise
+            except Exception:
+                await self._claims.lose(claim)
+                raise
+            outcome = make_outcome(
+                response.status_code, _content_type(response), response.content
+            )
+            await self._claims.complete(claim, outcome)
+        return response
+
+    async def _permit(
+        self, call: PlainCall, snapshot: Snapshot, avoid: list[str]
     ) -> Permit:
         request = PermitRequest(
             request_id="",
             entry=self._entry,
             pool="",
-            account=account,
-            service=name,
-            interactive=service.interactive,
-            repeatable=repeatable,
-            wait_ms=service.wait_ms,
+            account=call.account,
+            service=call.name,
+            interactive=call.service.interactive,
+            repeatable=call.key is None,
+            wait_ms=call.service.wait_ms,
             avoid=avoid,
         )
         answer = await self._permits.ask_any(
             request,
-            snapshot.pools_near(service.target, self._data_center),
-            partial(self._ids.request_id, account),
+            snapshot.pools_near(call.service.target, self._data_center),
+            partial(self._ids.request_id, call.account),
         )
         if isinstance(answer, Err):
             raise Refused(answer.err_value)
         return answer.ok_value
 
-    async def _call(
-        self, permit: Permit, request: Request, path: str, responder: Responder
-    ) -> None:
+    async def _exchange(
+        self, permit: Permit, call: PlainCall
+    ) -> httpx.Response:
+        request = call.request
         query = f"?{request.query}" if request.query else ""
-        url = f"http://{permit.grant.address}{path}{query}"
+        url = f"http://{permit.grant.address}{call.path}{query}"
         headers = {
             name: request.headers[name]
             for name in _PASSED_ON
@@ -143,12 +292,37 @@
         finally:
             with anyio.CancelScope(shield=True):
                 await self._permits.give_back(permit, end)
-        content_type = response.headers.get("content-type", "text/plain")
-        await responder.whole(
-            response.status_code,
-            [(b"content-type", content_type.encode())],
-            response.content,
+        return response
+
+
+def _content_type(response: httpx.Response) -> str:
+    return response.headers.get("content-type", "text/plain")
+
+
+async def _pass_on(response: httpx.Response, responder: Responder) -> None:
+    await responder.whole(
+        response.status_code,
+        [(b"content-type", _content_type(response).encode())],
+        response.content,
+    )
+
+
+async def _replay(outcome: Outcome, responder: Responder) -> None:
+    """Sends a recorded answer again.
+
+    Raises:
+        Refused: The answer was too long to be kept; the call ran.
+    """
+    if not outcome.kept:
+        detail = (
+            f"the call ran and was answered with status {outcome.status}, "
+            f"body sha256 {outcome.digest}; the body was too long to be kept"
         )
+        raise Refused(Failure(Verdict.RAN, Reason.OUTCOME_NOT_KEPT, detail))
+    content_type = (b"content-type", outcome.content_type.encode())
+    await responder.whole(
+        outcome.status, [content_type, REPLAYED], outcome.body
+    )
 
 
 def _failure(error: EndpointError) -> Failure:
--- a/rhubarbwinch/problems.py
+++ b/rhubarbwinch/problems.py
@@ -27,6 +27,7 @@
     Reason.KEY_MISMATCH: 422,
     Reason.IN_PROGRESS: 409,
     Reason.OUTCOME_UNKNOWN: 409,
+    Reason.OUTCOME_NOT_KEPT: 409,
     Reason.ENDPOINT_FAILED: 502,
     Reason.STREAM_BROKEN: 502,
     Reason.CANCELLED: 499,
--- a/rhubarbwinch/verdict.py
+++ b/rhubarbwinch/verdict.py
@@ -34,6 +34,7 @@
     KEY_MISMATCH = "idempotency-key-mismatch"
     IN_PROGRESS = "in-progress"
     OUTCOME_UNKNOWN = "outcome-unknown"
+    OUTCOME_NOT_KEPT = "outcome-not-kept"
     ENDPOINT_FAILED = "endpoint-failed"
     STREAM_BROKEN = "stream-broken"
     CANCELLED = "cancelled"
--- /dev/null
+++ b/tests/claimworld.py
@@ -0,0 +1,328 @@
+"""Entries with claims in one process, over a store that fails on request."""
+
+import contextlib
+import random
+import uuid
+
+import anyio
+import httpx
+import orjson
+from result import Err, Ok
+
+from rhubarbwinch import identity, keys
+from rhubarbwinch.accepted import make_snapshot
+from rhubarbwinch.claimfloor import ClaimFloor
+from rhubarbwinch.claimowners import Standing
+from rhubarbwinch.claimpages import ClaimPages
+from rhubarbwinch.claims import Claims
+from rhubarbwinch.clock import ManualClock
+from rhubarbwinch.exceptions import (
+    EndpointError,
+    StoreUnavailable,
+    StoreUncertain,
+)
+from rhubarbwinch.httpapi import Refused, Request, Responder
+from rhubarbwinch.memstore import MemoryStore
+from rhubarbwinch.messages import ClaimQuestion, PermitGrant
+from rhubarbwinch.permits import Permit
+from rhubarbwinch.plain import PlainCaller
+from rhubarbwinch.verdict import Reason, not_run
+from tests import builders
+
+STEP_MS = 200
+
+
+def uuid7(time_ms, number=0):
+    """Returns a UUIDv7 of a time; the number stands in its random part."""
+    value = time_ms << 80 | 0x7 << 76 | 0b10 << 62 | number
+    return str(uuid.UUID(int=value))
+
+
+class Gate:
+    """Stops an entry at a named point, as SIGSTOP or SIGKILL would."""
+
+    def __init__(self):
+        self.stop_at = None
+        self.closed = False
+        self.dead = False
+        self.cut = ""
+        self._wake = anyio.Event()
+
+    async def reach(self, point):
+        """Passes a point, or waits there until woken."""
+        if point == self.stop_at:
+            self.closed = True
+            self.stop_at = None
+        while self.closed:
+            await self._wake.wait()
+        if self.dead:
+            raise StoreUnavailable("the process is dead")
+
+    def wake(self):
+        """Lets the entry go on, as SIGCONT would."""
+        self.closed = False
+        self._wake.set()
+        self._wake = anyio.Event()
+
+    def end(self):
+        """Makes everything that waits fail; for the end of a test."""
+        self.dead = True
+        self.wake()
+
+
+class GatedStore:
+    """The store as one entry reaches it."""
+
+    def __init__(self, store, gate):
+        self._store = store
+        self._gate = gate
+
+    async def get(self, key):
+        await self._gate.reach("before read")
+        if self._gate.cut:
+            raise StoreUnavailable("no connection")
+        found = await self._store.get(key)
+        await self._gate.reach("after read")
+        return found
+
+    async def swap(self, key, expected, value, lease=0):
+        await self._gate.reach("before write")
+        if self._gate.cut == "both ways":
+            raise StoreUnavailable("no connection")
+        swap = await self._store.swap(key, expected, value, lease)
+        if self._gate.cut == "answers":
+            raise StoreUncertain("the connection broke")
+        await self._gate.reach("after write")
+        return swap
+
+
+class Desk:
+    """An endpoint that counts what it runs: the judge."""
+
+    def __init__(self):
+        self.ran = []
+        self.refuses = 0
+        self.dies = False
+        self.body = None
+
+
+class GatedEndpoints:
+    """The endpoint as one entry reaches it."""
+
+    def __init__(self, desk, gate):
+        self._desk = desk
+        self._gate = gate
+
+    async def call(self, method, url, body, headers):
+        await self._gate.reach("before send")
+        if self._desk.refuses:
+            self._desk.refuses -= 1
+            raise EndpointError("connection refused", sent=False)
+        self._desk.ran.append(f"{method} /{url.split('/', 3)[3]}")
+        if self._desk.dies:
+            raise EndpointError("the connection broke", sent=True)
+        await self._gate.reach("after run")
+        data = self._desk.body or {"number": len(self._desk.ran)}
+        return httpx.Response(200, json=data)
+
+
+class Permits:
+    """Grants places, or refuses them."""
+
+    def __init__(self):
+        self.failure = None
+        self.held = 0
+
+    async def ask_any(self, request, pools, new_id):
+        if self.failure is not None:
+            return Err(self.failure)
+        if not pools:
+            return Err(not_run(Reason.NO_ENDPOINT, "no pool"))
+        self.held += 1
+        grant = PermitGrant(new_id(), "desk", "127.0.0.1:1")
+        return Ok(Permit(request, grant))
+
+    async def give_back(self, permit, end, tokens=0):
+        self.held -= 1
+
+
+class Entry:
+    """An entry's claims and caller of plain services."""
+
+    def __init__(self, world, name, incarnation):
+        self.name = name
+        self.incarnation = incarnation
+        self.listed = True
+        self.gate = Gate()
+        self.permits = Permits()
+        store = GatedStore(world.store, self.gate)
+        self.pages = ClaimPages(store, world.clock, 1000)
+        self.claims = Claims(
+            self.pages,
+            Owners(world),
+            ClaimFloor(store, world.clock),
+            world.clock,
+            random.Random(incarnation),
+            name,
+            incarnation,
+        )
+        self.caller = PlainCaller(
+            self.permits,
+            GatedEndpoints(world.desk, self.gate),
+            self.claims,
+            identity.IdMaker(incarnation, "secret"),
+            name,
+            "dc-a",
+        )
+
+
+class Owners:
+    """Asks the other entries of the world."""
+
+    def __init__(self, world):
+        self._world = world
+
+    async def ask(self, record):
+        for entry in self._world.entries:
+            if entry.incarnation == record.incarnation and entry.listed:
+                if entry.gate.closed:
+                    return Standing.HELD
+                question = ClaimQuestion(record.token, record.incarnation)
+                answer = await entry.claims.answer(question)
+                return Standing.UNSENT if answer.unsent else Standing.HELD
+        return Standing.GONE
+
+
+class Answer:
+    """A caller's request and what it was told."""
+
+    def __init__(self):
+        self.text = None
+        self.scope = anyio.CancelScope()
+
+    async def send(self, message):
+        """Takes ASGI messages."""
+        if message["type"] == "http.response.start":
+            names = dict(message["headers"])
+            again = b"idempotency-replayed" in names
+            self._head = f"{message['status']}{' recorded' * again}"
+        else:
+            self.text = f"{self._head} {message['body'].decode()}"
+
+
+class World(contextlib.AbstractAsyncContextManager):
+    """A store, an endpoint and entries under one clock."""
+
+    def __init__(self, entries=2):
+        self.clock = ManualClock()
+        self.store = MemoryStore(self.clock)
+        self.desk = Desk()
+        self.entries = [
+            Entry(self, f"entry-{i}", 100 + i) for i in range(entries)
+        ]
+        items = [
+            builders.account(),
+            builders.plain_service(not_repeatable=["POST /book"]),
+            builders.plain_service("empty", "nowhere"),
+            builders.pool("bookings", [builders.endpoint("desk")]),
+        ]
+        self.snapshot = make_snapshot(1, items)
+        self.lines = []
+
+    async def __aenter__(self):
+        self._tasks = anyio.create_task_group()
+        await self._tasks.__aenter__()
+        for entry in self.entries:
+            self._tasks.start_soon(entry.pages.run)
+            self._tasks.start_soon(entry.claims.run)
+        await anyio.wait_all_tasks_blocked()
+        return self
+
+    async def __aexit__(self, *error):
+        for entry in self.entries:
+            entry.gate.end()
+        self._tasks.cancel_scope.cancel()
+        return await self._tasks.__aexit__(*error)
+
+    def key(self, number=0, age_ms=0):
+        """Returns an idempotency key of the present time."""
+        return uuid7(self.clock.wall() - age_ms, number)
+
+    def start(self, entry, key=None, path="/services/booking/book", body=b"{}"):
+        """Starts a call at an entry."""
+        headers = {} if key is None else {"idempotency-key": key}
+        request = Request("POST", path, "", headers, body)
+        answer = Answer()
+
+        async def run():
+            with answer.scope:
+                try:
+                    await self.entries[entry].caller.serve(
+                        "acme", request, self.snapshot, Responder(answer.send)
+                    )
+                except Refused as refused:
+                    failure = refused.failure
+                    answer.text = f"{failure.verdict} {failure.reason}"
+                except StoreUnavailable:
+                    # Only an entry that is dead at the test's end lets it out.
+                    answer.text = "nothing"
+
+        self._tasks.start_soon(run)
+        return answer
+
+    async def settle(self, *answers, limit_ms=10_000):
+        """Moves the clock until all answers are there."""
+        await anyio.wait_all_tasks_blocked()
+        for _ in range(limit_ms // STEP_MS):
+            if all(answer.text is not None for answer in answers):
+                return
+            await self.clock.advance(STEP_MS)
+        raise AssertionError("no answer in time")
+
+    async def call(self, entry, key=None, **fields):
+        """Makes a call and returns what its caller is told."""
+        answer = self.start(entry, key, **fields)
+        await self.settle(answer)
+        return answer.text
+
+    async def stop(self, entry, point, key, **fields):
+        """Starts a call and stops its entry at a point."""
+        self.entries[entry].gate.stop_at = point
+        answer = self.start(entry, key, **fields)
+        for _ in range(20):
+            await anyio.wait_all_tasks_blocked()
+            if self.entries[entry].gate.closed:
+                return answer
+            await self.clock.advance(STEP_MS)
+        raise AssertionError(f"{point!r} was not reached")
+
+    def note(self, text):
+        """Adds a line to the session."""
+        self.lines.append(text)
+
+    async def judge(self):
+        """Adds what the endpoint ran and what the store has."""
+        self.note(f"endpoint ran {len(self.desk.ran)}")
+        self.store.faults.down = False
+        states = []
+        for page in (await self.store.scan(keys.CLAIMS)).entries:
+            states += await claim_states(page)
+        self.note(f"store has {', '.join(sorted(states)) or 'no claim'}")
+
+    def text(self):
+        """Returns the session."""
+        return "\n".join(self.lines) + "\n"
+
+
+async def claim_states(page):
+    """Returns the states of the claims in a page."""
+    from rhubarbwinch import codec
+    from rhubarbwinch.claimpages import Page
+
+    claims = codec.decode(page.value, Page).claims
+    return [record.state.value for record in claims.values()]
+
+
+def number_of(text):
+    """Returns the call's number at the endpoint in an answer's text."""
+    return orjson.loads(text.split(" ", 1)[1])["number"]
