Fenced orders: one holder at a time, also for engines that ignore the number

Cause: the control accepted records but loaded nothing at the engines.

Now: a lease for each control, a fence record for each pool, a send only while the lease outlasts the order's flight, a new holder that waits the old one out, a process timer that ends a sender stopped between check and send.

Found on the way, each with a test that failed first: a new holder waited by its own settings instead of the old one's (a process test timed out after 20 s); a round of orders held up the renewal (the lease of 1 s lapsed each round, fence numbers rose to 20 in 20 s); a pool given up with an order in flight was marked as free at once.

Ruled out: fence numbers alone, a lease alone, a log of orders in the store (docs/design/orders.md).

Conclusion: proved but for a hypervisor's pause of the whole VM between check and send at an engine that ignores the number, where the next round repairs.

--- a/lab/standins/engine.py
+++ b/lab/standins/engine.py
@@ -16,6 +16,7 @@
 import orjson
 
 from lab.enginemodel import EngineModel, EngineParameters, Sequence
+from lab.standins.orders import OrderBoard
 from lab.standins.serve import MAX_BODY_BYTES, parser, serve
 from rhubarbwinch.httpapi import App, Request, Responder
 
@@ -76,9 +77,13 @@
     Args:
         parameters: The model's speed and size.
         speed: How many times faster than real time it runs.
+        orders: Takes the orders.
     """
 
-    def __init__(self, parameters: EngineParameters, speed: float) -> None:
+    def __init__(
+        self, parameters: EngineParameters, speed: float, orders: OrderBoard
+    ) -> None:
+        self._orders = orders
         self._model = EngineModel(parameters)
         self._speed = speed
         self._generations: dict[str, Generation] = {}
@@ -93,6 +98,7 @@
         app.route("GET", "/v1/generations/", self._resume)
         app.route("DELETE", "/v1/generations/", self._cancel)
         app.route("GET", "/load", self._load)
+        self._orders.add_routes(app)
         app.route("GET", "/log", self._show_log)
         return app
 
@@ -186,8 +192,11 @@
     """Runs the stand-in."""
     options_parser = parser("Model engine")
     options_parser.add_argument("--speed", type=float, default=1.0)
+    options_parser.add_argument("--ignore-fencing", action="store_true")
+    options_parser.add_argument("--weights", default="")
     options = options_parser.parse_args()
-    engine = Engine(EngineParameters(), options.speed)
+    orders = OrderBoard(not options.ignore_fencing, options.weights)
+    engine = Engine(EngineParameters(), options.speed, orders)
     anyio.run(_run, engine, options.listen)
 
 
--- /dev/null
+++ b/lab/standins/orders.py
@@ -0,0 +1,82 @@
+"""The part of the engine stand-in that takes orders."""
+
+from typing import Any
+
+import attrs
+import httpx
+import orjson
+
+from rhubarbwinch.httpapi import App, Request, Responder
+
+
+@attrs.frozen
+class TakenOrder:
+    """An order that took effect."""
+
+    kind: str
+    subject: str
+    fence: int
+
+
+class OrderBoard:
+    """Takes orders, with or without a look at the fence number.
+
+    Args:
+        checks_fencing: Whether a lower fence number than one seen is refused.
+        weights: `a.b.c.d:port` of the weight store, or empty.
+    """
+
+    def __init__(self, checks_fencing: bool, weights: str = "") -> None:
+        self.log: list[TakenOrder] = []
+        self._checks_fencing = checks_fencing
+        self._weights = weights
+        self._loaded: set[str] = set()
+        self._role = "mixed"
+        self._fence = 0
+
+    def add_routes(self, app: App) -> None:
+        """Adds the routes for orders."""
+        app.route("POST", "/orders", self._take)
+        app.route("GET", "/state", self._show_state)
+        app.route("GET", "/order-log", self._show_log)
+
+    def take(self, kind: str, subject: str, fence: int) -> bool:
+        """Obeys an order; returns False for one that is refused."""
+        if self._checks_fencing and fence < self._fence:
+            return False
+        self._fence = max(self._fence, fence)
+        if kind == "load":
+            self._loaded.add(subject)
+        elif kind == "unload":
+            self._loaded.discard(subject)
+        else:
+            self._role = subject
+        self.log.append(TakenOrder(kind, subject, fence))
+        return True
+
+    def state(self) -> dict[str, Any]:
+        """Returns what is loaded and the role."""
+        return {"loaded": sorted(self._loaded), "role": self._role}
+
+    async def _take(self, request: Request, responder: Responder) -> None:
+        data = orjson.loads(request.body)
+        if data["kind"] == "load" and not await self._fetch(data["subject"]):
+            await responder.json(b'{"error":"no weights"}', 503)
+            return
+        taken = self.take(data["kind"], data["subject"], data["fence"])
+        await responder.json(b"{}", 200 if taken else 409)
+
+    async def _fetch(self, subject: str) -> bool:
+        """Reads the weights from the weight store, if there is one."""
+        if not self._weights:
+            return True
+        async with httpx.AsyncClient() as client:
+            url = f"http://{self._weights}/weights/{subject}"
+            return (await client.get(url)).status_code == httpx.codes.OK
+
+    async def _show_state(self, _: Request, responder: Responder) -> None:
+        await responder.json(orjson.dumps(self.state()))
+
+    async def _show_log(self, _: Request, responder: Responder) -> None:
+        rows = [attrs.asdict(order) for order in self.log]
+        await responder.json(orjson.dumps(rows))
--- /dev/null
+++ b/lab/standins/weights.py
@@ -0,0 +1,59 @@
+"""A stand-in for the weight store: a few reads a minute, then refusals."""
+
+import anyio
+import orjson
+
+from lab.standins.serve import MAX_BODY_BYTES, parser, serve
+from rhubarbwinch.clock import Clock, SystemClock
+from rhubarbwinch.httpapi import App, Request, Responder
+
+MINUTE_MS = 60_000
+
+
+class WeightStore:
+    """The weight store's HTTP interface.
+
+    Args:
+        clock: The source of time.
+        reads_per_minute: Reads beyond this are refused with status 429.
+    """
+
+    def __init__(self, clock: Clock, reads_per_minute: int) -> None:
+        self._clock = clock
+        self._per_minute = reads_per_minute
+        self._read_at: list[int] = []
+        self._refused = 0
+
+    def app(self) -> App:
+        """Returns the application."""
+        app = App(MAX_BODY_BYTES)
+        app.route("GET", "/weights/", self._read)
+        app.route("GET", "/counts", self._show_counts)
+        return app
+
+    async def _read(self, _: Request, responder: Responder) -> None:
+        now = self._clock.now()
+        self._read_at = [t for t in self._read_at if now - t < MINUTE_MS]
+        if len(self._read_at) >= self._per_minute:
+            self._refused += 1
+            await responder.json(b"{}", 429)
+            return
+        self._read_at.append(now)
+        await responder.json(b"{}")
+
+    async def _show_counts(self, _: Request, responder: Responder) -> None:
+        data = {"reads": len(self._read_at), "refused": self._refused}
+        await responder.json(orjson.dumps(data))
+
+
+def main() -> None:
+    """Runs the stand-in."""
+    options_parser = parser("Weight store")
+    options_parser.add_argument("--reads-per-minute", type=int, default=60)
+    options = options_parser.parse_args()
+    store = WeightStore(SystemClock(), options.reads_per_minute)
+    anyio.run(serve, store.app(), options.listen)
+
+
+if __name__ == "__main__":
+    main()
--- a/rhubarbwinch/config.py
+++ b/rhubarbwinch/config.py
@@ -229,7 +229,42 @@
 
 @attrs.define(kw_only=True)
 class ControlSettings(Settings):
-    """What a control is told besides."""
+    """What a control is told besides.
+
+    Attributes:
+        engine_adapter: How engines take orders.
+        order_lease_ms: The life of the lease for orders without renewal.
+        order_flight_ms: The longest time from an order to its effect.
+        loads_per_minute: What the weight store carries, for the deployment.
+    """
+
+    engine_adapter: Annotated[
+        str, _arg("engine-adapter", "http", _name, "How engines take orders")
+    ] = "http"
+    order_lease_ms: Annotated[
+        int,
+        _arg(
+            "order-lease-ms", 10_000, _number(1000, 600_000), "Lease for orders"
+        ),
+    ] = 10_000
+    order_flight_ms: Annotated[
+        int,
+        _arg(
+            "order-flight-ms",
+            2000,
+            _number(100, 60_000),
+            "Longest flight of an order",
+        ),
+    ] = 2000
+    loads_per_minute: Annotated[
+        int,
+        _arg(
+            "loads-per-minute",
+            60,
+            _number(1, 100_000),
+            "Load orders a minute in the whole deployment",
+        ),
+    ] = 60
 
 
 def environment_help() -> dict[str, str]:
--- a/rhubarbwinch/control.py
+++ b/rhubarbwinch/control.py
@@ -1,13 +1,20 @@
-"""The control: accepts operators' records."""
+"""The control: accepts operators' records and sends orders."""
+
+import anyio
 
 from rhubarbwinch import keys
 from rhubarbwinch.config import ControlSettings
 from rhubarbwinch.daemon import Daemon
 from rhubarbwinch.exceptions import CodecError, StoreError
+from rhubarbwinch.fencing import Fencing
 from rhubarbwinch.members import Role
+from rhubarbwinch.orders import ENGINE_ADAPTERS, LoadPacer, Orderer
+from rhubarbwinch.pauseguard import end_if_paused
 from rhubarbwinch.publisher import Publisher
 
 RETRY_MS = 500
+ORDER_PERIOD_MS = 1000
+RENEWALS_PER_LEASE = 5
 
 
 class Control:
@@ -18,13 +25,56 @@
     """
 
     def __init__(self, settings: ControlSettings) -> None:
+        self._settings = settings
         self._daemon = Daemon(Role.CONTROL, settings)
         self._publisher = Publisher(self._daemon.store)
+        make_client = ENGINE_ADAPTERS.get(settings.engine_adapter)
+        self._client = make_client(settings.order_flight_ms)
+        self._fencing = Fencing(
+            self._daemon.store,
+            self._daemon.clock,
+            settings.name,
+            self._daemon.incarnation,
+            settings.order_lease_ms,
+            settings.order_flight_ms,
+        )
+        self._orderer = Orderer(
+            settings.name,
+            self._fencing,
+            self._client,
+            LoadPacer(self._daemon.clock, settings.loads_per_minute),
+            end_if_paused,
+        )
 
     async def run(self) -> None:
         """Runs until asked to stop."""
         self._daemon.add("publisher", self._publish)
+        self._daemon.add("order-lease", self._keep_lease)
+        self._daemon.add("orders", self._give_orders)
         await self._daemon.run()
+        await self._client.close()
+
+    @property
+    def _controls(self) -> list[str]:
+        return [m.name for m in self._daemon.members.serving(Role.CONTROL)]
+
+    async def _keep_lease(self) -> None:
+        """Renews apart from the orders, which slow endpoints hold up."""
+        period = self._settings.order_lease_ms // RENEWALS_PER_LEASE
+        try:
+            while True:
+                snapshot = self._daemon.follower.snapshot
+                await self._orderer.keep(snapshot, self._controls)
+                await self._daemon.clock.sleep(period)
+        finally:
+            with anyio.CancelScope(shield=True), anyio.move_on_after(1):
+                await self._fencing.close()
+
+    async def _give_orders(self) -> None:
+        while True:
+            snapshot = self._daemon.follower.snapshot
+            await self._orderer.converge(snapshot, len(self._controls))
+            await self._daemon.clock.sleep(ORDER_PERIOD_MS)
 
     async def _publish(self) -> None:
         store = self._daemon.store
--- a/rhubarbwinch/events.py
+++ b/rhubarbwinch/events.py
@@ -129,3 +129,15 @@
 ENDPOINT_LOST = Event(
     52, "endpoint-lost", logging.WARNING, "An endpoint failed a call."
 )
+ORDERS_TAKEN = Event(
+    600, "orders-taken", logging.INFO, "This control sends a pool's orders."
+)
+ORDERS_LOST = Event(
+    601, "orders-lost", logging.WARNING, "The lease for orders lapsed."
+)
+ORDER_SENT = Event(
+    602, "order-sent", logging.INFO, "An endpoint took an order."
+)
+ORDER_FAILED = Event(
+    603, "order-failed", logging.WARNING, "An endpoint failed an order."
+)
--- /dev/null
+++ b/rhubarbwinch/fencing.py
@@ -0,0 +1,252 @@
+"""One holder for each pool's orders: a lease in the store and a fence number.
+
+The holder's key lies under the holder's lease. The fence record beside it
+stays and is raised by compare-and-swap by each new holder. A holder trusts
+its lease by its own clock only, counted from before the renewal was sent, so
+it stops no later than the store lets the lease lapse.
+"""
+
+import enum
+
+import attrs
+
+from rhubarbwinch import codec, events, keys
+from rhubarbwinch.clock import Clock
+from rhubarbwinch.exceptions import StoreError
+from rhubarbwinch.store import Store
+
+# What two clocks may differ by over the life of a lease.
+CLOCK_MARGIN_MS = 200
+
+
+class HoldState(enum.StrEnum):
+    """Whether this process may send a pool's orders."""
+
+    NONE = "none"
+    WAITING = "waiting"
+    HELD = "held"
+
+
+@attrs.frozen
+class FenceRecord:
+    """Who may send a pool's orders.
+
+    Attributes:
+        number: The fence number, raised by each new holder.
+        holder: The member's name.
+        incarnation: The member's incarnation.
+        lease_ms: The life of its lease.
+        flight_ms: The longest flight of its orders.
+        released: Whether the holder gave it up with no order in flight.
+    """
+
+    number: int
+    holder: str
+    incarnation: int
+    lease_ms: int
+    flight_ms: int
+    released: bool = False
+
+
+@attrs.frozen
+class HolderRecord:
+    """What the holder's key says.
+
+    Attributes:
+        holder: The member's name.
+        incarnation: The member's incarnation.
+        lease: The lease that the key lies under. A key of a former lease of
+            the same process lapses with that one, so it does not count.
+    """
+
+    holder: str
+    incarnation: int
+    lease: int
+
+
+@attrs.define
+class Hold:
+    """This process's claim to a pool's orders.
+
+    Attributes:
+        pool: The pool's name.
+        number: The fence number that orders carry.
+        ready_at: When the old holder's orders have all landed, by the clock.
+    """
+
+    pool: str
+    number: int
+    ready_at: int
+
+
+class Fencing:
+    """Takes and gives up pools; one lease serves all of them.
+
+    Args:
+        store: The platform's store.
+        clock: The source of time.
+        name: This member's name.
+        incarnation: This process's number.
+        lease_ms: The life of the lease without renewal.
+        flight_ms: The longest time from sending an order to its effect.
+    """
+
+    def __init__(
+        self,
+        store: Store,
+        clock: Clock,
+        name: str,
+        incarnation: int,
+        lease_ms: int,
+        flight_ms: int,
+    ) -> None:
+        self._store = store
+        self._clock = clock
+        self._name = name
+        self._incarnation = incarnation
+        self._lease_ms = lease_ms
+        self._flight_ms = flight_ms
+        self._lease = 0
+        self._valid_until = 0
+        self._holds: dict[str, Hold] = {}
+        self._unsettled: set[str] = set()
+
+    @property
+    def held(self) -> list[str]:
+        """The pools that this process holds or waits for."""
+        return sorted(self._holds)
+
+    @property
+    def ms_left(self) -> int:
+        """What is left of the lease, by this process's clock."""
+        return max(0, self._valid_until - self._clock.now() - CLOCK_MARGIN_MS)
+
+    def state(self, pool: str) -> HoldState:
+        """Tells whether orders for a pool may be sent."""
+        hold = self._holds.get(pool)
+        if hold is None:
+            return HoldState.NONE
+        if self._clock.now() < hold.ready_at:
+            return HoldState.WAITING
+        return HoldState.HELD
+
+    def number_to_send(self, pool: str) -> int | None:
+        """Returns the fence number if an order may go out now.
+
+        The lease must outlast the order's longest flight. Call it directly
+        before the send, with nothing that waits in between, and `settle` when
+        the endpoint has answered.
+        """
+        if self.ms_left <= self._flight_ms:
+            return None
+        if self.state(pool) is not HoldState.HELD:
+            return None
+        self._unsettled.add(pool)
+        return self._holds[pool].number
+
+    def settle(self, pool: str) -> None:
+        """Notes that no order to the pool is in flight any more."""
+        self._unsettled.discard(pool)
+
+    async def renew(self) -> None:
+        """Renews the lease; after a lapse everything held is given up.
+
+        Raises:
+            StoreError: The store failed; the lease runs on until it lapses.
+        """
+        began = self._clock.now()
+        if self._lease and began < self._valid_until:
+            left = await self._store.keep_lease(self._lease)
+            if left:
+                self._valid_until = began + min(left, self._lease_ms)
+                return
+        self._drop_all()
+        self._lease = await self._store.grant_lease(self._lease_ms)
+        self._valid_until = began + self._lease_ms
+
+    async def take(self, pool: str) -> bool:
+        """Tries to become a pool's holder; returns whether it is.
+
+        Raises:
+            StoreError: The store failed; the next try settles it.
+        """
+        if pool in self._holds:
+            return True
+        key = keys.order_holder(pool)
+        mine = codec.encode(
+            HolderRecord(self._name, self._incarnation, self._lease)
+        )
+        current = await self._store.get(key)
+        if current is None:
+            swap = await self._store.swap(key, 0, mine, self._lease)
+            if not swap.won:
+                return False
+        elif current.value != mine:
+            return False
+        # A lost answer leaves our own key in place: it counts as taken.
+        return await self._raise_fence(pool)
+
+    async def give_up(self, pool: str) -> None:
+        """Lets another take a pool.
+
+        If an order may be in flight, the next holder waits as after a lapse.
+
+        Raises:
+            StoreError: The store failed; the lease lapses by itself.
+        """
+        hold = self._holds.pop(pool, None)
+        if hold is None:
+            return
+        fence = await self._store.get(keys.order_fence(pool))
+        if fence is not None:
+            record = codec.decode(fence.value, FenceRecord)
+            is_settled = pool not in self._unsettled
+            if record.number == hold.number and is_settled:
+                released = attrs.evolve(record, released=True)
+                await self._store.swap(
+                    fence.key, fence.revision, codec.encode(released)
+                )
+        holder = await self._store.get(keys.order_holder(pool))
+        if holder is not None:
+            await self._store.delete(holder.key, holder.revision)
+
+    async def _raise_fence(self, pool: str) -> bool:
+        key = keys.order_fence(pool)
+        current = await self._store.get(key)
+        old = codec.decode(current.value, FenceRecord) if current else None
+        number = old.number + 1 if old else 1
+        new = FenceRecord(
+            number,
+            self._name,
+            self._incarnation,
+            self._lease_ms,
+            self._flight_ms,
+        )
+        expected = current.revision if current else 0
+        swap = await self._store.swap(key, expected, codec.encode(new))
+        if not swap.won:
+            return False
+        ready_at = self._clock.now()
+        if old is not None and not old.released:
+            # The old holder may run on until its lease and the flight of its
+            # last order are over, whatever the store has let lapse.
+            ready_at += old.lease_ms + old.flight_ms + CLOCK_MARGIN_MS
+        self._holds[pool] = Hold(pool, number, ready_at)
+        events.ORDERS_TAKEN.log(pool=pool, fence=number)
+        return True
+
+    def _drop_all(self) -> None:
+        for pool in self._holds:
+            events.ORDERS_LOST.log(pool=pool)
+        self._holds.clear()
+        self._valid_until = 0
+
+    async def close(self) -> None:
+        """Gives everything up; a failing store lets the lease lapse."""
+        try:
+            for pool in self.held:
+                await self.give_up(pool)
+            if self._lease:
+                await self._store.revoke_lease(self._lease)
+        except StoreError as error:
+            events.STORE_DOWN.log(error=str(error))
--- a/rhubarbwinch/keys.py
+++ b/rhubarbwinch/keys.py
@@ -27,6 +27,16 @@
     return CHUNKS + digest
 
 
+def order_holder(pool: str) -> str:
+    """Returns the key, under a lease, of the holder of a pool's orders."""
+    return f"{ORDERS}holder/{pool}"
+
+
+def order_fence(pool: str) -> str:
+    """Returns the key of a pool's fence record."""
+    return f"{ORDERS}fence/{pool}"
+
+
 def member(name: str) -> str:
     """Returns the key of a member's registration."""
     return MEMBERS + name
--- /dev/null
+++ b/rhubarbwinch/orders.py
@@ -0,0 +1,274 @@
+"""Sends endpoints the orders that bring them to the wanted state."""
+
+import socket
+import struct
+from collections.abc import Callable, Iterator
+from contextlib import AbstractContextManager, contextmanager, nullcontext
+from typing import Protocol
+
+import anyio
+import attrs
+import httpx
+import orjson
+
+from rhubarbwinch import events, rendezvous
+from rhubarbwinch.accepted import Snapshot
+from rhubarbwinch.clock import Clock
+from rhubarbwinch.exceptions import EndpointError, StoreError
+from rhubarbwinch.fencing import Fencing, HoldState
+from rhubarbwinch.placementplan import (
+    EndpointState,
+    Order,
+    OrderKind,
+    orders_towards,
+    wanted_loads,
+)
+from rhubarbwinch.records import EndpointSpec
+from rhubarbwinch.registry import Registry
+
+
+class OrderClient(Protocol):
+    """How endpoints of one make take orders; every call is bounded in time."""
+
+    async def read_state(self, address: str) -> EndpointState:
+        """Returns an endpoint's real state.
+
+        Raises:
+            EndpointError: It gave no answer.
+        """
+        ...
+
+    async def send(self, address: str, order: Order, fence: int) -> None:
+        """Gives an order with its fence number.
+
+        Raises:
+            EndpointError: It was refused, or its fate is not known.
+        """
+        ...
+
+    async def close(self) -> None:
+        """Closes the connections."""
+        ...
+
+
+# Makes a context that ends the process when it is paused for too long, from
+# the milliseconds that are allowed.
+Guard = Callable[[int], AbstractContextManager[None]]
+
+
+@contextmanager
+def _no_guard(_: int) -> Iterator[None]:
+    yield
+
+
+# Builds a client from the longest flight of an order in milliseconds.
+ENGINE_ADAPTERS: Registry[Callable[[int], OrderClient]] = Registry(
+    "engine adapter"
+)
+
+
+@ENGINE_ADAPTERS.register("http")
+class HttpOrderClient:
+    """Gives orders over HTTP: `POST /orders` and `GET /state`.
+
+    Args:
+        flight_ms: The longest time from sending an order to its effect.
+    """
+
+    def __init__(self, flight_ms: int) -> None:
+        # A reset in place of a close drops what the kernel has not sent, so
+        # an order that was given up, or whose sender died, is not delivered
+        # when a stalled connection recovers.
+        reset_on_close = struct.pack("ii", 1, 0)
+        options: list[tuple[int, int, int] | tuple[int, int, bytes]] = [
+            (socket.SOL_SOCKET, socket.SO_LINGER, reset_on_close),
+            (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, flight_ms),
+        ]
+        transport = httpx.AsyncHTTPTransport(
+            socket_options=options,
+            limits=httpx.Limits(max_keepalive_connections=0),
+        )
+        self._flight_s = flight_ms / 1000
+        self._client = httpx.AsyncClient(transport=transport)
+
+    async def read_state(self, address: str) -> EndpointState:
+        """Returns an endpoint's real state."""
+        response = await self._request("GET", f"http://{address}/state", b"")
+        try:
+            data = orjson.loads(response.content)
+            return EndpointState(frozenset(data["loaded"]), str(data["role"]))
+        except (orjson.JSONDecodeError, KeyError, TypeError) as error:
+            raise EndpointError(f"{address}: {error!r}", sent=True) from error
+
+    async def send(self, address: str, order: Order, fence: int) -> None:
+        """Gives an order with its fence number."""
+        body = orjson.dumps(attrs.asdict(order) | {"fence": fence})
+        await self._request("POST", f"http://{address}/orders", body)
+
+    async def close(self) -> None:
+        """Closes the connections."""
+        await self._client.aclose()
+
+    async def _request(
+        self, method: str, url: str, body: bytes
+    ) -> httpx.Response:
+        try:
+            with anyio.fail_after(self._flight_s):
+                response = await self._client.request(method, url, content=body)
+        except (httpx.HTTPError, TimeoutError) as error:
+            raise EndpointError(f"{url}: {error!r}", sent=True) from error
+        if response.status_code != httpx.codes.OK:
+            text = f"{url}: status {response.status_code}"
+            raise EndpointError(text, sent=True)
+        return response
+
+
+class LoadPacer:
+    """Spaces load orders out, since each one reads from the weight store.
+
+    Args:
+        clock: The source of time.
+        loads_per_minute: The rate of the whole deployment.
+    """
+
+    def __init__(self, clock: Clock, loads_per_minute: int) -> None:
+        self._clock = clock
+        self._per_minute = loads_per_minute
+        self._next_at = 0
+
+    def may_load(self, sharers: int) -> bool:
+        """Takes a turn if one is due; `sharers` processes divide the rate."""
+        now = self._clock.now()
+        if now < self._next_at:
+            return False
+        self._next_at = now + 60_000 * max(1, sharers) // self._per_minute
+        return True
+
+
+class Orderer:
+    """Keeps the endpoints of the pools that it holds in the wanted state.
+
+    Args:
+        name: This member's name.
+        fencing: Who may send.
+        client: How orders reach endpoints.
+        pacer: When loads may start.
+        guard: Surrounds the check and the send to an endpoint that ignores
+            fencing numbers.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        fencing: Fencing,
+        client: OrderClient,
+        pacer: LoadPacer,
+        guard: Guard = _no_guard,
+    ) -> None:
+        self._name = name
+        self._fencing = fencing
+        self._client = client
+        self._pacer = pacer
+        self._guard = guard
+
+    async def keep(self, snapshot: Snapshot, controls: list[str]) -> None:
+        """Renews the lease and takes this member's pools.
+
+        Without the store nothing is taken; what is held is served until the
+        lease lapses.
+
+        Args:
+            snapshot: The configuration in force.
+            controls: The names of the controls that take new work.
+        """
+        try:
+            await self._fencing.renew()
+            await self._share_out(snapshot, controls)
+        except StoreError as error:
+            events.STORE_DOWN.log(error=str(error))
+
+    async def converge(self, snapshot: Snapshot, sharers: int) -> None:
+        """Sends the orders that the held pools need, as far as is allowed.
+
+        Args:
+            snapshot: The configuration in force.
+            sharers: How many controls divide the rate of loads.
+        """
+        for pool in self._fencing.held:
+            spec = snapshot.pools.get(pool)
+            if spec is None or self._fencing.state(pool) is not HoldState.HELD:
+                continue
+            loads = wanted_loads(snapshot, spec.target)
+            found = await self._read_states(spec.endpoints)
+            for endpoint in spec.endpoints:
+                if endpoint.name in found:
+                    wanted = EndpointState(loads, endpoint.role)
+                    orders = orders_towards(wanted, found[endpoint.name])
+                    await self._send_all(pool, endpoint, orders, sharers)
+
+    async def _share_out(self, snapshot: Snapshot, controls: list[str]) -> None:
+        """Takes the pools that rendezvous hashing gives to this member."""
+        for pool, spec in sorted(snapshot.pools.items()):
+            if spec.target not in snapshot.models:
+                continue
+            if rendezvous.owner(pool, controls) == self._name:
+                await self._fencing.take(pool)
+            else:
+                await self._fencing.give_up(pool)
+
+    async def _read_states(
+        self, endpoints: list[EndpointSpec]
+    ) -> dict[str, EndpointState]:
+        """Returns the states by endpoint name; silent ones are left out."""
+        found: dict[str, EndpointState] = {}
+
+        async def read(endpoint: EndpointSpec) -> None:
+            try:
+                state = await self._client.read_state(endpoint.address)
+                found[endpoint.name] = state
+            except EndpointError as error:
+                events.ORDER_FAILED.log(
+                    endpoint=endpoint.name, error=str(error)
+                )
+
+        async with anyio.create_task_group() as tasks:
+            for endpoint in endpoints:
+                tasks.start_soon(read, endpoint)
+        return found
+
+    async def _send_all(
+        self,
+        pool: str,
+        endpoint: EndpointSpec,
+        orders: list[Order],
+        sharers: int,
+    ) -> None:
+        try:
+            for order in orders:
+                if not await self._send(pool, endpoint, order, sharers):
+                    return
+        except EndpointError as error:
+            # The next round reads the state again and goes on from there.
+            events.ORDER_FAILED.log(endpoint=endpoint.name, error=str(error))
+
+    async def _send(
+        self, pool: str, endpoint: EndpointSpec, order: Order, sharers: int
+    ) -> bool:
+        is_load = order.kind is OrderKind.LOAD
+        if is_load and not self._pacer.may_load(sharers):
+            return False
+        ms_left = self._fencing.ms_left
+        needs_guard = not endpoint.checks_fencing and ms_left
+        with self._guard(ms_left) if needs_guard else nullcontext():
+            fence = self._fencing.number_to_send(pool)
+            if fence is None:
+                return False
+            await self._client.send(endpoint.address, order, fence)
+            self._fencing.settle(pool)
+        events.ORDER_SENT.log(
+            endpoint=endpoint.name,
+            kind=order.kind,
+            subject=order.subject,
+            fence=fence,
+        )
+        return True
--- a/rhubarbwinch/records.py
+++ b/rhubarbwinch/records.py
@@ -97,11 +97,15 @@
         name: Unique among all endpoints.
         address: `a.b.c.d:port`.
         checks_fencing: Whether it refuses orders with an old fencing number.
+        role: What an engine does: `mixed`, `prefill` or `decode`.
     """
 
     name: str = attrs.field(validator=_is_name)
     address: str = attrs.field(validator=_is_address)
     checks_fencing: bool = True
+    role: str = attrs.field(
+        default="mixed", validator=_one_of("mixed", "prefill", "decode")
+    )
 
 
 @attrs.frozen
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -17,15 +17,17 @@
         entries: How many entries there are.
         engines: How many engines there are.
         speed: How much faster than real time the engines run.
+        control_options: More flags of the control.
     """
 
-    def __init__(self, entries=1, engines=1, speed=20):
+    def __init__(self, entries=1, engines=1, speed=20, control_options=()):
         super().__init__()
         self.store = free_address()
         self.engines = [free_address() for _ in range(engines)]
         self.service = free_address()
         self.entries = [free_address() for _ in range(entries)]
         self._speed = speed
+        self._control_options = control_options
 
     def __enter__(self):
         self.start("store", "lab.standins.kvstore", "--listen", self.store)
@@ -33,7 +35,9 @@
             self.start_engine(f"engine-{i}", address)
         self.start("service", "lab.standins.service", "--listen", self.service)
         wait_until(lambda: httpx.get(f"http://{self.store}/counts"), "store")
-        self.start_role("control", "control-0", free_address())
+        self.start_role(
+            "control", "control-0", free_address(), *self._control_options
+        )
         self.start_role("broker", "broker-0", free_address())
         for i, address in enumerate(self.entries):
             self.start_role("entry", f"entry-{i}", address)
