A configuration change parses only the chunks that changed

Cause: each new generation parsed and checked every record.

Ruled out: parsing in a thread, which holds the interpreter lock as long.

--- a/rhubarbwinch/accepted.py
+++ b/rhubarbwinch/accepted.py
@@ -109,14 +109,44 @@
 
 def make_snapshot(generation: int, items: Iterable[Record]) -> Snapshot:
     """Builds a snapshot; records of a newer schema are kept but not indexed."""
-    snapshot = Snapshot(generation)
+    return revise(Snapshot(), generation, (), items)
+
+
+def revise(
+    old: Snapshot,
+    generation: int,
+    removed: Iterable[Record],
+    added: Iterable[Record],
+) -> Snapshot:
+    """Builds a snapshot from an older one, which stays as it is.
+
+    Only the records that are added are checked, so the cost of a change does
+    not grow with the configuration beyond the copies of the indexes.
+
+    Args:
+        old: The snapshot to start from.
+        generation: The new generation.
+        removed: Records of `old` to leave out.
+        added: Records to put in, after the removals.
+    """
+    snapshot = Snapshot(
+        generation,
+        dict(old.records),
+        dict(old.models),
+        dict(old.pools),
+        dict(old.accounts),
+        dict(old.services),
+    )
     index: dict[str, dict[str, Any]] = {
         "model": snapshot.models,
         "pool": snapshot.pools,
         "account": snapshot.accounts,
         "service": snapshot.services,
     }
-    for record in items:
+    for record in removed:
+        snapshot.records.pop(record.key, None)
+        index[record.kind].pop(record.name, None)
+    for record in added:
         snapshot.records[record.key] = record
         try:
             index[record.kind][record.name] = records.check(record)
--- a/rhubarbwinch/follower.py
+++ b/rhubarbwinch/follower.py
@@ -6,6 +6,7 @@
 from rhubarbwinch.accepted import Head, Snapshot
 from rhubarbwinch.clock import Clock
 from rhubarbwinch.exceptions import CodecError, StoreError
+from rhubarbwinch.records import Record
 from rhubarbwinch.store import Store
 
 RETRY_MS = 500
@@ -82,15 +83,28 @@
         return await accepted.read_chunk(self._store, name)
 
     def _put_in_force(self, head: Head, chunks: dict[str, bytes]) -> None:
-        items = [
-            record
-            for chunk in chunks.values()
-            for record in accepted.unpack_chunk(chunk)
-        ]
+        # Only changed chunks are parsed: a whole configuration would hold up
+        # every open stream for longer than a gap between tokens may be.
+        removed = _records_besides(self._chunks, chunks)
+        added = _records_besides(chunks, self._chunks)
+        self._snapshot = accepted.revise(
+            self._snapshot, head.generation, removed, added
+        )
         self._head, self._chunks = head, chunks
-        self._snapshot = accepted.make_snapshot(head.generation, items)
         events.CONFIG_IN_FORCE.log(
-            generation=head.generation, records=len(items)
+            generation=head.generation, records=len(self._snapshot.records)
         )
         for listener in self._listeners:
             listener(self._snapshot)
+
+
+def _records_besides(
+    chunks: dict[str, bytes], others: dict[str, bytes]
+) -> list[Record]:
+    """Returns the records of the chunks that are not among the others."""
+    return [
+        record
+        for name, chunk in chunks.items()
+        if name not in others
+        for record in accepted.unpack_chunk(chunk)
+    ]
--- /dev/null
+++ b/tests/test_accepted.py
@@ -0,0 +1,27 @@
+"""Snapshots of the accepted configuration."""
+
+import unittest
+
+from rhubarbwinch import accepted
+from rhubarbwinch.records import Record
+from tests import builders
+
+
+class SnapshotTest(unittest.TestCase):
+    """Snapshots built at once and in steps."""
+
+    def test_a_revised_snapshot_equals_one_built_from_nothing(self):
+        old = [builders.account("a"), builders.account("b"), builders.model()]
+        new = [builders.account("a", weight=2.0), builders.generate_service()]
+        first = accepted.make_snapshot(1, old)
+        revised = accepted.revise(first, 2, old[:2], new)
+        self.assertEqual(revised, accepted.make_snapshot(2, [old[2], *new]))
+        self.assertEqual(first, accepted.make_snapshot(1, old))
+
+    def test_a_record_of_a_newer_schema_is_kept_but_not_in_force(self):
+        newer = Record("account", "a", 9, {"unknown": [1, 2]})
+        snapshot = accepted.make_snapshot(1, [newer])
+        self.assertEqual(snapshot.records["account/a"], newer)
+        self.assertNotIn("a", snapshot.accounts)
+        chunk = accepted.pack_chunks([newer])[accepted.slot_of(newer)]
+        self.assertEqual(accepted.unpack_chunk(chunk), [newer])
