--- /dev/null
+++ b/lab/bench_links.py
@@ -0,0 +1,145 @@
+"""Measures what a call between two processes costs, over the loopback address.
+
+Both ends run in one process, so the processor time is that of the caller and
+the callee together. Prints a JSON line for each message.
+"""
+
+import os
+
+os.environ["UV_USE_IO_URING"] = "0"
+
+import argparse
+import socket
+import sys
+import time
+
+import anyio
+import attrs
+import orjson
+
+from rhubarbwinch import codec
+from rhubarbwinch.links import Links, LinkServer
+from rhubarbwinch.messages import (
+    Ack,
+    PermitGrant,
+    PermitReply,
+    PermitRequest,
+    ProgressReport,
+    StreamProgress,
+)
+
+CALLERS = 50
+STREAMS_IN_REPORT = 20
+
+
+@attrs.frozen
+class Cost:
+    """The cost of a call.
+
+    Attributes:
+        message: The message's class.
+        calls: How many calls were made.
+        cpu_us: Processor time of both ends for a call.
+        request_bytes: The encoded request.
+        reply_bytes: The encoded answer.
+    """
+
+    message: str
+    calls: int
+    cpu_us: float
+    request_bytes: int
+    reply_bytes: int
+
+
+def permit_request() -> PermitRequest:
+    """Returns a permit request of a usual size."""
+    return PermitRequest(
+        request_id="5f3a2b1c4d5e6f70-1a2b3c-0123456789ab",
+        entry="entry-pl-south-a-1",
+        pool="vintner.pl-south-a",
+        account="account-1234",
+        service="chat",
+        prompt_tokens=350,
+        max_tokens=4096,
+        prefix=[1 << 60, 1 << 61, 1 << 62],
+        fingerprint="0123456789abcdef0123456789abcdef",
+        wait_ms=2000,
+    )
+
+
+def permit_reply() -> PermitReply:
+    """Returns a grant of a usual size."""
+    request = permit_request()
+    grant = PermitGrant(request.request_id, "engine-17", "10.20.30.40:8000")
+    return PermitReply(grant=grant)
+
+
+def progress_report() -> ProgressReport:
+    """Returns a report of some open streams."""
+    stream = StreamProgress(permit_request(), "engine-17", 512)
+    request = stream.request
+    return ProgressReport(
+        request.entry, request.pool, [stream] * STREAMS_IN_REPORT
+    )
+
+
+async def measure(
+    request: PermitRequest | ProgressReport,
+    reply: PermitReply | Ack,
+    count: int,
+) -> Cost:
+    """Returns the cost of a call with the given messages."""
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        address = f"127.0.0.1:{probe.getsockname()[1]}"
+    server = LinkServer(address)
+
+    async def answer(_: object) -> PermitReply | Ack:
+        return reply
+
+    server.on(type(request), answer)
+    links = Links(1)
+
+    async def call_many() -> None:
+        for _ in range(count // CALLERS):
+            await links.call(address, request, type(reply), 10_000)
+
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(server.run)
+        await tasks.start(links.run)
+        await links.call(address, request, type(reply), 10_000)
+        began = time.process_time()
+        async with anyio.create_task_group() as callers:
+            for _ in range(CALLERS):
+                callers.start_soon(call_many)
+        spent = time.process_time() - began
+        tasks.cancel_scope.cancel()
+    return Cost(
+        message=type(request).__name__,
+        calls=count,
+        cpu_us=round(spent / count * 1e6, 1),
+        request_bytes=len(codec.encode(request)),
+        reply_bytes=len(codec.encode(reply)),
+    )
+
+
+async def run(count: int) -> None:
+    """Prints the costs of the messages."""
+    for request, reply in (
+        (permit_request(), permit_reply()),
+        (progress_report(), Ack()),
+    ):
+        cost = await measure(request, reply, count)
+        sys.stdout.write(orjson.dumps(attrs.asdict(cost)).decode() + "\n")
+
+
+def main() -> None:
+    """Runs the measurement."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--calls", type=int, default=10_000)
+    count = parser.parse_args().calls
+    anyio.run(run, count, backend_options={"use_uvloop": True})
+
+
+if __name__ == "__main__":
+    main()
