At most once through real kills and pauses

Separate processes: store down, a lost answer, SIGKILL and SIGSTOP of the entry in the call, and the audit beside the endpoint's log.

--- a/lab/standins/service.py
+++ b/lab/standins/service.py
@@ -1,4 +1,7 @@
-"""A stand-in for a plain service: answers calls and logs each of them."""
+"""A stand-in for a plain service: answers calls and logs each of them.
+
+A call whose query is `delay_ms=N` is answered after that time.
+"""
 
 from typing import Any
 
@@ -27,6 +30,9 @@
         call = {"method": request.method, "path": request.path, "key": key}
         self._log.append(call)
         answer = {"number": len(self._log)} | call
+        delay = request.query.removeprefix("delay_ms=")
+        if delay.isdecimal():
+            await anyio.sleep(int(delay) / 1000)
         await responder.json(orjson.dumps(answer))
 
     async def _show_log(self, _: Request, responder: Responder) -> None:
--- /dev/null
+++ b/tests/test_plain.py
@@ -0,0 +1,119 @@
+"""Calls of plain services through separate processes with real signals."""
+
+import datetime
+import json
+import signal
+import subprocess
+import sys
+import threading
+import time
+
+import httpx
+
+from tests import builders
+from tests.claimworld import uuid7
+from tests.fleet import AUTHORIZATION, Fleet
+from tests.helpers import ROOT, GoldTestCase, wait_until
+
+SLOW_MS = 1500
+
+
+class Desks(Fleet):
+    """A deployment whose bookings are not repeatable."""
+
+    def records(self):
+        return [
+            *(r for r in super().records() if r.key != "service/booking"),
+            builders.plain_service(not_repeatable=["POST /book"]),
+        ]
+
+    def book(self, entry, key, delay_ms=0):
+        """Makes a call; returns its status and verdict, or None if cut."""
+        url = f"http://{self.entries[entry]}/services/booking/book"
+        headers = AUTHORIZATION | {"idempotency-key": key}
+        try:
+            answer = httpx.post(
+                f"{url}?delay_ms={delay_ms}",
+                headers=headers,
+                json={},
+                timeout=20,
+            )
+        except httpx.HTTPError:
+            return None
+        verdict = answer.headers.get("x-verdict", "ran")
+        return f"{answer.status_code} {verdict}"
+
+    def ran(self, key):
+        """Returns how often the endpoint ran a key."""
+        log = httpx.get(f"http://{self.service}/log").json()
+        return [call["key"] for call in log].count(key)
+
+    def audit(self, listed):
+        """Returns what the command line lists for the hours around now."""
+        now = datetime.datetime.now(datetime.UTC).replace(
+            minute=0, second=0, microsecond=0
+        )
+        hour = datetime.timedelta(hours=1)
+        command = [sys.executable, "-m", "rhubarbwinch", "ctl"]
+        command += ["--store", self.store, "--output", "json", "audit", listed]
+        command += ["--from", (now - hour).isoformat()]
+        command += ["--to", (now + 2 * hour).isoformat()]
+        done = subprocess.run(
+            command, cwd=ROOT, capture_output=True, check=True
+        )
+        return json.loads(done.stdout)
+
+    def faults(self, **fields):
+        """Sets what goes wrong with the store."""
+        httpx.post(f"http://{self.store}/faults", json=fields)
+
+
+class PlainTest(GoldTestCase):
+    """At most once with real processes, kills and pauses."""
+
+    def test_a_booking_runs_at_most_once_through_real_failures(self):
+        now = int(time.time() * 1000)
+        keys = [uuid7(now, number) for number in range(5)]
+        lines = []
+        with Desks(entries=3) as fleet:
+            lines.append(f"plain: {fleet.book(0, keys[0])}")
+            lines.append(f"again at another: {fleet.book(1, keys[0])}")
+
+            fleet.faults(down=True)
+            lines.append(f"store down: {fleet.book(0, keys[1])}")
+            lines.append(f"ran {fleet.ran(keys[1])}")
+            fleet.faults(down=False, lose_answers=1)
+            lines.append(f"store's answer lost: {fleet.book(0, keys[1])}")
+            lines.append(f"ran {fleet.ran(keys[1])}")
+
+            lines.append("# entry-0 killed in the call")
+            self._start(fleet, keys[2])
+            fleet.kill("entry-0")
+            lines.append(f"retry: {fleet.book(1, keys[2], SLOW_MS)}")
+            lines.append(f"ran {fleet.ran(keys[2])}")
+
+            lines.append("# entry-2 paused in the call, then woken")
+            paused = self._start(fleet, keys[3], entry=2)
+            fleet.signal("entry-2", signal.SIGSTOP)
+            lines.append(f"retry: {fleet.book(1, keys[3], SLOW_MS)}")
+            fleet.signal("entry-2", signal.SIGCONT)
+            paused.join()
+            fleet.book(1, keys[3], SLOW_MS)
+            lines.append(f"ran {fleet.ran(keys[3])}")
+
+            lines.append("# the audit")
+            rows = fleet.audit("calls")
+            for row in rows:
+                listed = fleet.ran(row["key"])
+                lines.append(f"key {keys.index(row['key'])}: ran {listed}")
+                sure = row["ran"] == "yes" or listed <= 1
+                self.assertTrue(sure, row)
+            self.assertEqual(len(rows), 4)
+        self.assert_gold("claims-processes", "\n".join(lines) + "\n")
+
+    def _start(self, fleet, key, entry=0):
+        """Starts a slow call and waits until the endpoint has it."""
+        call = threading.Thread(target=fleet.book, args=(entry, key, SLOW_MS))
+        call.start()
+        wait_until(lambda: fleet.ran(key), "the call")
+        return call
