Interface of the rumour service

Others need to tell all members of something at once, quarantine first. Ruled out: a topic a caller subscribes to at a broker, which would be a second coordination service.

--- a/rhubarbwinch/daemon.py
+++ b/rhubarbwinch/daemon.py
@@ -14,6 +14,7 @@
 from rhubarbwinch.config import Settings
 from rhubarbwinch.exceptions import StoreError
 from rhubarbwinch.follower import Follower
+from rhubarbwinch.gossip import Gossip
 from rhubarbwinch.links import Links, LinkServer
 from rhubarbwinch.members import Member, Members, Registration, Role
 from rhubarbwinch.metrics import Metrics
@@ -66,6 +67,7 @@
         self.links = Links(self.incarnation, settings.link_keys)
         self.server = LinkServer(settings.link, settings.link_keys)
         self.follower = Follower(self.store, self.clock)
+        self.gossip = Gossip()
         me = Member(
             settings.name,
             role,
