--- a/rhubarbwinch/accepted.py
+++ b/rhubarbwinch/accepted.py
@@ -13,7 +13,7 @@
 import orjson
 import xxhash
 
-from rhubarbwinch import keys, records
+from rhubarbwinch import codec, events, keys, records
 from rhubarbwinch.exceptions import (
     CodecError,
     RecordError,
@@ -25,6 +25,7 @@
     PoolSpec,
     Record,
     ServiceSpec,
+    VmSpec,
 )
 from rhubarbwinch.store import Store
 
@@ -61,17 +62,24 @@
         raise CodecError(f"not a head: {error}") from error
 
 
-def slot_of(record: Record) -> int:
-    """Returns the slot whose chunk holds the record."""
-    return xxhash.xxh3_64_intdigest(record.key.encode()) % SLOTS
+def slot_of_key(key: str) -> int:
+    """Returns the slot whose chunk holds the record `kind/name`."""
+    return xxhash.xxh3_64_intdigest(key.encode()) % SLOTS
 
 
-def pack_chunks(all_records: Iterable[Record]) -> list[bytes]:
-    """Returns each slot's chunk, empty for a slot without records."""
-    slots: list[list[Any]] = [[] for _ in range(SLOTS)]
-    for record in sorted(all_records, key=lambda r: r.key):
-        slots[slot_of(record)].append(orjson.Fragment(record.to_bytes()))
-    return [orjson.dumps(slot) if slot else b"" for slot in slots]
+@attrs.frozen
+class Chunk:
+    """The records of a slot, each with the bytes that its operator wrote."""
+
+    records: list[bytes]
+
+
+def pack_chunk(items: Iterable[Record]) -> bytes:
+    """Returns the chunk of a slot's records, empty without any."""
+    ordered = sorted(items, key=lambda record: record.key)
+    if not ordered:
+        return b""
+    return codec.encode(Chunk([record.to_bytes() for record in ordered]))
 
 
 def digest(chunk: bytes) -> str:
@@ -80,8 +88,21 @@
 
 
 def unpack_chunk(chunk: bytes) -> list[Record]:
-    """Returns the records of a chunk."""
-    return [records.parse(item) for item in orjson.loads(chunk or b"[]")]
+    """Returns the records of a chunk.
+
+    Raises:
+        CodecError: It is not a chunk.
+    """
+    if not chunk:
+        return []
+    found = []
+    for item in codec.decode(chunk, Chunk).records:
+        try:
+            found.append(records.parse(item))
+        except RecordError as error:
+            # A newer program accepted what this one can't read.
+            events.RECORD_REJECTED.log(error=str(error))
+    return found
 
 
 @attrs.frozen
@@ -94,6 +115,7 @@
     pools: dict[str, PoolSpec] = attrs.field(factory=dict)
     accounts: dict[str, AccountSpec] = attrs.field(factory=dict)
     services: dict[str, ServiceSpec] = attrs.field(factory=dict)
+    vms: dict[str, VmSpec] = attrs.field(factory=dict)
 
     def pools_of(self, target: str) -> list[str]:
         """Returns the names of a target's pools, sorted."""
@@ -115,6 +137,7 @@
         "pool": snapshot.pools,
         "account": snapshot.accounts,
         "service": snapshot.services,
+        "vm": snapshot.vms,
     }
     for record in items:
         snapshot.records[record.key] = record
--- a/rhubarbwinch/broker.py
+++ b/rhubarbwinch/broker.py
@@ -1,6 +1,7 @@
 """The broker: answers permit requests for the pools it owns."""
 
 import random
+from collections.abc import Callable
 
 import anyio
 import attrs
@@ -20,8 +21,13 @@
     PermitRequest,
     ProgressReport,
 )
+from rhubarbwinch.ownership import Ownership
+from rhubarbwinch.records import PoolSpec
 from rhubarbwinch.verdict import Reason, not_run
 
+# Returns the names of a pool's endpoints that leave.
+LeavingFinder = Callable[[PoolSpec], set[str]]
+
 TICK_MS = 20
 LOAD_SILENCE_MS = 1000
 
@@ -41,19 +47,41 @@
         clock: The source of time.
         rng: Breaks ties.
         counters: Where permits and refusals are counted.
+        ownership: Tells of pools that came from another broker.
     """
 
     def __init__(
-        self, clock: Clock, rng: random.Random, counters: metrics.Metrics
+        self,
+        clock: Clock,
+        rng: random.Random,
+        counters: metrics.Metrics,
+        ownership: Ownership | None = None,
     ) -> None:
         self._clock = clock
         self._rng = rng
         self._metrics = counters
+        self._ownership = ownership
         self._pools: dict[str, Admission] = {}
+        self._specs: dict[str, PoolSpec] = {}
+        self._find_leaving: LeavingFinder = lambda _: set()
         self._waiters: dict[str, _Waiter] = {}
 
+    @property
+    def waiting(self) -> int:
+        """The number of requests without a decision."""
+        return len(self._waiters)
+
+    def mark_leaving(self, find: LeavingFinder) -> None:
+        """Sets how the endpoints of a pool that leave are found."""
+        self._find_leaving = find
+        for name, pool in self._pools.items():
+            pool.set_leaving(find(self._specs[name]))
+
     def configure(self, snapshot: Snapshot) -> None:
         """Takes the pools of a new configuration."""
+        self._specs = dict(snapshot.pools)
+        if self._ownership is not None:
+            self._ownership.set_pools(snapshot.pools)
         for name, spec in snapshot.pools.items():
             if name in self._pools:
                 self._pools[name].configure(spec)
@@ -61,6 +89,7 @@
                 self._pools[name] = Admission(spec, self._clock, self._rng)
         for name in self._pools.keys() - snapshot.pools.keys():
             del self._pools[name]
+        self.mark_leaving(self._find_leaving)
 
     async def answer(self, request: PermitRequest) -> PermitReply:
         """Returns the decision on a request, after its wait in the queue."""
@@ -71,6 +100,9 @@
         waiter = _Waiter()
         self._waiters[request.request_id] = waiter
         try:
+            if self._ownership is not None:
+                wait_ms = self._ownership.wait_ms(request.pool)
+                await self._clock.sleep(wait_ms)
             self._spread(pool.submit(request))
             await waiter.done.wait()
         finally:
@@ -130,12 +162,16 @@
             self._daemon.clock,
             random.Random(self._daemon.incarnation),
             self._daemon.metrics,
+            Ownership(self._daemon.members, self._daemon.clock),
         )
 
     async def run(self) -> None:
         """Runs until asked to stop."""
         daemon = self._daemon
         daemon.follower.on_change(self._keeper.configure)
+        daemon.leaving.on_change(self._mark_leaving)
+        self._mark_leaving()
+        daemon.drain.open_count = lambda: self._keeper.waiting
         daemon.server.on(PermitRequest, self._keeper.answer)
         daemon.server.on(PermitRelease, self._keeper.release)
         daemon.server.on(ProgressReport, self._keeper.report_progress)
@@ -144,6 +180,9 @@
         await daemon.run()
         await self._endpoints.close()
 
+    def _mark_leaving(self) -> None:
+        self._keeper.mark_leaving(self._daemon.leaving.endpoints_of)
+
     async def _tick(self) -> None:
         while True:
             await self._daemon.clock.sleep(TICK_MS)
--- a/rhubarbwinch/config.py
+++ b/rhubarbwinch/config.py
@@ -229,7 +229,25 @@
 
 @attrs.define(kw_only=True)
 class ControlSettings(Settings):
-    """What a control is told besides."""
+    """What a control is told besides.
+
+    Attributes:
+        vm_list: `a.b.c.d:port` of the platform's list of VMs; empty for none.
+        vm_list_kind: The list's adapter.
+    """
+
+    vm_list: Annotated[
+        str,
+        _arg(
+            "vm-list",
+            "",
+            lambda value: _address(value) if value else "",
+            "Address of the list of VMs",
+        ),
+    ] = ""
+    vm_list_kind: Annotated[
+        str, _arg("vm-list-kind", "json", _name, "VM list adapter")
+    ] = "json"
 
 
 def environment_help() -> dict[str, str]:
--- a/rhubarbwinch/control.py
+++ b/rhubarbwinch/control.py
@@ -1,13 +1,11 @@
 """The control: accepts operators' records."""
 
-from rhubarbwinch import keys
 from rhubarbwinch.config import ControlSettings
 from rhubarbwinch.daemon import Daemon
-from rhubarbwinch.exceptions import CodecError, StoreError
 from rhubarbwinch.members import Role
 from rhubarbwinch.publisher import Publisher
-
-RETRY_MS = 500
+from rhubarbwinch.publishing import Publishing
+from rhubarbwinch.vmlist import VM_LISTS, VmListReader
 
 
 class Control:
@@ -18,21 +16,24 @@
     """
 
     def __init__(self, settings: ControlSettings) -> None:
-        self._daemon = Daemon(Role.CONTROL, settings)
-        self._publisher = Publisher(self._daemon.store)
+        self._daemon = daemon = Daemon(Role.CONTROL, settings)
+        publisher = Publisher(daemon.store, daemon.follower)
+        self._publishing = Publishing(
+            publisher, daemon.store, daemon.members, daemon.clock
+        )
+        self._vms = None
+        if settings.vm_list:
+            make_list = VM_LISTS.get(settings.vm_list_kind)
+            self._vms = VmListReader(
+                make_list(settings.vm_list),
+                daemon.members,
+                daemon.leaving,
+                daemon.clock,
+            )
 
     async def run(self) -> None:
         """Runs until asked to stop."""
-        self._daemon.add("publisher", self._publish)
+        self._daemon.add("publisher", self._publishing.run)
+        if self._vms is not None:
+            self._daemon.add("vm-list", self._vms.run)
         await self._daemon.run()
-
-    async def _publish(self) -> None:
-        store = self._daemon.store
-        while True:
-            try:
-                listing = await store.scan(keys.RECORDS)
-                await self._publisher.publish()
-                async for _ in store.watch(keys.RECORDS, listing.revision):
-                    await self._publisher.publish()
-            except (StoreError, CodecError):
-                await self._daemon.clock.sleep(RETRY_MS)
--- a/rhubarbwinch/daemon.py
+++ b/rhubarbwinch/daemon.py
@@ -1,5 +1,6 @@
 """What every program shares: its supervisor tree, links and configuration."""
 
+import random
 import signal
 from collections.abc import Awaitable, Callable
 
@@ -9,19 +10,24 @@
 from hypercorn.config import Config
 from hypercorn.typing import ASGIFramework
 
-from rhubarbwinch import events, identity
+from rhubarbwinch import events, identity, misc
 from rhubarbwinch.clock import Clock, SystemClock
 from rhubarbwinch.config import Settings
+from rhubarbwinch.distribution import Distribution
 from rhubarbwinch.exceptions import StoreError
 from rhubarbwinch.follower import Follower
 from rhubarbwinch.gossip import Gossip
+from rhubarbwinch.leaving import LeavingVms
 from rhubarbwinch.links import Links, LinkServer
-from rhubarbwinch.members import Member, Members, Registration, Role
+from rhubarbwinch.members import Member, Members, MemberState, Role
 from rhubarbwinch.metrics import Metrics
+from rhubarbwinch.registration import Registration
 from rhubarbwinch.store import STORES, Store
 from rhubarbwinch.supervisor import Supervisor
 
 DRAIN_CHECK_MS = 20
+LEAVING_NOTICE_MS = 500
+LAST_WORDS_MS = 200
 MAX_HEADER_BYTES = 32 << 10
 
 
@@ -31,10 +37,12 @@
 
     Attributes:
         started: Set when the program must take no new work.
+        limit: Set when the longest wait for open requests is over.
         open_count: Returns how many requests are still open.
     """
 
     started: bool = False
+    limit: anyio.Event = attrs.field(factory=anyio.Event)
     open_count: Callable[[], int] = lambda: 0
 
 
@@ -66,8 +74,10 @@
         self.drain = Drain()
         self.links = Links(self.incarnation, settings.link_keys)
         self.server = LinkServer(settings.link, settings.link_keys)
-        self.follower = Follower(self.store, self.clock)
-        self.gossip = Gossip()
+        # Heartbeats have links of their own, so that none waits for a large
+        # message and none of the peers' connections is closed by others.
+        self._gossip_links = Links(self.incarnation, settings.link_keys)
+        rng = random.Random(self.incarnation)
         me = Member(
             settings.name,
             role,
@@ -76,11 +86,37 @@
             self.incarnation,
             settings.link,
             settings.http,
+            version=self.clock.wall(),
         )
         self.members = Members(me)
         self.registration = Registration(
             self.store, self.members, self.clock, settings.lease_ms
         )
+        self.gossip = Gossip(
+            self._gossip_links,
+            self.server,
+            self.members,
+            self.clock,
+            rng,
+            settings.peers,
+            self.registration.holds_lease,
+        )
+        self.follower = Follower(
+            self.store,
+            self.clock,
+            self.members,
+            Distribution(self._gossip_links, self.server, self.members, rng),
+            settings.peers,
+        )
+        self.gossip.on_newer(self.follower.notice)
+        self.follower.on_change(
+            lambda snapshot: self.gossip.set_generation(snapshot.generation)
+        )
+        self.leaving = LeavingVms(
+            self.gossip, self._gossip_links, self.server, self.clock
+        )
+        self.follower.on_change(self.leaving.configure)
+        self.leaving.on_change(self._follow_notice)
         self._tree = Supervisor(settings.name, self.clock)
         self._shutdown = anyio.Event()
 
@@ -113,6 +149,9 @@
         """
         self.add("link-server", self.server.run)
         self.add("links", self.links.run)
+        self.add("gossip-links", self._gossip_links.run)
+        self.add("gossip", self.gossip.run)
+        self.add("leaving", self.leaving.run)
         self.add("registration", self.registration.run)
         self.add("follower", self.follower.run)
         try:
@@ -149,14 +188,32 @@
         """Takes no new work and waits for what is open, up to the limit."""
         events.DRAINING.log(name=self.settings.name)
         self.drain.started = True
-        self.members.leave()
-        self.registration.hurry()
+        self._set_state(MemberState.LEAVING)
         end = self.clock.now() + self.settings.drain_ms
-        # One more reading of the members lets the others see this one leave.
-        await self.clock.sleep(min(self.settings.drain_ms, 500))
+        # Meanwhile every member hears of it, and callers that were told of
+        # this address before are refused instead of finding nobody here.
+        await self.clock.sleep(min(self.settings.drain_ms, LEAVING_NOTICE_MS))
         while self.drain.open_count() and self.clock.now() < end:
             await self.clock.sleep(DRAIN_CHECK_MS)
         if self.drain.open_count():
             events.DRAIN_LIMIT.log(open=self.drain.open_count())
+            self.drain.limit.set()
+            await self.clock.sleep(LAST_WORDS_MS)
         self._shutdown.set()
+        await self.gossip.goodbye()
         await self.clock.sleep(DRAIN_CHECK_MS)
+
+    def _follow_notice(self) -> None:
+        """Leaves, or serves again, as the notices on this VM say."""
+        host = misc.split_address(self.settings.link)[0]
+        is_leaving = host in self.leaving.hosts or self.drain.started
+        self._set_state(
+            MemberState.LEAVING if is_leaving else MemberState.SERVING
+        )
+
+    def _set_state(self, state: MemberState) -> None:
+        if state is self.members.me.state:
+            return
+        self.members.set_state(state)
+        self.gossip.announce()
+        self.registration.hurry()
--- a/rhubarbwinch/entry.py
+++ b/rhubarbwinch/entry.py
@@ -1,23 +1,24 @@
 """The entry: speaks HTTP with callers."""
 
+from functools import partial
+
 import orjson
 
 from rhubarbwinch import identity, metrics, rendezvous
 from rhubarbwinch.apikeys import KeyChecker
 from rhubarbwinch.config import EntrySettings
 from rhubarbwinch.daemon import Daemon
+from rhubarbwinch.drainlimit import run_until_limit
 from rhubarbwinch.endpoints import EndpointClient
-from rhubarbwinch.exceptions import LinkError
 from rhubarbwinch.generate import Generator, parse_call
 from rhubarbwinch.httpapi import App, Refused, Request, Responder
 from rhubarbwinch.members import Role
-from rhubarbwinch.messages import ProgressReport, StreamProgress
-from rhubarbwinch.permits import PermitClient, pool_owner
+from rhubarbwinch.permits import PermitClient
 from rhubarbwinch.plain import PREFIX, PlainCaller
+from rhubarbwinch.reports import Reporter
 from rhubarbwinch.verdict import Reason, not_run
 
 ENTRIES_TTL_MS = 5000
-REPORT_MS = 1000
 RETRY_AFTER_MS = 1000
 
 
@@ -53,6 +54,13 @@
             settings.name,
             settings.data_center,
         )
+        self._reporter = Reporter(
+            settings.name,
+            self._permits,
+            daemon.members,
+            daemon.links,
+            daemon.clock,
+        )
         self._open = 0
         self._app = App(settings.max_body_bytes)
 
@@ -66,8 +74,9 @@
         self._app.route("GET", "/readyz", self._readyz)
         self._app.route("*", PREFIX, self._call_plain)
         daemon.drain.open_count = lambda: self._open
+        self._app.is_closing = lambda: daemon.drain.started
         daemon.serve_http(self._app)
-        daemon.add("reports", self._report)
+        daemon.add("reports", self._reporter.run)
         await daemon.run()
         await self._endpoints.close()
 
@@ -79,7 +88,7 @@
         """
         if self._daemon.drain.started:
             detail = "this entry is leaving; others: " + ", ".join(
-                m.http for m in self._daemon.members.serving(Role.ENTRY)
+                self._others()
             )
             raise Refused(not_run(Reason.DRAINING, detail, RETRY_AFTER_MS))
         snapshot = self._daemon.follower.snapshot
@@ -89,7 +98,26 @@
         self._daemon.metrics.count(metrics.REQUESTS)
         return account
 
+    def _others(self) -> list[str]:
+        """Returns the addresses of the other entries that take new work."""
+        members = self._daemon.members
+        return [
+            m.http
+            for m in members.serving(Role.ENTRY)
+            if m.name != members.me.name
+        ]
+
     async def _generate(self, request: Request, responder: Responder) -> None:
+        await run_until_limit(
+            self._daemon.drain.limit,
+            partial(self._start_or_resume, request, responder),
+            responder,
+            self._others,
+        )
+
+    async def _start_or_resume(
+        self, request: Request, responder: Responder
+    ) -> None:
         account = self._account(request)
         snapshot = self._daemon.follower.snapshot
         self._open += 1
@@ -140,32 +168,3 @@
         ready = generation > 0 and not self._daemon.drain.started
         data = {"ready": ready, "generation": generation}
         await responder.json(orjson.dumps(data), 200 if ready else 503)
-
-    async def _report(self) -> None:
-        """Tells the owners of pools which streams are open."""
-        pools: set[str] = set()
-        while True:
-            await self._daemon.clock.sleep(REPORT_MS)
-            held = self._permits.open_permits
-            now = {permit.request.pool for permit in held}
-            for pool in sorted(pools | now):
-                streams = [
-                    StreamProgress(p.request, p.grant.endpoint, 0)
-                    for p in held
-                    if p.request.pool == pool
-                ]
-                await self._send_report(pool, streams)
-            pools = now
-
-    async def _send_report(
-        self, pool: str, streams: list[StreamProgress]
-    ) -> None:
-        broker = pool_owner(pool, self._daemon.members)
-        if broker is None:
-            return
-        report = ProgressReport(self._daemon.settings.name, pool, streams)
-        try:
-            await self._daemon.links.send(broker.link, report)
-        except LinkError:
-            # The next report goes to the pool's next owner.
-            return
--- a/rhubarbwinch/events.py
+++ b/rhubarbwinch/events.py
@@ -129,3 +129,24 @@
 ENDPOINT_LOST = Event(
     52, "endpoint-lost", logging.WARNING, "An endpoint failed a call."
 )
+MEMBER_SUSPECTED = Event(
+    200, "member-suspected", logging.INFO, "A member does not answer its peers."
+)
+PUBLISHED = Event(
+    201, "published", logging.INFO, "A new generation was accepted."
+)
+STORE_BEHIND = Event(
+    202,
+    "store-behind",
+    logging.ERROR,
+    "The store's head is older than the one in force; nothing is published.",
+)
+CHUNKS_COLLECTED = Event(
+    203, "chunks-collected", logging.INFO, "Unused chunks were deleted."
+)
+VM_LEAVING = Event(
+    204, "vm-leaving", logging.INFO, "A VM leaves or no longer leaves."
+)
+VM_LIST_SILENT = Event(
+    205, "vm-list-silent", logging.WARNING, "The list of VMs can't be read."
+)
--- a/rhubarbwinch/exceptions.py
+++ b/rhubarbwinch/exceptions.py
@@ -65,6 +65,10 @@
     """A peer did not answer in time; it may have acted on the request."""
 
 
+class VmListError(RhubarbwinchError):
+    """The platform's list of VMs can't be read."""
+
+
 class EndpointError(RhubarbwinchError):
     """An endpoint failed a call.
 
--- a/rhubarbwinch/gossip.py
+++ b/rhubarbwinch/gossip.py
@@ -1,24 +1,108 @@
-"""Heartbeats between members, and news that they carry to all of them."""
+"""Heartbeats between members, and news that they carry to all of them.
 
+Each round goes to a few neighbours only, so what a member sends and receives
+does not grow with the fleet. Fresh news is passed on at once; the rounds make
+good what was lost.
+"""
+
+import random
 from collections.abc import Awaitable, Callable
 
+import anyio
+import anyio.abc
+
+from rhubarbwinch import codec, events, overlay
+from rhubarbwinch.clock import Clock
+from rhubarbwinch.exceptions import CodecError, LinkError
+from rhubarbwinch.heartbeat import Heartbeat, ViewReply, ViewRequest
+from rhubarbwinch.linktypes import Caller, Listener
+from rhubarbwinch.members import Health, Member, MemberNews, Members
+from rhubarbwinch.rumours import Rumour, Rumours
+
 # Takes a rumour's key and data.
 RumourHandler = Callable[[str, bytes], Awaitable[None]]
+# Takes a generation and the link address of a member that has it.
+NewerHandler = Callable[[int, str], None]
 
+ROUND_MS = 500
+PEERS_PER_ROUND = 2
+STRANGER_ROUNDS = 20
+PUSH_DELAY_MS = 5
+HEARTBEAT_TIMEOUT_MS = 1000
+MISSED_TO_SUSPECT = 2
+SUSPECT_MS = 3000
+SYNC_MS = 5000
+DEAD_KEPT_MS = 600_000
+JOIN_MS = 1000
 MAX_RUMOUR_BYTES = 512
+MAX_NEWS_BYTES = 1200
+
+_MEMBER = "member"
+
+
+async def _no_lease(_: str) -> bool:
+    return False
 
 
 class Gossip:
-    """Exchanges heartbeats with a few peers and spreads news by them."""
+    """Exchanges heartbeats with a few peers and spreads news by them.
+
+    Args:
+        links: Calls peers.
+        server: Answers peers.
+        members: The view to keep.
+        clock: The source of time.
+        rng: Chooses peers.
+        peers: Link addresses to ask for the members when none are known.
+        holds_lease: Tells whether the store vouches for a member.
+    """
 
-    def __init__(self) -> None:
+    def __init__(
+        self,
+        links: Caller,
+        server: Listener,
+        members: Members,
+        clock: Clock,
+        rng: random.Random,
+        peers: list[str],
+        holds_lease: Callable[[str], Awaitable[bool]] = _no_lease,
+    ) -> None:
+        self._links = links
+        self._members = members
+        self._clock = clock
+        self._rng = rng
+        self._peers = peers
+        self._holds_lease = holds_lease
         self._handlers: dict[str, RumourHandler] = {}
+        self._rumours = Rumours(rng)
+        self._generation = 0
+        self._on_newer: NewerHandler = lambda _generation, _address: None
+        self._fresh = anyio.Event()
+        self._turn = 0
+        self._missed: dict[str, int] = {}
+        self._judging: set[str] = set()
+        self._synced_at = -SYNC_MS
+        self._buried_at: dict[str, int] = {}
+        self._neighbours: list[str] | None = None
+        server.on(Heartbeat, self._answer)
+        server.on(ViewRequest, self._show_view)
+        members.on_change(self._forget_neighbours)
+
+    @property
+    def neighbours(self) -> list[Member]:
+        """The members that this one sends heartbeats to."""
+        if self._neighbours is None:
+            names = [m.name for m in self._members.all()]
+            self._neighbours = overlay.neighbours(self._members.me.name, names)
+        found = [self._members.get(name) for name in self._neighbours]
+        return [member for member in found if member is not None]
 
     def on(self, kind: str, handler: RumourHandler) -> None:
         """Sets the function that takes rumours of a kind.
 
         It is called once for each rumour of another member, in any order; of
-        two with the same key and origin it may see only the newer.
+        two with the same key and origin it may see only the newer. After a
+        long pause of a member a rumour may come a second time.
         """
         self._handlers[kind] = handler
 
@@ -33,3 +117,210 @@
         """
         if len(data) > MAX_RUMOUR_BYTES:
             raise ValueError(f"a rumour of {len(data)} bytes")
+        origin = self._members.me.incarnation
+        wall = self._clock.wall()
+        version = self._rumours.next_version(kind, key, origin, wall)
+        self._pass_on(Rumour(kind, key, origin, version, data))
+
+    def announce(self) -> None:
+        """Tells every member of a change of this process."""
+        self._spread(self._members.my_news)
+
+    def on_newer(self, handler: NewerHandler) -> None:
+        """Sets what is told of peers with a newer configuration."""
+        self._on_newer = handler
+
+    def set_generation(self, generation: int) -> None:
+        """Tells the neighbours at once which generation is in force here."""
+        self._generation = generation
+        self._fresh.set()
+
+    async def run(self) -> None:
+        """Exchanges heartbeats until cancelled."""
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._join)
+            tasks.start_soon(self._push, tasks)
+            while True:
+                self._round(tasks)
+                await self._clock.sleep(ROUND_MS)
+
+    async def goodbye(self) -> None:
+        """Tells the neighbours that this process ends now."""
+        news = MemberNews(self._members.me, Health.DEAD)
+        self._spread(news)
+        async with anyio.create_task_group() as tasks:
+            for peer in self.neighbours:
+                tasks.start_soon(self._exchange, peer)
+
+    async def _join(self) -> None:
+        """Announces this process, and looks for others while alone."""
+        self.announce()
+        while True:
+            if len(self._members.all()) == 1:
+                for address in self._peers:
+                    if address != self._members.me.link:
+                        await self._ask_view(address, [])
+                self.announce()
+            await self._clock.sleep(JOIN_MS)
+
+    async def _push(self, tasks: anyio.abc.TaskGroup) -> None:
+        """Sends fresh news to all neighbours without waiting for the round."""
+        while True:
+            await self._fresh.wait()
+            # News that comes together travels together.
+            await self._clock.sleep(PUSH_DELAY_MS)
+            self._fresh = anyio.Event()
+            for peer in self.neighbours:
+                tasks.start_soon(self._exchange, peer)
+
+    def _round(self, tasks: anyio.abc.TaskGroup) -> None:
+        now = self._clock.now()
+        self._rumours.expire(now)
+        self._expire_dead(now)
+        peers = self.neighbours
+        for _ in range(min(PEERS_PER_ROUND, len(peers))):
+            self._turn += 1
+            peer = peers[self._turn % len(peers)]
+            tasks.start_soon(self._watch_over, peer)
+        if self._rng.randrange(STRANGER_ROUNDS) == 0:
+            tasks.start_soon(self._greet_stranger)
+
+    async def _greet_stranger(self) -> None:
+        """Exchanges with any member, so that no group is left to itself."""
+        near = {peer.name for peer in self.neighbours}
+        others = [m for m in self._members.all() if m.name not in near]
+        stranger = self._rng.choice(others)
+        if stranger.name != self._members.me.name:
+            await self._exchange(stranger)
+            self._links.forget(stranger.link)
+
+    async def _watch_over(self, peer: Member) -> None:
+        """Exchanges heartbeats with a neighbour; suspects a silent one."""
+        if await self._exchange(peer):
+            self._missed.pop(peer.name, None)
+            return
+        self._missed[peer.name] = self._missed.get(peer.name, 0) + 1
+        if self._missed[peer.name] < MISSED_TO_SUSPECT:
+            return
+        news = self._members.suspect(peer.name)
+        if news is not None:
+            events.MEMBER_SUSPECTED.log(member=peer.name)
+            self._spread(news)
+        await self._judge(peer.name)
+
+    async def _judge(self, name: str) -> None:
+        """Buries a suspect, unless it answers or holds its lease.
+
+        Only the neighbours that found it silent ask the store, so that a loss
+        costs a few calls whatever the size of the fleet.
+        """
+        if name in self._judging:
+            return
+        self._judging.add(name)
+        try:
+            await self._clock.sleep(SUSPECT_MS)
+            if self._members.health(name) is not Health.SUSPECT:
+                return
+            if name not in self._missed or await self._holds_lease(name):
+                return
+            news = self._members.bury(name)
+            if news is not None:
+                self._spread(news)
+        finally:
+            self._judging.discard(name)
+
+    async def _exchange(self, peer: Member) -> bool:
+        """Sends a heartbeat; returns whether the peer answered."""
+        try:
+            answer = await self._links.call(
+                peer.link, self._make(), Heartbeat, HEARTBEAT_TIMEOUT_MS
+            )
+        except (LinkError, CodecError):
+            return False
+        if answer.sender != peer.name:
+            # Another process has taken the address over.
+            return False
+        await self._take(answer)
+        quiet = self._clock.now() - self._synced_at >= SYNC_MS
+        if answer.digest != self._members.digest() and quiet:
+            self._synced_at = self._clock.now()
+            await self._ask_view(peer.link, self._members.digests())
+        return True
+
+    async def _ask_view(self, address: str, digests: list[int]) -> None:
+        try:
+            reply = await self._links.call(
+                address, ViewRequest(digests), ViewReply, HEARTBEAT_TIMEOUT_MS
+            )
+        except (LinkError, CodecError):
+            return
+        for news in reply.news:
+            self._hear(news)
+
+    def _make(self) -> Heartbeat:
+        me = self._members.me
+        size = len(self._members.all())
+        return Heartbeat(
+            me.name,
+            self._generation,
+            self._members.digest(),
+            self._rumours.pick(size, MAX_NEWS_BYTES),
+        )
+
+    async def _answer(self, heartbeat: Heartbeat) -> Heartbeat:
+        await self._take(heartbeat)
+        return self._make()
+
+    async def _show_view(self, request: ViewRequest) -> ViewReply:
+        return ViewReply(self._members.differing(request.digests))
+
+    async def _take(self, heartbeat: Heartbeat) -> None:
+        for rumour in heartbeat.rumours:
+            await self._take_rumour(rumour)
+        sender = self._members.get(heartbeat.sender)
+        # A sender that was taken for dead hears so when it compares views.
+        if sender is not None and heartbeat.generation > self._generation:
+            self._on_newer(heartbeat.generation, sender.link)
+
+    async def _take_rumour(self, rumour: Rumour) -> None:
+        if rumour.kind == _MEMBER:
+            try:
+                news = codec.decode(rumour.data, MemberNews)
+            except CodecError as error:
+                events.PEER_REFUSED.log(error=str(error))
+                return
+            self._hear(news)
+            return
+        if not self._rumours.take(rumour, self._clock.now()):
+            return
+        self._fresh.set()
+        handler = self._handlers.get(rumour.kind)
+        if handler is not None:
+            await handler(rumour.key, rumour.data)
+
+    def _hear(self, news: MemberNews) -> None:
+        told = self._members.hear(news)
+        if told is not None:
+            self._spread(told)
+
+    def _spread(self, news: MemberNews) -> None:
+        name = news.member.name
+        if news.health is Health.DEAD:
+            self._buried_at.setdefault(name, self._clock.now())
+            self._missed.pop(name, None)
+        # A health above alive counts more at the same version.
+        version = news.member.version * len(Health) + news.health
+        self._pass_on(Rumour(_MEMBER, name, 0, version, codec.encode(news)))
+
+    def _pass_on(self, rumour: Rumour) -> None:
+        if self._rumours.take(rumour, self._clock.now()):
+            self._fresh.set()
+
+    def _expire_dead(self, now: int) -> None:
+        for name, at in list(self._buried_at.items()):
+            if now - at >= DEAD_KEPT_MS:
+                del self._buried_at[name]
+                self._members.forget(name)
+
+    def _forget_neighbours(self) -> None:
+        self._neighbours = None
--- a/rhubarbwinch/httpapi.py
+++ b/rhubarbwinch/httpapi.py
@@ -55,10 +55,12 @@
 
     Args:
         send: The ASGI function.
+        closing: Whether the connection ends with this answer.
     """
 
-    def __init__(self, send: ASGISendCallable) -> None:
+    def __init__(self, send: ASGISendCallable, closing: bool = False) -> None:
         self._send = send
+        self._closing = closing
         self._started = False
 
     @property
@@ -69,6 +71,8 @@
     async def start(self, status: int, headers: Headers) -> None:
         """Sends the head."""
         self._started = True
+        if self._closing:
+            headers = [*headers, (b"connection", b"close")]
         await self._send(
             {
                 "type": "http.response.start",
@@ -121,9 +125,14 @@
 
     Args:
         max_body_bytes: A longer body is refused.
+
+    Attributes:
+        is_closing: Returns whether the program takes no new work; then each
+            answer ends its connection, and none is left idle at the end.
     """
 
     def __init__(self, max_body_bytes: int) -> None:
+        self.is_closing: Callable[[], bool] = lambda: False
         self._max_body_bytes = max_body_bytes
         self._routes: list[Route] = []
 
@@ -143,7 +152,7 @@
             return
         if scope["type"] != "http":
             return
-        responder = Responder(send)
+        responder = Responder(send, self.is_closing())
         try:
             request = await self._read(scope, receive)
             handle = self._find(request)
--- a/rhubarbwinch/members.py
+++ b/rhubarbwinch/members.py
@@ -1,14 +1,14 @@
-"""Membership: who is there, from the store's leases."""
+"""Membership: the view of who is there, merged from news about members."""
 
 import enum
+from collections.abc import Callable
 
-import anyio
 import attrs
+import xxhash
 
-from rhubarbwinch import codec, events, keys
-from rhubarbwinch.clock import Clock
-from rhubarbwinch.exceptions import CodecError, StoreError
-from rhubarbwinch.store import Store
+from rhubarbwinch import events, rendezvous
+
+BUCKETS = 32
 
 
 class Role(enum.StrEnum):
@@ -26,6 +26,14 @@
     LEAVING = "leaving"
 
 
+class Health(enum.IntEnum):
+    """What its peers say of a member; of one version the higher counts."""
+
+    ALIVE = 0
+    SUSPECT = 1
+    DEAD = 2
+
+
 @attrs.frozen
 class Member:
     """A process of the system.
@@ -39,6 +47,8 @@
         link: Its address for peers.
         http: Its HTTP address.
         state: Whether it takes new work.
+        version: Raised by the member itself with each change of the above
+            and to refute a suspicion; starts at its Unix time in ms.
     """
 
     name: str
@@ -49,6 +59,20 @@
     link: str
     http: str
     state: MemberState = MemberState.SERVING
+    version: int = 0
+
+
+@attrs.frozen
+class MemberNews:
+    """A member as its peers see it."""
+
+    member: Member
+    health: Health = Health.ALIVE
+
+    def is_newer_than(self, other: "MemberNews") -> bool:
+        """Tells whether this replaces what `other` says."""
+        mine = (self.member.version, self.health)
+        return mine > (other.member.version, other.health)
 
 
 class Members:
@@ -56,111 +80,179 @@
 
     def __init__(self, me: Member) -> None:
         self._me = me
-        self._known: dict[str, Member] = {me.name: me}
+        self._known: dict[str, MemberNews] = {me.name: MemberNews(me)}
+        self._serving: dict[Role, list[Member]] = {}
+        self._digests: list[int] = []
+        self._listeners: list[Callable[[], None]] = []
 
     @property
     def me(self) -> Member:
         """This process."""
         return self._me
 
-    def all(self) -> list[Member]:
-        """Returns all members, by name."""
-        return [self._known[name] for name in sorted(self._known)]
+    @property
+    def my_news(self) -> MemberNews:
+        """This process, as it tells its peers."""
+        return MemberNews(self._me)
 
-    def serving(self, role: Role) -> list[Member]:
-        """Returns the members of a role that take new work, by name."""
+    def on_change(self, listener: Callable[[], None]) -> None:
+        """Calls `listener` after each change of the view."""
+        self._listeners.append(listener)
+
+    def all(self) -> list[Member]:
+        """Returns all members that are not dead, by name."""
         return [
-            m
-            for m in self.all()
-            if m.role is role and m.state is MemberState.SERVING
+            self._known[name].member
+            for name in sorted(self._known)
+            if self._known[name].health is not Health.DEAD
         ]
 
+    def serving(self, role: Role) -> list[Member]:
+        """Returns the members of a role that take new work, by name.
+
+        Suspected ones are left out unless there are no others, and so are
+        those that leave.
+        """
+        if role not in self._serving:
+            self._serving[role] = self._find_serving(role)
+        return self._serving[role]
+
     def get(self, name: str) -> Member | None:
-        """Returns the member called `name`."""
-        return self._known.get(name)
+        """Returns the member called `name` if it is not dead."""
+        news = self._known.get(name)
+        if news is None or news.health is Health.DEAD:
+            return None
+        return news.member
+
+    def health(self, name: str) -> Health:
+        """Returns what is known of a member; one never heard of is dead."""
+        news = self._known.get(name)
+        return news.health if news else Health.DEAD
+
+    def near(self, data_center: str) -> list[str]:
+        """Returns the names of a data centre's members, by name."""
+        return [m.name for m in self.all() if m.data_center == data_center]
+
+    def seeds(self, key: str, data_center: str, count: int) -> list[str]:
+        """Returns the members of a data centre that do `key` for the others."""
+        alive = [
+            name
+            for name in self.near(data_center)
+            if self.health(name) is Health.ALIVE
+        ]
+        return rendezvous.ranking(key, alive)[:count]
+
+    def set_state(self, state: MemberState) -> None:
+        """Changes the state of this process."""
+        if state is not self._me.state:
+            self._change_me(state=state)
 
     def leave(self) -> None:
         """Marks this process as leaving."""
-        self._me = attrs.evolve(self._me, state=MemberState.LEAVING)
-        self._known[self._me.name] = self._me
+        self.set_state(MemberState.LEAVING)
 
-    def replace(self, found: list[Member]) -> None:
-        """Takes the list in the store as the new view of the others."""
-        known = {m.name: m for m in found} | {self._me.name: self._me}
-        for name in known.keys() ^ self._known.keys():
-            events.MEMBER_CHANGED.log(member=name, known=name in known)
-        self._known = known
+    def hear(self, news: MemberNews) -> MemberNews | None:
+        """Takes news from a peer or from the store.
 
+        Returns:
+            What the others should hear: the news if it was new, a denial if
+            it said that this process is suspected or dead, else None.
+        """
+        name = news.member.name
+        if name == self._me.name:
+            return self._hear_of_me(news)
+        old = self._known.get(name)
+        if old is not None and not news.is_newer_than(old):
+            return None
+        self._known[name] = news
+        if old is None or old.health is not news.health:
+            events.MEMBER_CHANGED.log(
+                member=name, health=news.health.name, state=news.member.state
+            )
+        self._changed()
+        return news
 
-class Registration:
-    """Keeps this process's registration and reads the others'.
+    def suspect(self, name: str) -> MemberNews | None:
+        """Notes that a member does not answer; returns the news of it."""
+        return self._judge(name, Health.SUSPECT)
+
+    def bury(self, name: str) -> MemberNews | None:
+        """Notes that a member is dead; returns the news of it."""
+        return self._judge(name, Health.DEAD)
+
+    def forget(self, name: str) -> None:
+        """Drops a dead member for good."""
+        if self.health(name) is Health.DEAD:
+            self._known.pop(name, None)
+
+    def digests(self) -> list[int]:
+        """Returns a hash for each bucket of the members that are not dead."""
+        if not self._digests:
+            found = [0] * BUCKETS
+            for member in self.all():
+                text = f"{member.name}\0{member.version}".encode()
+                found[_bucket(member.name)] ^= xxhash.xxh3_64_intdigest(text)
+            self._digests = found
+        return self._digests
+
+    def digest(self) -> int:
+        """Returns a hash of the whole view; equal views have equal ones."""
+        packed = b"".join(d.to_bytes(8, "big") for d in self.digests())
+        return xxhash.xxh3_64_intdigest(packed)
+
+    def differing(self, digests: list[int]) -> list[MemberNews]:
+        """Returns what is known of the buckets that differ from `digests`."""
+        mine = self.digests()
+        wanted = {
+            i
+            for i in range(BUCKETS)
+            if i >= len(digests) or digests[i] != mine[i]
+        }
+        return [
+            news
+            for name, news in self._known.items()
+            if _bucket(name) in wanted
+        ]
+
+    def _judge(self, name: str, health: Health) -> MemberNews | None:
+        known = self._known.get(name)
+        if known is None or name == self._me.name:
+            return None
+        return self.hear(MemberNews(known.member, health))
+
+    def _hear_of_me(self, news: MemberNews) -> MemberNews | None:
+        """Denies what is said of this process when it is not its own word."""
+        own = news.member.incarnation == self._me.incarnation
+        if own and news.health is Health.ALIVE:
+            return None
+        if news.member.version < self._me.version:
+            return None
+        return self._change_me(version=news.member.version)
+
+    def _change_me(
+        self, version: int | None = None, state: MemberState | None = None
+    ) -> MemberNews:
+        self._me = attrs.evolve(
+            self._me,
+            version=max(version or 0, self._me.version) + 1,
+            state=state or self._me.state,
+        )
+        self._known[self._me.name] = MemberNews(self._me)
+        self._changed()
+        return self.my_news
+
+    def _find_serving(self, role: Role) -> list[Member]:
+        of_role = [m for m in self.all() if m.role is role]
+        fit = [m for m in of_role if m.state is MemberState.SERVING]
+        sound = [m for m in fit if self.health(m.name) is Health.ALIVE]
+        return sound or fit or of_role
+
+    def _changed(self) -> None:
+        self._serving.clear()
+        self._digests = []
+        for listener in self._listeners:
+            listener()
 
-    Args:
-        store: The platform's store.
-        members: The view to keep.
-        clock: The source of time.
-        lease_ms: The life of the registration without renewal.
-    """
 
-    def __init__(
-        self, store: Store, members: Members, clock: Clock, lease_ms: int
-    ) -> None:
-        self._store = store
-        self._members = members
-        self._clock = clock
-        self._lease_ms = lease_ms
-        self._lease = 0
-        self._written: Member | None = None
-        self._store_ok = True
-        self._wake = anyio.Event()
-
-    async def run(self) -> None:
-        """Renews the registration and reads the others until cancelled."""
-        while True:
-            await self.step()
-            with anyio.move_on_after(self._lease_ms / 5000):
-                await self._wake.wait()
-            self._wake = anyio.Event()
-
-    def hurry(self) -> None:
-        """Makes a change of state known at once."""
-        self._wake.set()
-
-    async def step(self) -> None:
-        """Renews once; an outage of the store leaves the view as it is."""
-        try:
-            await self._register()
-            listing = await self._store.scan(keys.MEMBERS)
-        except StoreError as error:
-            if self._store_ok:
-                events.STORE_DOWN.log(error=str(error))
-            self._store_ok = False
-            return
-        if not self._store_ok:
-            events.STORE_UP.log()
-        self._store_ok = True
-        found = []
-        for entry in listing.entries:
-            try:
-                found.append(codec.decode(entry.value, Member))
-            except CodecError as error:
-                events.PEER_REFUSED.log(error=str(error))
-        self._members.replace(found)
-
-    async def close(self) -> None:
-        """Ends the registration."""
-        if self._lease:
-            await self._store.revoke_lease(self._lease)
-
-    async def _register(self) -> None:
-        if not self._lease or not await self._store.keep_lease(self._lease):
-            self._lease = await self._store.grant_lease(self._lease_ms)
-            self._written = None
-        me = self._members.me
-        if self._written == me:
-            return
-        key = keys.member(me.name)
-        current = await self._store.get(key)
-        expected = current.revision if current else 0
-        await self._store.swap(key, expected, codec.encode(me), self._lease)
-        self._written = me
+def _bucket(name: str) -> int:
+    return xxhash.xxh3_64_intdigest(name.encode()) % BUCKETS
--- a/rhubarbwinch/permits.py
+++ b/rhubarbwinch/permits.py
@@ -29,9 +29,10 @@
     grant: PermitGrant
 
 
-def pool_owner(pool: str, members: Members) -> Member | None:
-    """Returns the broker that owns a pool."""
-    brokers = {m.name: m for m in members.serving(Role.BROKER)}
+def pool_owner(pool: str, members: Members, avoid: str = "") -> Member | None:
+    """Returns the broker that owns a pool, or would without `avoid`."""
+    serving = members.serving(Role.BROKER)
+    brokers = {m.name: m for m in serving if m.name != avoid}
     name = rendezvous.owner(pool, brokers)
     return brokers[name] if name else None
 
@@ -57,9 +58,16 @@
         """The permits that are held."""
         return list(self._open.values())
 
-    async def ask(self, request: PermitRequest) -> Result[Permit, Failure]:
-        """Asks for a place and returns it or why there is none."""
-        broker = pool_owner(request.pool, self._members)
+    async def ask(
+        self, request: PermitRequest, avoid: str = ""
+    ) -> Result[Permit, Failure]:
+        """Asks for a place and returns it or why there is none.
+
+        Args:
+            request: What is asked for.
+            avoid: A broker that did not answer.
+        """
+        broker = pool_owner(request.pool, self._members, avoid)
         if broker is None:
             return Err(
                 not_run(
@@ -102,8 +110,13 @@
             not_run(Reason.NO_ENDPOINT, f"no pool of {request.service}")
         )
         for pool in pools:
+            owner = pool_owner(pool, self._members)
             asked = attrs.evolve(request, pool=pool, request_id=new_id())
             answer = await self.ask(asked)
+            if _is_silent(answer) and owner is not None:
+                # Its broker has ended; the pool's next owner can answer.
+                asked = attrs.evolve(asked, request_id=new_id())
+                answer = await self.ask(asked, owner.name)
             if answer.is_ok():
                 break
         return answer
@@ -133,3 +146,10 @@
         except LinkError:
             # The broker is gone; the next owner learns from the reports.
             return
+
+
+def _is_silent(answer: Result[Permit, Failure]) -> bool:
+    return (
+        isinstance(answer, Err)
+        and answer.err_value.reason is Reason.BROKER_UNAVAILABLE
+    )
--- a/rhubarbwinch/publisher.py
+++ b/rhubarbwinch/publisher.py
@@ -4,95 +4,283 @@
 import orjson
 
 from rhubarbwinch import accepted, events, keys, records
-from rhubarbwinch.accepted import Head
-from rhubarbwinch.exceptions import RecordError
+from rhubarbwinch.accepted import SLOTS, Head
+from rhubarbwinch.exceptions import (
+    RecordError,
+    StoreUnavailable,
+    StoreUncertain,
+)
+from rhubarbwinch.follower import Follower
 from rhubarbwinch.records import Record
-from rhubarbwinch.store import Entry, Store
+from rhubarbwinch.store import Change, Entry, Store
 
 
 @attrs.frozen
 class Judgement:
-    """What was decided on the record at one revision.
+    """Why a record is not in force; kept beside it while that is so.
 
     Attributes:
         revision: The revision of the record.
-        accepted: Whether it is in force.
-        error: Why not, or empty.
+        error: What is wrong with it.
     """
 
     revision: int
-    accepted: bool
-    error: str = ""
+    error: str
 
     def to_bytes(self) -> bytes:
         """Returns the judgement as JSON."""
         return orjson.dumps(attrs.asdict(self))
 
 
+@attrs.define
+class _View:
+    """The store as it was read, kept up to date by a watch.
+
+    Attributes:
+        head: The head in the store.
+        head_revision: Its revision.
+        records: The operators' records by name.
+        statuses: The judgements in the store by the record's name.
+        chunks: The chunks of the head by digest.
+        revision: The revision up to which records were read.
+    """
+
+    head: Head
+    head_revision: int
+    records: dict[str, Entry]
+    statuses: dict[str, Entry]
+    chunks: dict[str, bytes]
+    revision: int
+
+
 class Publisher:
     """Publishes the records under `records/` as the accepted configuration.
 
-    Several may run at once: the compare-and-swap of the head lets one win.
+    Several may run at once: the compare-and-swap of the head lets one win,
+    and the other reads everything again.
 
     Args:
         store: The platform's store.
+        follower: What is in force here; saves reading chunks again.
     """
 
-    def __init__(self, store: Store) -> None:
+    def __init__(self, store: Store, follower: Follower) -> None:
         self._store = store
+        self._follower = follower
+        self._view: _View | None = None
+        self._unused: set[str] = set()
 
-    async def publish(self) -> Head:
-        """Publishes what has changed; returns the head in force.
+    @property
+    def revision(self) -> int:
+        """The revision up to which the records have been read."""
+        return self._view.revision if self._view else 0
+
+    async def start(self) -> Head:
+        """Reads the store and publishes what has changed.
 
         Raises:
             StoreError: The store failed; nothing or all is in force.
         """
-        head, revision = await accepted.read_head(self._store)
-        in_force = await self._records_in_force(head)
+        # The head is read before the records: should another publisher move
+        # it in between, the swap below fails instead of undoing its work.
+        head, head_revision = await accepted.read_head(self._store)
+        if head.generation < self._follower.head.generation:
+            events.STORE_BEHIND.log(
+                store=head.generation, in_force=self._follower.head.generation
+            )
+            raise StoreUnavailable(f"the store is at {head.generation}")
+        statuses = await self._store.scan(keys.STATUS)
         listing = await self._store.scan(keys.RECORDS)
-        wanted = {}
-        for entry in listing.entries:
-            name = entry.key.removeprefix(keys.RECORDS)
-            record = await self._judge(entry, name)
-            chosen = record or in_force.get(name)
-            if chosen is not None:
-                wanted[name] = chosen
-        chunks = accepted.pack_chunks(wanted.values())
-        names = [accepted.digest(chunk) for chunk in chunks]
-        if names == head.chunks:
-            return head
-        for chunk, name in zip(chunks, names, strict=True):
-            if name and name not in head.chunks:
-                await accepted.write_chunk(self._store, chunk)
-        new = Head(head.generation + 1, names)
-        swap = await self._store.swap(
-            keys.ACCEPTED_HEAD, revision, new.to_bytes()
+        self._view = _View(
+            head,
+            head_revision,
+            {e.key.removeprefix(keys.RECORDS): e for e in listing.entries},
+            {e.key.removeprefix(keys.STATUS): e for e in statuses.entries},
+            await self._read_chunks(head),
+            listing.revision,
         )
-        return new if swap.won else head
+        names = set(self._view.records)
+        return await self._publish(self._view, names, set(range(SLOTS)))
+
+    async def update(self, changes: list[Change]) -> Head:
+        """Takes changes of records and publishes them.
+
+        Raises:
+            StoreError: The store failed, or another publisher was first; call
+                `start` again.
+        """
+        view = self._view
+        if view is None:
+            return await self.start()
+        names = set()
+        for change in changes:
+            name = change.key.removeprefix(keys.RECORDS)
+            names.add(name)
+            view.revision = max(view.revision, change.revision)
+            if change.entry is None:
+                view.records.pop(name, None)
+            else:
+                view.records[name] = change.entry
+        slots = {accepted.slot_of_key(name) for name in names}
+        return await self._publish(view, names, slots)
 
-    async def _records_in_force(self, head: Head) -> dict[str, Record]:
+    async def collect(self) -> int:
+        """Deletes chunks found unused twice in a row; returns how many."""
+        if self._view is None:
+            return 0
+        listing = await self._store.scan(keys.CHUNKS)
+        used = {keys.chunk(name) for name in self._view.head.chunks}
+        unused = {e.key: e for e in listing.entries if e.key not in used}
+        doomed = [e for key, e in unused.items() if key in self._unused]
+        self._unused = set(unused)
+        if doomed:
+            # A publisher that was paused since before the first reading may
+            # still count on these chunks; moving the head makes it fail.
+            await self._move_head(self._view, self._view.head)
+        for entry in doomed:
+            await self._store.delete(entry.key, entry.revision)
+        if doomed:
+            events.CHUNKS_COLLECTED.log(count=len(doomed))
+        return len(doomed)
+
+    async def _read_chunks(self, head: Head) -> dict[str, bytes]:
         found = {}
         for name in filter(None, head.chunks):
-            chunk = await accepted.read_chunk(self._store, name)
-            for record in accepted.unpack_chunk(chunk):
-                found[record.key] = record
+            held = self._follower.chunk(name)
+            found[name] = held or await accepted.read_chunk(self._store, name)
         return found
 
-    async def _judge(self, entry: Entry, name: str) -> Record | None:
-        """Checks a record and writes the status beside it."""
-        error = ""
-        record: Record | None = None
+    async def _publish(
+        self, view: _View, names: set[str], slots: set[int]
+    ) -> Head:
+        """Publishes slots after the records called `names` have changed."""
+        in_force = _records_in(view, slots)
+        judged = {name: _judge(view.records.get(name), name) for name in names}
+        # A record that is gone from the store leaves its slot too.
+        wanted: dict[int, list[Record]] = {slot: [] for slot in slots}
+        for name in view.records:
+            slot = accepted.slot_of_key(name)
+            if slot not in slots:
+                continue
+            good = judged[name].record if name in judged else None
+            chosen = good or in_force.get(name)
+            if chosen is not None:
+                wanted[slot].append(chosen)
+        head = await self._swap_head(view, wanted)
+        for name, verdict in sorted(judged.items()):
+            if verdict.is_final:
+                await self._write_status(view, name, verdict)
+        return head
+
+    async def _swap_head(
+        self, view: _View, wanted: dict[int, list[Record]]
+    ) -> Head:
+        chunks = list(view.head.chunks)
+        packed = {}
+        for slot, items in wanted.items():
+            chunk = accepted.pack_chunk(items)
+            chunks[slot] = accepted.digest(chunk)
+            packed[chunks[slot]] = chunk
+        if chunks == view.head.chunks:
+            return view.head
+        for name, chunk in packed.items():
+            if name and name not in view.chunks:
+                await accepted.write_chunk(self._store, chunk)
+        head = Head(view.head.generation + 1, chunks)
+        await self._move_head(view, head)
+        known = view.chunks | packed
+        view.chunks = {name: known[name] for name in filter(None, chunks)}
+        events.PUBLISHED.log(generation=head.generation)
+        return head
+
+    async def _move_head(self, view: _View, head: Head) -> None:
+        """Swaps the head in the store.
+
+        Raises:
+            StoreUnavailable: Another publisher has moved it.
+        """
+        value = head.to_bytes()
         try:
-            record = records.parse(entry.value, name)
-            if not record.is_newer:
-                records.check(record)
-        except RecordError as fault:
-            record, error = None, str(fault)
-            events.RECORD_REJECTED.log(record=name, error=error)
-        judgement = Judgement(entry.revision, not error, error)
+            swap = await self._store.swap(
+                keys.ACCEPTED_HEAD, view.head_revision, value
+            )
+            revision = swap.revision if swap.won else 0
+        except StoreUncertain:
+            # What is there now tells whether the write took effect.
+            entry = await self._store.get(keys.ACCEPTED_HEAD)
+            written = entry is not None and entry.value == value
+            revision = entry.revision if entry and written else 0
+        if not revision:
+            self._view = None
+            raise StoreUnavailable("another publisher was first")
+        view.head, view.head_revision = head, revision
+
+    async def _write_status(
+        self, view: _View, name: str, verdict: "_Verdict"
+    ) -> None:
+        """Writes or removes the status beside a record."""
+        current = view.statuses.get(name)
         key = keys.STATUS + name
-        current = await self._store.get(key)
-        if current is None or current.value != judgement.to_bytes():
-            expected = current.revision if current else 0
-            await self._store.swap(key, expected, judgement.to_bytes())
-        return record
+        if not verdict.error:
+            if current is not None:
+                await self._store.delete(key, current.revision)
+                del view.statuses[name]
+            return
+        value = Judgement(verdict.revision, verdict.error).to_bytes()
+        if current is not None and current.value == value:
+            return
+        expected = current.revision if current else 0
+        swap = await self._store.swap(key, expected, value)
+        if swap.won:
+            view.statuses[name] = Entry(key, value, swap.revision)
+        elif swap.current is not None:
+            view.statuses[name] = swap.current
+
+
+@attrs.frozen
+class _Verdict:
+    """What was found on a record.
+
+    Attributes:
+        revision: The record's revision; 0 if it is gone.
+        record: The record if it is good.
+        error: What is wrong with it, or empty.
+        is_final: Whether this program knows the record's schema.
+    """
+
+    revision: int = 0
+    record: Record | None = None
+    error: str = ""
+    is_final: bool = True
+
+
+def _judge(entry: Entry | None, name: str) -> _Verdict:
+    """Checks a record.
+
+    A record of a newer schema is neither good nor wrong here: what is in force
+    of it stays, byte for byte, until a newer program publishes.
+    """
+    if entry is None:
+        return _Verdict()
+    try:
+        record = records.parse(entry.value, name)
+        if record.key != name:
+            raise RecordError(name, "name", record.key, name)
+        if record.is_newer:
+            return _Verdict(entry.revision, is_final=False)
+        records.check(record)
+        return _Verdict(entry.revision, record)
+    except RecordError as fault:
+        events.RECORD_REJECTED.log(record=name, error=str(fault))
+        return _Verdict(entry.revision, None, str(fault))
+
+
+def _records_in(view: _View, slots: set[int]) -> dict[str, Record]:
+    """Returns the records in force in some slots, by name."""
+    found = {}
+    for slot in slots:
+        name = view.head.chunks[slot]
+        chunk = view.chunks.get(name, b"") if name else b""
+        for record in accepted.unpack_chunk(chunk):
+            found[record.key] = record
+    return found
--- /dev/null
+++ b/rhubarbwinch/publishing.py
@@ -0,0 +1,118 @@
+"""Runs the publisher at one control at a time, paced."""
+
+import anyio
+import anyio.abc
+
+from rhubarbwinch import keys, rendezvous
+from rhubarbwinch.clock import Clock
+from rhubarbwinch.exceptions import CodecError, StoreError
+from rhubarbwinch.members import Members, Role
+from rhubarbwinch.publisher import Publisher
+from rhubarbwinch.store import Change, Store
+
+RETRY_MS = 500
+BATCH_MS = 50
+PACE_MS = 200
+COLLECT_MS = 600_000
+
+
+class Publishing:
+    """Publishes while this control is the one that all would choose.
+
+    Rendezvous hashing over the members chooses it, without a call to the
+    store. Two may believe it at once; the head's compare-and-swap then lets
+    one win.
+
+    Args:
+        publisher: Publishes.
+        store: The platform's store.
+        members: The known members.
+        clock: The source of time.
+    """
+
+    def __init__(
+        self,
+        publisher: Publisher,
+        store: Store,
+        members: Members,
+        clock: Clock,
+    ) -> None:
+        self._publisher = publisher
+        self._store = store
+        self._members = members
+        self._clock = clock
+        self._lock = anyio.Lock()
+        self._changes: list[Change] = []
+        self._changed = anyio.Event()
+        self._members_changed = anyio.Event()
+        members.on_change(self._wake)
+
+    @property
+    def is_chosen(self) -> bool:
+        """Whether this control publishes."""
+        names = [m.name for m in self._members.serving(Role.CONTROL)]
+        return rendezvous.owner("publisher", names) == self._members.me.name
+
+    async def run(self) -> None:
+        """Publishes whenever it is this control's turn, until cancelled."""
+        while True:
+            self._members_changed = anyio.Event()
+            if not self.is_chosen:
+                await self._members_changed.wait()
+                continue
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(self._publish)
+                tasks.start_soon(self._collect)
+                while self.is_chosen:
+                    self._members_changed = anyio.Event()
+                    await self._members_changed.wait()
+                tasks.cancel_scope.cancel()
+
+    async def _publish(self) -> None:
+        while True:
+            self._changes = []
+            self._changed = anyio.Event()
+            try:
+                async with self._lock:
+                    await self._publisher.start()
+                async with anyio.create_task_group() as tasks:
+                    tasks.start_soon(self._watch, tasks.cancel_scope)
+                    await self._update()
+            except* (StoreError, CodecError):
+                # Everything is read again, so no change is lost.
+                pass
+            await self._clock.sleep(RETRY_MS)
+
+    async def _watch(self, scope: anyio.CancelScope) -> None:
+        """Collects changes; ends the update when the watch fails."""
+        try:
+            after = self._publisher.revision
+            async for change in self._store.watch(keys.RECORDS, after):
+                self._changes.append(change)
+                self._changed.set()
+        except StoreError:
+            scope.cancel()
+
+    async def _update(self) -> None:
+        while True:
+            await self._changed.wait()
+            # Changes that come together cost one generation.
+            await self._clock.sleep(BATCH_MS)
+            self._changed = anyio.Event()
+            changes, self._changes = self._changes, []
+            async with self._lock:
+                await self._publisher.update(changes)
+            await self._clock.sleep(PACE_MS)
+
+    async def _collect(self) -> None:
+        while True:
+            await self._clock.sleep(COLLECT_MS)
+            try:
+                async with self._lock:
+                    await self._publisher.collect()
+            except StoreError:
+                # The next reading finds the chunks again.
+                continue
+
+    def _wake(self) -> None:
+        self._members_changed.set()
--- a/rhubarbwinch/records.py
+++ b/rhubarbwinch/records.py
@@ -190,11 +190,23 @@
     )
 
 
+@attrs.frozen
+class VmSpec:
+    """A VM, named by its IP number.
+
+    Attributes:
+        leaving: Whether it gets no new work.
+    """
+
+    leaving: bool = True
+
+
 KINDS: dict[str, type] = {
     "model": ModelSpec,
     "pool": PoolSpec,
     "account": AccountSpec,
     "service": ServiceSpec,
+    "vm": VmSpec,
 }
 
 # Converts the spec of `kind/schema` to the next schema.
@@ -234,8 +246,9 @@
     return spec
 
 
+@CONVERTERS.register("vm/1")
 @CONVERTERS.register("pool/1")
-def _pool_1(spec: JSON) -> JSON:
+def _unchanged(spec: JSON) -> JSON:
     """Schema 1 is the same as schema 2."""
     return spec
 
@@ -249,12 +262,14 @@
         name: Unique within the kind.
         schema: The schema version of `spec`.
         spec: The fields, unchecked.
+        raw: The bytes that it was read from, if any.
     """
 
     kind: str
     name: str
     schema: int
     spec: JSON = attrs.field(factory=dict)
+    raw: bytes = attrs.field(default=b"", eq=False, repr=False)
 
     @property
     def key(self) -> str:
@@ -267,8 +282,15 @@
         return self.schema > CURRENT_SCHEMA
 
     def to_bytes(self) -> bytes:
-        """Returns the record as JSON, with sorted keys."""
-        data = attrs.asdict(self, recurse=False)
+        """Returns the bytes that it was read from, or JSON with sorted keys."""
+        if self.raw:
+            return self.raw
+        data = {
+            "kind": self.kind,
+            "name": self.name,
+            "schema": self.schema,
+            "spec": self.spec,
+        }
         return orjson.dumps(data, option=orjson.OPT_SORT_KEYS)
 
 
@@ -282,6 +304,7 @@
     Raises:
         RecordError: It is not a record of a known kind.
     """
+    raw = data if isinstance(data, bytes) else b""
     if isinstance(data, bytes):
         if len(data) > MAX_RECORD_BYTES:
             allowed = f"at most {MAX_RECORD_BYTES} bytes"
@@ -295,7 +318,9 @@
     kind, name = data.get("kind"), data.get("name")
     schema, spec = data.get("schema"), data.get("spec", {})
     where = f"{kind}/{name}"
-    if kind not in KINDS:
+    # A newer schema may bring kinds that this program does not know.
+    is_newer = type(schema) is int and schema > CURRENT_SCHEMA
+    if kind not in KINDS and not (is_newer and isinstance(kind, str)):
         raise RecordError(where, "kind", kind, ", ".join(KINDS))
     if not isinstance(name, str) or not _NAME.match(name):
         allowed = "1 to 63 of a-z, 0-9, dot and dash"
@@ -304,7 +329,7 @@
         raise RecordError(where, "schema", schema, "a whole number from 1")
     if not isinstance(spec, dict):
         raise RecordError(where, "spec", spec, "an object")
-    return Record(kind, name, schema, spec)
+    return Record(kind, name, schema, spec, raw)
 
 
 def check(record: Record) -> Any:
--- /dev/null
+++ b/rhubarbwinch/registration.py
@@ -0,0 +1,123 @@
+"""A member's registration in the store, under a lease."""
+
+import anyio
+
+from rhubarbwinch import codec, events, keys
+from rhubarbwinch.clock import Clock
+from rhubarbwinch.exceptions import CodecError, StoreError
+from rhubarbwinch.members import Member, MemberNews, Members
+from rhubarbwinch.store import Store
+
+SEEDS = 2
+SCAN_MS = 30_000
+
+
+class Registration:
+    """Keeps this process's registration and reads the others'.
+
+    Every member reads the list when it starts and after an outage. Later only
+    a few seeds of each data centre read it, so that groups that lost sight of
+    each other meet again; the rest hear from their peers.
+
+    Args:
+        store: The platform's store.
+        members: The view to keep.
+        clock: The source of time.
+        lease_ms: The life of the registration without renewal.
+    """
+
+    def __init__(
+        self, store: Store, members: Members, clock: Clock, lease_ms: int
+    ) -> None:
+        self._store = store
+        self._members = members
+        self._clock = clock
+        self._lease_ms = lease_ms
+        self._lease = 0
+        self._written: Member | None = None
+        self._store_ok = True
+        self._read_at: int | None = None
+        self._wake = anyio.Event()
+
+    async def run(self) -> None:
+        """Renews the registration until cancelled."""
+        while True:
+            await self.step()
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(self._wait, tasks.cancel_scope)
+                await self._wake.wait()
+                tasks.cancel_scope.cancel()
+            self._wake = anyio.Event()
+
+    def hurry(self) -> None:
+        """Makes a change of state known at once."""
+        self._wake.set()
+
+    async def step(self) -> None:
+        """Renews once; an outage of the store leaves the view as it is."""
+        try:
+            await self._register()
+            if self._is_scan_due():
+                await self._read_others()
+        except StoreError as error:
+            if self._store_ok:
+                events.STORE_DOWN.log(error=str(error))
+            self._store_ok = False
+            # Whatever was registered during the outage has been missed.
+            self._read_at = None
+            return
+        if not self._store_ok:
+            events.STORE_UP.log()
+        self._store_ok = True
+
+    async def holds_lease(self, name: str) -> bool:
+        """Tells whether the store vouches for a member.
+
+        A store that is down vouches for nobody.
+        """
+        try:
+            return await self._store.get(keys.member(name)) is not None
+        except StoreError:
+            return False
+
+    async def close(self) -> None:
+        """Ends the registration."""
+        if self._lease:
+            await self._store.revoke_lease(self._lease)
+
+    async def _wait(self, scope: anyio.CancelScope) -> None:
+        await self._clock.sleep(self._lease_ms // 3)
+        scope.cancel()
+
+    async def _register(self) -> None:
+        if not self._lease or not await self._store.keep_lease(self._lease):
+            self._lease = await self._store.grant_lease(self._lease_ms)
+            self._written = None
+        me = self._members.me
+        if self._written == me:
+            return
+        key = keys.member(me.name)
+        current = await self._store.get(key)
+        expected = current.revision if current else 0
+        value = codec.encode(me)
+        swap = await self._store.swap(key, expected, value, self._lease)
+        self._written = me if swap.won else None
+
+    def _is_scan_due(self) -> bool:
+        if self._read_at is None:
+            return True
+        if self._clock.now() - self._read_at < SCAN_MS:
+            return False
+        me = self._members.me
+        return me.name in self._members.seeds("members", me.data_center, SEEDS)
+
+    async def _read_others(self) -> None:
+        listing = await self._store.scan(keys.MEMBERS)
+        self._read_at = self._clock.now()
+        for entry in listing.entries:
+            try:
+                found = codec.decode(entry.value, Member)
+            except CodecError as error:
+                events.PEER_REFUSED.log(error=str(error))
+                continue
+            self._members.hear(MemberNews(found))
--- /dev/null
+++ b/rhubarbwinch/vmlist.py
@@ -0,0 +1,145 @@
+"""The platform's list of live and leaving VMs, a hint that lags."""
+
+import enum
+from collections.abc import Callable
+from typing import Protocol
+
+import attrs
+import httpx
+import orjson
+
+from rhubarbwinch import events, rendezvous
+from rhubarbwinch.clock import Clock
+from rhubarbwinch.exceptions import VmListError
+from rhubarbwinch.leaving import REPEAT_MS, LeavingVms, Notice
+from rhubarbwinch.members import Members, Role
+from rhubarbwinch.registry import Registry
+
+POLL_MS = 500
+READ_TIMEOUT_S = 2.0
+
+
+class VmState(enum.StrEnum):
+    """What the platform says of a VM."""
+
+    LIVE = "live"
+    LEAVING = "leaving"
+
+
+@attrs.frozen
+class Vm:
+    """A VM on the list.
+
+    Attributes:
+        host: Its IP number.
+        state: What the platform says of it.
+    """
+
+    host: str
+    state: VmState
+
+
+class VmList(Protocol):
+    """Reads the platform's list."""
+
+    async def read(self) -> list[Vm]:
+        """Returns the list.
+
+        Raises:
+            VmListError: The list can't be read.
+        """
+        ...
+
+
+# Builds a list's reader from its address, `a.b.c.d:port`.
+VmListFactory = Callable[[str], VmList]
+
+VM_LISTS: Registry[VmListFactory] = Registry("VM list adapter")
+
+
+@VM_LISTS.register("json")
+class JsonVmList:
+    """Reads `GET /vms`: `[{"host": "10.0.0.1", "state": "leaving"}, ...]`.
+
+    Args:
+        address: `a.b.c.d:port` of the list.
+    """
+
+    def __init__(self, address: str) -> None:
+        self._url = f"http://{address}/vms"
+        self._client = httpx.AsyncClient(timeout=READ_TIMEOUT_S)
+
+    async def read(self) -> list[Vm]:
+        """Returns the list.
+
+        Raises:
+            VmListError: The list can't be read.
+        """
+        try:
+            response = await self._client.get(self._url)
+            items = orjson.loads(response.raise_for_status().content)
+            return [Vm(i["host"], VmState(i["state"])) for i in items]
+        except (httpx.HTTPError, ValueError, KeyError, TypeError) as error:
+            raise VmListError(f"{self._url}: {error!r}") from error
+
+
+class VmListReader:
+    """Reads the list at one control and tells all members of VMs that leave.
+
+    The list lags and can be wrong, so it never makes a member dead, and a VM
+    that is missing from it is not taken as leaving. While the list is silent
+    its last word stays.
+
+    Args:
+        vms: The list.
+        members: Decides which control reads it.
+        leaving: Where notices go.
+        clock: The source of time.
+    """
+
+    def __init__(
+        self, vms: VmList, members: Members, leaving: LeavingVms, clock: Clock
+    ) -> None:
+        self._vms = vms
+        self._members = members
+        self._leaving = leaving
+        self._clock = clock
+        self._told: dict[str, int] = {}
+        self._silent = False
+
+    async def run(self) -> None:
+        """Reads the list until cancelled."""
+        while True:
+            await self.step()
+            await self._clock.sleep(POLL_MS)
+
+    async def step(self) -> None:
+        """Reads the list once if that is this control's task."""
+        names = [m.name for m in self._members.serving(Role.CONTROL)]
+        if rendezvous.owner("vm-list", names) != self._members.me.name:
+            self._told.clear()
+            return
+        try:
+            found = await self._vms.read()
+        except VmListError as error:
+            if not self._silent:
+                events.VM_LIST_SILENT.log(error=str(error))
+            self._silent = True
+            # The last word is repeated, so that it does not lapse meanwhile.
+            found = [Vm(host, VmState.LEAVING) for host in self._told]
+        else:
+            self._silent = False
+        self._tell(found)
+
+    def _tell(self, found: list[Vm]) -> None:
+        now = self._clock.now()
+        leaving = {vm.host for vm in found if vm.state is VmState.LEAVING}
+        live = {vm.host for vm in found if vm.state is VmState.LIVE}
+        for host in sorted(leaving):
+            if now - self._told.get(host, -REPEAT_MS) >= REPEAT_MS:
+                self._told[host] = now
+                self._leaving.share(host, Notice.LEAVING)
+        for host in sorted(set(self._told) - leaving):
+            del self._told[host]
+            if host in live:
+                self._leaving.share(host, Notice.LIVE)
