--- a/rhubarbwinch/accepted.py
+++ b/rhubarbwinch/accepted.py
@@ -62,6 +62,11 @@
         raise CodecError(f"not a head: {error}") from error
 
 
+def slot_of(record: Record) -> int:
+    """Returns the slot whose chunk holds the record."""
+    return slot_of_key(record.key)
+
+
 def slot_of_key(key: str) -> int:
     """Returns the slot whose chunk holds the record `kind/name`."""
     return xxhash.xxh3_64_intdigest(key.encode()) % SLOTS
@@ -82,6 +87,14 @@
     return codec.encode(Chunk([record.to_bytes() for record in ordered]))
 
 
+def pack_chunks(all_records: Iterable[Record]) -> list[bytes]:
+    """Returns each slot's chunk, empty for a slot without records."""
+    slots: list[list[Record]] = [[] for _ in range(SLOTS)]
+    for record in all_records:
+        slots[slot_of_key(record.key)].append(record)
+    return [pack_chunk(slot) for slot in slots]
+
+
 def digest(chunk: bytes) -> str:
     """Returns the name of a chunk; empty for an empty one."""
     return hashlib.sha256(chunk).hexdigest()[:32] if chunk else ""
@@ -131,7 +144,35 @@
 
 def make_snapshot(generation: int, items: Iterable[Record]) -> Snapshot:
     """Builds a snapshot; records of a newer schema are kept but not indexed."""
-    snapshot = Snapshot(generation)
+    return revise(Snapshot(), generation, (), items)
+
+
+def revise(
+    old: Snapshot,
+    generation: int,
+    removed: Iterable[Record],
+    added: Iterable[Record],
+) -> Snapshot:
+    """Builds a snapshot from an older one, which stays as it is.
+
+    Only the records that are added are checked, so the cost of a change does
+    not grow with the configuration beyond the copies of the indexes.
+
+    Args:
+        old: The snapshot to start from.
+        generation: The new generation.
+        removed: Records of `old` to leave out.
+        added: Records to put in, after the removals.
+    """
+    snapshot = Snapshot(
+        generation,
+        dict(old.records),
+        dict(old.models),
+        dict(old.pools),
+        dict(old.accounts),
+        dict(old.services),
+        dict(old.vms),
+    )
     index: dict[str, dict[str, Any]] = {
         "model": snapshot.models,
         "pool": snapshot.pools,
@@ -139,7 +180,10 @@
         "service": snapshot.services,
         "vm": snapshot.vms,
     }
-    for record in items:
+    for record in removed:
+        snapshot.records.pop(record.key, None)
+        index.get(record.kind, {}).pop(record.name, None)
+    for record in added:
         snapshot.records[record.key] = record
         try:
             index[record.kind][record.name] = records.check(record)
--- a/rhubarbwinch/events.py
+++ b/rhubarbwinch/events.py
@@ -150,3 +150,15 @@
 VM_LIST_SILENT = Event(
     205, "vm-list-silent", logging.WARNING, "The list of VMs can't be read."
 )
+ORDERS_TAKEN = Event(
+    600, "orders-taken", logging.INFO, "This control sends a pool's orders."
+)
+ORDERS_LOST = Event(
+    601, "orders-lost", logging.WARNING, "The lease for orders lapsed."
+)
+ORDER_SENT = Event(
+    602, "order-sent", logging.INFO, "An endpoint took an order."
+)
+ORDER_FAILED = Event(
+    603, "order-failed", logging.WARNING, "An endpoint failed an order."
+)
--- a/rhubarbwinch/follower.py
+++ b/rhubarbwinch/follower.py
@@ -11,6 +11,7 @@
 from rhubarbwinch.distribution import MAX_PEERS_ASKED, Distribution
 from rhubarbwinch.exceptions import CodecError, StoreError
 from rhubarbwinch.members import Members
+from rhubarbwinch.records import Record
 from rhubarbwinch.store import Store
 
 RETRY_MS = 500
@@ -210,18 +211,31 @@
         return await accepted.read_chunk(self._store, name)
 
     def _put_in_force(self, head: Head, chunks: dict[str, bytes]) -> None:
-        items = [
-            record
-            for chunk in chunks.values()
-            for record in accepted.unpack_chunk(chunk)
-        ]
+        # Only changed chunks are parsed: a whole configuration would hold up
+        # every open stream for longer than a gap between tokens may be.
+        removed = _records_besides(self._chunks, chunks)
+        added = _records_besides(chunks, self._chunks)
+        self._snapshot = accepted.revise(
+            self._snapshot, head.generation, removed, added
+        )
         self._head, self._chunks = head, chunks
-        self._snapshot = accepted.make_snapshot(head.generation, items)
         events.CONFIG_IN_FORCE.log(
-            generation=head.generation, records=len(items)
+            generation=head.generation, records=len(self._snapshot.records)
         )
         for listener in self._listeners:
             listener(self._snapshot)
 
     def _wake(self) -> None:
         self._members_changed.set()
+
+
+def _records_besides(
+    chunks: dict[str, bytes], others: dict[str, bytes]
+) -> list[Record]:
+    """Returns the records of the chunks that are not among the others."""
+    return [
+        record
+        for name, chunk in chunks.items()
+        if name not in others
+        for record in accepted.unpack_chunk(chunk)
+    ]
