Members in one process, and a measurement of the spread

Figures on the way a change takes need many members and an exact clock. Ruled out: separate processes, whose figures depend on the machine's load, and a simulator of the network; the members' own parts run over memory links.

--- /dev/null
+++ b/lab/memberset.py
@@ -0,0 +1,156 @@
+"""Members of a deployment in one process, over memory links and a hand clock.
+
+Each has the parts that its program has, without HTTP; the wiring is that of
+`rhubarbwinch.daemon`.
+"""
+
+import random
+
+import anyio
+import anyio.abc
+
+from rhubarbwinch.clock import ManualClock
+from rhubarbwinch.distribution import Distribution
+from rhubarbwinch.follower import Follower
+from rhubarbwinch.gossip import Gossip
+from rhubarbwinch.leaving import LeavingVms
+from rhubarbwinch.members import Member, Members, Role
+from rhubarbwinch.memlinks import MemoryNetwork
+from rhubarbwinch.memstore import MemoryStore
+from rhubarbwinch.publisher import Publisher
+from rhubarbwinch.publishing import Publishing
+from rhubarbwinch.registration import Registration
+from rhubarbwinch.store import Store
+
+LEASE_MS = 5000
+
+
+class Node:
+    """One member.
+
+    Args:
+        me: The member.
+        store: The platform's store.
+        network: Carries messages.
+        clock: The source of time.
+        peers: Link addresses for a start without the store.
+        watches: Whether it watches the store's head whatever its peers do.
+    """
+
+    def __init__(
+        self,
+        me: Member,
+        store: Store,
+        network: MemoryNetwork,
+        clock: ManualClock,
+        peers: list[str] | None = None,
+        watches: bool = False,
+    ) -> None:
+        rng = random.Random(me.incarnation)
+        links = network.node(me.link)
+        self.links = links
+        self.clock = clock
+        self.members = Members(me)
+        self.registration = Registration(store, self.members, clock, LEASE_MS)
+        self.gossip = Gossip(
+            links,
+            links,
+            self.members,
+            clock,
+            rng,
+            peers or [],
+            self.registration.holds_lease,
+        )
+        if watches:
+            self.follower = Follower(store, clock)
+        else:
+            sharing = Distribution(links, links, self.members, rng)
+            self.follower = Follower(store, clock, self.members, sharing, peers)
+            self.gossip.on_newer(self.follower.notice)
+            self.follower.on_change(
+                lambda snapshot: self.gossip.set_generation(snapshot.generation)
+            )
+        self.leaving = LeavingVms(self.gossip, links, links, clock)
+        self.follower.on_change(self.leaving.configure)
+        self.publisher = Publisher(store, self.follower)
+        self.publishing = Publishing(self.publisher, store, self.members, clock)
+        self._scope: anyio.CancelScope | None = None
+
+    async def run(self) -> None:
+        """Runs the parts until `stop`."""
+        with anyio.CancelScope() as self._scope:
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(self.registration.run)
+                tasks.start_soon(self.gossip.run)
+                tasks.start_soon(self.follower.run)
+                tasks.start_soon(self.leaving.run)
+                if self.members.me.role is Role.CONTROL:
+                    tasks.start_soon(self.publishing.run)
+
+    def stop(self) -> None:
+        """Ends the parts without a word to the others."""
+        if self._scope is not None:
+            self._scope.cancel()
+
+
+class MemberSet:
+    """Several members, a store and the network between them.
+
+    Args:
+        tasks: Runs the members.
+        watches: Whether every member watches the store.
+    """
+
+    def __init__(
+        self, tasks: anyio.abc.TaskGroup, watches: bool = False
+    ) -> None:
+        self.clock = ManualClock()
+        self.store = MemoryStore(self.clock)
+        self.network = MemoryNetwork(self.clock)
+        self.nodes: dict[str, Node] = {}
+        self._tasks = tasks
+        self._watches = watches
+
+    def add(
+        self,
+        name: str,
+        role: Role = Role.ENTRY,
+        data_center: str = "dc-a",
+        peers: list[str] | None = None,
+        store: Store | None = None,
+    ) -> Node:
+        """Starts a member; its address is its name."""
+        incarnation = len(self.nodes) + 1
+        me = Member(
+            name,
+            role,
+            data_center,
+            "region",
+            incarnation,
+            link=name,
+            http=name,
+            version=self.clock.wall(),
+        )
+        node = Node(
+            me,
+            store or self.store,
+            self.network,
+            self.clock,
+            peers,
+            self._watches,
+        )
+        self.nodes[name] = node
+        self._tasks.start_soon(node.run)
+        return node
+
+    def kill(self, name: str) -> None:
+        """Ends a member without a word; calls to it time out."""
+        self.network.cut.add(name)
+        self.nodes.pop(name).stop()
+
+    def generations(self) -> list[int]:
+        """Returns the generation in force at each member, by name."""
+        return [
+            self.nodes[name].follower.head.generation
+            for name in sorted(self.nodes)
+        ]
--- /dev/null
+++ b/lab/spread.py
@@ -0,0 +1,120 @@
+"""Store calls and time until a change is in force at all members.
+
+Compares every member watching the store with a few seeds that do, whose peers
+hand the change on. The clock is set by hand, so the figures are exact and the
+same on every run. The measured idea is that of EdgeDis, sections 3.1 to 3.3.
+"""
+
+import argparse
+
+import anyio
+import attrs
+
+from lab.memberset import MemberSet
+from rhubarbwinch import accepted, keys
+from rhubarbwinch.accepted import Head
+from rhubarbwinch.memstore import MemoryStore
+from rhubarbwinch.records import Record
+
+DATA_CENTERS = 3
+# From this size on there are three regions of that many data centres.
+LARGE = 128
+SETTLE_MS = 15_000
+STEP_MS = 1
+LIMIT_MS = 60_000
+IDLE_MS = 10_000
+
+
+@attrs.frozen
+class Figures:
+    """What one change cost.
+
+    Attributes:
+        members: The size of the fleet.
+        idle_calls: Store calls a second of the whole fleet without changes.
+        calls: Store calls of the change, the publisher's left out.
+        watches: Waiting watches on the head.
+        half_ms: Until half of the members had it in force.
+        all_ms: Until all had.
+        octets: Bytes on links a member for the change, headers left out.
+    """
+
+    members: int
+    idle_calls: float
+    calls: int
+    watches: int
+    half_ms: int
+    all_ms: int
+    octets: int
+
+
+async def _publish(store: MemoryStore, generation: int) -> None:
+    record = Record("account", "acme", 2, {"weight": float(generation)})
+    chunks = accepted.pack_chunks([record])
+    for chunk in filter(None, chunks):
+        await accepted.write_chunk(store, chunk)
+    head = Head(generation, [accepted.digest(chunk) for chunk in chunks])
+    _, revision = await accepted.read_head(store)
+    await store.swap(keys.ACCEPTED_HEAD, revision, head.to_bytes())
+
+
+async def measure(members: int, watches: bool) -> Figures:
+    """Returns the cost of one change in a fleet of `members`."""
+    centers = DATA_CENTERS * (3 if members >= LARGE else 1)
+    async with anyio.create_task_group() as tasks:
+        fleet = MemberSet(tasks, watches)
+        await _publish(fleet.store, 1)
+        for i in range(members):
+            fleet.add(f"m-{i}", data_center=f"dc-{i % centers}")
+        await fleet.clock.advance(SETTLE_MS)
+        assert fleet.generations() == [1] * members
+        before = fleet.store.calls
+        await fleet.clock.advance(IDLE_MS)
+        idle = (fleet.store.calls - before) / (IDLE_MS / 1000)
+        octets = _octets(fleet)
+        calls = fleet.store.calls
+        await _publish(fleet.store, 2)
+        own = fleet.store.calls - calls
+        half = took = 0
+        while min(fleet.generations()) < 2 and took < LIMIT_MS:
+            await fleet.clock.advance(STEP_MS)
+            took += STEP_MS
+            done = sum(g == 2 for g in fleet.generations())
+            half = half or (took if done * 2 >= members else 0)
+        figures = Figures(
+            members,
+            round(idle, 1),
+            fleet.store.calls - calls - own,
+            sum(node.follower.is_seed for node in fleet.nodes.values()),
+            half,
+            took,
+            (_octets(fleet) - octets) // members,
+        )
+        tasks.cancel_scope.cancel()
+    return figures
+
+
+def _octets(fleet: MemberSet) -> int:
+    return sum(node.links.traffic.octets for node in fleet.nodes.values())
+
+
+def main() -> None:
+    """Prints a row for each size and way."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("sizes", nargs="*", type=int, default=[4, 16, 64])
+    options = parser.parse_args()
+    print(
+        "| way | members | store calls a second, idle | calls for a change "
+        "| waiting watches | half, ms | all, ms | bytes a member |"
+    )
+    print("|---|---|---|---|---|---|---|---|")
+    for size in options.sizes:
+        for watches in (True, False):
+            figures = anyio.run(measure, size, watches)
+            way = "direct" if watches else "spread"
+            cells = [str(cell) for cell in attrs.astuple(figures)]
+            print(f"| {way} | " + " | ".join(cells) + " |")
+
+
+if __name__ == "__main__":
+    main()
--- a/rhubarbwinch/clock.py
+++ b/rhubarbwinch/clock.py
@@ -6,6 +6,9 @@
 from typing import Protocol
 
 import anyio
+import anyio.lowlevel
+
+_SETTLE_TURNS = 30
 
 
 class Clock(Protocol):
@@ -85,10 +88,20 @@
     async def advance(self, ms: int) -> None:
         """Moves the clock on, waking each sleeper at its own time."""
         end = self._now + ms
+        await _settle()
         while self._sleepers and self._sleepers[0][0] <= end:
-            due, _, event = heapq.heappop(self._sleepers)
-            self._now = max(self._now, due)
-            event.set()
-            await anyio.wait_all_tasks_blocked()
+            self._now = max(self._now, self._sleepers[0][0])
+            while self._sleepers and self._sleepers[0][0] <= self._now:
+                heapq.heappop(self._sleepers)[2].set()
+            await _settle()
         self._now = end
-        await anyio.wait_all_tasks_blocked()
+        await _settle()
+
+
+async def _settle() -> None:
+    """Lets all tasks run until each of them waits for something."""
+    # The wait for blocked tasks sleeps for real when it finds one that is not;
+    # after some turns of the event loop there is none as a rule.
+    for _ in range(_SETTLE_TURNS):
+        await anyio.lowlevel.checkpoint()
+    await anyio.wait_all_tasks_blocked()
