--- a/rhubarbwinch/config.py
+++ b/rhubarbwinch/config.py
@@ -236,6 +236,8 @@
         order_lease_ms: The life of the lease for orders without renewal.
         order_flight_ms: The longest time from an order to its effect.
         loads_per_minute: What the weight store carries, for the deployment.
+        vm_list: `a.b.c.d:port` of the platform's list of VMs; empty for none.
+        vm_list_kind: The list's adapter.
     """
 
     engine_adapter: Annotated[
@@ -265,6 +267,18 @@
             "Load orders a minute in the whole deployment",
         ),
     ] = 60
+    vm_list: Annotated[
+        str,
+        _arg(
+            "vm-list",
+            "",
+            lambda value: _address(value) if value else "",
+            "Address of the list of VMs",
+        ),
+    ] = ""
+    vm_list_kind: Annotated[
+        str, _arg("vm-list-kind", "json", _name, "VM list adapter")
+    ] = "json"
 
 
 def environment_help() -> dict[str, str]:
--- a/rhubarbwinch/reports.py
+++ b/rhubarbwinch/reports.py
@@ -1,115 +1,96 @@
-"""Reports of open streams from entries to the owners of pools.
+"""An entry's reports of its open streams to the owners of their pools."""
 
-A digest of a few bytes tells an owner whether its view is right. Only when it
-is not, as after a change of owner or a lost message, all streams are told.
-"""
+import anyio
 
-from collections.abc import Iterable
-from functools import reduce
-from operator import xor
+from rhubarbwinch.clock import Clock
+from rhubarbwinch.exceptions import LinkError
+from rhubarbwinch.links import Links
+from rhubarbwinch.members import Member, Members
+from rhubarbwinch.messages import ProgressReport, StreamProgress
+from rhubarbwinch.permits import Permit, PermitClient, pool_owner
 
-import attrs
-import xxhash
+REPORT_MS = 1000
 
-from rhubarbwinch.messages import (
-    DigestReport,
-    ProgressReport,
-    StreamGrowth,
-    StreamProgress,
-)
 
-# A stream is told again after so many tokens; in between an owner goes by the
-# time of a step.
-GROWTH_TOKENS = 512
-# A grant or a release that is on its way makes one digest differ, so only the
-# second in a row counts.
-MISMATCHES_ALLOWED = 1
-
-
-def request_key(request_id: str) -> int:
-    """Returns the number that stands for a request in digests."""
-    return xxhash.xxh3_64_intdigest(request_id.encode())
-
-
-def digest_of(request_ids: Iterable[str]) -> int:
-    """Returns the exclusive or of the keys of requests, 0 for none."""
-    return reduce(xor, map(request_key, request_ids), 0)
-
-
-class StreamReporter:
-    """An entry's side.
+class Reporter:
+    """Reports regularly, and at once to the new owner of a pool.
 
     Args:
-        entry: The member's name.
+        entry: This member's name.
+        permits: The permits that are held.
+        members: Decides who owns a pool.
+        links: Calls the owners.
+        clock: The source of time.
     """
 
-    def __init__(self, entry: str) -> None:
+    def __init__(
+        self,
+        entry: str,
+        permits: PermitClient,
+        members: Members,
+        links: Links,
+        clock: Clock,
+    ) -> None:
         self._entry = entry
-        self._told: dict[str, dict[str, int]] = {}
-
-    def digest(self, pool: str, streams: list[StreamProgress]) -> DigestReport:
-        """Returns the report to send in each period."""
-        told = self._told.get(pool, {})
-        now_told: dict[str, int] = {}
-        grown = []
-        for stream in streams:
-            request_id = stream.request.request_id
-            before = told.get(request_id, 0)
-            if stream.tokens - before >= GROWTH_TOKENS:
-                before = stream.tokens
-                key = request_key(request_id)
-                grown.append(StreamGrowth(key, stream.tokens))
-            now_told[request_id] = before
-        self._told[pool] = now_told
-        if not streams:
-            del self._told[pool]
-        return DigestReport(
-            entry=self._entry,
-            pool=pool,
-            count=len(streams),
-            digest=digest_of(now_told),
-            grown=grown,
-        )
-
-    def announcement(
-        self, pool: str, streams: list[StreamProgress]
-    ) -> ProgressReport:
-        """Returns the report of everything, for an owner that asks for it."""
-        self._told[pool] = {s.request.request_id: s.tokens for s in streams}
-        return ProgressReport(self._entry, pool, streams)
-
-
-@attrs.frozen
-class _Source:
-    """An entry's streams in a pool."""
-
-    entry: str
-    pool: str
-
-
-class DigestChecker:
-    """An owner's side: tells when an entry must announce its streams."""
-
-    def __init__(self) -> None:
-        self._mismatches: dict[_Source, int] = {}
-
-    def wants_all(self, report: DigestReport, known: list[str]) -> bool:
-        """Compares a digest with what is known of the entry's streams.
-
-        Args:
-            report: What the entry tells.
-            known: The request ids that the owner counts as the entry's.
-        """
-        source = _Source(report.entry, report.pool)
-        same = report.count == len(known) and report.digest == digest_of(known)
-        if same:
-            self._mismatches.pop(source, None)
+        self._permits = permits
+        self._members = members
+        self._links = links
+        self._clock = clock
+        # The owner that each pool's last report went to.
+        self._told: dict[str, str] = {}
+        self._changed = anyio.Event()
+        members.on_change(self._wake)
+
+    async def run(self) -> None:
+        """Reports until cancelled."""
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._report_moves)
+            while True:
+                await self._clock.sleep(REPORT_MS)
+                await self._report_all()
+
+    async def _report_all(self) -> None:
+        held = self._held()
+        for pool in sorted(set(self._told) | set(held)):
+            await self._report(pool, held.get(pool, []))
+            if pool not in held:
+                # The empty report has said that nothing is open there.
+                self._told.pop(pool, None)
+
+    async def _report_moves(self) -> None:
+        """Tells the new owners, so that they can rebuild their view."""
+        while True:
+            await self._changed.wait()
+            self._changed = anyio.Event()
+            for pool, permits in sorted(self._held().items()):
+                owner = pool_owner(pool, self._members)
+                if owner is not None and self._told.get(pool) != owner.name:
+                    await self._report(pool, permits)
+
+    async def _report(self, pool: str, permits: list[Permit]) -> None:
+        owner = pool_owner(pool, self._members)
+        if owner is None:
+            return
+        streams = [
+            StreamProgress(p.request, p.grant.endpoint, 0) for p in permits
+        ]
+        report = ProgressReport(self._entry, pool, streams)
+        if await self._send(owner, report):
+            self._told[pool] = owner.name
+
+    async def _send(self, owner: Member, report: ProgressReport) -> bool:
+        try:
+            await self._links.send(owner.link, report)
+        except LinkError:
+            # The next report goes to the pool's next owner.
             return False
-        seen = self._mismatches.get(source, 0) + 1
-        self._mismatches[source] = seen
-        return seen > MISMATCHES_ALLOWED
+        return True
+
+    def _held(self) -> dict[str, list[Permit]]:
+        found: dict[str, list[Permit]] = {}
+        for permit in self._permits.open_permits:
+            found.setdefault(permit.request.pool, []).append(permit)
+        return found
 
-    def forget(self, entry: str) -> None:
-        """Drops what is kept of an entry that is gone."""
-        for source in [s for s in self._mismatches if s.entry == entry]:
-            del self._mismatches[source]
+    def _wake(self) -> None:
+        self._changed.set()
--- a/tests/test_reports.py
+++ b/tests/test_digests.py
@@ -2,13 +2,13 @@
 
 import unittest
 
-from rhubarbwinch.messages import StreamProgress
-from rhubarbwinch.reports import (
+from rhubarbwinch.digests import (
     GROWTH_TOKENS,
     DigestChecker,
     StreamReporter,
     request_key,
 )
+from rhubarbwinch.messages import StreamProgress
 from tests import builders
 
 
