--- a/rhubarbwinch/entry.py
+++ b/rhubarbwinch/entry.py
@@ -6,6 +6,7 @@
 
 from rhubarbwinch import identity, metrics, rendezvous
 from rhubarbwinch.apikeys import KeyChecker
+from rhubarbwinch.claimparts import ClaimParts
 from rhubarbwinch.config import EntrySettings
 from rhubarbwinch.daemon import Daemon
 from rhubarbwinch.drainlimit import run_until_limit
@@ -47,9 +48,11 @@
             settings.name,
             settings.data_center,
         )
+        self._claims = ClaimParts(daemon, settings)
         self._plain = PlainCaller(
             self._permits,
             self._endpoints,
+            self._claims.claims,
             ids,
             settings.name,
             settings.data_center,
@@ -77,6 +80,7 @@
         self._app.is_closing = lambda: daemon.drain.started
         daemon.serve_http(self._app)
         daemon.add("reports", self._reporter.run)
+        self._claims.attach(daemon)
         await daemon.run()
         await self._endpoints.close()
 
