--- a/rhubarbwinch/reports.py
+++ b/rhubarbwinch/reports.py
@@ -72,7 +72,8 @@
         if owner is None:
             return
         streams = [
-            StreamProgress(p.request, p.grant.endpoint, 0) for p in permits
+            StreamProgress(p.request, p.grant.endpoint, p.tokens)
+            for p in permits
         ]
         report = ProgressReport(self._entry, pool, streams)
         if await self._send(owner, report):
