--- a/rhubarbwinch/memstore.py
+++ b/rhubarbwinch/memstore.py
@@ -56,6 +56,11 @@
         """The revision of the last write."""
         return self._revision
 
+    @property
+    def changes(self) -> list[Change]:
+        """Every change so far, in order."""
+        return list(self._log)
+
     async def get(self, key: str) -> Entry | None:
         """Returns the entry of `key`, or None."""
         self._begin()
--- /dev/null
+++ b/tests/faultystore.py
@@ -0,0 +1,41 @@
+"""A store in memory whose head of the configuration misbehaves on request."""
+
+from rhubarbwinch import keys
+from rhubarbwinch.exceptions import StoreUncertain
+from rhubarbwinch.memstore import MemoryStore
+
+
+class FaultyStore(MemoryStore):
+    """Loses answers to the head's swap and hands out old heads.
+
+    Attributes:
+        lost: `after` loses the next answer once the head was written,
+            `before` loses the request, None nothing.
+        stale: The entry that is handed out as the head, or None.
+        heads: Every value that the head has had.
+    """
+
+    def __init__(self, clock):
+        super().__init__(clock)
+        self.lost = None
+        self.stale = None
+        self.heads = []
+
+    async def get(self, key):
+        entry = await super().get(key)
+        if key == keys.ACCEPTED_HEAD and self.stale is not None:
+            return self.stale
+        return entry
+
+    async def swap(self, key, expected, value, lease=0):
+        if key != keys.ACCEPTED_HEAD:
+            return await super().swap(key, expected, value, lease)
+        lost, self.lost = self.lost, None
+        if lost == "before":
+            raise StoreUncertain("the request was lost")
+        swap = await super().swap(key, expected, value, lease)
+        if swap.won:
+            self.heads.append(value)
+        if lost == "after":
+            raise StoreUncertain("the answer was lost")
+        return swap
