--- a/rhubarbwinch/config.py
+++ b/rhubarbwinch/config.py
@@ -187,6 +187,8 @@
             no key older than this is accepted.
         claim_writes_per_s: The most writes of claims in a second.
         meter_flush_ms: The time between two writes of the counters.
+        resume_grace_ms: How long a generation is kept for a caller that lost
+            its connection and may resume it.
     """
 
     max_body_bytes: Annotated[
@@ -238,6 +240,15 @@
             "Time between two writes of the counters",
         ),
     ] = 5_000
+    resume_grace_ms: Annotated[
+        int,
+        _arg(
+            "resume-grace-ms",
+            10_000,
+            _number(0, 600_000),
+            "How long a generation is kept for a caller that left it",
+        ),
+    ] = 10_000
 
 
 @attrs.define(kw_only=True)
@@ -267,6 +278,8 @@
         order_lease_ms: The life of the lease for orders without renewal.
         order_flight_ms: The longest time from an order to its effect.
         loads_per_minute: What the weight store carries, for the deployment.
+        vm_list: `a.b.c.d:port` of the platform's list of VMs; empty for none.
+        vm_list_kind: The list's adapter.
     """
 
     engine_adapter: Annotated[
@@ -296,6 +309,18 @@
             "Load orders a minute in the whole deployment",
         ),
     ] = 60
+    vm_list: Annotated[
+        str,
+        _arg(
+            "vm-list",
+            "",
+            lambda value: _address(value) if value else "",
+            "Address of the list of VMs",
+        ),
+    ] = ""
+    vm_list_kind: Annotated[
+        str, _arg("vm-list-kind", "json", _name, "VM list adapter")
+    ] = "json"
 
 
 def environment_help() -> dict[str, str]:
