--- a/rhubarbwinch/events.py
+++ b/rhubarbwinch/events.py
@@ -129,6 +129,69 @@
 ENDPOINT_LOST = Event(
     52, "endpoint-lost", logging.WARNING, "An endpoint failed a call."
 )
+MEMBER_SUSPECTED = Event(
+    200, "member-suspected", logging.INFO, "A member does not answer its peers."
+)
+PUBLISHED = Event(
+    201, "published", logging.INFO, "A new generation was accepted."
+)
+STORE_BEHIND = Event(
+    202,
+    "store-behind",
+    logging.ERROR,
+    "The store's head is older than the one in force; nothing is published.",
+)
+CHUNKS_COLLECTED = Event(
+    203, "chunks-collected", logging.INFO, "Unused chunks were deleted."
+)
+VM_LEAVING = Event(
+    204, "vm-leaving", logging.INFO, "A VM leaves or no longer leaves."
+)
+VM_LIST_SILENT = Event(
+    205, "vm-list-silent", logging.WARNING, "The list of VMs can't be read."
+)
+CLAIM_PAGE_BAD = Event(
+    100, "claim-page-bad", logging.ERROR, "A page of claims can't be read."
+)
+CLAIM_TAKEN_OVER = Event(
+    101, "claim-taken-over", logging.INFO, "An unsent claim changed owners."
+)
+CLAIM_UNRECORDED = Event(
+    102,
+    "claim-unrecorded",
+    logging.WARNING,
+    "An outcome is not in the store yet; the write is retried.",
+)
+CLAIM_HELD_TOO_LONG = Event(
+    103, "claim-held-too-long", logging.WARNING, "A late send was given up."
+)
+CLAIMS_CLEANED = Event(
+    104, "claims-cleaned", logging.INFO, "Pages past their keeping are gone."
+)
+METER_UNRECORDED = Event(
+    110, "meter-unrecorded", logging.WARNING, "Counters are not in the store."
+)
+ENDPOINT_STRIKE = Event(
+    120, "endpoint-strike", logging.WARNING, "An endpoint died under a request."
+)
+QUARANTINED = Event(
+    121, "quarantined", logging.ERROR, "A request is refused at all members."
+)
+SUSPECT_CLEARED = Event(
+    122, "suspect-cleared", logging.INFO, "A suspected request has finished."
+)
+ORDERS_TAKEN = Event(
+    600, "orders-taken", logging.INFO, "This control sends a pool's orders."
+)
+ORDERS_LOST = Event(
+    601, "orders-lost", logging.WARNING, "The lease for orders lapsed."
+)
+ORDER_SENT = Event(
+    602, "order-sent", logging.INFO, "An endpoint took an order."
+)
+ORDER_FAILED = Event(
+    603, "order-failed", logging.WARNING, "An endpoint failed an order."
+)
 STREAM_ABANDONED = Event(
     400,
     "stream-abandoned",
