--- a/lab/memberset.py
+++ b/lab/memberset.py
@@ -70,7 +70,7 @@
             self.follower.on_change(
                 lambda snapshot: self.gossip.set_generation(snapshot.generation)
             )
-        self.leaving = LeavingVms(self.gossip, links, links, clock)
+        self.leaving = LeavingVms(self.gossip, clock)
         self.follower.on_change(self.leaving.configure)
         self.publisher = Publisher(store, self.follower)
         self.publishing = Publishing(self.publisher, store, self.members, clock)
--- a/rhubarbwinch/daemon.py
+++ b/rhubarbwinch/daemon.py
@@ -112,9 +112,7 @@
         self.follower.on_change(
             lambda snapshot: self.gossip.set_generation(snapshot.generation)
         )
-        self.leaving = LeavingVms(
-            self.gossip, self._gossip_links, self.server, self.clock
-        )
+        self.leaving = LeavingVms(self.gossip, self.clock)
         self.follower.on_change(self.leaving.configure)
         self.leaving.on_change(self._follow_notice)
         self._tree = Supervisor(settings.name, self.clock)
--- a/rhubarbwinch/gossip.py
+++ b/rhubarbwinch/gossip.py
@@ -74,8 +74,9 @@
         self._peers = peers
         self._holds_lease = holds_lease
         self._handlers: dict[str, RumourHandler] = {}
-        self._rumours = Rumours(rng)
+        self._rumours = Rumours()
         self._generation = 0
+        self._ended = False
         self._on_newer: NewerHandler = lambda _generation, _address: None
         self._fresh = anyio.Event()
         self._turn = 0
@@ -146,8 +147,8 @@
 
     async def goodbye(self) -> None:
         """Tells the neighbours that this process ends now."""
-        news = MemberNews(self._members.me, Health.DEAD)
-        self._spread(news)
+        self._ended = True
+        self._spread(MemberNews(self._members.me, Health.DEAD))
         async with anyio.create_task_group() as tasks:
             for peer in self.neighbours:
                 tasks.start_soon(self._exchange, peer)
@@ -231,15 +232,20 @@
 
     async def _exchange(self, peer: Member) -> bool:
         """Sends a heartbeat; returns whether the peer answered."""
+        sent = self._rumours.pick(peer.name, MAX_NEWS_BYTES)
         try:
             answer = await self._links.call(
-                peer.link, self._make(), Heartbeat, HEARTBEAT_TIMEOUT_MS
+                peer.link,
+                self._make(peer.name, sent),
+                Heartbeat,
+                HEARTBEAT_TIMEOUT_MS,
             )
         except (LinkError, CodecError):
             return False
         if answer.sender != peer.name:
             # Another process has taken the address over.
             return False
+        self._rumours.mark(peer.name, sent)
         await self._take(answer)
         quiet = self._clock.now() - self._synced_at >= SYNC_MS
         if answer.digest != self._members.digest() and quiet:
@@ -257,19 +263,24 @@
         for news in reply.news:
             self._hear(news)
 
-    def _make(self) -> Heartbeat:
-        me = self._members.me
-        size = len(self._members.all())
+    def _make(self, peer: str, rumours: list[Rumour]) -> Heartbeat:
+        verdict = self._members.news_of(peer)
+        if verdict is not None and verdict.health is not Health.ALIVE:
+            # The peer is there, so it must hear what is said of it, to deny
+            # it.
+            rumours = [*rumours, _member_rumour(verdict)]
         return Heartbeat(
-            me.name,
+            self._members.me.name,
             self._generation,
             self._members.digest(),
-            self._rumours.pick(size, MAX_NEWS_BYTES),
+            rumours,
         )
 
     async def _answer(self, heartbeat: Heartbeat) -> Heartbeat:
         await self._take(heartbeat)
-        return self._make()
+        peer = heartbeat.sender
+        rumours = self._rumours.pick_answer(peer, MAX_NEWS_BYTES)
+        return self._make(peer, rumours)
 
     async def _show_view(self, request: ViewRequest) -> ViewReply:
         return ViewReply(self._members.differing(request.digests))
@@ -277,6 +288,7 @@
     async def _take(self, heartbeat: Heartbeat) -> None:
         for rumour in heartbeat.rumours:
             await self._take_rumour(rumour)
+        self._rumours.mark(heartbeat.sender, heartbeat.rumours)
         sender = self._members.get(heartbeat.sender)
         # A sender that was taken for dead hears so when it compares views.
         if sender is not None and heartbeat.generation > self._generation:
@@ -299,6 +311,8 @@
             await handler(rumour.key, rumour.data)
 
     def _hear(self, news: MemberNews) -> None:
+        if self._ended and news.member.name == self._members.me.name:
+            return
         told = self._members.hear(news)
         if told is not None:
             self._spread(told)
@@ -308,9 +322,7 @@
         if news.health is Health.DEAD:
             self._buried_at.setdefault(name, self._clock.now())
             self._missed.pop(name, None)
-        # A health above alive counts more at the same version.
-        version = news.member.version * len(Health) + news.health
-        self._pass_on(Rumour(_MEMBER, name, 0, version, codec.encode(news)))
+        self._pass_on(_member_rumour(news))
 
     def _pass_on(self, rumour: Rumour) -> None:
         if self._rumours.take(rumour, self._clock.now()):
@@ -324,3 +336,9 @@
 
     def _forget_neighbours(self) -> None:
         self._neighbours = None
+
+
+def _member_rumour(news: MemberNews) -> Rumour:
+    # At the same version of a member the worse health counts more.
+    version = news.member.version * len(Health) + news.health
+    return Rumour(_MEMBER, news.member.name, 0, version, codec.encode(news))
--- a/rhubarbwinch/leaving.py
+++ b/rhubarbwinch/leaving.py
@@ -3,22 +3,18 @@
 import enum
 from collections.abc import Callable
 
-import attrs
-
 from rhubarbwinch import events, misc
 from rhubarbwinch.accepted import Snapshot
 from rhubarbwinch.clock import Clock
-from rhubarbwinch.exceptions import CodecError, LinkError
 from rhubarbwinch.gossip import Gossip
-from rhubarbwinch.linktypes import Caller, Listener
 from rhubarbwinch.records import PoolSpec
 
 RUMOUR = "vm"
 # A notice from the list that nobody repeats is dropped after this time.
 NOTICE_MS = 90_000
+# Shorter than the life of a rumour: a member that starts hears it from its
+# neighbours.
 REPEAT_MS = 20_000
-ASK_TIMEOUT_MS = 1000
-MAX_PEERS_ASKED = 3
 
 
 class Notice(enum.StrEnum):
@@ -28,40 +24,22 @@
     LIVE = "live"
 
 
-@attrs.frozen
-class LeavingRequest:
-    """A member that starts asks a peer for the notices in force."""
-
-
-@attrs.frozen
-class LeavingReply:
-    """The IP numbers of the VMs that leave by the platform's list."""
-
-    hosts: list[str]
-
-
 class LeavingVms:
     """The VMs that get no new work, as all members know them.
 
     Args:
         gossip: Tells the members.
-        links: Calls peers.
-        server: Answers peers.
         clock: The source of time.
     """
 
-    def __init__(
-        self, gossip: Gossip, links: Caller, server: Listener, clock: Clock
-    ) -> None:
+    def __init__(self, gossip: Gossip, clock: Clock) -> None:
         self._gossip = gossip
-        self._links = links
         self._clock = clock
         self._by_record: set[str] = set()
         self._by_list: dict[str, int] = {}
         self._last: set[str] = set()
         self._listeners: list[Callable[[], None]] = []
         gossip.on(RUMOUR, self._hear)
-        server.on(LeavingRequest, self._answer)
 
     @property
     def hosts(self) -> set[str]:
@@ -91,20 +69,6 @@
         self._gossip.share(RUMOUR, host, notice.encode())
         self._take(host, notice)
 
-    async def ask(self) -> None:
-        """Takes the notices in force from a peer, after a start."""
-        peers = self._gossip.neighbours[:MAX_PEERS_ASKED]
-        for peer in peers:
-            try:
-                reply = await self._links.call(
-                    peer.link, LeavingRequest(), LeavingReply, ASK_TIMEOUT_MS
-                )
-            except (LinkError, CodecError):
-                continue
-            for host in reply.hosts:
-                self._take(host, Notice.LEAVING)
-            return
-
     def expire(self) -> None:
         """Drops notices that nobody repeats."""
         now = self._clock.now()
@@ -114,20 +78,13 @@
 
     async def run(self) -> None:
         """Keeps the notices until cancelled."""
-        asked = False
         while True:
-            if not asked and self._gossip.neighbours:
-                await self.ask()
-                asked = True
-            await self._clock.sleep(REPEAT_MS if asked else 100)
+            await self._clock.sleep(REPEAT_MS)
             self.expire()
 
     async def _hear(self, host: str, data: bytes) -> None:
         self._take(host, Notice(data.decode()))
 
-    async def _answer(self, _: LeavingRequest) -> LeavingReply:
-        return LeavingReply(sorted(self._by_list))
-
     def _take(self, host: str, notice: Notice) -> None:
         if notice is Notice.LEAVING:
             self._by_list[host] = self._clock.now() + NOTICE_MS
--- a/rhubarbwinch/members.py
+++ b/rhubarbwinch/members.py
@@ -129,6 +129,10 @@
         news = self._known.get(name)
         return news.health if news else Health.DEAD
 
+    def news_of(self, name: str) -> MemberNews | None:
+        """Returns what is known of a member, dead ones included."""
+        return self._known.get(name)
+
     def near(self, data_center: str) -> list[str]:
         """Returns the names of a data centre's members, by name."""
         return [m.name for m in self.all() if m.data_center == data_center]
--- a/rhubarbwinch/rumours.py
+++ b/rhubarbwinch/rumours.py
@@ -1,13 +1,8 @@
 """Rumours: small pieces of news that reach every member once."""
 
-import math
-import random
-
 import attrs
 
 TTL_MS = 60_000
-# Each member passes a rumour on so many times for each doubling of the fleet.
-SENDS_PER_DOUBLING = 3
 
 
 @attrs.frozen
@@ -46,27 +41,30 @@
 
 @attrs.define
 class _Held:
-    """A rumour that has been heard."""
+    """A rumour that has been heard.
+
+    Attributes:
+        rumour: The rumour.
+        until: When it is dropped.
+        told: The peers that have it for certain.
+        answered: The peers that were sent it in an answer.
+    """
 
     rumour: Rumour
     until: int
-    sends: int = 0
+    told: set[str] = attrs.field(factory=set)
+    answered: set[str] = attrs.field(factory=set)
 
 
 class Rumours:
-    """The rumours that a member has heard lately and passes on.
+    """The rumours that a member has heard lately and passes on."""
 
-    Args:
-        rng: Breaks ties.
-    """
-
-    def __init__(self, rng: random.Random) -> None:
-        self._rng = rng
+    def __init__(self) -> None:
         self._held: dict[_Topic, _Held] = {}
 
     def take(self, rumour: Rumour, now: int) -> bool:
         """Takes a rumour in; returns whether it is new."""
-        topic = _Topic(rumour.kind, rumour.key, rumour.origin)
+        topic = _topic(rumour)
         old = self._held.get(topic)
         if old is not None and old.rumour.version >= rumour.version:
             return False
@@ -78,27 +76,55 @@
         old = self._held.get(_Topic(kind, key, origin))
         return max(wall, old.rumour.version + 1 if old else 0)
 
-    def pick(self, members: int, max_bytes: int) -> list[Rumour]:
-        """Returns what goes into the next message, least often sent first.
+    def pick(self, peer: str, max_bytes: int) -> list[Rumour]:
+        """Returns what a peer is not known to have, oldest first.
 
         Args:
-            members: The size of the fleet.
+            peer: The peer's name.
             max_bytes: The room in the message.
         """
-        limit = SENDS_PER_DOUBLING * (1 + math.ceil(math.log2(members + 1)))
-        waiting = [held for held in self._held.values() if held.sends < limit]
-        self._rng.shuffle(waiting)
-        waiting.sort(key=lambda held: held.sends)
-        found = []
-        for held in waiting:
-            if held.rumour.size > max_bytes:
-                break
-            max_bytes -= held.rumour.size
-            held.sends += 1
-            found.append(held.rumour)
-        return found
+        waiting = [h for h in self._held.values() if peer not in h.told]
+        return [held.rumour for held in _fit(waiting, max_bytes)]
+
+    def pick_answer(self, peer: str, max_bytes: int) -> list[Rumour]:
+        """Returns what goes into an answer, each rumour once for each peer.
+
+        Nobody tells whether the answer arrived; the neighbours whose task it
+        is to tell the peer make up for a lost one.
+        """
+        waiting = [
+            h
+            for h in self._held.values()
+            if peer not in h.told and peer not in h.answered
+        ]
+        found = _fit(waiting, max_bytes)
+        for held in found:
+            held.answered.add(peer)
+        return [held.rumour for held in found]
+
+    def mark(self, peer: str, rumours: list[Rumour]) -> None:
+        """Notes that a peer has these rumours."""
+        for rumour in rumours:
+            held = self._held.get(_topic(rumour))
+            if held is not None and held.rumour.version <= rumour.version:
+                held.told.add(peer)
 
     def expire(self, now: int) -> None:
         """Drops what was heard long ago."""
         for topic in [k for k, v in self._held.items() if v.until <= now]:
             del self._held[topic]
+
+
+def _topic(rumour: Rumour) -> _Topic:
+    return _Topic(rumour.kind, rumour.key, rumour.origin)
+
+
+def _fit(waiting: list[_Held], max_bytes: int) -> list[_Held]:
+    """Returns the first of them that fit into a message."""
+    found = []
+    for held in waiting:
+        max_bytes -= held.rumour.size
+        if max_bytes < 0:
+            break
+        found.append(held)
+    return found
--- /dev/null
+++ b/tests/test_leaving.py
@@ -0,0 +1,150 @@
+"""From the notice that a VM leaves to the last new work at its endpoints."""
+
+import random
+
+import anyio
+
+from lab.memberset import MemberSet
+from rhubarbwinch import ctl
+from rhubarbwinch.broker import PoolKeeper
+from rhubarbwinch.exceptions import VmListError
+from rhubarbwinch.members import Role
+from rhubarbwinch.messages import PermitRelease, StreamEnd
+from rhubarbwinch.metrics import Metrics
+from rhubarbwinch.records import Record
+from rhubarbwinch.vmlist import Vm, VmListReader, VmState
+from tests import builders
+from tests.helpers import GoldTestCase, asynchronous
+
+POOL = "vintner.dc-a"
+ASK_EVERY_MS = 50
+LIMIT_MS = 2000
+
+
+class ListStandIn:
+    """The platform's list, as the session sets it; None is silence."""
+
+    def __init__(self):
+        self.vms = []
+
+    async def read(self):
+        if self.vms is None:
+            raise VmListError("silent")
+        return list(self.vms)
+
+
+class Work:
+    """Three brokers that grant permits all the time, and two controls.
+
+    Args:
+        tasks: Runs them.
+    """
+
+    def __init__(self, tasks):
+        self.tasks = tasks
+        self.fleet = MemberSet(tasks)
+        self.list = ListStandIn()
+        self.lines = []
+        self.granted = {}
+        for i in range(2):
+            node = self.fleet.add(f"control-{i}", Role.CONTROL)
+            reader = VmListReader(
+                self.list, node.members, node.leaving, self.fleet.clock
+            )
+            tasks.start_soon(reader.run)
+        for i in range(3):
+            self.add_broker(f"broker-{i}")
+
+    def add_broker(self, name):
+        node = self.fleet.add(name, Role.BROKER)
+        keeper = PoolKeeper(
+            self.fleet.clock, random.Random(1), Metrics("", Role.BROKER)
+        )
+        node.follower.on_change(keeper.configure)
+        node.leaving.on_change(
+            lambda: keeper.mark_leaving(node.leaving.endpoints_of)
+        )
+        self.tasks.start_soon(self._work, name, keeper)
+
+    async def _work(self, name, keeper):
+        """Asks for a permit again and again and notes where it was."""
+        number = 0
+        while True:
+            await self.fleet.clock.sleep(ASK_EVERY_MS)
+            number += 1
+            request = builders.permit_request(f"{name}-{number}", wait_ms=0)
+            reply = await keeper.answer(request)
+            if reply.grant is None:
+                continue
+            now = self.fleet.clock.now()
+            self.granted[name, reply.grant.endpoint] = now
+            release = PermitRelease(request.request_id, POOL, StreamEnd.UNUSED)
+            await keeper.release(release)
+
+    async def observe(self, title, endpoint, seconds=10):
+        """Lets time pass; says whether an endpoint still gets work."""
+        clock = self.fleet.clock
+        notice = clock.now()
+        await clock.advance(seconds * 1000)
+        self.lines.append(f"# {title}")
+        for name in sorted(n for n in self.fleet.nodes if "broker" in n):
+            last = self.granted.get((name, endpoint))
+            if last is None:
+                found = "never any"
+            elif last > clock.now() - LIMIT_MS:
+                found = "new work"
+            elif last - notice <= LIMIT_MS:
+                found = "no new work later than 2 s after the notice"
+            else:
+                found = f"the last {last - notice} ms after the notice"
+            self.lines.append(f"{endpoint} at {name}: {found}")
+
+
+def _records():
+    endpoints = [
+        builders.endpoint(f"engine-{i}", f"10.0.0.{i}:80") for i in range(3)
+    ]
+    return [builders.model(), builders.pool("vintner", endpoints)]
+
+
+class LeavingTest(GoldTestCase):
+    """Endpoints whose VMs leave."""
+
+    @asynchronous
+    async def test_a_leaving_vms_endpoints_get_no_work_after_two_seconds(self):
+        async with anyio.create_task_group() as tasks:
+            work = Work(tasks)
+            clock, store = work.fleet.clock, work.fleet.store
+            await clock.advance(3000)
+            await ctl.apply(store, _records())
+            await work.observe("no notice", "engine-0")
+            work.list.vms = [Vm("10.0.0.0", VmState.LEAVING)]
+            await work.observe("the list says that it leaves", "engine-0")
+            work.add_broker("broker-new")
+            await clock.advance(3000)
+            await work.observe("a broker that starts later", "engine-0")
+            work.list.vms = None
+            await work.observe("the list is silent", "engine-0", 120)
+            work.list.vms = [Vm("10.0.0.0", VmState.LIVE)]
+            await work.observe("the list was wrong", "engine-0")
+            work.list.vms = []
+            await work.observe("the list has lost the VM", "engine-0")
+            store.faults.down = True
+            store.wake_watches()
+            readers = [
+                name
+                for name, node in work.fleet.nodes.items()
+                if node.members.me.role is Role.CONTROL
+            ]
+            work.fleet.kill(readers[0])
+            await clock.advance(10_000)
+            work.list.vms = [Vm("10.0.0.1", VmState.LEAVING)]
+            title = "the store is down and a control is dead"
+            await work.observe(title, "engine-1")
+            store.faults.down = False
+            await clock.advance(3000)
+            mark = Record("vm", "10.0.0.2", 2, {"leaving": True})
+            await ctl.apply(store, [mark])
+            await work.observe("an operator marks the VM", "engine-2")
+            tasks.cancel_scope.cancel()
+        self.assert_gold("leaving-endpoints", "\n".join(work.lines) + "\n")
