--- a/rhubarbwinch/events.py
+++ b/rhubarbwinch/events.py
@@ -150,6 +150,36 @@
 VM_LIST_SILENT = Event(
     205, "vm-list-silent", logging.WARNING, "The list of VMs can't be read."
 )
+CLAIM_PAGE_BAD = Event(
+    100, "claim-page-bad", logging.ERROR, "A page of claims can't be read."
+)
+CLAIM_TAKEN_OVER = Event(
+    101, "claim-taken-over", logging.INFO, "An unsent claim changed owners."
+)
+CLAIM_UNRECORDED = Event(
+    102,
+    "claim-unrecorded",
+    logging.WARNING,
+    "An outcome is not in the store yet; the write is retried.",
+)
+CLAIM_HELD_TOO_LONG = Event(
+    103, "claim-held-too-long", logging.WARNING, "A late send was given up."
+)
+CLAIMS_CLEANED = Event(
+    104, "claims-cleaned", logging.INFO, "Pages past their keeping are gone."
+)
+METER_UNRECORDED = Event(
+    110, "meter-unrecorded", logging.WARNING, "Counters are not in the store."
+)
+ENDPOINT_STRIKE = Event(
+    120, "endpoint-strike", logging.WARNING, "An endpoint died under a request."
+)
+QUARANTINED = Event(
+    121, "quarantined", logging.ERROR, "A request is refused at all members."
+)
+SUSPECT_CLEARED = Event(
+    122, "suspect-cleared", logging.INFO, "A suspected request has finished."
+)
 ORDERS_TAKEN = Event(
     600, "orders-taken", logging.INFO, "This control sends a pool's orders."
 )
@@ -162,3 +192,39 @@
 ORDER_FAILED = Event(
     603, "order-failed", logging.WARNING, "An endpoint failed an order."
 )
+STREAM_ABANDONED = Event(
+    400,
+    "stream-abandoned",
+    logging.INFO,
+    "A generation was ended because its caller did not come back.",
+)
+STREAM_TAKEN = Event(
+    401, "stream-taken", logging.INFO, "A caller resumed a stream here."
+)
+REQUEST_RETRIED = Event(
+    402,
+    "request-retried",
+    logging.INFO,
+    "A request of which no token went out is tried at another engine.",
+)
+RETRY_BUDGET_SPENT = Event(
+    403,
+    "retry-budget-spent",
+    logging.WARNING,
+    "A request was not tried again: its account's budget is spent.",
+)
+ANSWER_DROPPED = Event(
+    410,
+    "answer-dropped",
+    logging.INFO,
+    "An answer to an unknown or given-up call was dropped.",
+)
+HANDLER_FAILED = Event(
+    411, "handler-failed", logging.ERROR, "Handling a peer's message failed."
+)
+LINK_OVERLOADED = Event(
+    412,
+    "link-overloaded",
+    logging.WARNING,
+    "A peer's message was dropped: too many are being handled.",
+)
