--- /dev/null
+++ b/lab/bench_load.py
@@ -0,0 +1,212 @@
+"""The traffic of the two deployments, from fixed seeds."""
+
+import math
+import random
+from collections.abc import Iterator
+
+import attrs
+
+from lab.enginemodel import BLOCK_TOKENS
+from rhubarbwinch.messages import PermitRequest
+from rhubarbwinch.records import AccountSpec
+
+ENTRIES = 4
+POOL = "model.dc"
+CANCELLED_SHARE = 0.03
+PROMPT_ESTIMATE_ERROR = 0.15
+
+
+@attrs.frozen
+class TrafficClass:
+    """One kind of request.
+
+    Attributes:
+        name: The service's name.
+        interactive: Whether a person waits for the first token.
+        wait_ms: The longest wait in the queue.
+        first_token_ms: The target for the first token.
+        per_second: The rate at a load of 1 before capacity is known.
+        prefix_blocks: Blocks that all prompts of an account share.
+        prompt_median: The tokens after the prefix.
+        prompt_sigma: The spread of their logarithm.
+        output_median: The tokens generated.
+        output_sigma: The spread of their logarithm.
+        max_tokens: The caller's bound on the output.
+    """
+
+    name: str
+    interactive: bool
+    wait_ms: int
+    first_token_ms: int
+    per_second: float
+    prefix_blocks: int
+    prompt_median: float
+    prompt_sigma: float
+    output_median: float
+    output_sigma: float
+    max_tokens: int
+
+
+@attrs.frozen
+class Deployment:
+    """A deployment of six engines and ten accounts.
+
+    Attributes:
+        name: What it is called.
+        classes: Its kinds of requests.
+    """
+
+    name: str
+    classes: list[TrafficClass]
+
+
+KIELICHOWA = Deployment(
+    "kielichowa",
+    [
+        TrafficClass("guest", True, 600, 890, 30.0, 4, 60, 0.6, 70, 0.9, 1024),
+        TrafficClass(
+            "itinerary", False, 60_000, 60_890, 3.0, 6, 300, 0.5, 900, 1.0, 8192
+        ),
+    ],
+)
+KALGOORLIE = Deployment(
+    "kalgoorlie",
+    [
+        TrafficClass("grade", True, 600, 890, 15.0, 2, 80, 0.4, 24, 0.7, 512),
+        TrafficClass(
+            "draft", False, 90_000, 90_890, 1.25, 4, 900, 0.4, 2200, 0.7, 8192
+        ),
+    ],
+)
+DEPLOYMENTS = {d.name: d for d in (KIELICHOWA, KALGOORLIE)}
+ACCOUNT_SIZES = [6, 4, 3, 1, 1, 1, 1, 1, 1, 1]
+ACCOUNTS = [f"account-{i}" for i in range(len(ACCOUNT_SIZES))]
+FLOODER = "account-2"
+
+
+def account_specs() -> dict[str, AccountSpec]:
+    """Returns the accounts' records; weights follow their sizes."""
+    return {
+        name: AccountSpec(weight=float(size))
+        for name, size in zip(ACCOUNTS, ACCOUNT_SIZES, strict=True)
+    }
+
+
+@attrs.frozen
+class Arrival:
+    """A request as the callers make it.
+
+    Attributes:
+        at_ms: When it comes.
+        kind: Its class.
+        request: What the broker is told.
+        prompt_tokens: The true length of the prompt.
+        output_tokens: The true length of the output.
+        is_cancelled: Whether the caller hangs up after these tokens.
+    """
+
+    at_ms: float
+    kind: TrafficClass
+    request: PermitRequest
+    prompt_tokens: int
+    output_tokens: int
+    is_cancelled: bool
+
+
+@attrs.frozen
+class Shape:
+    """How the traffic differs from the usual.
+
+    Attributes:
+        load: The multiple of the classes' rates.
+        shift_ms: From here on outputs are `shift_factor` times as long.
+        shift_factor: See above.
+        flood_ms: From here on one account sends `flood_factor` times as much.
+        flood_factor: See above.
+    """
+
+    load: float
+    shift_ms: float = math.inf
+    shift_factor: float = 2.0
+    flood_ms: float = math.inf
+    flood_factor: float = 6.0
+
+
+def arrivals(
+    deployment: Deployment, shape: Shape, seed: int, end_ms: float
+) -> Iterator[Arrival]:
+    """Yields the requests of one class after the other's, by time.
+
+    Each class and account has a random source of its own, so that a flood of
+    one leaves the requests of the others as they are.
+    """
+    found: list[Arrival] = []
+    for kind in deployment.classes:
+        for account, size in zip(ACCOUNTS, ACCOUNT_SIZES, strict=True):
+            rng = random.Random(f"{seed}/{kind.name}/{account}")
+            per_ms = kind.per_second * shape.load / 1000
+            share = size / sum(ACCOUNT_SIZES)
+            source = _Source(kind, account, per_ms * share, shape, rng)
+            found.extend(source.until(end_ms))
+    yield from sorted(found, key=lambda a: a.at_ms)
+
+
+class _Source:
+    """The requests of one class and account."""
+
+    def __init__(
+        self,
+        kind: TrafficClass,
+        account: str,
+        per_ms: float,
+        shape: Shape,
+        rng: random.Random,
+    ) -> None:
+        self._kind = kind
+        self._account = account
+        self._per_ms = per_ms
+        self._shape = shape
+        self._rng = rng
+        # Accounts differ in how much they ask for.
+        self._factor = math.exp(rng.gauss(0, 0.3))
+        self._prefix = [rng.getrandbits(60) for _ in range(kind.prefix_blocks)]
+
+    def until(self, end_ms: float) -> Iterator[Arrival]:
+        now, number = 0.0, 0
+        while True:
+            floods = self._account == FLOODER and now >= self._shape.flood_ms
+            factor = self._shape.flood_factor if floods else 1.0
+            now += self._rng.expovariate(self._per_ms * factor)
+            if now >= end_ms:
+                return
+            number += 1
+            yield self._arrival(now, number)
+
+    def _arrival(self, now: float, number: int) -> Arrival:
+        kind, rng = self._kind, self._rng
+        own = rng.lognormvariate(
+            math.log(kind.prompt_median), kind.prompt_sigma
+        )
+        prompt = kind.prefix_blocks * BLOCK_TOKENS + int(own) + 1
+        median = kind.output_median * self._factor
+        if now >= self._shape.shift_ms:
+            median *= self._shape.shift_factor
+        output = rng.lognormvariate(math.log(median), kind.output_sigma)
+        length = max(1, min(kind.max_tokens, int(output)))
+        is_cancelled = rng.random() < CANCELLED_SHARE
+        if is_cancelled:
+            length = rng.randint(1, length)
+        error = rng.uniform(-PROMPT_ESTIMATE_ERROR, PROMPT_ESTIMATE_ERROR)
+        request = PermitRequest(
+            request_id=f"{kind.name}-{self._account}-{number}",
+            entry=f"entry-{rng.randrange(ENTRIES)}",
+            pool=POOL,
+            account=self._account,
+            service=kind.name,
+            interactive=kind.interactive,
+            prompt_tokens=int(prompt * (1 + error)),
+            max_tokens=kind.max_tokens,
+            prefix=self._prefix,
+            wait_ms=kind.wait_ms,
+        )
+        return Arrival(now, kind, request, prompt, length, is_cancelled)
--- /dev/null
+++ b/lab/bench_report.py
@@ -0,0 +1,148 @@
+"""The experiment's table, JSON lines and history."""
+
+import pathlib
+import subprocess
+
+import attrs
+import orjson
+
+from lab.bench_measure import Percentiles, RunResult
+
+ROOT = pathlib.Path(__file__).parent.parent
+HISTORY = ROOT / "lab" / "history.jsonl"
+LINES = ROOT / ".work" / "bench.jsonl"
+_HEAD = (
+    f"{'policy':<18}{'class':<10}{'met':>7}{'goodput':>8}{'stall s':>8}"
+    f"{'preempt':>8}{'refused':>8}{'late':>6}{'speed':>7}"
+    f"{'gap ms 50/95/99/99.9':>23}{'first ms 50/95/99/99.9':>27}{'fair':>6}"
+)
+
+
+@attrs.frozen
+class Measured:
+    """The product's figures in one scenario, as the history keeps them."""
+
+    deployment: str
+    scenario: str
+    goodput: float
+    stall_s: float
+    preemptions: int
+    interactive_met: float
+
+
+@attrs.frozen
+class HistoryLine:
+    """What one commit measured."""
+
+    commit: str
+    note: str
+    capacity: dict[str, float]
+    measured: list[Measured]
+
+
+def table(results: list[RunResult]) -> str:
+    """Returns the results as text, a block for each scenario."""
+    lines = []
+    seen = None
+    for result in results:
+        title = f"{result.deployment}, {result.scenario}"
+        if title != seen:
+            lines += ["", title, _HEAD]
+            seen = title
+        lines += _rows(result)
+    return "\n".join(lines)
+
+
+def _rows(result: RunResult) -> list[str]:
+    rows = []
+    for item in result.classes:
+        rows.append(
+            f"{result.policy:<18}{item.name:<10}{item.met:>7.1%}"
+            f"{item.goodput:>8.0f}{item.stall_s:>8.1f}{item.preemptions:>8}"
+            f"{item.refused:>8}{item.refused_late:>6}"
+            f"{item.refusal_p99_ms:>7.0f}{_spread(item.gap):>23}"
+            f"{_spread(item.first):>27}{result.fairness:>6.2f}"
+        )
+    if result.scenario == "loss":
+        rows.append(
+            f"{'':<18}{result.attempts:.2f} attempts a request; interactive "
+            f"met from 30 s on: {result.recovered_met:.1%}"
+        )
+    if result.scenario == "flood":
+        rows.append(f"{'':<18}the others: {result.others_goodput:.0f} tokens/s")
+    return rows
+
+
+def _spread(found: Percentiles) -> str:
+    values = (found.p50, found.p95, found.p99, found.p999)
+    return "/".join(f"{value:.0f}" for value in values)
+
+
+def write_lines(results: list[RunResult]) -> None:
+    """Writes a JSON line for each run."""
+    LINES.parent.mkdir(exist_ok=True)
+    rows = [orjson.dumps(attrs.asdict(result)) for result in results]
+    LINES.write_bytes(b"\n".join(rows) + b"\n")
+
+
+def measured(results: list[RunResult]) -> list[Measured]:
+    """Returns the product's figures."""
+    return [
+        Measured(
+            r.deployment,
+            r.scenario,
+            round(r.goodput, 1),
+            round(r.stall_s, 1),
+            r.preemptions,
+            round(r.classes[0].met, 4),
+        )
+        for r in results
+        if r.policy == "product"
+    ]
+
+
+def last_line() -> HistoryLine | None:
+    """Returns what the last measured commit got."""
+    if not HISTORY.exists():
+        return None
+    data = orjson.loads(HISTORY.read_bytes().splitlines()[-1])
+    rows = [Measured(**row) for row in data.pop("measured")]
+    return HistoryLine(measured=rows, **data)
+
+
+def add_line(
+    note: str, capacity: dict[str, float], rows: list[Measured]
+) -> None:
+    """Adds this commit to the history."""
+    commit = subprocess.run(
+        ["git", "rev-parse", "--short", "HEAD"],
+        cwd=ROOT,
+        check=True,
+        capture_output=True,
+        text=True,
+    ).stdout.strip()
+    line = HistoryLine(f"after {commit}", note, capacity, rows)
+    with HISTORY.open("ab") as file:
+        file.write(orjson.dumps(attrs.asdict(line)) + b"\n")
+
+
+def compare(now: list[Measured]) -> str:
+    """Returns the product beside the last measured commit."""
+    last = last_line()
+    if last is None:
+        return "no commit was measured before"
+    old = {(m.deployment, m.scenario): m for m in last.measured}
+    lines = [f"the product, {last.commit} ({last.note}) and now:"]
+    for row in now:
+        before = old.get((row.deployment, row.scenario))
+        if before is None:
+            continue
+        lines.append(
+            f"  {row.deployment:<11}{row.scenario:<10}"
+            f" goodput {before.goodput:.0f} to {row.goodput:.0f},"
+            f" stall s {before.stall_s:.0f} to {row.stall_s:.0f},"
+            f" preemptions {before.preemptions} to {row.preemptions},"
+            f" interactive met {before.interactive_met:.1%} to"
+            f" {row.interactive_met:.1%}"
+        )
+    return "\n".join(lines)
--- /dev/null
+++ b/lab/bench_sim.py
@@ -0,0 +1,439 @@
+"""Drives a pool's Admission against engine models, by events."""
+
+import heapq
+import itertools
+import random
+from collections import Counter, deque
+from collections.abc import Callable
+from functools import partial
+
+import attrs
+
+from lab import bench_load
+from lab.bench_load import Deployment, Shape
+from lab.bench_measure import (
+    GAP_TARGET_MS,
+    Durations,
+    Job,
+    RunResult,
+    class_result,
+    fairness,
+)
+from lab.bench_policies import Contender
+from lab.enginemodel import EngineModel, EngineParameters, Sequence, Step
+from rhubarbwinch.admission import (
+    Admission,
+    CacheReport,
+    Decision,
+    LoadReport,
+)
+from rhubarbwinch.clock import ManualClock
+from rhubarbwinch.limits import backoff_ms
+from rhubarbwinch.messages import (
+    PermitGrant,
+    PermitRelease,
+    ProgressReport,
+    StreamEnd,
+    StreamProgress,
+)
+from rhubarbwinch.records import EndpointSpec, PoolSpec
+
+ENGINES = 6
+WARM_MS = 90_000.0
+WINDOW_MS = 210_000.0
+END_MS = 360_000.0
+TICK_MS = 20.0
+LOAD_POLL_MS = 250.0
+LOAD_LAG_MS = 300.0
+CACHE_LAG_MS = 500.0
+CACHE_LOSS = 0.1
+REPORT_MS = 1000.0
+LOSS_NOTICED_MS = 2000.0
+LOSS_AT_MS = 150_000.0
+RECOVERY_MS = 30_000.0
+
+
+@attrs.frozen
+class Scenario:
+    """What happens in a run.
+
+    Attributes:
+        name: What it is called.
+        load: Share of capacity.
+        shape: The traffic, its load multiplied by capacity.
+        loses_engine: Whether an engine is lost at `LOSS_AT_MS`.
+        tries: How often callers submit a request that failed.
+        backs_off: Whether callers wait as they are told before a retry.
+    """
+
+    name: str
+    load: float
+    shape: Shape
+    loses_engine: bool = False
+    tries: int = 1
+    backs_off: bool = True
+
+
+class _Engine:
+    """An engine model in the run."""
+
+    def __init__(self, name: str) -> None:
+        self.name = name
+        self.model = EngineModel(EngineParameters())
+        self.is_alive = True
+        self.is_busy = False
+        self.slow_steps = 0
+        self.stall_ms = 0.0
+        self.jobs: dict[str, Job] = {}
+        self.counts: Counter[str] = Counter()
+        self.loads: deque[LoadReport] = deque()
+
+
+class Run:
+    """One run: a deployment, a scenario and who decides.
+
+    Args:
+        deployment: The deployment.
+        scenario: What happens.
+        contender: Who decides.
+        seed: Fixes the traffic and all ties.
+    """
+
+    def __init__(
+        self,
+        deployment: Deployment,
+        scenario: Scenario,
+        contender: Contender,
+        seed: int,
+    ) -> None:
+        self._deployment = deployment
+        self._scenario = scenario
+        self._contender = contender
+        self._rng = random.Random(seed)
+        self._clock = ManualClock()
+        self._engines = [_Engine(f"engine-{i}") for i in range(ENGINES)]
+        self._by_name = {e.name: e for e in self._engines}
+        self._arrivals = list(
+            bench_load.arrivals(deployment, scenario.shape, seed, END_MS)
+        )
+        self._admission = self._make_admission(seed)
+        self._jobs: dict[str, Job] = {}
+        self._held: dict[str, str] = {}
+        self._gaps = {k.name: Durations() for k in deployment.classes}
+        self._events: list[tuple[float, int, Callable[[], None]]] = []
+        self._order = itertools.count()
+        self._now = 0.0
+
+    def run(self) -> RunResult:
+        """Runs to the end and returns what was measured."""
+        for arrival in self._arrivals:
+            job = Job(arrival)
+            self._jobs[arrival.request.request_id] = job
+            self._at(arrival.at_ms, partial(self._submit, job, []))
+        self._every(TICK_MS, self._tick)
+        self._every(LOAD_POLL_MS, self._poll)
+        self._every(REPORT_MS, self._report)
+        if self._scenario.loses_engine:
+            self._at(LOSS_AT_MS, self._lose_engine)
+        while self._events:
+            self._now, _, action = heapq.heappop(self._events)
+            if self._now > END_MS:
+                break
+            self._clock.set(int(self._now))
+            action()
+        self._stop()
+        return self._result()
+
+    def _stop(self) -> None:
+        """Judges streams that still run by what they got so far."""
+        self._now = END_MS
+        for engine in self._engines:
+            if not engine.is_alive:
+                continue
+            for sequence in engine.model.sequences:
+                job = engine.jobs[sequence.name]
+                if sequence.is_running and job.first_ms is not None:
+                    self._interrupt(engine, job)
+                    job.tokens = sequence.done_tokens
+                    job.is_done = True
+
+    def _make_admission(self, seed: int) -> Admission:
+        spec = PoolSpec(
+            "model",
+            "dc",
+            [EndpointSpec(e.name, "127.0.0.1:1") for e in self._engines],
+        )
+        return Admission(
+            spec,
+            self._clock,
+            random.Random(seed),
+            bench_load.account_specs(),
+            self._contender.options,
+            self._contender.lengths(self._arrivals),
+        )
+
+    def _at(self, ms: float, action: Callable[[], None]) -> None:
+        heapq.heappush(self._events, (ms, next(self._order), action))
+
+    def _every(self, ms: float, action: Callable[[], None]) -> None:
+        def again() -> None:
+            action()
+            self._at(self._now + ms, again)
+
+        self._at(ms, again)
+
+    def _submit(self, job: Job, avoid: list[str]) -> None:
+        job.attempts += 1
+        job.wanted_ms = self._now
+        request = job.arrival.request
+        if job.attempts > 1:
+            request_id = f"{request.request_id}/{job.attempts}"
+            request = attrs.evolve(
+                request, request_id=request_id, avoid=avoid or ["-"]
+            )
+            self._jobs[request_id] = job
+        self._apply(self._admission.submit(request))
+
+    def _apply(self, decisions: list[Decision]) -> None:
+        for decision in decisions:
+            job = self._jobs[decision.request_id]
+            grant, failure = decision.reply.grant, decision.reply.failure
+            if grant is not None:
+                self._begin(decision.request_id, job, grant.endpoint, grant)
+            elif failure is not None:
+                self._fail(job, failure.retry_after_ms)
+
+    def _fail(self, job: Job, retry_after_ms: int | None) -> None:
+        scenario = self._scenario
+        if job.attempts >= scenario.tries:
+            job.refused_ms = self._now
+            return
+        wait_ms = 100
+        if scenario.backs_off:
+            base_ms = retry_after_ms or 500
+            wait_ms = base_ms + backoff_ms(
+                job.attempts, base_ms, 30_000, self._rng
+            )
+        self._at(self._now + wait_ms, lambda: self._submit(job, []))
+
+    def _begin(
+        self, request_id: str, job: Job, name: str, grant: PermitGrant
+    ) -> None:
+        engine = self._by_name[name]
+        self._held[request_id] = name
+        if not engine.is_alive:
+            self._at(
+                self._now + LOSS_NOTICED_MS,
+                lambda: self._lost(request_id, job, name),
+            )
+            return
+        arrival = job.arrival
+        engine.jobs[request_id] = job
+        engine.model.add(
+            Sequence(
+                request_id,
+                arrival.prompt_tokens,
+                arrival.output_tokens,
+                grant.priority,
+                prefix=arrival.request.prefix,
+            )
+        )
+        if not engine.is_busy:
+            self._start_step(engine)
+
+    def _start_step(self, engine: _Engine) -> None:
+        engine.is_busy = engine.model.running + engine.model.waiting > 0
+        if not engine.is_busy:
+            return
+        step = engine.model.step()
+        for sequence in step.preempted:
+            self._interrupt(engine, engine.jobs[sequence.name])
+            engine.jobs[sequence.name].preemptions += 1
+        end = self._now + step.ms
+        self._at(end, lambda: self._end_step(engine, step))
+
+    def _interrupt(self, engine: _Engine, job: Job) -> None:
+        """Takes over what the engine counted while the job was running."""
+        job.slow_gaps += engine.slow_steps - job.slow_base
+        job.stall_ms += engine.stall_ms - job.stall_base
+        job.last_ms = self._now
+        engine.counts[job.arrival.kind.name] -= 1
+
+    def _end_step(self, engine: _Engine, step: Step) -> None:
+        if not engine.is_alive:
+            return
+        for kind, count in engine.counts.items():
+            if count:
+                self._gaps[kind].add(step.ms, count)
+        engine.slow_steps += step.ms > GAP_TARGET_MS
+        engine.stall_ms += max(0.0, step.ms - GAP_TARGET_MS)
+        for sequence in step.joined:
+            self._join(engine, engine.jobs[sequence.name])
+        for sequence in step.finished:
+            self._finish(engine, sequence)
+        self._start_step(engine)
+
+    def _join(self, engine: _Engine, job: Job) -> None:
+        kind = job.arrival.kind.name
+        if job.first_ms is None:
+            job.first_ms = self._now
+        elif job.last_ms:
+            gap = self._now - job.last_ms
+            job.longest_ms = max(job.longest_ms, gap)
+            job.slow_gaps += gap > GAP_TARGET_MS
+            job.stall_ms += max(0.0, gap - GAP_TARGET_MS)
+            self._gaps[kind].add(gap)
+        job.slow_base, job.stall_base = engine.slow_steps, engine.stall_ms
+        engine.counts[kind] += 1
+
+    def _finish(self, engine: _Engine, sequence: Sequence) -> None:
+        job = engine.jobs.pop(sequence.name)
+        self._interrupt(engine, job)
+        job.tokens = sequence.done_tokens
+        job.is_done = True
+        end = StreamEnd.FINISHED
+        if job.arrival.is_cancelled:
+            end = StreamEnd.CANCELLED
+        self._release(sequence.name, end, job.tokens)
+
+    def _release(self, request_id: str, end: StreamEnd, tokens: int) -> None:
+        self._held.pop(request_id, None)
+        release = PermitRelease(request_id, bench_load.POOL, end, tokens)
+        self._apply(self._admission.release(release))
+
+    def _tick(self) -> None:
+        self._apply(self._admission.decide())
+        for item in self._admission.take_priority_changes():
+            change = item.message
+            engine = self._by_name[change.endpoint]
+            engine.model.set_priority(change.request_id, change.priority)
+
+    def _poll(self) -> None:
+        """Takes load and cache events; both reach the broker late."""
+        for engine in self._engines:
+            if not engine.is_alive:
+                continue
+            model = engine.model
+            load = LoadReport(
+                engine.name,
+                int(self._now),
+                model.running,
+                model.waiting,
+                model.used_tokens,
+                model.parameters.capacity_tokens,
+                model.last_step_ms,
+                model.preemptions,
+            )
+            self._at(
+                self._now + LOAD_LAG_MS,
+                partial(self._admission.report_load, load),
+            )
+            self._send_cache_events(engine)
+
+    def _send_cache_events(self, engine: _Engine) -> None:
+        events = engine.model.cache.take_events()
+        is_lost = self._rng.random() < CACHE_LOSS
+        if not events:
+            return
+        report = CacheReport(
+            engine.name,
+            [] if is_lost else [e.block for e in events if e.is_stored],
+            [] if is_lost else [e.block for e in events if not e.is_stored],
+            not is_lost,
+        )
+        self._at(
+            self._now + CACHE_LAG_MS,
+            lambda: self._admission.report_cache(report),
+        )
+
+    def _report(self) -> None:
+        """Entries report their open streams."""
+        streams: dict[str, list[StreamProgress]] = {
+            f"entry-{i}": [] for i in range(bench_load.ENTRIES)
+        }
+        running = {
+            s.name: s.done_tokens
+            for e in self._engines
+            for s in e.model.sequences
+        }
+        for request_id, name in self._held.items():
+            job = self._jobs[request_id]
+            request = attrs.evolve(job.arrival.request, request_id=request_id)
+            progress = StreamProgress(request, name, running.get(request_id, 0))
+            streams[request.entry].append(progress)
+        for entry, items in streams.items():
+            self._admission.report_progress(
+                ProgressReport(entry, bench_load.POOL, items)
+            )
+
+    def _lose_engine(self) -> None:
+        engine = self._engines[0]
+        engine.is_alive = False
+        for request_id, job in list(engine.jobs.items()):
+            self._at(
+                self._now + LOSS_NOTICED_MS,
+                partial(self._lost, request_id, job, engine.name),
+            )
+
+    def _lost(self, request_id: str, job: Job, name: str) -> None:
+        has_tokens = job.first_ms is not None
+        self._release(request_id, StreamEnd.ENDPOINT_LOST, 0)
+        job.is_lost = has_tokens
+        if has_tokens:
+            # What was passed on is gone; the caller starts anew.
+            job.first_ms, job.last_ms = None, 0.0
+        if job.attempts < max(2, self._scenario.tries):
+            self._submit(job, [name])
+        else:
+            job.refused_ms = self._now
+
+    def _result(self) -> RunResult:
+        window = (WARM_MS, WARM_MS + WINDOW_MS)
+        seconds = WINDOW_MS / 1000
+        jobs = [
+            j
+            for j in {id(j): j for j in self._jobs.values()}.values()
+            if window[0] <= j.arrival.at_ms < window[1]
+        ]
+        classes = [
+            class_result(
+                kind.name,
+                [j for j in jobs if j.arrival.kind is kind],
+                self._gaps[kind.name],
+                seconds,
+            )
+            for kind in self._deployment.classes
+        ]
+        return RunResult(
+            deployment=self._deployment.name,
+            scenario=self._scenario.name,
+            load=self._scenario.load,
+            policy=self._contender.name,
+            classes=classes,
+            goodput=_goodput(jobs) / seconds,
+            others_goodput=_goodput(
+                [
+                    j
+                    for j in jobs
+                    if j.arrival.request.account != bench_load.FLOODER
+                ]
+            )
+            / seconds,
+            fairness=fairness(jobs),
+            recovered_met=_recovered(jobs),
+            attempts=sum(j.attempts for j in jobs) / max(1, len(jobs)),
+        )
+
+
+def _goodput(jobs: list[Job]) -> int:
+    return sum(j.tokens for j in jobs if j.is_met)
+
+
+def _recovered(jobs: list[Job]) -> float:
+    after = [
+        j
+        for j in jobs
+        if j.arrival.kind.interactive
+        and j.arrival.at_ms >= LOSS_AT_MS + RECOVERY_MS
+    ]
+    return sum(j.is_met for j in after) / max(1, len(after))
--- a/rhubarbwinch/admission.py
+++ b/rhubarbwinch/admission.py
@@ -5,48 +5,56 @@
 """
 
 import random
-from collections import deque
+from collections import OrderedDict
 
 import attrs
 
 from rhubarbwinch.clock import Clock
+from rhubarbwinch.enginestate import (
+    FORECAST_MS,
+    CacheReport,
+    EngineState,
+    LoadReport,
+    Stream,
+)
+from rhubarbwinch.fairness import Queued
+from rhubarbwinch.lengths import LearnedLengths, LengthEstimator
+from rhubarbwinch.limits import Limits
 from rhubarbwinch.messages import (
     PermitGrant,
     PermitRelease,
     PermitReply,
     PermitRequest,
+    PriorityChange,
     ProgressReport,
+    StreamEnd,
 )
-from rhubarbwinch.records import EndpointSpec, PoolSpec
+from rhubarbwinch.placement import MEMORY_DEVIATIONS, POLICIES
+from rhubarbwinch.queueing import Lane
+from rhubarbwinch.records import AccountSpec, PoolSpec
+from rhubarbwinch.steptime import StepTime
 from rhubarbwinch.verdict import Failure, Reason, not_run
 
 MAX_QUEUED = 1000
 RETRY_AFTER_MS = 1000
-
-
-@attrs.frozen
-class LoadReport:
-    """What an engine says of its load, with a lag.
-
-    Attributes:
-        endpoint: The endpoint's name.
-        at_ms: When it was true, on the pool's clock.
-        running: Requests in the batch.
-        waiting: Requests before the batch.
-        used_tokens: Tokens resident in memory.
-        capacity_tokens: Tokens that fit.
-        step_ms: The time of the last decoding step.
-        preemptions: Requests thrown out of memory since the start.
-    """
-
-    endpoint: str
-    at_ms: int
-    running: int = 0
-    waiting: int = 0
-    used_tokens: int = 0
-    capacity_tokens: int = 0
-    step_ms: float = 0.0
-    preemptions: int = 0
+REFRESH_MS = 500
+# A grant may cross its entry's report; only older ones must be in it.
+SETTLE_MS = 2000
+# Entries report every second; a silent one has lost its streams.
+ENTRY_SILENCE_MS = 15_000
+RELEASED_KEPT = 4096
+INTERACTIVE_PRIORITY = 0
+PATIENT_PRIORITY = 1
+YIELDING_PRIORITY = 2
+
+__all__ = [
+    "Admission",
+    "CacheReport",
+    "Decision",
+    "EntryChange",
+    "LoadReport",
+    "Options",
+]
 
 
 @attrs.frozen
@@ -57,21 +65,32 @@
     reply: PermitReply
 
 
-@attrs.define
-class _Running:
-    """A granted request."""
+@attrs.frozen
+class EntryChange:
+    """A message for the entry that relays a stream."""
+
+    entry: str
+    message: PriorityChange
 
-    request: PermitRequest
-    endpoint: str
-    tokens: int = 0
 
+@attrs.frozen
+class Options:
+    """Which decisions are made; experiments turn them off.
 
-@attrs.define
-class _Queued:
-    """A request that waits."""
+    Attributes:
+        placement: The placement policy's name.
+        is_fair: Whether accounts share by weight; otherwise first come.
+        refuses_early: Whether requests that can't start in time are refused
+            at once; otherwise they wait for their deadline.
+        limits_retries: Whether retries have a budget.
+        lowers_priority: Whether a stream yields when predictions fail.
+    """
 
-    request: PermitRequest
-    until: int
+    placement: str = "quantile"
+    is_fair: bool = True
+    refuses_early: bool = True
+    limits_retries: bool = True
+    lowers_priority: bool = True
 
 
 class Admission:
@@ -81,104 +100,349 @@
         spec: The pool's endpoints and limits.
         clock: The source of time.
         rng: Breaks ties.
+        accounts: The accounts' records by name.
+        options: Which decisions are made.
+        lengths: What output lengths to expect.
     """
 
     def __init__(
-        self, spec: PoolSpec, clock: Clock, rng: random.Random
+        self,
+        spec: PoolSpec,
+        clock: Clock,
+        rng: random.Random,
+        accounts: dict[str, AccountSpec] | None = None,
+        options: Options | None = None,
+        lengths: LengthEstimator | None = None,
     ) -> None:
         self._spec = spec
         self._clock = clock
-        self._rng = rng
-        self._running: dict[str, _Running] = {}
-        self._queue: deque[_Queued] = deque()
+        self._options = options or Options()
+        self._lengths = lengths or LearnedLengths()
+        self._limits = Limits(clock, accounts or {})
+        self._step_time = StepTime()
+        self._policy = POLICIES.get(self._options.placement)(
+            self._step_time, rng
+        )
+        self._engines = {e.name: EngineState(e) for e in spec.endpoints}
+        self._streams: dict[str, Stream] = {}
+        self._released: OrderedDict[str, None] = OrderedDict()
+        self._entries_seen: dict[str, int] = {}
+        self._interactive = Lane(clock, self._limits.weight)
+        self._patient = Lane(clock, self._limits.weight)
         self._leaving: set[str] = set()
+        self._changes: list[EntryChange] = []
+        self._refreshed_ms = clock.now()
 
     @property
     def queued(self) -> int:
         """The number of requests that wait."""
-        return len(self._queue)
+        return len(self._interactive) + len(self._patient)
 
-    def configure(self, spec: PoolSpec) -> None:
+    def configure(
+        self, spec: PoolSpec, accounts: dict[str, AccountSpec] | None = None
+    ) -> None:
         """Takes a new configuration of the pool."""
         self._spec = spec
+        if accounts is not None:
+            self._limits.configure(accounts)
+        old = self._engines
+        self._engines = {}
+        for endpoint in spec.endpoints:
+            engine = old.get(endpoint.name) or EngineState(endpoint)
+            engine.spec = endpoint
+            self._engines[endpoint.name] = engine
+        self._unblock()
 
     def set_leaving(self, endpoints: set[str]) -> None:
         """Sets the endpoints that get no new work."""
         self._leaving = endpoints
+        self._unblock()
 
     def submit(self, request: PermitRequest) -> list[Decision]:
         """Takes a request in; returns what can be decided now."""
-        if len(self._queue) >= MAX_QUEUED:
-            failure = not_run(
-                Reason.QUEUE_FULL, "too many requests wait", RETRY_AFTER_MS
-            )
+        failure = self._refusal(request)
+        if failure is not None:
             return [_refuse(request, failure)]
-        until = self._clock.now() + request.wait_ms
-        self._queue.append(_Queued(request, until))
+        lane = self._lane(request)
+        lane.push(self._share_key(request), request)
         return self.decide()
 
     def release(self, release: PermitRelease) -> list[Decision]:
         """Takes a permit back; returns what can be decided now."""
-        self._running.pop(release.request_id, None)
+        self._note_released(release.request_id)
+        stream = self._streams.get(release.request_id)
+        if stream is None:
+            return []
+        if release.end is not StreamEnd.UNUSED:
+            is_complete = release.end is StreamEnd.FINISHED
+            self._lengths.observe(stream.request, release.tokens, is_complete)
+        self._forget(stream, release.tokens)
+        if release.end is StreamEnd.ENDPOINT_LOST:
+            engine = self._engines.get(stream.endpoint)
+            if engine is not None:
+                engine.suspect(self._clock.now())
         return self.decide()
 
     def report_progress(self, report: ProgressReport) -> None:
         """Takes an entry's open streams as the truth about them."""
+        now = self._clock.now()
+        self._entries_seen[report.entry] = now
         open_ids = {stream.request.request_id for stream in report.streams}
-        for stream in report.streams:
-            self._running[stream.request.request_id] = _Running(
-                stream.request, stream.endpoint, stream.tokens
-            )
-        for request_id, held in list(self._running.items()):
-            is_entrys = held.request.entry == report.entry
-            if is_entrys and request_id not in open_ids:
-                del self._running[request_id]
+        for item in report.streams:
+            request_id = item.request.request_id
+            known = self._streams.get(request_id)
+            if known is not None:
+                # An entry that reports no tokens leaves the estimate alone.
+                if item.tokens:
+                    known.tokens, known.at_ms = item.tokens, now
+            elif request_id not in self._released:
+                self._start(item.request, item.endpoint, item.tokens)
+        for stream in list(self._streams.values()):
+            is_settled = now - stream.granted_ms >= SETTLE_MS
+            is_entrys = stream.request.entry == report.entry
+            missing = stream.request.request_id not in open_ids
+            if is_entrys and missing and is_settled:
+                self._forget(stream, stream.tokens)
 
     def report_load(self, report: LoadReport) -> None:
         """Takes an engine's load report."""
+        engine = self._engines.get(report.endpoint)
+        if engine is None:
+            return
+        engine.take_load(report, self._clock.now())
+        if report.running:
+            self._step_time.observe(
+                report.running, report.used_tokens, report.step_ms
+            )
+
+    def report_cache(self, report: CacheReport) -> None:
+        """Takes an engine's cache events."""
+        engine = self._engines.get(report.endpoint)
+        if engine is not None:
+            engine.take_cache(report)
+
+    def take_priority_changes(self) -> list[EntryChange]:
+        """Returns the changes to send to entries since the last call."""
+        changes, self._changes = self._changes, []
+        return changes
 
     def decide(self) -> list[Decision]:
         """Grants and refuses what it can; call it also as time passes."""
-        decisions = []
         now = self._clock.now()
-        for _ in range(len(self._queue)):
-            queued = self._queue.popleft()
-            endpoint = self._place(queued.request)
-            if endpoint is not None:
-                decisions.append(self._grant(queued.request, endpoint))
-            elif now >= queued.until:
-                failure = not_run(
-                    Reason.DEADLINE, "no place became free", RETRY_AFTER_MS
-                )
-                decisions.append(_refuse(queued.request, failure))
-            else:
-                self._queue.append(queued)
+        if now - self._refreshed_ms >= REFRESH_MS:
+            self._refresh(now)
+        decisions: list[Decision] = []
+        lanes = [self._interactive, self._patient]
+        if self._patient.is_overdue():
+            # Work that can wait must start too.
+            lanes.reverse()
+        for lane in lanes:
+            self._serve(lane, decisions)
+            self._expire(lane, decisions)
         return decisions
 
-    def _place(self, request: PermitRequest) -> EndpointSpec | None:
-        counts = {e.name: 0 for e in self._spec.endpoints}
-        for held in self._running.values():
-            if held.endpoint in counts:
-                counts[held.endpoint] += 1
+    def _lane(self, request: PermitRequest) -> Lane:
+        return self._interactive if request.interactive else self._patient
+
+    def _share_key(self, request: PermitRequest) -> str:
+        return request.account if self._options.is_fair else ""
+
+    def _refusal(self, request: PermitRequest) -> Failure | None:
+        """Returns why a request can't be taken in, or None."""
+        limits = self._limits.of(request.account)
+        if self._options.limits_retries:
+            if not request.avoid:
+                limits.retries.add_attempt()
+            elif not limits.retries.take():
+                detail = "the account's retry budget is used up"
+                return not_run(Reason.RATE_LIMITED, detail, RETRY_AFTER_MS)
+        if limits.rate is not None:
+            wait_ms = limits.rate.take()
+            if wait_ms:
+                detail = "the account's rate of requests is used up"
+                return not_run(Reason.RATE_LIMITED, detail, wait_ms)
+        if not limits.can_ever_fit(self._expected_tokens(request)):
+            detail = "the request is larger than the account's room"
+            return not_run(Reason.RATE_LIMITED, detail)
+        if self.queued >= MAX_QUEUED:
+            detail = "too many requests wait"
+            return not_run(Reason.QUEUE_FULL, detail, RETRY_AFTER_MS)
+        if self._options.refuses_early:
+            return self._late_refusal(request)
+        return None
+
+    def _late_refusal(self, request: PermitRequest) -> Failure | None:
+        """Refuses what has no chance to start in time."""
+        lane = self._lane(request)
+        wait_ms = lane.wait_ms(self._share_key(request))
+        if wait_ms <= request.wait_ms:
+            return None
+        after = int(max(RETRY_AFTER_MS, wait_ms - request.wait_ms))
+        detail = f"no place within {request.wait_ms} ms"
+        return not_run(Reason.DEADLINE, detail, after)
+
+    def _expected_tokens(self, request: PermitRequest) -> int:
+        outlook = self._lengths.outlook(request, 0)
+        return request.prompt_tokens + int(outlook.mean_tokens)
+
+    def _serve(self, lane: Lane, decisions: list[Decision]) -> None:
+        """Grants from a lane until its first request finds no place."""
+        if lane.is_blocked:
+            return
+        for item in lane.heads():
+            limits = self._limits.of(item.request.account)
+            stream = self._forecast(item)
+            expected = stream.expected_tokens
+            if not limits.has_room(expected):
+                continue
+            engine = self._place(stream)
+            if engine is not None:
+                lane.start(self._share_key(item.request), item, expected)
+                decisions.append(self._grant(stream, engine))
+            elif not item.request.avoid:
+                # A later one must not pass by, or large ones would starve.
+                break
+        lane.is_blocked = len(lane) > 0
+
+    def _forecast(self, item: Queued) -> Stream:
+        """Returns the stream that a request would be, made anew at times."""
+        now = self._clock.now()
+        stream = item.stream
+        if stream is None or now - stream.forecast_ms >= FORECAST_MS:
+            expected = self._expected_tokens(item.request)
+            stream = Stream(item.request, "", now, expected, forecast_ms=now)
+            stream.forecast(0, self._lengths)
+            item.stream = stream
+        return stream
+
+    def _expire(self, lane: Lane, decisions: list[Decision]) -> None:
+        for item in lane.take_expired():
+            failure = not_run(
+                Reason.DEADLINE, "no place became free", RETRY_AFTER_MS
+            )
+            lane.remove(self._share_key(item.request), item)
+            decisions.append(_refuse(item.request, failure))
+
+    def _place(self, stream: Stream) -> EngineState | None:
+        now = self._clock.now()
         fit = [
-            e
-            for e in self._spec.endpoints
-            if counts[e.name] < self._spec.max_running
-            and e.name not in request.avoid
-            and e.name not in self._leaving
+            engine
+            for name, engine in self._engines.items()
+            if engine.outstanding < self._spec.max_running
+            and name not in stream.request.avoid
+            and name not in self._leaving
+            and not engine.is_silent(now)
         ]
-        if not fit:
-            return None
-        least = min(counts[e.name] for e in fit)
-        return self._rng.choice([e for e in fit if counts[e.name] == least])
-
-    def _grant(
-        self, request: PermitRequest, endpoint: EndpointSpec
-    ) -> Decision:
-        self._running[request.request_id] = _Running(request, endpoint.name)
-        grant = PermitGrant(request.request_id, endpoint.name, endpoint.address)
+        return self._policy.choose(stream, fit)
+
+    def _grant(self, stream: Stream, engine: EngineState) -> Decision:
+        request = stream.request
+        is_urgent = request.interactive
+        stream.priority = (
+            INTERACTIVE_PRIORITY if is_urgent else PATIENT_PRIORITY
+        )
+        self._add(stream, engine)
+        grant = PermitGrant(
+            request.request_id,
+            engine.spec.name,
+            engine.spec.address,
+            stream.priority,
+        )
         return Decision(request.request_id, PermitReply(grant=grant))
 
+    def _start(
+        self, request: PermitRequest, endpoint: str, tokens: int
+    ) -> None:
+        """Takes a stream that another owner granted."""
+        now = self._clock.now()
+        stream = Stream(
+            request, endpoint, now, self._expected_tokens(request), tokens
+        )
+        stream.forecast(tokens, self._lengths)
+        self._lane(request).note_running()
+        self._add(stream, self._engines.get(endpoint))
+
+    def _add(self, stream: Stream, engine: EngineState | None) -> None:
+        request = stream.request
+        stream.at_ms = stream.granted_ms = self._clock.now()
+        self._streams[request.request_id] = stream
+        self._entries_seen.setdefault(request.entry, stream.at_ms)
+        self._limits.of(request.account).add(stream.expected_tokens)
+        if engine is not None:
+            stream.endpoint = engine.spec.name
+            engine.add(stream)
+            engine.peak_tokens = engine.peak_with(None, MEMORY_DEVIATIONS)
+            engine.expect_cached(request.prefix)
+
+    def _forget(self, stream: Stream, tokens: int) -> None:
+        request = stream.request
+        del self._streams[request.request_id]
+        self._limits.of(request.account).remove(stream.expected_tokens)
+        lane = self._lane(request)
+        served = request.prompt_tokens + tokens
+        lane.end(
+            self._share_key(request),
+            served - stream.expected_tokens,
+            self._clock.now() - stream.granted_ms,
+        )
+        engine = self._engines.get(stream.endpoint)
+        if engine is not None:
+            engine.remove(stream)
+            engine.peak_tokens = engine.peak_with(None, MEMORY_DEVIATIONS)
+        self._unblock()
+
+    def _note_released(self, request_id: str) -> None:
+        self._released[request_id] = None
+        if len(self._released) > RELEASED_KEPT:
+            self._released.popitem(last=False)
+
+    def _unblock(self) -> None:
+        self._interactive.is_blocked = False
+        self._patient.is_blocked = False
+
+    def _refresh(self, now: int) -> None:
+        self._refreshed_ms = now
+        self._drop_silent(now)
+        for engine in self._engines.values():
+            engine.refresh(now, self._lengths)
+            engine.peak_tokens = engine.peak_with(None, MEMORY_DEVIATIONS)
+            if self._options.lowers_priority:
+                self._make_yield(engine)
+        self._unblock()
+
+    def _drop_silent(self, now: int) -> None:
+        """Drops the streams of entries that report no more."""
+        silent = {
+            entry
+            for entry, seen in self._entries_seen.items()
+            if now - seen > ENTRY_SILENCE_MS
+        }
+        if not silent:
+            return
+        for stream in list(self._streams.values()):
+            if stream.request.entry in silent:
+                self._forget(stream, stream.tokens)
+        for entry in silent:
+            del self._entries_seen[entry]
+
+    def _make_yield(self, engine: EngineState) -> None:
+        """Lowers one stream's priority when memory is about to run out."""
+        capacity = engine.capacity_tokens
+        if not capacity or engine.soon_tokens() <= capacity:
+            return
+        streams = engine.streams.values()
+        if any(s.priority == YIELDING_PRIORITY for s in streams):
+            return
+        patient = [s for s in streams if not s.request.interactive]
+        if not patient:
+            return
+        stream = max(patient, key=lambda s: s.left_tokens)
+        stream.priority = YIELDING_PRIORITY
+        change = PriorityChange(
+            stream.request.request_id, stream.endpoint, stream.priority
+        )
+        self._changes.append(EntryChange(stream.request.entry, change))
+
 
 def _refuse(request: PermitRequest, failure: Failure) -> Decision:
     return Decision(request.request_id, PermitReply(failure=failure))
--- a/rhubarbwinch/broker.py
+++ b/rhubarbwinch/broker.py
@@ -7,12 +7,18 @@
 
 from rhubarbwinch import metrics
 from rhubarbwinch.accepted import Snapshot
-from rhubarbwinch.admission import Admission, Decision, LoadReport
+from rhubarbwinch.admission import (
+    Admission,
+    Decision,
+    EntryChange,
+    LoadReport,
+    Options,
+)
 from rhubarbwinch.clock import Clock
 from rhubarbwinch.config import BrokerSettings
 from rhubarbwinch.daemon import Daemon
 from rhubarbwinch.endpoints import EndpointClient
-from rhubarbwinch.exceptions import EndpointError
+from rhubarbwinch.exceptions import EndpointError, LinkError
 from rhubarbwinch.members import Role
 from rhubarbwinch.messages import (
     PermitRelease,
@@ -41,14 +47,20 @@
         clock: The source of time.
         rng: Breaks ties.
         counters: Where permits and refusals are counted.
+        options: Which decisions the pools make.
     """
 
     def __init__(
-        self, clock: Clock, rng: random.Random, counters: metrics.Metrics
+        self,
+        clock: Clock,
+        rng: random.Random,
+        counters: metrics.Metrics,
+        options: Options | None = None,
     ) -> None:
         self._clock = clock
         self._rng = rng
         self._metrics = counters
+        self._options = options or Options()
         self._pools: dict[str, Admission] = {}
         self._waiters: dict[str, _Waiter] = {}
 
@@ -56,9 +68,15 @@
         """Takes the pools of a new configuration."""
         for name, spec in snapshot.pools.items():
             if name in self._pools:
-                self._pools[name].configure(spec)
+                self._pools[name].configure(spec, snapshot.accounts)
             else:
-                self._pools[name] = Admission(spec, self._clock, self._rng)
+                self._pools[name] = Admission(
+                    spec,
+                    self._clock,
+                    self._rng,
+                    snapshot.accounts,
+                    self._options,
+                )
         for name in self._pools.keys() - snapshot.pools.keys():
             del self._pools[name]
 
@@ -97,12 +115,16 @@
         if pool in self._pools:
             self._pools[pool].report_load(report)
 
-    def tick(self) -> None:
-        """Decides what the passing of time decides."""
+    def tick(self) -> list[EntryChange]:
+        """Decides what time decides; returns changes to send to entries."""
+        changes = []
         for pool in self._pools.values():
             self._spread(pool.decide())
+            changes += pool.take_priority_changes()
         queued = sum(pool.queued for pool in self._pools.values())
         self._metrics.gauge(metrics.QUEUED, queued)
+        self._metrics.count(metrics.YIELDS, len(changes))
+        return changes
 
     def _spread(self, decisions: list[Decision]) -> None:
         for decision in decisions:
@@ -130,6 +152,7 @@
             self._daemon.clock,
             random.Random(self._daemon.incarnation),
             self._daemon.metrics,
+            Options(placement=settings.placement),
         )
 
     async def run(self) -> None:
@@ -147,7 +170,18 @@
     async def _tick(self) -> None:
         while True:
             await self._daemon.clock.sleep(TICK_MS)
-            self._keeper.tick()
+            for change in self._keeper.tick():
+                await self._send_change(change)
+
+    async def _send_change(self, change: EntryChange) -> None:
+        for entry in self._daemon.members.serving(Role.ENTRY):
+            if entry.name != change.entry:
+                continue
+            try:
+                await self._daemon.links.send(entry.link, change.message)
+            except LinkError:
+                # Without the change the engine chooses its own victim.
+                return
 
     async def _read_loads(self) -> None:
         while True:
--- a/rhubarbwinch/config.py
+++ b/rhubarbwinch/config.py
@@ -10,6 +10,7 @@
 from rhubarbwinch import misc
 from rhubarbwinch.events import LogFormat
 from rhubarbwinch.links import LinkKeys
+from rhubarbwinch.placement import POLICIES
 from rhubarbwinch.store import STORES
 
 ENV_PREFIX = "RHUBARBWINCH_"
@@ -219,8 +220,9 @@
     """
 
     placement: Annotated[
-        str, _arg("placement", "least-outstanding", _name, "Placement policy")
-    ] = "least-outstanding"
+        str,
+        _arg("placement", "quantile", _choice(*POLICIES), "Placement policy"),
+    ] = "quantile"
     load_poll_ms: Annotated[
         int,
         _arg("load-poll-ms", 250, _number(10, 60_000), "Load reading period"),
--- /dev/null
+++ b/rhubarbwinch/fairness.py
@@ -0,0 +1,150 @@
+"""Fair queueing between accounts, in tokens served."""
+
+import heapq
+import itertools
+from collections import deque
+from collections.abc import Callable, Iterator
+
+import attrs
+
+from rhubarbwinch.enginestate import Stream
+from rhubarbwinch.messages import PermitRequest
+
+
+@attrs.define(eq=False)
+class Queued:
+    """A request that waits.
+
+    Attributes:
+        request: The request.
+        since_ms: When it came.
+        until_ms: When its wait ends.
+        is_gone: Whether it was granted or refused.
+        stream: What it would be if it started, once worked out.
+    """
+
+    request: PermitRequest
+    since_ms: int
+    until_ms: int
+    is_gone: bool = False
+    stream: Stream | None = None
+
+
+@attrs.define(eq=False)
+class _Line:
+    """The waiting requests of one account."""
+
+    account: str
+    weight: float
+    virtual: float
+    live: int = 0
+    is_listed: bool = False
+    items: deque[Queued] = attrs.field(factory=deque)
+
+    def head(self) -> Queued | None:
+        """Returns the first request that still waits."""
+        while self.items and self.items[0].is_gone:
+            self.items.popleft()
+        return self.items[0] if self.items else None
+
+
+class FairQueue:
+    """Serves the account that has been served least for its weight.
+
+    Each account has a virtual time that grows with its tokens over its
+    weight. An account that comes back starts at the queue's virtual time, so
+    that it can't save up a claim while it is away.
+
+    Args:
+        weight_of: Returns an account's weight.
+    """
+
+    def __init__(self, weight_of: Callable[[str], float]) -> None:
+        self._weight_of = weight_of
+        self._lines: dict[str, _Line] = {}
+        self._heap: list[tuple[float, int, _Line]] = []
+        self._order = itertools.count()
+        self._virtual = 0.0
+        self._length = 0
+        self._active_weight = 0.0
+
+    def __len__(self) -> int:
+        return self._length
+
+    def push(self, account: str, item: Queued) -> None:
+        """Adds a request at the end of its account's line."""
+        line = self._line(account)
+        if line.live == 0:
+            line.virtual = max(line.virtual, self._virtual)
+            self._active_weight += line.weight
+            self._enter(line)
+        line.items.append(item)
+        line.live += 1
+        self._length += 1
+
+    def remove(self, account: str, item: Queued) -> None:
+        """Takes out a request that was granted or refused."""
+        item.is_gone = True
+        line = self._lines[account]
+        line.live -= 1
+        self._length -= 1
+        if line.live == 0:
+            self._active_weight -= line.weight
+            line.items.clear()
+
+    def charge(self, account: str, tokens: float) -> None:
+        """Counts tokens served to an account; negative to correct."""
+        line = self._line(account)
+        line.virtual += tokens / line.weight
+
+    def ahead(self, account: str) -> float:
+        """Returns about how many requests go before a new one."""
+        line = self._lines.get(account)
+        own = line.live if line else 0
+        weight = line.weight if line else self._weight_of(account)
+        others = self._active_weight - (weight if own else 0)
+        return min(self._length, own * (1 + others / weight) + others / weight)
+
+    def heads(self, limit: int) -> Iterator[Queued]:
+        """Yields the first request of up to `limit` accounts, in order.
+
+        A request that the caller removes makes way for its account's next.
+        """
+        passed: list[_Line] = []
+        try:
+            while self._heap and len(passed) < limit:
+                virtual, _, line = heapq.heappop(self._heap)
+                line.is_listed = False
+                item = line.head()
+                if item is None:
+                    self._drop(line)
+                elif line.virtual > virtual:
+                    self._enter(line)
+                else:
+                    passed.append(line)
+                    yield item
+                    if item.is_gone:
+                        self._virtual = max(self._virtual, virtual)
+                        self._enter(passed.pop())
+        finally:
+            for line in passed:
+                self._enter(line)
+
+    def _drop(self, line: _Line) -> None:
+        """Forgets an account that is owed nothing."""
+        if line.virtual <= self._virtual:
+            del self._lines[line.account]
+
+    def _enter(self, line: _Line) -> None:
+        if not line.is_listed:
+            line.is_listed = True
+            entry = (line.virtual, next(self._order), line)
+            heapq.heappush(self._heap, entry)
+
+    def _line(self, account: str) -> _Line:
+        line = self._lines.get(account)
+        if line is None:
+            weight = self._weight_of(account)
+            line = _Line(account, weight, self._virtual)
+            self._lines[account] = line
+        return line
--- a/rhubarbwinch/metrics.py
+++ b/rhubarbwinch/metrics.py
@@ -39,6 +39,9 @@
 PERMITS = define("permits", "counter", "Permits that a broker granted.")
 REFUSALS = define("refusals", "counter", "Permits that a broker refused.")
 QUEUED = define("queued", "gauge", "Requests that wait for a permit.")
+YIELDS = define(
+    "yields", "counter", "Streams whose priority was lowered to free memory."
+)
 GENERATION = define(
     "generation", "gauge", "The configuration generation in force."
 )
--- /dev/null
+++ b/rhubarbwinch/placement.py
@@ -0,0 +1,168 @@
+"""Placement policies: which endpoint a request runs on, if any."""
+
+import random
+from collections.abc import Callable
+from typing import Protocol
+
+from rhubarbwinch.enginestate import EngineState, Stream
+from rhubarbwinch.registry import Registry
+from rhubarbwinch.steptime import StepTime
+
+GAP_TARGET_MS = 41.0
+# Standard deviations of summed memory: one admission in 40 is too many.
+MEMORY_DEVIATIONS = 2.0
+HEADROOM_SHARE = 0.08
+PREFILL_MS_PER_TOKEN = 0.04
+CANDIDATES = 3
+
+
+class Policy(Protocol):
+    """Chooses among the endpoints that may take a request."""
+
+    def choose(
+        self, stream: Stream, engines: list[EngineState]
+    ) -> EngineState | None:
+        """Returns the endpoint for a stream, or None to let it wait."""
+        ...
+
+
+POLICIES: Registry[Callable[[StepTime, random.Random], Policy]] = Registry(
+    "placement policy"
+)
+
+
+class _Simple:
+    """What the policies share that need no forecast."""
+
+    def __init__(self, step_time: StepTime, rng: random.Random) -> None:
+        self._step_time = step_time
+        self._rng = rng
+
+    def _least(
+        self, engines: list[EngineState], key: Callable[[EngineState], float]
+    ) -> EngineState | None:
+        if not engines:
+            return None
+        least = min(key(e) for e in engines)
+        return self._rng.choice([e for e in engines if key(e) == least])
+
+
+@POLICIES.register("round-robin")
+class RoundRobin(_Simple):
+    """Takes the endpoints in turn."""
+
+    def __init__(self, step_time: StepTime, rng: random.Random) -> None:
+        super().__init__(step_time, rng)
+        self._turn = 0
+
+    def choose(
+        self, stream: Stream, engines: list[EngineState]
+    ) -> EngineState | None:
+        """Returns the next endpoint."""
+        if not engines:
+            return None
+        self._turn += 1
+        return engines[self._turn % len(engines)]
+
+
+@POLICIES.register("least-outstanding")
+class LeastOutstanding(_Simple):
+    """Takes the endpoint with the fewest requests that have not ended."""
+
+    def choose(
+        self, stream: Stream, engines: list[EngineState]
+    ) -> EngineState | None:
+        """Returns the endpoint with the fewest requests."""
+        return self._least(engines, lambda e: e.outstanding)
+
+
+@POLICIES.register("least-load")
+class LeastLoad(_Simple):
+    """Takes the endpoint that reported the least memory in use."""
+
+    def choose(
+        self, stream: Stream, engines: list[EngineState]
+    ) -> EngineState | None:
+        """Returns the endpoint with the least reported load."""
+        return self._least(engines, _reported)
+
+
+def _reported(engine: EngineState) -> float:
+    load = engine.load
+    return load.used_tokens + load.waiting if load else 0.0
+
+
+@POLICIES.register("reserve-maximum")
+class ReserveMaximum(_Simple):
+    """Reserves the most tokens that each request may generate."""
+
+    def choose(
+        self, stream: Stream, engines: list[EngineState]
+    ) -> EngineState | None:
+        """Returns the endpoint with the most memory not reserved."""
+        more = _most_tokens(stream)
+        fit = [
+            e
+            for e in engines
+            if not e.capacity_tokens or _reserved(e) + more <= e.capacity_tokens
+        ]
+        return self._least(fit, _reserved)
+
+
+def _most_tokens(stream: Stream) -> int:
+    return stream.request.prompt_tokens + stream.request.max_tokens
+
+
+def _reserved(engine: EngineState) -> float:
+    return float(sum(_most_tokens(s) for s in engine.streams.values()))
+
+
+@POLICIES.register("quantile")
+class Quantile(_Simple):
+    """Admits while the upper quantile of predicted peak memory fits.
+
+    Work that can wait leaves headroom for interactive work, and no request
+    may take the predicted step time over the gap target.
+    """
+
+    def choose(
+        self, stream: Stream, engines: list[EngineState]
+    ) -> EngineState | None:
+        """Returns the best endpoint on which the stream fits."""
+        ranked = sorted(engines, key=lambda e: self._cost_ms(stream, e))
+        for engine in ranked[:CANDIDATES]:
+            if self._fits(stream, engine):
+                return engine
+        return None
+
+    def _cost_ms(self, stream: Stream, engine: EngineState) -> float:
+        """Returns what the stream would wait and cost there, in ms."""
+        uncached = stream.request.prompt_tokens - engine.cached_tokens(
+            stream.request.prefix
+        )
+        if not engine.capacity_tokens:
+            return engine.outstanding * self._rng.uniform(1.0, 1.001)
+        filled = engine.peak_tokens / engine.capacity_tokens
+        prefill = uncached * PREFILL_MS_PER_TOKEN
+        return prefill + GAP_TARGET_MS * filled
+
+    def _fits(self, stream: Stream, engine: EngineState) -> bool:
+        capacity = engine.capacity_tokens
+        if not capacity:
+            return True
+        can_wait = not stream.request.interactive
+        if can_wait:
+            capacity = int(capacity * (1 - HEADROOM_SHARE))
+        if engine.peak_with(stream, MEMORY_DEVIATIONS) > capacity:
+            return False
+        return self._keeps_pace(engine, stream, can_wait)
+
+    def _keeps_pace(
+        self, engine: EngineState, stream: Stream, can_wait: bool
+    ) -> bool:
+        if not self._step_time.is_learned:
+            return True
+        batch = engine.outstanding + 1
+        step = self._step_time.predict(batch, engine.peak_with(stream, 0.0))
+        share = 1 - HEADROOM_SHARE if can_wait else 1.0
+        return step <= GAP_TARGET_MS * share
--- /dev/null
+++ b/rhubarbwinch/queueing.py
@@ -0,0 +1,97 @@
+"""The waiting requests of one class: order, deadlines, expected wait."""
+
+import heapq
+import itertools
+from collections.abc import Callable, Iterator
+
+from rhubarbwinch.clock import Clock
+from rhubarbwinch.fairness import FairQueue, Queued
+from rhubarbwinch.messages import PermitRequest
+from rhubarbwinch.waits import StartRate
+
+# Accounts that are looked at when others are at their limits.
+MAX_HEADS = 8
+OVERDUE_SHARE = 0.5
+
+
+class Lane:
+    """A queue for interactive work, or for work that can wait.
+
+    Args:
+        clock: The source of time.
+        weight_of: Returns an account's weight.
+    """
+
+    def __init__(self, clock: Clock, weight_of: Callable[[str], float]) -> None:
+        self.is_blocked = False
+        self._clock = clock
+        self._queue = FairQueue(weight_of)
+        self._deadlines: list[tuple[int, int, Queued]] = []
+        self._order = itertools.count()
+        self._starts = StartRate(clock)
+
+    def __len__(self) -> int:
+        return len(self._queue)
+
+    def push(self, key: str, request: PermitRequest) -> None:
+        """Adds a request."""
+        now = self._clock.now()
+        item = Queued(request, now, now + request.wait_ms)
+        if len(self._queue) == 0:
+            self.is_blocked = False
+        self._queue.push(key, item)
+        entry = (item.until_ms, next(self._order), item)
+        heapq.heappush(self._deadlines, entry)
+
+    def heads(self) -> Iterator[Queued]:
+        """Yields the requests that may be next."""
+        return self._queue.heads(MAX_HEADS)
+
+    def start(self, key: str, item: Queued, tokens: int) -> None:
+        """Takes out a request that starts, charged with `tokens`."""
+        self._queue.charge(key, tokens)
+        self._queue.remove(key, item)
+        self._starts.note_start()
+
+    def remove(self, key: str, item: Queued) -> None:
+        """Takes out a request that was refused."""
+        self._queue.remove(key, item)
+
+    def note_running(self) -> None:
+        """Counts a request that was started elsewhere."""
+        self._starts.running += 1
+
+    def end(self, key: str, tokens: int, run_ms: int) -> None:
+        """Counts a request that ended; corrects its charge by `tokens`."""
+        self._queue.charge(key, tokens)
+        self._starts.note_end(run_ms)
+
+    def wait_ms(self, key: str) -> float:
+        """Returns the expected wait of a new request."""
+        if len(self._queue) == 0:
+            return 0.0
+        return self._starts.wait_ms(self._queue.ahead(key))
+
+    def is_overdue(self) -> bool:
+        """Tells whether a request has used up half of its longest wait."""
+        item = self._first_deadline()
+        if item is None:
+            return False
+        waited = self._clock.now() - item.since_ms
+        return waited > OVERDUE_SHARE * (item.until_ms - item.since_ms)
+
+    def take_expired(self) -> list[Queued]:
+        """Returns the requests whose wait has ended."""
+        expired = []
+        now = self._clock.now()
+        item = self._first_deadline()
+        while item is not None and item.until_ms <= now:
+            heapq.heappop(self._deadlines)
+            expired.append(item)
+            item = self._first_deadline()
+        return expired
+
+    def _first_deadline(self) -> Queued | None:
+        while self._deadlines and self._deadlines[0][2].is_gone:
+            heapq.heappop(self._deadlines)
+        return self._deadlines[0][2] if self._deadlines else None
