--- a/rhubarbwinch/config.py
+++ b/rhubarbwinch/config.py
@@ -184,6 +184,12 @@
             started a stream can resume it.
         permit_timeout_ms: The longest wait for a broker beyond the queue.
         endpoint_silence_ms: A stream without a byte for so long is resumed.
+        claims_keep_hours: How long claims and counters are kept for audits;
+            no key older than this is accepted.
+        claim_writes_per_s: The most writes of claims in a second.
+        meter_flush_ms: The time between two writes of the counters.
+        resume_grace_ms: How long a generation is kept for a caller that lost
+            its connection and may resume it.
     """
 
     max_body_bytes: Annotated[
@@ -208,6 +214,42 @@
             "Silence after which a stream is resumed",
         ),
     ] = 2000
+    claims_keep_hours: Annotated[
+        int,
+        _arg(
+            "claims-keep-hours",
+            35 * 24,
+            _number(1, 400 * 24),
+            "How long claims and counters are kept",
+        ),
+    ] = 35 * 24
+    claim_writes_per_s: Annotated[
+        int,
+        _arg(
+            "claim-writes-per-s",
+            50,
+            _number(1, 10_000),
+            "Most store writes for claims in a second",
+        ),
+    ] = 50
+    meter_flush_ms: Annotated[
+        int,
+        _arg(
+            "meter-flush-ms",
+            5_000,
+            _number(100, 600_000),
+            "Time between two writes of the counters",
+        ),
+    ] = 5_000
+    resume_grace_ms: Annotated[
+        int,
+        _arg(
+            "resume-grace-ms",
+            10_000,
+            _number(0, 600_000),
+            "How long a generation is kept for a caller that left it",
+        ),
+    ] = 10_000
 
 
 @attrs.define(kw_only=True)
@@ -231,7 +273,56 @@
 
 @attrs.define(kw_only=True)
 class ControlSettings(Settings):
-    """What a control is told besides."""
+    """What a control is told besides.
+
+    Attributes:
+        engine_adapter: How engines take orders.
+        order_lease_ms: The life of the lease for orders without renewal.
+        order_flight_ms: The longest time from an order to its effect.
+        loads_per_minute: What the weight store carries, for the deployment.
+        vm_list: `a.b.c.d:port` of the platform's list of VMs; empty for none.
+        vm_list_kind: The list's adapter.
+    """
+
+    engine_adapter: Annotated[
+        str, _arg("engine-adapter", "http", _name, "How engines take orders")
+    ] = "http"
+    order_lease_ms: Annotated[
+        int,
+        _arg(
+            "order-lease-ms", 10_000, _number(1000, 600_000), "Lease for orders"
+        ),
+    ] = 10_000
+    order_flight_ms: Annotated[
+        int,
+        _arg(
+            "order-flight-ms",
+            2000,
+            _number(100, 60_000),
+            "Longest flight of an order",
+        ),
+    ] = 2000
+    loads_per_minute: Annotated[
+        int,
+        _arg(
+            "loads-per-minute",
+            60,
+            _number(1, 100_000),
+            "Load orders a minute in the whole deployment",
+        ),
+    ] = 60
+    vm_list: Annotated[
+        str,
+        _arg(
+            "vm-list",
+            "",
+            lambda value: _address(value) if value else "",
+            "Address of the list of VMs",
+        ),
+    ] = ""
+    vm_list_kind: Annotated[
+        str, _arg("vm-list-kind", "json", _name, "VM list adapter")
+    ] = "json"
 
 
 def environment_help() -> dict[str, str]:
