News that a member sends is bounded in bytes a second

The news of a storm, such as all daemons starting at once, was sent as fast as it came in: 16.8 KB a member within 30 ms at 340 members. A token bucket of 64 KB that fills by 2 KB a second now bounds it, heartbeats aside; news about members waits behind other rumours, since views are compared as well. Ruled out: a bound on the number of messages, which are of all sizes.

--- a/rhubarbwinch/gossip.py
+++ b/rhubarbwinch/gossip.py
@@ -12,6 +12,7 @@
 import anyio.abc
 
 from rhubarbwinch import codec, events, overlay
+from rhubarbwinch.bytebudget import ByteBudget
 from rhubarbwinch.clock import Clock
 from rhubarbwinch.exceptions import CodecError, LinkError
 from rhubarbwinch.heartbeat import Heartbeat, ViewReply, ViewRequest
@@ -36,6 +37,9 @@
 JOIN_MS = 1000
 MAX_RUMOUR_BYTES = 512
 MAX_NEWS_BYTES = 1200
+# News beyond this rate waits, however much happens in the fleet at once.
+NEWS_BYTES_PER_S = 2000
+NEWS_BURST_BYTES = 64_000
 
 _MEMBER = "member"
 
@@ -75,6 +79,7 @@
         self._holds_lease = holds_lease
         self._handlers: dict[str, RumourHandler] = {}
         self._rumours = Rumours()
+        self._budget = ByteBudget(clock, NEWS_BYTES_PER_S, NEWS_BURST_BYTES)
         self._generation = 0
         self._ended = False
         self._on_newer: NewerHandler = lambda _generation, _address: None
@@ -232,7 +237,7 @@
 
     async def _exchange(self, peer: Member) -> bool:
         """Sends a heartbeat; returns whether the peer answered."""
-        sent = self._rumours.pick(peer.name, MAX_NEWS_BYTES)
+        sent = self._rumours.pick(peer.name, self._room())
         try:
             answer = await self._links.call(
                 peer.link,
@@ -263,12 +268,17 @@
         for news in reply.news:
             self._hear(news)
 
+    def _room(self) -> int:
+        """Returns the room for news in the next message, in bytes."""
+        return min(MAX_NEWS_BYTES, self._budget.left)
+
     def _make(self, peer: str, rumours: list[Rumour]) -> Heartbeat:
         verdict = self._members.news_of(peer)
         if verdict is not None and verdict.health is not Health.ALIVE:
             # The peer is there, so it must hear what is said of it, to deny
             # it.
             rumours = [*rumours, _member_rumour(verdict)]
+        self._budget.spend(sum(rumour.size for rumour in rumours))
         return Heartbeat(
             self._members.me.name,
             self._generation,
@@ -279,7 +289,7 @@
     async def _answer(self, heartbeat: Heartbeat) -> Heartbeat:
         await self._take(heartbeat)
         peer = heartbeat.sender
-        rumours = self._rumours.pick_answer(peer, MAX_NEWS_BYTES)
+        rumours = self._rumours.pick_answer(peer, self._room())
         return self._make(peer, rumours)
 
     async def _show_view(self, request: ViewRequest) -> ViewReply:
--- a/rhubarbwinch/rumours.py
+++ b/rhubarbwinch/rumours.py
@@ -120,8 +120,13 @@
 
 
 def _fit(waiting: list[_Held], max_bytes: int) -> list[_Held]:
-    """Returns the first of them that fit into a message."""
+    """Returns those that fit into a message.
+
+    News about members comes last: in a storm of it there is another way to
+    learn it, the comparison of views.
+    """
     found = []
+    waiting.sort(key=lambda held: held.rumour.origin == 0)
     for held in waiting:
         max_bytes -= held.rumour.size
         if max_bytes < 0:
