Metering, the audit, and quarantine of requests that crash engines

Nothing counted tokens for accounts, and a request that crashes engines could take one after another, retried by the entry and sent again by its caller. Totals go to a key of each entry incarnation, so a repeated write is idempotent; a stream that moved is counted once, by its longest mark. Strikes go by gossip and to the store; the one run after the first strike is decided by compare-and-swap, so copies at four members cost no third engine. Ruled out: a store write for each generation; a trial decided by gossip alone.

--- a/rhubarbwinch/calls.py
+++ b/rhubarbwinch/calls.py
@@ -7,9 +7,11 @@
 import orjson
 
 from rhubarbwinch.accepted import Snapshot
+from rhubarbwinch.claimkeys import ClaimKey
 from rhubarbwinch.httpapi import Refused, Request, Responder
 from rhubarbwinch.records import ServiceSpec
 from rhubarbwinch.relay import Relay
+from rhubarbwinch.repeatable import claim_key
 from rhubarbwinch.verdict import Reason, not_run
 
 DEFAULT_MAX_TOKENS = 4096
@@ -29,6 +31,8 @@
         stream: Whether the caller wants events.
         prompt_tokens: The estimated prompt length.
         max_tokens: The bound on the output.
+        claim_key: The key under which it runs at most once; None if it is
+            repeatable.
     """
 
     account: str
@@ -39,6 +43,7 @@
     stream: bool
     prompt_tokens: int
     max_tokens: int
+    claim_key: ClaimKey | None = None
 
     @property
     def fingerprint(self) -> str:
@@ -81,6 +86,7 @@
         stream=stream,
         prompt_tokens=len(request.body) // BYTES_PER_TOKEN,
         max_tokens=max_tokens,
+        claim_key=claim_key(account, name, service, request, request.path),
     )
 
 
--- a/rhubarbwinch/claimparts.py
+++ b/rhubarbwinch/claimparts.py
@@ -1,4 +1,4 @@
-"""Builds an entry's claims and hangs them into its supervisor tree."""
+"""Builds an entry's claims, meter and quarantine and adds their tasks."""
 
 import secrets
 
@@ -9,12 +9,14 @@
 from rhubarbwinch.config import EntrySettings
 from rhubarbwinch.daemon import Daemon
 from rhubarbwinch.messages import ClaimQuestion
+from rhubarbwinch.metering import Meter, MeterCleaner
+from rhubarbwinch.quarantine import Quarantine
 
 HOUR_MS = 3_600_000
 
 
 class ClaimParts:
-    """The claims of an entry.
+    """The claims, the meter and the quarantine of an entry.
 
     Args:
         daemon: The entry's program.
@@ -23,10 +25,18 @@
 
     def __init__(self, daemon: Daemon, settings: EntrySettings) -> None:
         store, clock = daemon.store, daemon.clock
+        keep_ms = settings.claims_keep_hours * HOUR_MS
         self._pages = ClaimPages(store, clock, settings.claim_writes_per_s)
-        self._cleaner = ClaimCleaner(
-            store, clock, settings.claims_keep_hours * HOUR_MS
+        self._cleaner = ClaimCleaner(store, clock, keep_ms)
+        self._meter_cleaner = MeterCleaner(store, clock, keep_ms)
+        self.meter = Meter(
+            store,
+            clock,
+            settings.name,
+            daemon.incarnation,
+            settings.meter_flush_ms,
         )
+        self.quarantine = Quarantine(store, daemon.gossip, clock)
         self.claims = Claims(
             self._pages,
             LinkOwners(daemon.links, daemon.members),
@@ -43,3 +53,6 @@
         daemon.add("claim-pages", self._pages.run)
         daemon.add("claims", self.claims.run)
         daemon.add("claim-cleaner", self._cleaner.run)
+        daemon.add("meter", self.meter.run)
+        daemon.add("meter-cleaner", self._meter_cleaner.run)
+        daemon.add("quarantine", self.quarantine.run)
--- a/rhubarbwinch/entry.py
+++ b/rhubarbwinch/entry.py
@@ -14,6 +14,7 @@
 from rhubarbwinch.drainlimit import run_until_limit
 from rhubarbwinch.endpoints import EndpointClient
 from rhubarbwinch.generate import Generator
+from rhubarbwinch.guarded import GuardedGenerator
 from rhubarbwinch.httpapi import App, Refused, Request, Responder
 from rhubarbwinch.members import Role
 from rhubarbwinch.messages import PriorityChange, StreamTake
@@ -45,11 +46,13 @@
             daemon.links, daemon.members, settings.permit_timeout_ms
         )
         ids = identity.IdMaker(daemon.incarnation, settings.stream_secret)
+        self._claims = ClaimParts(daemon, settings)
         self._streams = OpenStreams(
             self._permits,
             self._endpoints,
             daemon.clock,
             settings.resume_grace_ms,
+            self._claims.meter,
         )
         self._takeover = Takeover(
             self._streams,
@@ -69,7 +72,13 @@
             settings.name,
             settings.data_center,
         )
-        self._claims = ClaimParts(daemon, settings)
+        self._guarded = GuardedGenerator(
+            self._generator,
+            self._claims.quarantine,
+            self._claims.claims,
+            self._permits,
+            self._endpoints,
+        )
         self._plain = PlainCaller(
             self._permits,
             self._endpoints,
@@ -153,7 +162,7 @@
             last = request.headers.get("last-event-id")
             if last is None:
                 call = parse_call(account, request, snapshot)
-                await self._generator.serve(call, snapshot, responder)
+                await self._guarded.serve(call, snapshot, responder)
                 return
             after = identity.parse_event_id(last)
             if after is None:
--- a/rhubarbwinch/generate.py
+++ b/rhubarbwinch/generate.py
@@ -18,6 +18,7 @@
 from rhubarbwinch.permits import Permit, PermitClient
 from rhubarbwinch.relay import Position, Relay
 from rhubarbwinch.retries import Backoff, RetryBudget
+from rhubarbwinch.runguard import NoGuard, RunGuard
 from rhubarbwinch.sse import join
 from rhubarbwinch.streams import OpenStream, OpenStreams
 from rhubarbwinch.verdict import Failure, Reason, Verdict, not_run
@@ -70,13 +71,24 @@
         self._data_center = data_center
 
     async def serve(
-        self, call: Call, snapshot: Snapshot, responder: Responder
+        self,
+        call: Call,
+        snapshot: Snapshot,
+        responder: Responder,
+        guard: RunGuard | None = None,
     ) -> None:
         """Answers a call.
 
+        Args:
+            call: The checked request.
+            snapshot: The configuration in force.
+            responder: Sends the answer.
+            guard: Watches over each run.
+
         Raises:
             Refused: It failed, with its verdict.
         """
+        guard = guard or NoGuard()
         avoid: list[str] = []
         failed: EndpointError | None = None
         self._budget.add_request(call.account)
@@ -89,7 +101,8 @@
                 # The first engine may have run what the broker refuses now.
                 raise Refused(_failure(failed)) from refused
             try:
-                await self._run(call, permit, responder)
+                async with guard.run(permit):
+                    await self._run(call, permit, responder)
                 return
             except EndpointError as error:
                 avoid.append(permit.grant.endpoint)
@@ -194,6 +207,7 @@
             prompt_tokens=call.prompt_tokens,
             max_tokens=call.max_tokens,
             fingerprint=call.fingerprint,
+            repeatable=call.claim_key is None,
             wait_ms=call.service.wait_ms,
             avoid=avoid,
         )
--- /dev/null
+++ b/rhubarbwinch/guarded.py
@@ -0,0 +1,68 @@
+"""Generation requests under the guards of quarantine and claims."""
+
+from rhubarbwinch.accepted import Snapshot
+from rhubarbwinch.calls import Call
+from rhubarbwinch.claims import Claims
+from rhubarbwinch.endpoints import EndpointClient
+from rhubarbwinch.generate import Generator
+from rhubarbwinch.httpapi import Responder
+from rhubarbwinch.permits import PermitClient
+from rhubarbwinch.quarantine import Quarantine
+from rhubarbwinch.repeatable import replay
+from rhubarbwinch.runguard import ClaimGuard, QuarantineGuard
+
+
+class GuardedGenerator:
+    """Runs generation requests that the guards let through.
+
+    Args:
+        generator: Runs them.
+        quarantine: What is known of suspects.
+        claims: Keeps requests that are not repeatable from running twice.
+        permits: Where places come from.
+        endpoints: Calls engines.
+    """
+
+    def __init__(
+        self,
+        generator: Generator,
+        quarantine: Quarantine,
+        claims: Claims,
+        permits: PermitClient,
+        endpoints: EndpointClient,
+    ) -> None:
+        self._generator = generator
+        self._quarantine = quarantine
+        self._claims = claims
+        self._permits = permits
+        self._endpoints = endpoints
+
+    async def serve(
+        self, call: Call, snapshot: Snapshot, responder: Responder
+    ) -> None:
+        """Answers a call.
+
+        Raises:
+            Refused: It failed, with its verdict.
+        """
+        guard = QuarantineGuard(
+            self._quarantine,
+            self._endpoints,
+            self._permits,
+            call.fingerprint,
+            repeatable=call.claim_key is None,
+        )
+        if call.claim_key is None:
+            await guard.check()
+            await self._generator.serve(call, snapshot, responder, guard)
+            return
+        once = ClaimGuard(self._claims, self._permits, call.claim_key, guard)
+        outcome = await once.find()
+        if outcome is not None:
+            await replay(outcome, responder)
+            return
+        await guard.check()
+        try:
+            await self._generator.serve(call, snapshot, responder, once)
+        finally:
+            await once.release()
--- a/rhubarbwinch/keys.py
+++ b/rhubarbwinch/keys.py
@@ -10,6 +10,7 @@
 CLAIMS_CURSOR = ROOT + "claims-cursor"
 METERS = ROOT + "meters/"
 QUARANTINE = ROOT + "quarantine/"
+SUSPECTS = QUARANTINE + "suspects/"
 ORDERS = ROOT + "orders/"
 
 
@@ -65,7 +66,7 @@
 
 def suspect(fingerprint: str) -> str:
     """Returns the key of a fingerprint's strikes."""
-    return f"{QUARANTINE}suspects/{fingerprint}"
+    return SUSPECTS + fingerprint
 
 
 def trial(endpoint: str) -> str:
--- a/rhubarbwinch/metering.py
+++ b/rhubarbwinch/metering.py
@@ -6,16 +6,19 @@
 another entry resumes them, the audit counts the longer of the two accounts.
 """
 
+import anyio
 import attrs
 
 from rhubarbwinch import codec, events, keys
 from rhubarbwinch.clock import Clock
 from rhubarbwinch.exceptions import StoreError, StoreUncertain
+from rhubarbwinch.relay import Position
 from rhubarbwinch.store import Store
 
 PERIOD_MS = 3_600_000
 MAX_MARKS = 5_000
 CLEANED_PERIODS = 48
+LAST_FLUSH_S = 1.0
 
 
 @attrs.define
@@ -42,7 +45,8 @@
     Attributes:
         generation: Its id.
         account: The client account.
-        service: The service that was called; empty for a resumed stream.
+        service: The service that was called; empty if it is not known where
+            the stream was resumed.
         tokens: The tokens passed on, from the stream's start.
     """
 
@@ -69,6 +73,24 @@
     marks: list[GenerationMark] = attrs.field(factory=list)
 
 
+@attrs.frozen
+class _OpenStream:
+    """A stream that is being passed on."""
+
+    position: Position
+    account: str
+    service: str
+
+    def mark(self) -> GenerationMark:
+        """Returns how far it has come."""
+        return GenerationMark(
+            self.position.generation,
+            self.account,
+            self.service,
+            self.position.next_index,
+        )
+
+
 def origin_of(generation: str) -> tuple[str, int]:
     """Returns the incarnation and number in a generation id."""
     incarnation, number, _ = generation.split("-", 2)
@@ -102,44 +124,41 @@
         self._period = clock.wall() // PERIOD_MS
         self._last_number = 0
         self._counts: dict[tuple[str, str], MeterCount] = {}
-        self._open: dict[str, GenerationMark] = {}
+        self._open: dict[str, _OpenStream] = {}
         self._broken: dict[str, GenerationMark] = {}
         self._written = self._document(with_open=False)
         self._revision: int | None = None
 
-    def start(self, generation: str, account: str, service: str) -> None:
-        """Notes a stream that starts here."""
-        _, number = origin_of(generation)
-        self._last_number = max(self._last_number, number)
-        mark = GenerationMark(generation, account, service)
-        self._open[generation] = mark
-
-    def resume(self, generation: str, account: str, tokens: int) -> None:
-        """Notes a stream that another entry started."""
-        mark = GenerationMark(generation, account, "", tokens)
-        self._open[generation] = mark
-
-    def progress(self, generation: str, tokens: int) -> None:
-        """Notes how many tokens of a stream have been passed on."""
-        mark = self._open.get(generation)
-        if mark is not None:
-            mark.tokens = tokens
+    def start(self, position: Position, account: str, service: str) -> None:
+        """Counts a stream from now on; its position is read at each write."""
+        generation = position.generation
+        origin, number = origin_of(generation)
+        if origin == f"{self._incarnation:x}":
+            self._last_number = max(self._last_number, number)
+        self._broken.pop(generation, None)
+        self._open[generation] = _OpenStream(position, account, service)
 
     def end(self, generation: str, finished: bool) -> None:
-        """Notes the end of a stream, whole or broken off."""
-        mark = self._open.pop(generation, None)
-        if mark is None:
+        """Notes the end of a stream here, whole or broken off."""
+        stream = self._open.pop(generation, None)
+        if stream is None:
             return
-        if (finished and mark.service) or len(self._broken) >= MAX_MARKS:
+        mark = stream.mark()
+        is_ours = origin_of(generation)[0] == f"{self._incarnation:x}"
+        if (finished and is_ours) or len(self._broken) >= MAX_MARKS:
             self._add(mark)
         elif mark.tokens:
             self._broken[generation] = mark
 
     async def run(self) -> None:
-        """Writes until cancelled."""
-        while True:
-            await self._clock.sleep(self._flush_ms)
-            await self.flush()
+        """Writes until cancelled, and once more then."""
+        try:
+            while True:
+                await self._clock.sleep(self._flush_ms)
+                await self.flush()
+        finally:
+            with anyio.move_on_after(LAST_FLUSH_S, shield=True):
+                await self.flush()
 
     async def flush(self) -> None:
         """Writes the totals; an outage leaves them for the next time."""
@@ -171,7 +190,8 @@
     def _document(self, with_open: bool) -> bytes:
         marks = list(self._broken.values())
         if with_open:
-            marks += [mark for mark in self._open.values() if mark.tokens]
+            found = [stream.mark() for stream in self._open.values()]
+            marks += [mark for mark in found if mark.tokens]
         document = MeterDocument(
             f"{self._incarnation:x}",
             self._last_number,
--- a/rhubarbwinch/plain.py
+++ b/rhubarbwinch/plain.py
@@ -7,10 +7,9 @@
 import httpx
 from result import Err
 
-from rhubarbwinch import claimkeys, identity
+from rhubarbwinch import identity
 from rhubarbwinch.accepted import Snapshot
 from rhubarbwinch.claimkeys import ClaimKey
-from rhubarbwinch.claimpages import Outcome
 from rhubarbwinch.claims import Claim, Claims, make_outcome
 from rhubarbwinch.endpoints import EndpointClient
 from rhubarbwinch.exceptions import EndpointError
@@ -18,54 +17,14 @@
 from rhubarbwinch.messages import PermitRequest, StreamEnd
 from rhubarbwinch.permits import Permit, PermitClient
 from rhubarbwinch.records import ServiceSpec
+from rhubarbwinch.repeatable import claim_key, replay
 from rhubarbwinch.verdict import Failure, Reason, Verdict, not_run
 
 PREFIX = "/services/"
 MAX_ATTEMPTS = 3
-REPLAYED = (b"idempotency-replayed", b"true")
 _PASSED_ON = ("content-type", "accept", "traceparent", "idempotency-key")
 
 
-def is_repeatable(service: ServiceSpec, method: str, path: str) -> bool:
-    """Tells whether a call may run more than once.
-
-    An operation that ends in `*` stands for all paths that start so.
-    """
-    called = f"{method} {path}"
-    for operation in service.not_repeatable:
-        if operation == called:
-            return False
-        if operation.endswith("*") and called.startswith(operation[:-1]):
-            return False
-    return True
-
-
-def claim_key(
-    account: str, name: str, service: ServiceSpec, request: Request, path: str
-) -> ClaimKey | None:
-    """Returns the key under which a request runs at most once.
-
-    The service's record or the caller, by sending a key, asks for it.
-
-    Raises:
-        Refused: The key is missing or not a UUIDv7.
-    """
-    text = request.headers.get(claimkeys.HEADER)
-    if text is None:
-        if is_repeatable(service, request.method, path):
-            return None
-        detail = "this call needs an Idempotency-Key, a UUIDv7"
-        raise Refused(not_run(Reason.KEY_REQUIRED, detail))
-    parsed = claimkeys.parse_uuid7(text)
-    if parsed is None:
-        detail = "the Idempotency-Key has to be a UUIDv7 (RFC 9562)"
-        raise Refused(not_run(Reason.KEY_REQUIRED, detail))
-    digest = claimkeys.content_digest(
-        request.method, path, request.query, request.body
-    )
-    return ClaimKey(account, name, parsed, digest, service.retention_ms)
-
-
 @attrs.frozen
 class PlainCall:
     """A call of a plain service that has been checked.
@@ -173,7 +132,7 @@
             if isinstance(found, Err):
                 raise Refused(found.err_value)
             if found.ok_value is not None:
-                await _replay(found.ok_value, responder)
+                await replay(found.ok_value, responder)
                 return
             # The permit comes first: a call that is refused a place costs
             # the store no write, and a claim is sent as soon as it is held.
@@ -307,24 +266,6 @@
     )
 
 
-async def _replay(outcome: Outcome, responder: Responder) -> None:
-    """Sends a recorded answer again.
-
-    Raises:
-        Refused: The answer was too long to be kept; the call ran.
-    """
-    if not outcome.kept:
-        detail = (
-            f"the call ran and was answered with status {outcome.status}, "
-            f"body sha256 {outcome.digest}; the body was too long to be kept"
-        )
-        raise Refused(Failure(Verdict.RAN, Reason.OUTCOME_NOT_KEPT, detail))
-    content_type = (b"content-type", outcome.content_type.encode())
-    await responder.whole(
-        outcome.status, [content_type, REPLAYED], outcome.body
-    )
-
-
 def _failure(error: EndpointError) -> Failure:
     if error.sent:
         return Failure(Verdict.MAY_HAVE_RUN, Reason.ENDPOINT_FAILED, str(error))
--- /dev/null
+++ b/rhubarbwinch/quarantine.py
@@ -0,0 +1,310 @@
+"""Requests under which endpoints die: strikes, trials and quarantine.
+
+A request is known by the digest of its account and content. Each endpoint that
+dies under it is a strike. With one strike it may run once more in the whole
+system; the store decides which run that is. With two it is refused everywhere.
+"""
+
+from collections.abc import Awaitable, Callable
+from typing import Protocol
+
+import anyio
+import attrs
+
+from rhubarbwinch import codec, events, keys
+from rhubarbwinch.clock import Clock
+from rhubarbwinch.exceptions import CodecError, StoreError, StoreUncertain
+from rhubarbwinch.store import Store
+
+KIND = "suspect"
+MAX_STRIKES = 2
+MAX_SUSPECTS = 10_000
+KEEP_MS = 3_600_000
+REFRESH_MS = 30_000
+MAX_RACES = 10
+LOCK_MS = 600_000
+LOCK_WAIT_MS = 5_000
+LOCK_POLL_MS = 500
+
+
+class Sharer(Protocol):
+    """Tells all members, as gossip does."""
+
+    def share(self, kind: str, key: str, data: bytes) -> None:
+        """Tells every other member."""
+        ...
+
+    def on(
+        self, kind: str, handler: Callable[[str, bytes], Awaitable[None]]
+    ) -> None:
+        """Sets what takes news of a kind."""
+        ...
+
+
+@attrs.frozen
+class Suspect:
+    """A request under which an endpoint died.
+
+    Attributes:
+        fingerprint: Digest of account and content.
+        strikes: The runs under which an endpoint died, oldest first.
+        trial: The run that is allowed after the first strike.
+        at_ms: Unix time of the last strike.
+    """
+
+    fingerprint: str
+    strikes: list[str] = attrs.field(factory=list)
+    trial: str = ""
+    at_ms: int = 0
+
+    @property
+    def is_quarantined(self) -> bool:
+        """Whether it is refused everywhere."""
+        return len(self.strikes) >= MAX_STRIKES
+
+
+@attrs.frozen
+class EndpointLock:
+    """Held while a suspect runs on an endpoint."""
+
+    run: str
+    at_ms: int
+
+
+class Quarantine:
+    """What this member knows of suspects.
+
+    Args:
+        store: Keeps suspects for members that start later.
+        sharer: Tells the members that are there.
+        clock: The source of time.
+    """
+
+    def __init__(self, store: Store, sharer: Sharer, clock: Clock) -> None:
+        self._store = store
+        self._sharer = sharer
+        self._clock = clock
+        self._suspects: dict[str, Suspect] = {}
+        self._unsaved: dict[str, str] = {}
+        self._loaded = anyio.Event()
+        sharer.on(KIND, self._hear)
+
+    async def run(self) -> None:
+        """Reads the store's suspects now and then, until cancelled."""
+        while True:
+            try:
+                await self.load()
+            except StoreError as error:
+                events.STORE_DOWN.log(error=str(error))
+            await self._clock.sleep(REFRESH_MS)
+
+    async def load(self) -> None:
+        """Reads all suspects; writes strikes that the store missed."""
+        for run, fingerprint in list(self._unsaved.items()):
+            await self._save_strike(fingerprint, run)
+        listing = await self._store.scan(keys.SUSPECTS)
+        for entry in listing.entries:
+            suspect = _decode(entry.value)
+            if self._is_over(suspect):
+                await self._store.delete(entry.key, entry.revision)
+            else:
+                self._merge(suspect)
+        self._forget()
+        self._loaded.set()
+
+    async def wait_loaded(self, limit_ms: int) -> None:
+        """Waits until the store's suspects are known, up to a limit."""
+        with anyio.move_on_after(limit_ms / 1000):
+            await self._loaded.wait()
+
+    def get(self, fingerprint: str) -> Suspect | None:
+        """Returns what is known of a request; None if it is no suspect."""
+        return self._suspects.get(fingerprint)
+
+    async def strike(self, fingerprint: str, run: str) -> None:
+        """Notes that an endpoint died under a run, and tells everybody."""
+        now = self._clock.wall()
+        events.ENDPOINT_STRIKE.log(fingerprint=fingerprint, run=run)
+        suspect = Suspect(fingerprint, [run], at_ms=now)
+        self._merge(suspect)
+        self._sharer.share(KIND, fingerprint, codec.encode(suspect))
+        self._unsaved[run] = fingerprint
+        try:
+            await self._save_strike(fingerprint, run)
+        except StoreError as error:
+            # It is written with the next reading; peers know it already.
+            events.STORE_DOWN.log(error=str(error))
+
+    async def clear(self, fingerprint: str) -> None:
+        """Forgets a suspect that has finished."""
+        if self._suspects.pop(fingerprint, None) is None:
+            return
+        events.SUSPECT_CLEARED.log(fingerprint=fingerprint)
+        cleared = Suspect(fingerprint)
+        self._sharer.share(KIND, fingerprint, codec.encode(cleared))
+        key = keys.suspect(fingerprint)
+        try:
+            entry = await self._store.get(key)
+            if entry is not None:
+                await self._store.delete(key, entry.revision)
+        except StoreError as error:
+            # The record lapses by itself; until then it costs one trial.
+            events.STORE_DOWN.log(error=str(error))
+
+    async def begin_trial(self, fingerprint: str, run: str) -> bool:
+        """Tells whether a run is the one that a suspect is allowed.
+
+        Raises:
+            StoreError: It can't be known, so the run must not start.
+        """
+
+        def claim(suspect: Suspect) -> Suspect:
+            if suspect.is_quarantined or suspect.trial:
+                return suspect
+            return attrs.evolve(suspect, trial=run)
+
+        suspect = await self._update(fingerprint, claim)
+        self._merge(suspect)
+        return suspect.trial == run and not suspect.is_quarantined
+
+    async def end_trial(self, fingerprint: str, run: str) -> None:
+        """Gives a trial back that neither finished nor killed its endpoint."""
+
+        def free(suspect: Suspect) -> Suspect:
+            if suspect.trial != run:
+                return suspect
+            return attrs.evolve(suspect, trial="")
+
+        try:
+            await self._update(fingerprint, free)
+        except StoreError as error:
+            # Other runs of it are refused until the record lapses.
+            events.STORE_DOWN.log(error=str(error))
+
+    async def wait_lock(self, endpoint: str, run: str) -> bool:
+        """Waits until a suspect may run on an endpoint; False if it may not.
+
+        Raises:
+            StoreError: It can't be known.
+        """
+        end = self._clock.now() + LOCK_WAIT_MS
+        while not await self.lock(endpoint, run):
+            if self._clock.now() >= end:
+                return False
+            await self._clock.sleep(LOCK_POLL_MS)
+        return True
+
+    async def lock(self, endpoint: str, run: str) -> bool:
+        """Tells whether a suspect may run on an endpoint, alone of its kind.
+
+        Raises:
+            StoreError: It can't be known.
+        """
+        key = keys.trial(endpoint)
+        now = self._clock.wall()
+        entry = await self._store.get(key)
+        if entry is not None:
+            held = codec.decode(entry.value, EndpointLock)
+            if now - held.at_ms < LOCK_MS:
+                return held.run == run
+        data = codec.encode(EndpointLock(run, now))
+        expected = entry.revision if entry else 0
+        try:
+            return (await self._store.swap(key, expected, data)).won
+        except StoreUncertain:
+            found = await self._store.get(key)
+            return found is not None and found.value == data
+
+    async def unlock(self, endpoint: str, run: str) -> None:
+        """Lets other suspects run on an endpoint."""
+        key = keys.trial(endpoint)
+        try:
+            entry = await self._store.get(key)
+            if entry and codec.decode(entry.value, EndpointLock).run == run:
+                await self._store.delete(key, entry.revision)
+        except StoreError as error:
+            # The lock lapses by itself.
+            events.STORE_DOWN.log(error=str(error))
+
+    async def _hear(self, _: str, data: bytes) -> None:
+        try:
+            suspect = codec.decode(data, Suspect)
+        except CodecError as error:
+            events.PEER_REFUSED.log(error=str(error))
+            return
+        if suspect.strikes:
+            self._merge(suspect)
+        else:
+            self._suspects.pop(suspect.fingerprint, None)
+
+    def _merge(self, suspect: Suspect) -> None:
+        known = self._suspects.get(suspect.fingerprint)
+        if known is not None:
+            suspect = _union(known, suspect)
+        elif len(self._suspects) >= MAX_SUSPECTS:
+            oldest = min(self._suspects.values(), key=lambda s: s.at_ms)
+            del self._suspects[oldest.fingerprint]
+        was_quarantined = known is not None and known.is_quarantined
+        self._suspects[suspect.fingerprint] = suspect
+        if suspect.is_quarantined and not was_quarantined:
+            events.QUARANTINED.log(
+                fingerprint=suspect.fingerprint, runs=suspect.strikes
+            )
+
+    async def _save_strike(self, fingerprint: str, run: str) -> None:
+        struck = Suspect(fingerprint, [run], at_ms=self._clock.wall())
+        saved = await self._update(fingerprint, lambda s: _union(s, struck))
+        self._unsaved.pop(run, None)
+        self._merge(saved)
+
+    async def _update(
+        self, fingerprint: str, change: Callable[[Suspect], Suspect]
+    ) -> Suspect:
+        """Changes a record by compare-and-swap; the change is idempotent.
+
+        Raises:
+            StoreError: The change was not made, or may have been made.
+        """
+        key = keys.suspect(fingerprint)
+        for _ in range(MAX_RACES):
+            entry = await self._store.get(key)
+            current = _decode(entry.value) if entry else Suspect(fingerprint)
+            wanted = change(current)
+            if wanted == current:
+                return current
+            expected = entry.revision if entry else 0
+            try:
+                swap = await self._store.swap(
+                    key, expected, codec.encode(wanted)
+                )
+            except StoreUncertain:
+                # Read again: the change finds itself done or is made again.
+                continue
+            if swap.won:
+                return wanted
+        raise StoreUncertain(f"{key}: lost {MAX_RACES} races")
+
+    def _is_over(self, suspect: Suspect) -> bool:
+        return self._clock.wall() - suspect.at_ms > KEEP_MS
+
+    def _forget(self) -> None:
+        for suspect in list(self._suspects.values()):
+            if self._is_over(suspect):
+                del self._suspects[suspect.fingerprint]
+
+
+def _decode(data: bytes) -> Suspect:
+    try:
+        return codec.decode(data, Suspect)
+    except CodecError as error:
+        raise StoreUncertain(f"a suspect's record: {error}") from error
+
+
+def _union(one: Suspect, two: Suspect) -> Suspect:
+    strikes = list(dict.fromkeys([*one.strikes, *two.strikes]))
+    return Suspect(
+        one.fingerprint,
+        strikes[:MAX_STRIKES],
+        one.trial or two.trial,
+        max(one.at_ms, two.at_ms),
+    )
--- /dev/null
+++ b/rhubarbwinch/repeatable.py
@@ -0,0 +1,68 @@
+"""Which requests run at most once, and their recorded answers."""
+
+from rhubarbwinch import claimkeys
+from rhubarbwinch.claimkeys import ClaimKey
+from rhubarbwinch.claimpages import Outcome
+from rhubarbwinch.httpapi import Refused, Request, Responder
+from rhubarbwinch.records import ServiceSpec
+from rhubarbwinch.verdict import Failure, Reason, Verdict, not_run
+
+REPLAYED = (b"idempotency-replayed", b"true")
+
+
+def is_repeatable(service: ServiceSpec, method: str, path: str) -> bool:
+    """Tells whether a call may run more than once.
+
+    An operation that ends in `*` stands for all paths that start so.
+    """
+    called = f"{method} {path}"
+    for operation in service.not_repeatable:
+        if operation == called:
+            return False
+        if operation.endswith("*") and called.startswith(operation[:-1]):
+            return False
+    return True
+
+
+def claim_key(
+    account: str, name: str, service: ServiceSpec, request: Request, path: str
+) -> ClaimKey | None:
+    """Returns the key under which a request runs at most once.
+
+    The service's record or the caller, by sending a key, asks for it.
+
+    Raises:
+        Refused: The key is missing or not a UUIDv7.
+    """
+    text = request.headers.get(claimkeys.HEADER)
+    if text is None:
+        if is_repeatable(service, request.method, path):
+            return None
+        detail = "this call needs an Idempotency-Key, a UUIDv7"
+        raise Refused(not_run(Reason.KEY_REQUIRED, detail))
+    parsed = claimkeys.parse_uuid7(text)
+    if parsed is None:
+        detail = "the Idempotency-Key has to be a UUIDv7 (RFC 9562)"
+        raise Refused(not_run(Reason.KEY_REQUIRED, detail))
+    digest = claimkeys.content_digest(
+        request.method, path, request.query, request.body
+    )
+    return ClaimKey(account, name, parsed, digest, service.retention_ms)
+
+
+async def replay(outcome: Outcome, responder: Responder) -> None:
+    """Sends a recorded answer again.
+
+    Raises:
+        Refused: The answer was too long to be kept; the call ran.
+    """
+    if not outcome.kept:
+        detail = (
+            f"the call ran and was answered with status {outcome.status}, "
+            f"body sha256 {outcome.digest}; the body was too long to be kept"
+        )
+        raise Refused(Failure(Verdict.RAN, Reason.OUTCOME_NOT_KEPT, detail))
+    content_type = (b"content-type", outcome.content_type.encode())
+    await responder.whole(
+        outcome.status, [content_type, REPLAYED], outcome.body
+    )
--- /dev/null
+++ b/rhubarbwinch/runguard.py
@@ -0,0 +1,282 @@
+"""What watches over each run of a generation request at an engine."""
+
+from collections.abc import AsyncIterator
+from contextlib import AbstractAsyncContextManager, asynccontextmanager
+from typing import Protocol
+
+import anyio
+from result import Err
+
+from rhubarbwinch import identity
+from rhubarbwinch.claimkeys import ClaimKey
+from rhubarbwinch.claimpages import Outcome
+from rhubarbwinch.claims import Claim, Claims, make_outcome
+from rhubarbwinch.endpoints import EndpointClient
+from rhubarbwinch.exceptions import (
+    EndpointError,
+    GenerationLostError,
+    StoreError,
+)
+from rhubarbwinch.httpapi import Refused
+from rhubarbwinch.messages import StreamEnd
+from rhubarbwinch.permits import Permit, PermitClient
+from rhubarbwinch.quarantine import Quarantine, Suspect
+from rhubarbwinch.verdict import Failure, Reason, Verdict, not_run
+
+RETRY_AFTER_MS = 1_000
+LOAD_WAIT_MS = 1_000
+
+
+class RunGuard(Protocol):
+    """Watches over the runs of one request."""
+
+    def run(self, permit: Permit) -> AbstractAsyncContextManager[None]:
+        """Returns a context to run in.
+
+        Raises:
+            Refused: The run must not start, or must not be repeated.
+            EndpointError: The run can't start at this endpoint.
+        """
+        ...
+
+
+class NoGuard:
+    """Lets every run go ahead."""
+
+    @asynccontextmanager
+    async def run(self, permit: Permit) -> AsyncIterator[None]:
+        """Returns a context that does nothing."""
+        yield
+
+
+class QuarantineGuard:
+    """Keeps a request that crashes endpoints from crashing more than two.
+
+    Args:
+        quarantine: What is known of suspects.
+        endpoints: Tells whether an endpoint is dead.
+        permits: Where permits go back.
+        fingerprint: Of the request.
+        repeatable: Whether it may run more than once.
+    """
+
+    def __init__(
+        self,
+        quarantine: Quarantine,
+        endpoints: EndpointClient,
+        permits: PermitClient,
+        fingerprint: str,
+        repeatable: bool,
+    ) -> None:
+        self._quarantine = quarantine
+        self._endpoints = endpoints
+        self._permits = permits
+        self._fingerprint = fingerprint
+        self._repeatable = repeatable
+        self._sent = False
+
+    async def check(self) -> None:
+        """Raises `Refused` for a request in quarantine."""
+        await self._quarantine.wait_loaded(LOAD_WAIT_MS)
+        suspect = self._quarantine.get(self._fingerprint)
+        if suspect is None:
+            return
+        if suspect.is_quarantined:
+            raise Refused(
+                self._failure("endpoints died under it; it is not run again")
+            )
+        if not self._repeatable:
+            raise Refused(
+                self._failure("an endpoint died under it; it can't be repeated")
+            )
+
+    @asynccontextmanager
+    async def run(self, permit: Permit) -> AsyncIterator[None]:
+        """Runs a suspect alone among suspects; counts a death."""
+        run = identity.generation_id(
+            permit.grant.request_id, permit.grant.endpoint
+        )
+        try:
+            suspect = await self._begin(permit, run)
+        except BaseException:
+            with anyio.CancelScope(shield=True):
+                await self._permits.give_back(permit, StreamEnd.UNUSED)
+            raise
+        struck = False
+        try:
+            yield
+            await self._quarantine.clear(self._fingerprint)
+        except EndpointError as error:
+            self._sent = self._sent or error.sent
+            struck = error.sent and await self._is_dead(permit, error)
+            if struck:
+                await self._quarantine.strike(self._fingerprint, run)
+            raise
+        except anyio.get_cancelled_exc_class():
+            # A caller that gives up early must not hide that its request
+            # killed the endpoint.
+            with anyio.CancelScope(shield=True):
+                struck = await self._is_dead(permit)
+                if struck:
+                    await self._quarantine.strike(self._fingerprint, run)
+            raise
+        finally:
+            if suspect is not None:
+                with anyio.CancelScope(shield=True):
+                    await self._end(permit, run, struck)
+
+    async def _begin(self, permit: Permit, run: str) -> Suspect | None:
+        """Returns the suspect that runs on trial, or None for no suspect."""
+        await self.check()
+        suspect = self._quarantine.get(self._fingerprint)
+        if suspect is None:
+            return None
+        endpoint = permit.grant.endpoint
+        try:
+            if not await self._quarantine.wait_lock(endpoint, run):
+                raise EndpointError(
+                    f"{endpoint} runs another suspect", sent=False
+                )
+            began = False
+            try:
+                began = await self._quarantine.begin_trial(
+                    self._fingerprint, run
+                )
+            finally:
+                if not began:
+                    await self._quarantine.unlock(endpoint, run)
+        except StoreError as error:
+            detail = f"a suspect can't run now: {error}"
+            raise Refused(self._failure(detail, RETRY_AFTER_MS)) from error
+        if not began:
+            detail = "an endpoint died under it; one run at a time"
+            raise Refused(self._failure(detail, RETRY_AFTER_MS))
+        return suspect
+
+    async def _end(self, permit: Permit, run: str, struck: bool) -> None:
+        await self._quarantine.unlock(permit.grant.endpoint, run)
+        if not struck:
+            await self._quarantine.end_trial(self._fingerprint, run)
+
+    async def _is_dead(
+        self, permit: Permit, error: EndpointError | None = None
+    ) -> bool:
+        """Tells whether the endpoint died, rather than the link to it."""
+        if isinstance(error, GenerationLostError):
+            return True
+        try:
+            await self._endpoints.read_json(
+                f"http://{permit.grant.address}/load"
+            )
+        except EndpointError as found:
+            return not found.sent
+        return False
+
+    def _failure(
+        self, detail: str, retry_after_ms: int | None = None
+    ) -> Failure:
+        verdict = Verdict.MAY_HAVE_RUN if self._sent else Verdict.NOT_RUN
+        return Failure(verdict, Reason.QUARANTINED, detail, retry_after_ms)
+
+
+class ClaimGuard:
+    """Runs a generation request at most once.
+
+    Args:
+        claims: Where the key is claimed.
+        permits: Where permits go back.
+        key: What is claimed.
+        inner: Watches over the run as well.
+    """
+
+    def __init__(
+        self,
+        claims: Claims,
+        permits: PermitClient,
+        key: ClaimKey,
+        inner: RunGuard,
+    ) -> None:
+        self._claims = claims
+        self._permits = permits
+        self._key = key
+        self._inner = inner
+        self._claim: Claim | None = None
+
+    async def find(self) -> Outcome | None:
+        """Returns the recorded outcome, or None if the request may run.
+
+        Raises:
+            Refused: It may not.
+        """
+        found = await self._claims.find(self._key)
+        if isinstance(found, Err):
+            raise Refused(found.err_value)
+        return found.ok_value
+
+    @asynccontextmanager
+    async def run(self, permit: Permit) -> AsyncIterator[None]:
+        """Claims the key before the run and records how it ended."""
+        async with self._inner.run(permit):
+            claim = await self._begin(permit)
+            unsent = False
+            done = False
+            try:
+                yield
+                done = True
+            except EndpointError as error:
+                unsent = not error.sent
+                if error.sent:
+                    # Not to be tried at another endpoint.
+                    raise Refused(_lost(error)) from error
+                raise
+            finally:
+                with anyio.CancelScope(shield=True):
+                    await self._finish(claim, permit, done, unsent)
+
+    async def release(self) -> None:
+        """Gives an unsent claim up; call it when the request has ended."""
+        if self._claim is not None and not self._claim.sent:
+            with anyio.CancelScope(shield=True):
+                await self._claims.release(self._claim)
+
+    async def _begin(self, permit: Permit) -> Claim:
+        failure = None
+        try:
+            if self._claim is None:
+                taken = await self._claims.take(self._key)
+                if isinstance(taken, Err):
+                    failure = taken.err_value
+                else:
+                    self._claim = taken.ok_value
+            if failure is None and self._claim is not None:
+                if self._claims.begin_send(self._claim, permit.grant.endpoint):
+                    return self._claim
+                detail = "the claim was held for too long before the send"
+                failure = not_run(Reason.DEADLINE, detail, RETRY_AFTER_MS)
+        except BaseException:
+            with anyio.CancelScope(shield=True):
+                await self._permits.give_back(permit, StreamEnd.UNUSED)
+            raise
+        await self._permits.give_back(permit, StreamEnd.UNUSED)
+        if failure is None:
+            raise AssertionError("a claim that is not taken has a failure")
+        raise Refused(failure)
+
+    async def _finish(
+        self, claim: Claim, permit: Permit, done: bool, unsent: bool
+    ) -> None:
+        if unsent:
+            claim.mark_unsent()
+        elif done:
+            generation = identity.generation_id(
+                permit.grant.request_id, permit.grant.endpoint
+            )
+            body = b'{"generation":"' + generation.encode() + b'"}'
+            outcome = make_outcome(200, "application/json", body)
+            await self._claims.complete(claim, outcome)
+        else:
+            await self._claims.lose(claim)
+
+
+def _lost(error: EndpointError) -> Failure:
+    return Failure(Verdict.MAY_HAVE_RUN, Reason.STREAM_BROKEN, str(error))
--- a/rhubarbwinch/streams.py
+++ b/rhubarbwinch/streams.py
@@ -17,6 +17,7 @@
     StreamTake,
     StreamTaken,
 )
+from rhubarbwinch.metering import Meter
 from rhubarbwinch.permits import Permit, PermitClient
 from rhubarbwinch.relay import Position
 
@@ -56,6 +57,7 @@
         endpoints: Calls engines.
         clock: The source of time.
         grace_ms: How long a generation is kept for a caller that left it.
+        meter: Counts the tokens passed on.
     """
 
     def __init__(
@@ -64,7 +66,9 @@
         endpoints: EndpointClient,
         clock: Clock,
         grace_ms: int,
+        meter: Meter | None = None,
     ) -> None:
+        self._meter = meter
         self._permits = permits
         self._endpoints = endpoints
         self._clock = clock
@@ -83,11 +87,16 @@
         """Takes a generation under care."""
         stream = OpenStream(permit, position)
         self._streams[position.generation] = stream
+        if self._meter is not None:
+            request = permit.request
+            self._meter.start(position, request.account, request.service)
         return stream
 
     def take(self, generation: str) -> Permit | None:
         """Gives a generation out of care, for whoever resumes it."""
         stream = self._streams.pop(generation, None)
+        if stream is not None and self._meter is not None:
+            self._meter.end(generation, finished=False)
         return stream.permit if stream else None
 
     async def take_for_peer(self, message: StreamTake) -> StreamTaken:
@@ -119,6 +128,9 @@
         if self._streams.get(position.generation) is not stream:
             return
         del self._streams[position.generation]
+        if self._meter is not None:
+            is_finished = end is StreamEnd.FINISHED
+            self._meter.end(position.generation, is_finished)
         await self._permits.give_back(stream.permit, end, position.next_index)
         if end is not StreamEnd.FINISHED:
             self._cancel(stream)
--- a/tests/claimworld.py
+++ b/tests/claimworld.py
@@ -11,6 +11,7 @@
 
 from rhubarbwinch import identity, keys
 from rhubarbwinch.accepted import make_snapshot
+from rhubarbwinch.audit import Period, list_calls
 from rhubarbwinch.claimfloor import ClaimFloor
 from rhubarbwinch.claimowners import Standing
 from rhubarbwinch.claimpages import ClaimPages
@@ -24,6 +25,7 @@
 from rhubarbwinch.httpapi import Refused, Request, Responder
 from rhubarbwinch.memstore import MemoryStore
 from rhubarbwinch.messages import ClaimQuestion, PermitGrant
+from rhubarbwinch.metering import PERIOD_MS
 from rhubarbwinch.permits import Permit
 from rhubarbwinch.plain import PlainCaller
 from rhubarbwinch.verdict import Reason, not_run
@@ -103,15 +105,17 @@
         self.ran = []
         self.refuses = 0
         self.dies = False
+        self.delay_ms = 0
         self.body = None
 
 
 class GatedEndpoints:
     """The endpoint as one entry reaches it."""
 
-    def __init__(self, desk, gate):
+    def __init__(self, desk, gate, clock):
         self._desk = desk
         self._gate = gate
+        self._clock = clock
 
     async def call(self, method, url, body, headers):
         await self._gate.reach("before send")
@@ -121,6 +125,8 @@
         self._desk.ran.append(f"{method} /{url.split('/', 3)[3]}")
         if self._desk.dies:
             raise EndpointError("the connection broke", sent=True)
+        if self._desk.delay_ms:
+            await self._clock.sleep(self._desk.delay_ms)
         await self._gate.reach("after run")
         data = self._desk.body or {"number": len(self._desk.ran)}
         return httpx.Response(200, json=data)
@@ -168,7 +174,7 @@
         )
         self.caller = PlainCaller(
             self.permits,
-            GatedEndpoints(world.desk, self.gate),
+            GatedEndpoints(world.desk, self.gate, world.clock),
             self.claims,
             identity.IdMaker(incarnation, "secret"),
             name,
@@ -308,6 +314,14 @@
         for page in (await self.store.scan(keys.CLAIMS)).entries:
             states += await claim_states(page)
         self.note(f"store has {', '.join(sorted(states)) or 'no claim'}")
+        hour = PERIOD_MS
+        start = self.clock.wall() // hour * hour
+        period = Period(start - 25 * hour, start + 2 * hour)
+        calls = await list_calls(self.store, period)
+        sure = sum(call.ran == "yes" for call in calls)
+        self.note(f"audit lists {sure} that ran, {len(calls) - sure} unknown")
+        if not sure <= len(self.desk.ran) <= len(calls):
+            raise AssertionError("the audit and the endpoint's log differ")
 
     def text(self):
         """Returns the session."""
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -57,6 +57,13 @@
         arguments += ["--store", self.store, "--data-center", "dc-a"]
         self.start(name, f"rhubarbwinch {role}", *arguments, *options)
 
+    def add_entry(self, name):
+        """Starts one more entry and returns its address."""
+        address = free_address()
+        self.start_role("entry", name, address)
+        self.wait_ready(address)
+        return address
+
     def records(self):
         """Returns the records of the deployment."""
         engines = [
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -12,6 +12,7 @@
     async def test_two_entries_with_the_same_key_at_once_run_it_once(self):
         async with World() as world:
             key = world.key()
+            world.desk.delay_ms = 1_000
             answers = [world.start(i, key) for i in (0, 1, 0, 1)]
             await world.settle(*answers)
             for answer in answers:
