--- /dev/null
+++ b/lab/processes.py
@@ -0,0 +1,99 @@
+"""Starts processes on the loopback address and ends just those."""
+
+import contextlib
+import os
+import pathlib
+import signal
+import socket
+import subprocess
+import sys
+import time
+from collections.abc import Callable
+from typing import Any, TypeVar
+
+import httpx
+
+T = TypeVar("T")
+
+ROOT = pathlib.Path(__file__).parent.parent
+WAIT_S = 20.0
+POLL_S = 0.02
+
+
+def free_address() -> str:
+    """Returns a loopback address whose port is free."""
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return f"127.0.0.1:{probe.getsockname()[1]}"
+
+
+def wait_until(check: Callable[[], T], what: str) -> T:
+    """Waits until `check` returns something true, and returns that.
+
+    Raises:
+        AssertionError: It did not in `WAIT_S` seconds.
+    """
+    end = time.monotonic() + WAIT_S
+    while time.monotonic() < end:
+        with contextlib.suppress(httpx.HTTPError):
+            found = check()
+            if found:
+                return found
+        time.sleep(POLL_S)
+    raise AssertionError(f"{what}: not within {WAIT_S} s")
+
+
+class Processes(contextlib.AbstractContextManager["Processes"]):
+    """Starts processes and ends just those.
+
+    Args:
+        logs: The directory for a log file of each process. Without it the
+            logs are dropped, or shown if SHOW_LOGS is set.
+    """
+
+    def __init__(self, logs: pathlib.Path | None = None) -> None:
+        self._logs = logs
+        self._running: dict[str, subprocess.Popen[bytes]] = {}
+
+    def start(
+        self,
+        name: str,
+        module: str,
+        *arguments: str,
+        env: dict[str, str] | None = None,
+    ) -> None:
+        """Starts `python -m module arguments` with more environment `env`."""
+        environment = dict(os.environ, PYTHONPATH=str(ROOT)) | (env or {})
+        with contextlib.ExitStack() as stack:
+            stderr: Any = subprocess.DEVNULL
+            if self._logs is not None:
+                path = self._logs / f"{name}.log"
+                stderr = stack.enter_context(path.open("ab"))
+            elif os.environ.get("SHOW_LOGS"):
+                stderr = None
+            self._running[name] = subprocess.Popen(
+                [sys.executable, "-m", *module.split(), *arguments],
+                cwd=ROOT,
+                env=environment,
+                stdout=subprocess.DEVNULL,
+                stderr=stderr,
+            )
+
+    def signal(self, name: str, number: int) -> None:
+        """Sends a signal to a process."""
+        self._running[name].send_signal(number)
+
+    def kill(self, name: str) -> None:
+        """Kills a process and waits for its end."""
+        self.signal(name, signal.SIGKILL)
+        self._running.pop(name).wait()
+
+    def wait(self, name: str) -> int:
+        """Waits for a process's end and returns its exit status."""
+        return self._running.pop(name).wait(WAIT_S)
+
+    def __exit__(self, *_: object) -> None:
+        for process in self._running.values():
+            process.kill()
+        for process in self._running.values():
+            process.wait()
--- a/rhubarbwinch/broker.py
+++ b/rhubarbwinch/broker.py
@@ -5,7 +5,7 @@
 import anyio
 import attrs
 
-from rhubarbwinch import metrics
+from rhubarbwinch import metrics, tracing
 from rhubarbwinch.accepted import Snapshot
 from rhubarbwinch.admission import Admission, Decision, LoadReport
 from rhubarbwinch.clock import Clock
@@ -136,7 +136,7 @@
         """Runs until asked to stop."""
         daemon = self._daemon
         daemon.follower.on_change(self._keeper.configure)
-        daemon.server.on(PermitRequest, self._keeper.answer)
+        daemon.server.on(PermitRequest, self._answer)
         daemon.server.on(PermitRelease, self._keeper.release)
         daemon.server.on(ProgressReport, self._keeper.report_progress)
         daemon.add("tick", self._tick)
@@ -144,6 +144,10 @@
         await daemon.run()
         await self._endpoints.close()
 
+    async def _answer(self, request: PermitRequest) -> PermitReply:
+        with tracing.span("queue", request.traceparent, pool=request.pool):
+            return await self._keeper.answer(request)
+
     async def _tick(self) -> None:
         while True:
             await self._daemon.clock.sleep(TICK_MS)
--- a/rhubarbwinch/cmdline.py
+++ b/rhubarbwinch/cmdline.py
@@ -12,7 +12,7 @@
 import attrs
 import cappa
 
-from rhubarbwinch import ctl, etcdstore, events
+from rhubarbwinch import ctl, etcdstore, events, tracing
 from rhubarbwinch.broker import Broker
 from rhubarbwinch.config import (
     BrokerSettings,
@@ -40,6 +40,8 @@
     settings: Settings = cappa.parse(command, version=VERSION, completion=False)
     events.configure(settings.log_format, settings.log_level, settings.name)
 
+    tracing.configure(settings.traces, settings.name)
+
     async def run() -> None:
         await build(settings).run()
 
@@ -48,6 +50,8 @@
     except RestartLimitError as error:
         events.RESTART_LIMIT.log(error=str(error))
         sys.exit(ExitStatus.FAILED)
+    finally:
+        tracing.close()
 
 
 def entry_main() -> None:
--- a/rhubarbwinch/daemon.py
+++ b/rhubarbwinch/daemon.py
@@ -19,6 +19,7 @@
 from rhubarbwinch.metrics import Metrics
 from rhubarbwinch.store import STORES, Store
 from rhubarbwinch.supervisor import Supervisor
+from rhubarbwinch.tracedstore import TracedStore
 
 DRAIN_CHECK_MS = 20
 MAX_HEADER_BYTES = 32 << 10
@@ -59,8 +60,8 @@
         self.incarnation = identity.new_incarnation()
         self.metrics = Metrics(settings.statsd, role)
         make_store = STORES.get(settings.store_kind)
-        self.store = store or make_store(
-            settings.store, settings.store_timeout_ms
+        self.store: Store = TracedStore(
+            store or make_store(settings.store, settings.store_timeout_ms)
         )
         self.drain = Drain()
         self.links = Links(self.incarnation, settings.link_keys)
--- a/rhubarbwinch/endpoints.py
+++ b/rhubarbwinch/endpoints.py
@@ -7,6 +7,7 @@
 import httpx
 import orjson
 
+from rhubarbwinch import tracing
 from rhubarbwinch.exceptions import EndpointError
 from rhubarbwinch.sse import Splitter, StreamEvent
 
@@ -52,7 +53,7 @@
             PRIORITY_HEADER: str(priority),
         }
         url = f"http://{address}{path}"
-        return self._stream("POST", url, body, headers)
+        return self._traced("POST", url, body, headers)
 
     def resume(self, address: str, generation: str, index: int) -> Any:
         """Reads a generation again from an index; returns a context.
@@ -61,7 +62,7 @@
             EndpointError: On entering or while reading.
         """
         url = f"http://{address}/v1/generations/{generation}?from={index}"
-        return self._stream("GET", url, b"", {})
+        return self._traced("GET", url, b"", {})
 
     async def cancel(self, address: str, generation: str) -> None:
         """Ends a generation; a failure to reach the engine is ignored."""
@@ -81,9 +82,10 @@
             EndpointError: No whole answer came.
         """
         try:
-            return await self._client.request(
-                method, url, content=body, headers=headers
-            )
+            with tracing.stream_span("endpoint", headers, url=url):
+                return await self._client.request(
+                    method, url, content=body, headers=headers
+                )
         except (httpx.ConnectError, httpx.ConnectTimeout) as error:
             raise EndpointError(f"{url}: {error!r}", sent=False) from error
         except httpx.HTTPError as error:
@@ -101,6 +103,14 @@
         except orjson.JSONDecodeError as error:
             raise EndpointError(f"{url}: {error}", sent=True) from error
 
+    @asynccontextmanager
+    async def _traced(
+        self, method: str, url: str, body: bytes, headers: dict[str, str]
+    ) -> AsyncIterator[AsyncIterator[StreamEvent]]:
+        with tracing.stream_span("endpoint", headers, url=url):
+            async with self._stream(method, url, body, headers) as stream:
+                yield stream
+
     @asynccontextmanager
     async def _stream(
         self, method: str, url: str, body: bytes, headers: dict[str, str]
--- a/rhubarbwinch/entry.py
+++ b/rhubarbwinch/entry.py
@@ -2,14 +2,14 @@
 
 import orjson
 
-from rhubarbwinch import identity, metrics, rendezvous
+from rhubarbwinch import identity, metrics, rendezvous, tracing
 from rhubarbwinch.apikeys import KeyChecker
 from rhubarbwinch.config import EntrySettings
 from rhubarbwinch.daemon import Daemon
 from rhubarbwinch.endpoints import EndpointClient
 from rhubarbwinch.exceptions import LinkError
 from rhubarbwinch.generate import Generator, parse_call
-from rhubarbwinch.httpapi import App, Refused, Request, Responder
+from rhubarbwinch.httpapi import App, Handler, Refused, Request, Responder
 from rhubarbwinch.members import Role
 from rhubarbwinch.messages import ProgressReport, StreamProgress
 from rhubarbwinch.permits import PermitClient, pool_owner
@@ -21,6 +21,21 @@
 RETRY_AFTER_MS = 1000
 
 
+def _traced(handle: Handler) -> Handler:
+    """Returns a handler that runs in the span of its request."""
+
+    async def run(request: Request, responder: Responder) -> None:
+        parent = request.headers.get(tracing.HEADER, "")
+        with tracing.span("entry", parent, path=request.path):
+            try:
+                await handle(request, responder)
+            except Refused as refused:
+                tracing.mark_failure(refused.failure)
+                raise
+
+    return run
+
+
 class Entry:
     """The entry's program.
 
@@ -59,12 +74,13 @@
     async def run(self) -> None:
         """Runs until asked to stop."""
         daemon = self._daemon
-        self._app.route("POST", "/v1/completions", self._generate)
-        self._app.route("POST", "/v1/chat/completions", self._generate)
+        generate = _traced(self._generate)
+        self._app.route("POST", "/v1/completions", generate)
+        self._app.route("POST", "/v1/chat/completions", generate)
         self._app.route("GET", "/v1/entries", self._entries)
         self._app.route("GET", "/healthz", self._healthz)
         self._app.route("GET", "/readyz", self._readyz)
-        self._app.route("*", PREFIX, self._call_plain)
+        self._app.route("*", PREFIX, _traced(self._call_plain))
         daemon.drain.open_count = lambda: self._open
         daemon.serve_http(self._app)
         daemon.add("reports", self._report)
--- a/rhubarbwinch/events.py
+++ b/rhubarbwinch/events.py
@@ -129,3 +129,6 @@
 ENDPOINT_LOST = Event(
     52, "endpoint-lost", logging.WARNING, "An endpoint failed a call."
 )
+SPAN = Event(
+    500, "span", logging.INFO, "A span of a trace ended; see --traces log."
+)
--- a/rhubarbwinch/messages.py
+++ b/rhubarbwinch/messages.py
@@ -35,6 +35,7 @@
         repeatable: Whether the request may run more than once.
         wait_ms: How long the request may wait in the queue.
         avoid: Endpoint names that just failed this request.
+        traceparent: The span that asks (W3C), or empty.
     """
 
     request_id: str
@@ -50,6 +51,7 @@
     repeatable: bool = True
     wait_ms: int = 0
     avoid: list[str] = attrs.field(factory=list)
+    traceparent: str = ""
 
 
 @attrs.frozen
--- a/rhubarbwinch/permits.py
+++ b/rhubarbwinch/permits.py
@@ -5,7 +5,7 @@
 import attrs
 from result import Err, Ok, Result
 
-from rhubarbwinch import rendezvous
+from rhubarbwinch import rendezvous, tracing
 from rhubarbwinch.exceptions import CodecError, LinkError, LinkTimeout
 from rhubarbwinch.links import Links
 from rhubarbwinch.members import Member, Members, Role
@@ -103,7 +103,9 @@
         )
         for pool in pools:
             asked = attrs.evolve(request, pool=pool, request_id=new_id())
-            answer = await self.ask(asked)
+            with tracing.span("permit", pool=pool):
+                asked = attrs.evolve(asked, traceparent=tracing.current())
+                answer = await self.ask(asked)
             if answer.is_ok():
                 break
         return answer
--- /dev/null
+++ b/rhubarbwinch/tracing.py
@@ -0,0 +1,193 @@
+"""Traces: a span for each hop of a request, in one trace.
+
+Spans: `entry` for a caller's request, `permit` for the asking of a broker,
+`queue` for the broker's decision, `endpoint` for a call of an endpoint and
+`store` for a call of the key-value store within a request. The context
+travels as W3C `traceparent`: in HTTP headers to and from others, and in a
+field of the messages between the programs.
+
+Without `configure` every span is one shared object that records nothing.
+"""
+
+from collections.abc import Iterator, Sequence
+from contextlib import contextmanager
+from contextvars import ContextVar
+from typing import Any
+
+from opentelemetry import trace
+from opentelemetry.sdk.resources import Resource
+from opentelemetry.sdk.trace import ReadableSpan, TracerProvider
+from opentelemetry.sdk.trace.export import (
+    BatchSpanProcessor,
+    SimpleSpanProcessor,
+    SpanExporter,
+    SpanExportResult,
+    SpanProcessor,
+)
+from opentelemetry.sdk.trace.sampling import ParentBased, TraceIdRatioBased
+from opentelemetry.trace.propagation.tracecontext import (
+    TraceContextTextMapPropagator,
+)
+
+from rhubarbwinch import events
+from rhubarbwinch.verdict import Failure
+
+HEADER = "traceparent"
+LOG_TARGET = "log"
+_NS_PER_MS = 1_000_000
+
+# The context that a caller sent, while this program makes no spans.
+_passed_on: ContextVar[str] = ContextVar("passed_on", default="")
+
+_propagator = TraceContextTextMapPropagator()
+
+
+class _State:
+    """The tracer of this process; None while traces are off."""
+
+    def __init__(self) -> None:
+        self.tracer: trace.Tracer | None = None
+        self.provider: TracerProvider | None = None
+
+
+_state = _State()
+
+
+class LogExporter(SpanExporter):
+    """Writes each finished span as a log event."""
+
+    def export(self, spans: Sequence[ReadableSpan]) -> SpanExportResult:
+        """Writes the spans."""
+        for span in spans:
+            context, parent = span.get_span_context(), span.parent
+            if context is None or not span.start_time or not span.end_time:
+                continue
+            events.SPAN.log(
+                trace=f"{context.trace_id:032x}",
+                span=f"{context.span_id:016x}",
+                parent=f"{parent.span_id:016x}" if parent else "-",
+                hop=span.name,
+                start_ms=span.start_time // _NS_PER_MS,
+                ms=round((span.end_time - span.start_time) / _NS_PER_MS, 2),
+                **dict(span.attributes or {}),
+            )
+        return SpanExportResult.SUCCESS
+
+
+def configure(target: str, process: str, percent: int = 100) -> None:
+    """Turns traces on.
+
+    Args:
+        target: `log` for log events, a URL of an OTLP collector, or empty
+            for none.
+        process: The member's name.
+        percent: How many of 100 traces that begin here are recorded.
+    """
+    if not target:
+        return
+    processor: SpanProcessor
+    if target == LOG_TARGET:
+        processor = SimpleSpanProcessor(LogExporter())
+    else:
+        # The exporter is slow to import and needed only here.
+        from opentelemetry.exporter.otlp.proto.http.trace_exporter import (  # noqa: PLC0415
+            OTLPSpanExporter,
+        )
+
+        processor = BatchSpanProcessor(OTLPSpanExporter(endpoint=target))
+    use(processor, process, percent)
+
+
+def use(processor: SpanProcessor, process: str, percent: int = 100) -> None:
+    """Turns traces on with a span processor of the caller's."""
+    resource = Resource(
+        {"service.name": "rhubarbwinch", "service.instance.id": process}
+    )
+    sampler = ParentBased(TraceIdRatioBased(percent / 100))
+    provider = TracerProvider(resource=resource, sampler=sampler)
+    provider.add_span_processor(processor)
+    _state.provider = provider
+    _state.tracer = provider.get_tracer("rhubarbwinch")
+
+
+def close() -> None:
+    """Sends what is left and turns traces off."""
+    if _state.provider is not None:
+        _state.provider.shutdown()
+    _state.provider = _state.tracer = None
+
+
+@contextmanager
+def span(
+    name: str, traceparent: str | None = None, **attributes: Any
+) -> Iterator[trace.Span]:
+    """Runs a block in a span; spans begun in it are its children.
+
+    Args:
+        name: The hop's name.
+        traceparent: The caller's context, or None for the current span.
+        attributes: What is recorded with the span.
+    """
+    if _state.tracer is None:
+        if traceparent:
+            _passed_on.set(traceparent)
+        yield trace.INVALID_SPAN
+        return
+    context = None
+    if traceparent is not None:
+        context = _propagator.extract({HEADER: traceparent})
+    with _state.tracer.start_as_current_span(
+        name, context, attributes=attributes, record_exception=False
+    ) as begun:
+        yield begun
+
+
+@contextmanager
+def stream_span(
+    name: str, headers: dict[str, str], **attributes: Any
+) -> Iterator[trace.Span]:
+    """Runs a block in a span and adds its context to `headers`.
+
+    The span does not become the current one, so that the block may yield
+    from an asynchronous generator, which can end in another task.
+    """
+    if _state.tracer is None or not _has_context():
+        # A program without traces still passes its caller's context on.
+        if _passed_on.get():
+            headers[HEADER] = _passed_on.get()
+        yield trace.INVALID_SPAN
+        return
+    begun = _state.tracer.start_span(name, attributes=attributes)
+    _propagator.inject(headers, trace.set_span_in_context(begun))
+    try:
+        yield begun
+    finally:
+        begun.end()
+
+
+def current() -> str:
+    """Returns the current span's `traceparent`; empty without one."""
+    if _state.tracer is None:
+        return _passed_on.get()
+    headers: dict[str, str] = {}
+    _propagator.inject(headers)
+    return headers.get(HEADER, "")
+
+
+def _has_context() -> bool:
+    return trace.get_current_span().get_span_context().is_valid
+
+
+def is_recording() -> bool:
+    """Tells whether the current span is recorded."""
+    return _state.tracer is not None and (
+        trace.get_current_span().is_recording()
+    )
+
+
+def mark_failure(failure: Failure) -> None:
+    """Records a failure and its verdict in the current span."""
+    begun = trace.get_current_span()
+    begun.set_attribute("reason", failure.reason.value)
+    begun.set_attribute("verdict", failure.verdict.value)
+    begun.set_status(trace.StatusCode.ERROR, failure.detail)
