--- a/rhubarbwinch/cmdline.py
+++ b/rhubarbwinch/cmdline.py
@@ -12,7 +12,8 @@
 import attrs
 import cappa
 
-from rhubarbwinch import ctl, etcdstore, events, tracing
+from rhubarbwinch import ctl, etcdstore, events, options, secretkeys, tracing
+from rhubarbwinch import settingtypes as types
 from rhubarbwinch.broker import Broker
 from rhubarbwinch.config import (
     BrokerSettings,
@@ -29,18 +30,26 @@
     RestartLimitError,
     StoreError,
 )
-from rhubarbwinch.version import VERSION
+from rhubarbwinch.records import Record
+from rhubarbwinch.secretkeys import ApiKey
+
+_SETTINGS_HELP = (
+    " Each setting is a flag and an environment variable; the flag wins. Give "
+    "secrets by the environment. Exit status: 0 ended as asked, 1 failed, 2 "
+    "bad setting. docs/settings.md has every setting."
+)
+ENTRY_HELP = "Serves callers over HTTP." + _SETTINGS_HELP
+BROKER_HELP = "Grants permits for the pools that it owns." + _SETTINGS_HELP
+CONTROL_HELP = "Accepts operators' records." + _SETTINGS_HELP
 
 
 def _run_daemon(
-    name: str, kind: type[Any], build: Callable[[Any], Any]
+    name: str, kind: type[Any], build: Callable[[Any], Any], text: str
 ) -> None:
     """Parses the settings, runs a daemon and exits with its status."""
-    command = cappa.command(kind, name=name)
-    settings: Settings = cappa.parse(command, version=VERSION, completion=False)
+    settings: Settings = options.parse_settings(kind, name, text)
     events.configure(settings.log_format, settings.log_level, settings.name)
-
-    tracing.configure(settings.traces, settings.name)
+    tracing.configure(settings.traces, settings.name, settings.trace_percent)
 
     async def run() -> None:
         await build(settings).run()
@@ -50,23 +59,33 @@
     except RestartLimitError as error:
         events.RESTART_LIMIT.log(error=str(error))
         sys.exit(ExitStatus.FAILED)
+    except Exception as error:
+        events.FATAL.log(error=repr(error))
+        sys.exit(ExitStatus.FAILED)
     finally:
         tracing.close()
 
 
 def entry_main() -> None:
     """Runs `rhubarbwinch-entry`."""
-    _run_daemon("rhubarbwinch-entry", EntrySettings, Entry)
+    _run_daemon("rhubarbwinch-entry", EntrySettings, Entry, ENTRY_HELP)
 
 
 def broker_main() -> None:
     """Runs `rhubarbwinch-broker`."""
-    _run_daemon("rhubarbwinch-broker", BrokerSettings, Broker)
+    _run_daemon("rhubarbwinch-broker", BrokerSettings, Broker, BROKER_HELP)
 
 
 def control_main() -> None:
     """Runs `rhubarbwinch-control`."""
-    _run_daemon("rhubarbwinch-control", ControlSettings, Control)
+    _run_daemon("rhubarbwinch-control", ControlSettings, Control, CONTROL_HELP)
+
+
+CTL_HELP = (
+    "Drives a deployment by its records. Exit status: 0 done, 1 failed, 2 bad "
+    "usage, 3 a record is not valid, 4 another operator was first, 5 the store "
+    "failed. docs/ctl.md has every command."
+)
 
 
 @cappa.command(name="validate", help="Check record files.")
@@ -93,6 +112,28 @@
     kind: Annotated[str, cappa.Arg(help="Only this kind")] = ""
 
 
+@cappa.command(name="keys", help="Make a key pair for links.")
+@attrs.define
+class MakeLinkKeys:
+    """Makes a key pair for links."""
+
+
+@cappa.command(name="hash-key", help="Make an API key and its salted hash.")
+@attrs.define
+class HashKey:
+    """Makes an API key and its salted hash."""
+
+    account: Annotated[str, cappa.Arg(help="The client account")]
+
+
+@cappa.command(name="add-key", help="Make an API key and add it to an account.")
+@attrs.define
+class AddKey:
+    """Makes an API key and adds its hash to an account's record."""
+
+    account: Annotated[str, cappa.Arg(help="The client account")]
+
+
 @cappa.command(name="status", help="Show members and the generation.")
 @attrs.define
 class ShowStatus:
@@ -103,29 +144,40 @@
 class Ctl:
     """The operators' command line."""
 
-    command: cappa.Subcommands[Validate | Apply | ListRecords | ShowStatus]
+    command: cappa.Subcommands[
+        Validate
+        | Apply
+        | ListRecords
+        | MakeLinkKeys
+        | HashKey
+        | AddKey
+        | ShowStatus
+    ]
     store: Annotated[
         str,
         cappa.Arg(
             long=True,
-            default=cappa.Env("RHUBARBWINCH_STORE", default="127.0.0.1:2379"),
-            help="Address of the store",
+            default=cappa.Env("RHUBARBWINCH_STORE", default=ctl.DEFAULT_STORE),
+            parse=types.address,
+            help="Address of the store [RHUBARBWINCH_STORE]",
         ),
-    ] = "127.0.0.1:2379"
-    output: Annotated[Output, cappa.Arg(long=True, help="table or json")] = (
-        Output.TABLE
-    )
+    ] = ctl.DEFAULT_STORE
+    output: Annotated[
+        Output,
+        cappa.Arg(
+            long=True,
+            default=cappa.Env("RHUBARBWINCH_OUTPUT", default=Output.TABLE),
+            parse=types.ValueType(", ".join(Output), Output),
+            help="Form of the results [RHUBARBWINCH_OUTPUT]",
+        ),
+    ] = Output.TABLE
 
 
 def ctl_main() -> None:
     """Runs `rhubarbwinchctl`."""
-    options = cappa.parse(
-        cappa.command(Ctl, name="rhubarbwinchctl"),
-        version=VERSION,
-        completion=False,
-    )
+    command = options.parse(Ctl, "rhubarbwinchctl", CTL_HELP)
     try:
-        anyio.run(_run_ctl, options)
+        anyio.run(_run_ctl, command)
     except RecordError as error:
         _fail(error, ExitStatus.INVALID)
     except ConflictError as error:
@@ -139,27 +191,75 @@
     sys.exit(status)
 
 
-async def _run_ctl(options: Ctl) -> None:
-    store = etcdstore.EtcdStore(options.store, 2000)
+async def _run_ctl(command: Ctl) -> None:
+    store = etcdstore.EtcdStore(command.store, 2000)
     try:
-        match options.command:
+        match command.command:
             case Validate(files):
                 found = ctl.read_records(files)
-                ctl.print_rows(_rows(found), options.output)
+                _check(found, command.output)
+                ctl.print_rows(_rows(found), command.output)
+            case MakeLinkKeys():
+                ctl.print_rows(_link_key_rows(), command.output)
+            case HashKey(account):
+                made = secretkeys.make_api_key(account)
+                ctl.print_rows([_api_key_row(made)], command.output)
+            case AddKey(account):
+                made = await ctl.add_key(store, account)
+                ctl.print_rows([_api_key_row(made)], command.output)
             case Apply(files):
                 found = await ctl.apply(store, ctl.read_records(files))
-                ctl.print_rows(_rows(found), options.output)
+                ctl.print_rows(_rows(found), command.output)
             case ListRecords(kind):
                 found = await ctl.list_records(store, kind)
-                ctl.print_rows(_rows(found), options.output)
+                ctl.print_rows(_rows(found), command.output)
             case ShowStatus():
                 status = await ctl.read_status(store)
                 rows = [attrs.asdict(m) for m in status.members]
                 rows = [row | {"accepted": status.generation} for row in rows]
-                ctl.print_rows(rows, options.output)
+                ctl.print_rows(rows, command.output)
     finally:
         await store.close()
 
 
+def _check(items: list[Record], output: Output) -> None:
+    """Prints every fault and exits, if there is one."""
+    found = ctl.check_records(items)
+    if not found:
+        return
+    if output is Output.JSON:
+        rows = [
+            {
+                "record": error.record,
+                "field": error.field,
+                "value": error.value,
+                "allowed": error.allowed,
+            }
+            for error in found
+        ]
+        ctl.print_rows(rows, output)
+    for error in found:
+        sys.stderr.write(f"rhubarbwinchctl: {error}\n")
+    sys.exit(ExitStatus.INVALID)
+
+
+def _link_key_rows() -> list[dict[str, Any]]:
+    pair = secretkeys.make_link_keys()
+    return [
+        {"variable": "RHUBARBWINCH_LINK_PUBLIC_KEY", "value": pair.public},
+        {"variable": "RHUBARBWINCH_LINK_SECRET_KEY", "value": pair.secret},
+    ]
+
+
+def _api_key_row(made: ApiKey) -> dict[str, Any]:
+    """Returns a new key as a row; it is shown this once."""
+    return {
+        "account": made.account,
+        "api_key": made.secret,
+        "salt": made.hashed.salt,
+        "digest": made.hashed.digest,
+    }
+
+
 def _rows(found: list[Any]) -> list[dict[str, Any]]:
     return [{"kind": r.kind, "name": r.name, "schema": r.schema} for r in found]
--- a/rhubarbwinch/config.py
+++ b/rhubarbwinch/config.py
@@ -1,80 +1,19 @@
 """The settings of all programs, read from flags and the environment."""
 
-import os
-from collections.abc import Callable
-from typing import Annotated, Any
+from typing import Annotated
 
 import attrs
-import cappa
+import zmq
 
-from rhubarbwinch import misc
+from rhubarbwinch import settingtypes as types
 from rhubarbwinch.events import LogFormat
+from rhubarbwinch.exceptions import SettingError
 from rhubarbwinch.links import LinkKeys
+from rhubarbwinch.settingtypes import arg
 from rhubarbwinch.store import STORES
+from rhubarbwinch.tls import TlsFiles
 
-ENV_PREFIX = "RHUBARBWINCH_"
-
-
-def _refuse(value: str, allowed: str) -> ValueError:
-    return ValueError(f"{value!r}; allowed: {allowed}")
-
-
-def _address(value: str) -> str:
-    try:
-        misc.split_address(value)
-    except ValueError:
-        raise _refuse(value, "IP number:port") from None
-    return value
-
-
-def _addresses(value: str) -> list[str]:
-    return [_address(part) for part in value.split(",") if part]
-
-
-def _number(low: int, high: int) -> Callable[[str], int]:
-    def parse(value: str) -> int:
-        allowed = f"a whole number from {low} to {high}"
-        try:
-            number = int(value)
-        except ValueError:
-            raise _refuse(value, allowed) from None
-        if not low <= number <= high:
-            raise _refuse(value, allowed)
-        return number
-
-    return parse
-
-
-def _choice(*names: str) -> Callable[[str], str]:
-    def parse(value: str) -> str:
-        if value not in names:
-            raise _refuse(value, ", ".join(names))
-        return value
-
-    return parse
-
-
-def _name(value: str) -> str:
-    if not value or not all(c.isalnum() or c in ".-" for c in value):
-        raise _refuse(value, "letters, digits, dots and dashes")
-    return value
-
-
-def _arg(
-    name: str,
-    default: Any,
-    parse: Callable[[str], Any],
-    help_text: str,
-    required: bool = False,
-) -> Any:
-    variable = ENV_PREFIX + name.upper().replace("-", "_")
-    source = cappa.Env(variable, default=cappa.Empty if required else default)
-    return cappa.Arg(
-        long=f"--{name}",
-        default=source,
-        parse=lambda value: parse(value) if isinstance(value, str) else value,
-        help=f"{help_text} [{variable}]",
-    )
+_log_format = types.ValueType(", ".join(LogFormat), LogFormat)
 
 
 @attrs.define(kw_only=True)
@@ -98,73 +37,90 @@
         log_level: The lowest level that is logged.
         log_format: `text` or `json`.
         statsd: `a.b.c.d:port` of a statsd server; empty for none.
-        traces: URL of an OTLP collector, or empty.
+        traces: `log`, the URL of an OTLP collector, or empty.
+        trace_percent: How many of 100 traces that begin here are recorded.
     """
 
-    name: Annotated[str, _arg("name", "", _name, "Member name", True)]
+    name: Annotated[str, arg("name", "", types.name, "Member name", True)]
     data_center: Annotated[
-        str, _arg("data-center", "dc", _name, "Data centre of this VM")
+        str, arg("data-center", "dc", types.name, "Data centre of this VM")
     ] = "dc"
     region: Annotated[
-        str, _arg("region", "region", _name, "Region of the data centre")
+        str, arg("region", "region", types.name, "Region of the data centre")
     ] = "region"
-    link: Annotated[str, _arg("link", "", _address, "Address for peers", True)]
+    link: Annotated[
+        str, arg("link", "", types.address, "Address for peers", True)
+    ]
     http: Annotated[
-        str, _arg("http", "", _address, "Address of the HTTP interface", True)
+        str,
+        arg("http", "", types.address, "Address of the HTTP interface", True),
     ]
     store: Annotated[
-        str, _arg("store", "", _address, "Address of the store", True)
+        str, arg("store", "", types.address, "Address of the store", True)
     ]
     store_kind: Annotated[
-        str, _arg("store-kind", "etcd", _choice(*STORES), "Store adapter")
+        str, arg("store-kind", "etcd", types.choice(*STORES), "Store adapter")
     ] = "etcd"
     store_timeout_ms: Annotated[
         int,
-        _arg(
-            "store-timeout-ms", 1000, _number(10, 60_000), "Store call timeout"
+        arg(
+            "store-timeout-ms",
+            1000,
+            types.number(10, 60_000),
+            "Store call timeout",
         ),
     ] = 1000
     peers: Annotated[
         list[str],
-        _arg("peers", "", _addresses, "Link addresses, with commas between"),
+        arg(
+            "peers", "", types.addresses, "Link addresses, with commas between"
+        ),
     ] = attrs.field(factory=list)
     lease_ms: Annotated[
-        int, _arg("lease-ms", 5000, _number(1000, 600_000), "Member lease")
+        int, arg("lease-ms", 5000, types.number(1000, 600_000), "Member lease")
     ] = 5000
     link_public_key: Annotated[
-        str, _arg("link-public-key", "", str, "CURVE public key, Z85")
+        str,
+        arg("link-public-key", "", types.curve_key, "CURVE public key, Z85"),
     ] = ""
     link_secret_key: Annotated[
-        str, _arg("link-secret-key", "", str, "CURVE secret key, Z85")
+        str,
+        arg("link-secret-key", "", types.curve_secret, "CURVE secret key, Z85"),
     ] = attrs.field(default="", repr=False)
     drain_ms: Annotated[
-        int, _arg("drain-ms", 30_000, _number(0, 3_600_000), "Drain limit")
+        int, arg("drain-ms", 30_000, types.number(0, 3_600_000), "Drain limit")
     ] = 30_000
     log_level: Annotated[
         str,
-        _arg(
+        arg(
             "log-level",
             "info",
-            _choice("debug", "info", "warning", "error"),
+            types.choice("debug", "info", "warning", "error"),
             "Lowest level logged",
         ),
     ] = "info"
     log_format: Annotated[
-        LogFormat, _arg("log-format", "text", LogFormat, "text or json")
+        LogFormat, arg("log-format", "text", _log_format, "Form of log lines")
     ] = LogFormat.TEXT
     statsd: Annotated[
         str,
-        _arg(
+        arg(
             "statsd",
             "",
-            lambda value: _address(value) if value else "",
+            types.optional(types.address),
             "Address of a statsd server",
         ),
     ] = ""
     traces: Annotated[
-        str, _arg("traces", "", str, "URL of an OTLP collector")
+        str,
+        arg("traces", "", types.traces, "`log`, or URL of an OTLP collector"),
     ] = ""
 
+    trace_percent: Annotated[
+        int,
+        arg("trace-percent", 100, types.number(0, 100), "Traces recorded"),
+    ] = 100
+
     @property
     def link_keys(self) -> LinkKeys | None:
         """The key pair for links, or None without one."""
@@ -172,6 +128,25 @@
             return None
         return LinkKeys(self.link_public_key, self.link_secret_key)
 
+    def check(self) -> None:
+        """Checks what depends on several settings.
+
+        Raises:
+            SettingError: They don't fit together.
+        """
+        if not self.link_public_key and not self.link_secret_key:
+            return
+        try:
+            public = zmq.curve_public(self.link_secret_key.encode())
+        except (zmq.ZMQError, ValueError):
+            public = b""
+        if public.decode() != self.link_public_key:
+            raise SettingError(
+                "link-secret-key",
+                "(not shown)",
+                "the secret key of --link-public-key",
+            )
+
 
 @attrs.define(kw_only=True)
 class EntrySettings(Settings):
@@ -183,30 +158,62 @@
             started a stream can resume it.
         permit_timeout_ms: The longest wait for a broker beyond the queue.
         endpoint_silence_ms: A stream without a byte for so long is resumed.
+        certfile: The certificate for callers, PEM; empty for plain HTTP.
+        keyfile: Its private key, PEM.
     """
 
     max_body_bytes: Annotated[
         int,
-        _arg("max-body-bytes", 4 << 20, _number(1024, 1 << 30), "Body limit"),
+        arg(
+            "max-body-bytes", 4 << 20, types.number(1024, 1 << 30), "Body limit"
+        ),
     ] = 4 << 20
     stream_secret: Annotated[
-        str, _arg("stream-secret", "", str, "Signs generation ids")
+        str, arg("stream-secret", "", types.secret, "Signs generation ids")
     ] = attrs.field(default="", repr=False)
     permit_timeout_ms: Annotated[
         int,
-        _arg(
-            "permit-timeout-ms", 500, _number(10, 60_000), "Broker call timeout"
+        arg(
+            "permit-timeout-ms",
+            500,
+            types.number(10, 60_000),
+            "Broker call timeout",
         ),
     ] = 500
     endpoint_silence_ms: Annotated[
         int,
-        _arg(
+        arg(
             "endpoint-silence-ms",
             2000,
-            _number(100, 600_000),
+            types.number(100, 600_000),
             "Silence after which a stream is resumed",
         ),
     ] = 2000
+    certfile: Annotated[
+        str, arg("certfile", "", types.file, "Certificate for callers, PEM")
+    ] = ""
+    keyfile: Annotated[
+        str, arg("keyfile", "", types.file, "Its private key, PEM")
+    ] = ""
+
+    @property
+    def tls(self) -> TlsFiles | None:
+        """The files for TLS, or None for plain HTTP."""
+        if not self.certfile:
+            return None
+        return TlsFiles(self.certfile, self.keyfile)
+
+    def check(self) -> None:
+        """Checks what depends on several settings.
+
+        Raises:
+            SettingError: They don't fit together.
+        """
+        super().check()
+        if bool(self.certfile) == bool(self.keyfile):
+            return
+        missing = "keyfile" if self.certfile else "certfile"
+        raise SettingError(missing, "", "a file, as the other of the two is")
 
 
 @attrs.define(kw_only=True)
@@ -219,19 +226,17 @@
     """
 
     placement: Annotated[
-        str, _arg("placement", "least-outstanding", _name, "Placement policy")
+        str,
+        arg("placement", "least-outstanding", types.name, "Placement policy"),
     ] = "least-outstanding"
     load_poll_ms: Annotated[
         int,
-        _arg("load-poll-ms", 250, _number(10, 60_000), "Load reading period"),
+        arg(
+            "load-poll-ms", 250, types.number(10, 60_000), "Load reading period"
+        ),
     ] = 250
 
 
 @attrs.define(kw_only=True)
 class ControlSettings(Settings):
     """What a control is told besides."""
-
-
-def environment_help() -> dict[str, str]:
-    """Returns the environment variables that are set, for `--help` checks."""
-    return {k: v for k, v in os.environ.items() if k.startswith(ENV_PREFIX)}
--- a/rhubarbwinch/ctl.py
+++ b/rhubarbwinch/ctl.py
@@ -9,13 +9,16 @@
 import attrs
 import orjson
 
-from rhubarbwinch import codec, keys, records
+from rhubarbwinch import codec, keys, records, secretkeys
 from rhubarbwinch.accepted import read_head
 from rhubarbwinch.exceptions import ConflictError, RecordError
 from rhubarbwinch.members import Member
 from rhubarbwinch.records import Record
+from rhubarbwinch.secretkeys import ApiKey
 from rhubarbwinch.store import Store
 
+DEFAULT_STORE = "127.0.0.1:2379"
+
 
 class ExitStatus(enum.IntEnum):
     """Exit statuses of the command line."""
@@ -56,8 +59,19 @@
                 path, "-", str(error), "a readable file"
             ) from None
         found += [records.parse(item, path) for item in items]
-    for record in found:
-        records.check(record)
+    return found
+
+
+def check_records(items: list[Record]) -> list[RecordError]:
+    """Returns every fault of the records, doubled names among them."""
+    found: list[RecordError] = []
+    seen: set[str] = set()
+    for record in items:
+        found += records.errors(record)
+        if record.key in seen:
+            error = RecordError(record.key, "name", record.name, "given once")
+            found.append(error)
+        seen.add(record.key)
     return found
 
 
@@ -65,8 +79,11 @@
     """Writes records that have changed; returns those.
 
     Raises:
+        RecordError: A record is not valid; nothing was written.
         ConflictError: Another operator changed a record meanwhile.
     """
+    for error in check_records(items):
+        raise error
     changed = []
     for record in items:
         key = keys.record(record.kind, record.name)
@@ -81,6 +98,25 @@
     return changed
 
 
+async def add_key(store: Store, account: str) -> ApiKey:
+    """Makes an API key and adds its hash to an account's record.
+
+    Raises:
+        RecordError: There is no such account.
+        ConflictError: Another operator changed the record meanwhile.
+    """
+    key = keys.record("account", account)
+    current = await store.get(key)
+    if current is None:
+        raise RecordError(f"account/{account}", "name", account, "an account")
+    made = secretkeys.make_api_key(account)
+    record = secretkeys.add_key(records.parse(current.value), made.hashed)
+    swap = await store.swap(key, current.revision, record.to_bytes())
+    if not swap.won:
+        raise ConflictError(record.key, swap.revision)
+    return made
+
+
 async def list_records(store: Store, kind: str = "") -> list[Record]:
     """Returns the records of a kind, or all."""
     prefix = keys.RECORDS + (f"{kind}/" if kind else "")
--- a/rhubarbwinch/daemon.py
+++ b/rhubarbwinch/daemon.py
@@ -19,6 +19,7 @@
 from rhubarbwinch.metrics import Metrics
 from rhubarbwinch.store import STORES, Store
 from rhubarbwinch.supervisor import Supervisor
+from rhubarbwinch.tls import TlsFiles
 from rhubarbwinch.tracedstore import TracedStore
 
 DRAIN_CHECK_MS = 20
@@ -87,7 +88,9 @@
         """Adds a task to the supervisor tree; call it before `run`."""
         self._tree.add(name, run)
 
-    def serve_http(self, app: ASGIFramework) -> None:
+    def serve_http(
+        self, app: ASGIFramework, tls: TlsFiles | None = None
+    ) -> None:
         """Adds the HTTP interface; call it before `run`."""
         config = Config()
         config.bind = [self.settings.http]
@@ -96,6 +99,8 @@
         config.h11_max_incomplete_size = MAX_HEADER_BYTES
         config.graceful_timeout = self.settings.drain_ms / 1000
         config.keep_alive_timeout = 75
+        if tls is not None:
+            tls.use_in(config)
 
         async def run() -> None:
             await hypercorn.asyncio.serve(
--- a/rhubarbwinch/entry.py
+++ b/rhubarbwinch/entry.py
@@ -2,7 +2,7 @@
 
 import orjson
 
-from rhubarbwinch import identity, metrics, rendezvous, tracing
+from rhubarbwinch import events, identity, metrics, rendezvous, tracing
 from rhubarbwinch.apikeys import KeyChecker
 from rhubarbwinch.config import EntrySettings
 from rhubarbwinch.daemon import Daemon
@@ -69,6 +69,9 @@
             settings.data_center,
         )
         self._open = 0
+        self._tls = settings.tls
+        if not settings.stream_secret:
+            events.NO_STREAM_SECRET.log()
         self._app = App(settings.max_body_bytes)
 
     async def run(self) -> None:
@@ -82,7 +85,7 @@
         self._app.route("GET", "/readyz", self._readyz)
         self._app.route("*", PREFIX, _traced(self._call_plain))
         daemon.drain.open_count = lambda: self._open
-        daemon.serve_http(self._app)
+        daemon.serve_http(self._app, self._tls)
         daemon.add("reports", self._report)
         await daemon.run()
         await self._endpoints.close()
--- a/rhubarbwinch/events.py
+++ b/rhubarbwinch/events.py
@@ -132,3 +132,12 @@
 SPAN = Event(
     500, "span", logging.INFO, "A span of a trace ended; see --traces log."
 )
+NO_STREAM_SECRET = Event(
+    501,
+    "no-stream-secret",
+    logging.WARNING,
+    "Generation ids can be forged: --stream-secret is empty.",
+)
+FATAL = Event(
+    502, "fatal", logging.ERROR, "The program ended by a fault of its own."
+)
--- a/rhubarbwinch/exceptions.py
+++ b/rhubarbwinch/exceptions.py
@@ -17,6 +17,8 @@
     def __init__(self, name: str, value: object, allowed: str) -> None:
         super().__init__(f"setting --{name}: {value!r}; allowed: {allowed}")
         self.name = name
+        self.value = value
+        self.allowed = allowed
 
 
 class RecordError(RhubarbwinchError):
--- a/rhubarbwinch/records.py
+++ b/rhubarbwinch/records.py
@@ -6,7 +6,7 @@
 """
 
 import re
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from typing import Any
 
 import attrs
@@ -317,18 +317,39 @@
     if record.is_newer:
         allowed = f"1 to {CURRENT_SCHEMA}"
         raise RecordError(record.key, "schema", record.schema, allowed)
-    spec = record.spec
-    for schema in range(record.schema, CURRENT_SCHEMA):
-        spec = CONVERTERS.get(f"{record.kind}/{schema}")(spec)
+    spec = upgrade(record).spec
     try:
         return _converter.structure(spec, KINDS[record.kind])
     except Exception as error:
-        found = _first_error(error, "")
+        found = next(_faults(error, ""))
         raise RecordError(
             record.key, found.field, found.value, found.allowed
         ) from None
 
 
+def errors(record: Record) -> list[RecordError]:
+    """Returns everything that `check` has against a record."""
+    if record.is_newer:
+        allowed = f"1 to {CURRENT_SCHEMA}"
+        return [RecordError(record.key, "schema", record.schema, allowed)]
+    try:
+        _converter.structure(upgrade(record).spec, KINDS[record.kind])
+    except Exception as error:
+        return [
+            RecordError(record.key, found.field, found.value, found.allowed)
+            for found in _faults(error, "")
+        ]
+    return []
+
+
+def upgrade(record: Record) -> Record:
+    """Returns a record of a known schema in the current one."""
+    spec = record.spec
+    for schema in range(record.schema, CURRENT_SCHEMA):
+        spec = CONVERTERS.get(f"{record.kind}/{schema}")(spec)
+    return attrs.evolve(record, schema=CURRENT_SCHEMA, spec=spec)
+
+
 def _strict(kind: type) -> Callable[[Any, Any], Any]:
     def structure(value: Any, _: Any) -> Any:
         if type(value) is not kind:
@@ -355,23 +376,27 @@
 _converter = _make_converter()
 
 
-def _first_error(error: BaseException, path: str) -> _FieldError:
-    """Returns the first fault in cattrs's tree, with its whole path."""
+def _faults(error: BaseException, path: str) -> Iterator[_FieldError]:
+    """Yields the faults in cattrs's tree, each with its whole path."""
     if isinstance(error, ClassValidationError | IterableValidationError):
         noted, plain = error.group_exceptions()
-        if noted:
-            inner, note = noted[0]
+        for inner, note in noted:
             step = getattr(note, "name", None) or str(note.index)
-            return _first_error(inner, f"{path}.{step}".strip("."))
-        return _first_error(plain[0], path)
-    if isinstance(error, _FieldError):
+            yield from _faults(inner, f"{path}.{step}".strip("."))
+        for inner in plain:
+            yield from _faults(inner, path)
+    elif isinstance(error, ExceptionGroup):
+        for inner in error.exceptions:
+            yield from _faults(inner, path)
+    elif isinstance(error, _FieldError):
         field = f"{path}.{error.field}".strip(".")
-        return _FieldError(field, error.value, error.allowed)
-    if isinstance(error, ForbiddenExtraKeysError):
-        extra = sorted(error.extra_fields)[0]
-        field = f"{path}.{extra}".strip(".")
-        return _FieldError(field, "present", "no such field")
-    if isinstance(error, KeyError):
+        yield _FieldError(field, error.value, error.allowed)
+    elif isinstance(error, ForbiddenExtraKeysError):
+        for extra in sorted(error.extra_fields):
+            field = f"{path}.{extra}".strip(".")
+            yield _FieldError(field, "present", "no such field")
+    elif isinstance(error, KeyError):
         field = f"{path}.{error.args[0]}".strip(".")
-        return _FieldError(field, "missing", "required")
-    return _FieldError(path or "-", str(error), "another form")
+        yield _FieldError(field, "missing", "required")
+    else:
+        yield _FieldError(path or "-", str(error), "another form")
--- /dev/null
+++ b/rhubarbwinch/secretkeys.py
@@ -0,0 +1,55 @@
+"""Makes key pairs for links and API keys for client accounts."""
+
+import secrets
+
+import attrs
+import zmq
+
+from rhubarbwinch.apikeys import hash_key
+from rhubarbwinch.exceptions import RecordError
+from rhubarbwinch.links import LinkKeys
+from rhubarbwinch.records import KeyHash, Record, upgrade
+
+_SECRET_BYTES = 24
+_SALT_BYTES = 16
+
+
+@attrs.frozen
+class ApiKey:
+    """A new API key; only its salted hash is ever stored.
+
+    Attributes:
+        account: The client account.
+        secret: The whole key, as its callers send it.
+        hashed: What goes into the account's record.
+    """
+
+    account: str
+    secret: str = attrs.field(repr=False)
+    hashed: KeyHash
+
+
+def make_link_keys() -> LinkKeys:
+    """Returns a new CURVE key pair."""
+    public, secret = zmq.curve_keypair()
+    return LinkKeys(public.decode(), secret.decode())
+
+
+def make_api_key(account: str) -> ApiKey:
+    """Returns a new API key of an account: `account.secret`."""
+    key = f"{account}.{secrets.token_urlsafe(_SECRET_BYTES)}"
+    salt = secrets.token_hex(_SALT_BYTES)
+    return ApiKey(account, key, KeyHash(salt, hash_key(key, salt)))
+
+
+def add_key(record: Record, hashed: KeyHash) -> Record:
+    """Returns an account's record with one more key, in the newest schema.
+
+    Raises:
+        RecordError: The record is of a newer schema than is known.
+    """
+    if record.is_newer:
+        raise RecordError(record.key, "schema", record.schema, "a known one")
+    current = upgrade(record)
+    keys = [*current.spec.get("keys", []), attrs.asdict(hashed)]
+    return attrs.evolve(current, spec=current.spec | {"keys": keys})
--- /dev/null
+++ b/rhubarbwinch/settingtypes.py
@@ -0,0 +1,189 @@
+"""Types of settings: what is allowed, how it is read, how it is refused."""
+
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+from urllib.parse import urlsplit
+
+import attrs
+import cappa
+
+from rhubarbwinch import misc
+
+ENV_PREFIX = "RHUBARBWINCH_"
+_Z85_CHARS = 40
+
+
+@attrs.frozen
+class ValueType:
+    """A type of value.
+
+    Attributes:
+        allowed: What is allowed, in words.
+        convert: Reads a text; raises ValueError for one not allowed.
+        secret: Whether a value must never be shown.
+    """
+
+    allowed: str
+    convert: Callable[[str], Any]
+    secret: bool = False
+
+    def __call__(self, value: str) -> Any:
+        """Returns the value of a text.
+
+        Raises:
+            ValueError: It is not allowed; the message says what is.
+        """
+        try:
+            return self.convert(value)
+        except ValueError:
+            shown = "(not shown)" if self.secret else repr(value)
+            raise ValueError(f"{shown}; allowed: {self.allowed}") from None
+
+
+@attrs.frozen
+class SettingInfo:
+    """A setting as `--help` and docs/settings.md show it.
+
+    Attributes:
+        name: The flag's name without dashes.
+        help: One sentence.
+        default: The value without flag and variable; None if required.
+        allowed: What is allowed, in words.
+        secret: Whether it is given by the environment only.
+    """
+
+    name: str
+    help: str
+    default: object
+    allowed: str
+    secret: bool
+
+    @property
+    def variable(self) -> str:
+        """The environment variable."""
+        return ENV_PREFIX + self.name.upper().replace("-", "_")
+
+    @property
+    def is_required(self) -> bool:
+        """Whether it has no default."""
+        return self.default is None
+
+
+_known: dict[str, SettingInfo] = {}
+
+
+def info(name: str) -> SettingInfo | None:
+    """Returns the setting called `name`, or None."""
+    return _known.get(name)
+
+
+def known() -> list[SettingInfo]:
+    """Returns the settings of all programs, by name."""
+    return [_known[name] for name in sorted(_known)]
+
+
+def arg(
+    name: str, default: Any, kind: ValueType, text: str, required: bool = False
+) -> Any:
+    """Returns the cappa argument of a setting and notes it.
+
+    Args:
+        name: The flag's name without dashes.
+        default: The value without flag and variable.
+        kind: The type of the value.
+        text: One sentence for `--help`.
+        required: Whether there is no default.
+    """
+    found = SettingInfo(
+        name, text, None if required else default, kind.allowed, kind.secret
+    )
+    _known[name] = found
+    source = cappa.Env(found.variable, default=None if required else default)
+    return cappa.Arg(
+        long=f"--{name}",
+        default=source,
+        parse=lambda value: kind(value) if isinstance(value, str) else value,
+        help=f"{text}{' (required)' if required else ''} [{found.variable}]",
+        value_name=name.upper(),
+        show_default=not required and default != "",
+    )
+
+
+def _to_address(value: str) -> str:
+    misc.split_address(value)
+    return value
+
+
+def _to_name(value: str) -> str:
+    if not value or not all(c.isalnum() or c in ".-" for c in value):
+        raise ValueError(value)
+    return value
+
+
+def _to_key(value: str) -> str:
+    if value and len(value) != _Z85_CHARS:
+        raise ValueError(value)
+    return value
+
+
+def _to_url(value: str) -> str:
+    parts = urlsplit(value)
+    if parts.scheme not in ("http", "https") or not parts.netloc:
+        raise ValueError(value)
+    return value
+
+
+def _to_file(value: str) -> str:
+    if value and not Path(value).is_file():
+        raise ValueError(value)
+    return value
+
+
+def number(low: int, high: int) -> ValueType:
+    """Returns the type of whole numbers from `low` to `high`."""
+
+    def convert(value: str) -> int:
+        found = int(value)
+        if not low <= found <= high:
+            raise ValueError(value)
+        return found
+
+    return ValueType(f"a whole number from {low} to {high}", convert)
+
+
+def choice(*names: str) -> ValueType:
+    """Returns the type of some names."""
+
+    def convert(value: str) -> str:
+        if value not in names:
+            raise ValueError(value)
+        return value
+
+    return ValueType(", ".join(names), convert)
+
+
+def optional(kind: ValueType) -> ValueType:
+    """Returns a type that also allows an empty text."""
+    return ValueType(
+        f"{kind.allowed}, or empty",
+        lambda value: kind.convert(value) if value else "",
+        kind.secret,
+    )
+
+
+address = ValueType("IP number:port", _to_address)
+addresses = ValueType(
+    "IP number:port, with commas between",
+    lambda value: [_to_address(part) for part in value.split(",") if part],
+)
+name = ValueType("letters, digits, dots and dashes", _to_name)
+text = ValueType("any text", str)
+file = ValueType("the path of a file, or empty", _to_file)
+traces = ValueType(
+    "log, an http or https URL, or empty",
+    lambda value: value if value in ("", "log") else _to_url(value),
+)
+secret = ValueType("any text", str, secret=True)
+curve_key = ValueType("40 characters of Z85, or empty", _to_key)
+curve_secret = ValueType("40 characters of Z85, or empty", _to_key, secret=True)
