Settings checked at start, probes at every program, traces and keys

Cause: a missing required setting crashed later with a stack of restarts; bad values took several lines; broker and control had no HTTP interface; log fields could overwrite an event's own name. Log fields are nested in JSON lines.

--- a/lab/demo.py
+++ b/lab/demo.py
@@ -278,7 +278,9 @@
     for path in sorted(logs.glob("*.log")):
         for line in path.read_bytes().splitlines():
             if line.startswith(b"{") and TRACE_ID.encode() in line:
-                found.append(orjson.loads(line))
+                logged = orjson.loads(line)
+                span = logged["fields"] | {"process": logged["process"]}
+                found.append(span)
     hops = {span.get("hop") for span in found}
     return found if {"entry", "permit", "queue", "endpoint"} <= hops else []
 
--- a/rhubarbwinch/broker.py
+++ b/rhubarbwinch/broker.py
@@ -13,6 +13,7 @@
 from rhubarbwinch.daemon import Daemon
 from rhubarbwinch.endpoints import EndpointClient
 from rhubarbwinch.exceptions import EndpointError
+from rhubarbwinch.httpapi import App
 from rhubarbwinch.members import Role
 from rhubarbwinch.messages import (
     PermitRelease,
@@ -24,6 +25,7 @@
 
 TICK_MS = 20
 LOAD_SILENCE_MS = 1000
+MAX_BODY_BYTES = 64 << 10
 
 
 @attrs.define
@@ -139,6 +141,7 @@
         daemon.server.on(PermitRequest, self._answer)
         daemon.server.on(PermitRelease, self._keeper.release)
         daemon.server.on(ProgressReport, self._keeper.report_progress)
+        daemon.serve_http(App(MAX_BODY_BYTES))
         daemon.add("tick", self._tick)
         daemon.add("load", self._read_loads)
         await daemon.run()
--- a/rhubarbwinch/daemon.py
+++ b/rhubarbwinch/daemon.py
@@ -4,19 +4,19 @@
 from collections.abc import Awaitable, Callable
 
 import anyio
-import attrs
 import hypercorn.asyncio
 from hypercorn.config import Config
-from hypercorn.typing import ASGIFramework
 
 from rhubarbwinch import events, identity
 from rhubarbwinch.clock import Clock, SystemClock
 from rhubarbwinch.config import Settings
 from rhubarbwinch.exceptions import StoreError
 from rhubarbwinch.follower import Follower
+from rhubarbwinch.httpapi import App
 from rhubarbwinch.links import Links, LinkServer
 from rhubarbwinch.members import Member, Members, Registration, Role
 from rhubarbwinch.metrics import Metrics
+from rhubarbwinch.probes import Drain, Probes
 from rhubarbwinch.store import STORES, Store
 from rhubarbwinch.supervisor import Supervisor
 from rhubarbwinch.tls import TlsFiles
@@ -26,19 +26,6 @@
 MAX_HEADER_BYTES = 32 << 10
 
 
-@attrs.define
-class Drain:
-    """The state of a shutdown.
-
-    Attributes:
-        started: Set when the program must take no new work.
-        open_count: Returns how many requests are still open.
-    """
-
-    started: bool = False
-    open_count: Callable[[], int] = lambda: 0
-
-
 class Daemon:
     """One program: builds the parts and runs them under a supervisor.
 
@@ -88,10 +75,9 @@
         """Adds a task to the supervisor tree; call it before `run`."""
         self._tree.add(name, run)
 
-    def serve_http(
-        self, app: ASGIFramework, tls: TlsFiles | None = None
-    ) -> None:
-        """Adds the HTTP interface; call it before `run`."""
+    def serve_http(self, app: App, tls: TlsFiles | None = None) -> None:
+        """Adds the HTTP interface with the probes; call it before `run`."""
+        Probes(self.follower, self.drain).add_to(app)
         config = Config()
         config.bind = [self.settings.http]
         config.accesslog = None
--- a/rhubarbwinch/entry.py
+++ b/rhubarbwinch/entry.py
@@ -2,7 +2,7 @@
 
 import orjson
 
-from rhubarbwinch import events, identity, metrics, rendezvous, tracing
+from rhubarbwinch import events, identity, metrics, models, rendezvous, tracing
 from rhubarbwinch.apikeys import KeyChecker
 from rhubarbwinch.config import EntrySettings
 from rhubarbwinch.daemon import Daemon
@@ -81,8 +81,7 @@
         self._app.route("POST", "/v1/completions", generate)
         self._app.route("POST", "/v1/chat/completions", generate)
         self._app.route("GET", "/v1/entries", self._entries)
-        self._app.route("GET", "/healthz", self._healthz)
-        self._app.route("GET", "/readyz", self._readyz)
+        self._app.route("GET", "/v1/models", self._list_models)
         self._app.route("*", PREFIX, _traced(self._call_plain))
         daemon.drain.open_count = lambda: self._open
         daemon.serve_http(self._app, self._tls)
@@ -151,14 +150,13 @@
         data = {"entries": listed, "ttl_ms": ENTRIES_TTL_MS}
         await responder.json(orjson.dumps(data))
 
-    async def _healthz(self, _: Request, responder: Responder) -> None:
-        await responder.json(b'{"alive":true}')
-
-    async def _readyz(self, _: Request, responder: Responder) -> None:
-        generation = self._daemon.follower.snapshot.generation
-        ready = generation > 0 and not self._daemon.drain.started
-        data = {"ready": ready, "generation": generation}
-        await responder.json(orjson.dumps(data), 200 if ready else 503)
+    async def _list_models(
+        self, request: Request, responder: Responder
+    ) -> None:
+        """Lists the account's services that generate, as OpenAI does."""
+        account = self._account(request)
+        snapshot = self._daemon.follower.snapshot
+        await responder.json(models.listing(account, snapshot))
 
     async def _report(self) -> None:
         """Tells the owners of pools which streams are open."""
--- a/rhubarbwinch/events.py
+++ b/rhubarbwinch/events.py
@@ -1,5 +1,6 @@
 """Numbered log events; docs/events.md is their catalogue."""
 
+import datetime
 import enum
 import logging as stdlib_logging
 import sys
@@ -47,6 +48,12 @@
     stdlib_logging.getLogger("httpx").setLevel(stdlib_logging.WARNING)
 
 
+def _plain(value: Any) -> str:
+    """Returns a value on one line, whatever a caller has put into it."""
+    text = str(value)
+    return text if text.isprintable() else repr(text)
+
+
 class Event:
     """A kind of log line.
 
@@ -73,16 +80,19 @@
         if not logging.vlog_is_on(self.level):
             return
         if _output.format is LogFormat.JSON:
+            now = datetime.datetime.now(datetime.UTC)
             line = {
+                "time": now.isoformat(timespec="milliseconds"),
+                "level": _LEVELS[self.level],
                 "event": self.number,
                 "name": self.name,
                 "process": _output.process,
-                "level": _LEVELS[self.level],
+                "fields": fields,
             }
-            data = orjson.dumps(line | fields, default=str)
+            data = orjson.dumps(line, default=str)
             sys.stderr.write(data.decode() + "\n")
             return
-        text = " ".join(f"{key}={value}" for key, value in fields.items())
+        text = " ".join(f"{key}={_plain(v)}" for key, v in fields.items())
         logging.log(self.level, "RW%04d %s %s", self.number, self.name, text)
 
 
@@ -141,3 +151,15 @@
 FATAL = Event(
     502, "fatal", logging.ERROR, "The program ended by a fault of its own."
 )
+ORDERS_TAKEN = Event(
+    600, "orders-taken", logging.INFO, "This control sends a pool's orders."
+)
+ORDERS_LOST = Event(
+    601, "orders-lost", logging.WARNING, "The lease for orders lapsed."
+)
+ORDER_SENT = Event(
+    602, "order-sent", logging.INFO, "An endpoint took an order."
+)
+ORDER_FAILED = Event(
+    603, "order-failed", logging.WARNING, "An endpoint failed an order."
+)
--- a/rhubarbwinch/generate.py
+++ b/rhubarbwinch/generate.py
@@ -12,6 +12,7 @@
 
 from rhubarbwinch import identity, metrics
 from rhubarbwinch.accepted import Snapshot
+from rhubarbwinch.callparams import check_parameters
 from rhubarbwinch.clock import Clock
 from rhubarbwinch.endpoints import EndpointClient
 from rhubarbwinch.exceptions import EndpointError
@@ -75,6 +76,7 @@
         raise Refused(not_run(Reason.BAD_REQUEST, f"body: {error}")) from None
     if not isinstance(data, dict) or not isinstance(data.get("model"), str):
         raise Refused(not_run(Reason.BAD_REQUEST, "model: a name is required"))
+    check_parameters(data)
     name = data["model"]
     service = snapshot.services.get(name)
     spec = snapshot.accounts[account]
--- a/rhubarbwinch/options.py
+++ b/rhubarbwinch/options.py
@@ -70,14 +70,17 @@
     Args:
         kind: The attrs class of the options.
         name: The program's name.
-        text: What the program does, for `--help`.
+        text: What the program does, for `--help`; two sentences or more.
         argv: The arguments without the program; those of the process by
             default.
 
     Raises:
         SystemExit: The options are not allowed, or were help or version.
     """
-    command: Any = cappa.command(kind, name=name, help="", description=text)
+    first, _, rest = text.partition(". ")
+    command: Any = cappa.command(
+        kind, name=name, help=f"{first}.", description=rest
+    )
     arguments = None if argv is None else list(argv)
     return cappa.parse(
         command,
