Links accept only peers with the key pair, tested with others

Cause: the authenticator compared an encoded key with one encoded twice, so with keys set no peer at all was answered; nothing tested it. Ruled out: a directory of certificates, since VMs have no disks.

--- a/rhubarbwinch/config.py
+++ b/rhubarbwinch/config.py
@@ -5,6 +5,7 @@
 import attrs
 import zmq
 
+from rhubarbwinch import etcdstore  # noqa: F401 - registers an adapter
 from rhubarbwinch import settingtypes as types
 from rhubarbwinch.events import LogFormat
 from rhubarbwinch.exceptions import SettingError
@@ -59,7 +60,8 @@
         str, arg("store", "", types.address, "Address of the store", True)
     ]
     store_kind: Annotated[
-        str, arg("store-kind", "etcd", types.choice(*STORES), "Store adapter")
+        str,
+        arg("store-kind", "etcd", types.registered(STORES), "Store adapter"),
     ] = "etcd"
     store_timeout_ms: Annotated[
         int,
--- a/rhubarbwinch/events.py
+++ b/rhubarbwinch/events.py
@@ -7,7 +7,7 @@
 from typing import Any
 
 import orjson
-from absl import logging
+from absl import flags, logging
 
 
 class LogFormat(enum.StrEnum):
@@ -41,6 +41,8 @@
     """Sets the format, the lowest level written and the process's name."""
     _output.format = log_format
     _output.process = process
+    # Our settings take the place of absl's own flags.
+    flags.FLAGS.mark_as_parsed()
     logging.set_verbosity(level)
     logging.set_stderrthreshold(level)
     logging.use_absl_handler()
--- a/rhubarbwinch/links.py
+++ b/rhubarbwinch/links.py
@@ -4,6 +4,7 @@
 number, body). An answer repeats the incarnation and number of its call.
 """
 
+import hmac
 import itertools
 import struct
 from collections.abc import Awaitable, Callable
@@ -138,8 +139,11 @@
         self._public = public.encode()
 
     def callback(self, domain: str, key: bytes) -> bool:
-        """Tells whether a peer's public key may connect."""
-        return zmq.utils.z85.encode(key) == self._public
+        """Tells whether a peer's public key, in Z85, may connect."""
+        known = hmac.compare_digest(key, self._public)
+        if not known:
+            events.PEER_REFUSED.log(error="a peer with another key")
+        return known
 
 
 class Links:
--- a/rhubarbwinch/settingtypes.py
+++ b/rhubarbwinch/settingtypes.py
@@ -9,6 +9,7 @@
 import cappa
 
 from rhubarbwinch import misc
+from rhubarbwinch.registry import Registry
 
 ENV_PREFIX = "RHUBARBWINCH_"
 _Z85_CHARS = 40
@@ -163,6 +164,17 @@
     return ValueType(", ".join(names), convert)
 
 
+def registered(registry: Registry[Any]) -> ValueType:
+    """Returns the type of names in a registry."""
+
+    def convert(value: str) -> str:
+        if value not in registry:
+            raise ValueError(value)
+        return value
+
+    return ValueType(", ".join(registry), convert)
+
+
 def optional(kind: ValueType) -> ValueType:
     """Returns a type that also allows an empty text."""
     return ValueType(
--- /dev/null
+++ b/tests/test_linkkeys.py
@@ -0,0 +1,87 @@
+"""Links whose peers hold the right key pair, another or none."""
+
+import unittest
+
+import anyio
+import attrs
+
+from rhubarbwinch.exceptions import LinkTimeout
+from rhubarbwinch.links import Links, LinkServer
+from rhubarbwinch.secretkeys import make_link_keys
+from tests.helpers import asynchronous, free_address
+
+ANSWER_MS = 5000
+SILENCE_MS = 300
+
+
+@attrs.frozen
+class Ping:
+    """A call."""
+
+    text: str
+
+
+@attrs.frozen
+class Pong:
+    """Its answer."""
+
+    text: str
+
+
+async def _answer(ping):
+    return Pong(ping.text)
+
+
+class LinkKeysTest(unittest.TestCase):
+    """A server with keys and several peers."""
+
+    async def _ask(self, address, keys, timeout_ms):
+        links = Links(7, keys)
+        async with anyio.create_task_group() as tasks:
+            await tasks.start(links.run)
+            try:
+                pong = await links.call(
+                    address, Ping("hello"), Pong, timeout_ms
+                )
+                return pong.text
+            except LinkTimeout:
+                return None
+            finally:
+                tasks.cancel_scope.cancel()
+
+    @asynchronous
+    async def test_only_peers_with_the_same_key_pair_are_answered(self):
+        keys, address = make_link_keys(), free_address()
+        server = LinkServer(address, keys)
+        calls = []
+
+        async def answer(ping):
+            calls.append(ping)
+            return await _answer(ping)
+
+        server.on(Ping, answer)
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(server.run)
+            self.assertEqual(await self._ask(address, keys, ANSWER_MS), "hello")
+            stranger = make_link_keys()
+            for peer in (stranger, None):
+                self.assertIsNone(await self._ask(address, peer, SILENCE_MS))
+            self.assertEqual(await self._ask(address, keys, ANSWER_MS), "hello")
+            tasks.cancel_scope.cancel()
+        self.assertEqual(len(calls), 2)
+
+    @asynchronous
+    async def test_the_server_can_start_again_after_a_failure(self):
+        keys, address = make_link_keys(), free_address()
+        for _ in range(2):
+            server = LinkServer(address, keys)
+            server.on(Ping, _answer)
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(server.run)
+                answer = await self._ask(address, keys, ANSWER_MS)
+                self.assertEqual(answer, "hello")
+                tasks.cancel_scope.cancel()
+
+    def test_the_secret_is_not_shown(self):
+        keys = make_link_keys()
+        self.assertNotIn(keys.secret, repr(keys))
