--- a/rhubarbwinch/config.py
+++ b/rhubarbwinch/config.py
@@ -156,6 +156,7 @@
 
     Attributes:
         max_body_bytes: The largest request body.
+        body_timeout_ms: The longest wait for a request body.
         stream_secret: Signs generation ids, so that only the account that
             started a stream can resume it.
         permit_timeout_ms: The longest wait for a broker beyond the queue.
@@ -170,6 +171,15 @@
             "max-body-bytes", 4 << 20, types.number(1024, 1 << 30), "Body limit"
         ),
     ] = 4 << 20
+    body_timeout_ms: Annotated[
+        int,
+        arg(
+            "body-timeout-ms",
+            30_000,
+            types.number(10, 600_000),
+            "Longest wait for a request body",
+        ),
+    ] = 30_000
     stream_secret: Annotated[
         str, arg("stream-secret", "", types.secret, "Signs generation ids")
     ] = attrs.field(default="", repr=False)
--- a/rhubarbwinch/entry.py
+++ b/rhubarbwinch/entry.py
@@ -72,7 +72,7 @@
         self._tls = settings.tls
         if not settings.stream_secret:
             events.NO_STREAM_SECRET.log()
-        self._app = App(settings.max_body_bytes)
+        self._app = App(settings.max_body_bytes, settings.body_timeout_ms)
 
     async def run(self) -> None:
         """Runs until asked to stop."""
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -18,10 +18,13 @@
         engines: How many engines there are.
         speed: How much faster than real time the engines run.
         control_options: More flags of the control.
+        logs: The directory for the logs of all processes, or None.
     """
 
-    def __init__(self, entries=1, engines=1, speed=20, control_options=()):
-        super().__init__()
+    def __init__(
+        self, entries=1, engines=1, speed=20, control_options=(), logs=None
+    ):
+        super().__init__(logs)
         self.store = free_address()
         self.engines = [free_address() for _ in range(engines)]
         self.service = free_address()
--- /dev/null
+++ b/tests/test_httpapi.py
@@ -0,0 +1,171 @@
+"""Bad input through the real programs: a clear problem with its verdict."""
+
+import json
+import socket
+import unittest
+
+import httpx
+
+from tests import builders
+from tests.fleet import AUTHORIZATION, Fleet
+from tests.helpers import free_address, wait_until
+
+STRICT = ("--max-body-bytes", "2048", "--body-timeout-ms", "300")
+COMPLETIONS = "/v1/completions"
+
+
+class BadInputTest(unittest.TestCase):
+    """One deployment; every test ends with a request that is served."""
+
+    @classmethod
+    def setUpClass(cls):
+        cls.fleet = cls.enterClassContext(Fleet())
+        cls.address = free_address()
+        cls.fleet.start_role("entry", "strict", cls.address, *STRICT)
+        cls.fleet.wait_ready(cls.address)
+
+    def tearDown(self):
+        self.assertEqual(self._post(self._call()).status_code, 200)
+
+    def _call(self, **fields):
+        body = {"model": "chat", "prompt": "len=2"} | fields
+        return json.dumps(body).encode()
+
+    def _post(self, body, path=COMPLETIONS, headers=None):
+        url = f"http://{self.address}{path}"
+        headers = AUTHORIZATION if headers is None else headers
+        return httpx.post(url, content=body, headers=headers, timeout=20)
+
+    def _assert_problem(self, response, status, reason, verdict="not-run"):
+        self.assertEqual(response.status_code, status, response.text)
+        data = response.json()
+        kind = response.headers["content-type"]
+        self.assertEqual(kind, "application/problem+json")
+        self.assertEqual(response.headers["x-verdict"], verdict)
+        self.assertEqual(data["verdict"], verdict)
+        self.assertEqual(data["status"], status)
+        self.assertEqual(data["type"], f"urn:rhubarbwinch:problem:{reason}")
+        self.assertLess(len(data["detail"]), 400)
+
+    def _exchange(self, data):
+        """Sends bytes as they are and returns the whole answer."""
+        host, port = self.address.split(":")
+        with socket.create_connection((host, int(port)), 20) as raw:
+            raw.sendall(data)
+            answer = b""
+            while part := raw.recv(65_536):
+                answer += part
+                if b"\r\n\r\n" in answer and b"content-length" in answer:
+                    head, _, body = answer.partition(b"\r\n\r\n")
+                    length = head.lower().partition(b"content-length: ")[2]
+                    if len(body) >= int(length.split(b"\r\n")[0]):
+                        break
+        return answer
+
+    def test_bodies_that_are_no_call_are_refused(self):
+        bad = [
+            b"",
+            b"{",
+            b"[1]",
+            b"null",
+            b'{"model": 7}',
+            b"[" * 2000,
+            b'{"model": "chat", "prompt": "\xff\xfe"}',
+            b'{"model": "chat", "max_tokens": NaN}',
+            b'{"model": "chat", "max_tokens": 1e400}',
+        ]
+        for body in bad:
+            self._assert_problem(self._post(body), 400, "bad-request")
+
+    def test_numbers_out_of_range_are_refused(self):
+        bad = [
+            {"max_tokens": -1},
+            {"max_tokens": 0},
+            {"max_tokens": 10**9},
+            {"max_tokens": 10**30},
+            {"max_tokens": 1.5},
+            {"max_tokens": True},
+            {"max_tokens": "8"},
+            {"n": 2},
+            {"temperature": -0.1},
+            {"top_p": 1e300},
+        ]
+        for fields in bad:
+            answer = self._post(self._call(**fields))
+            self._assert_problem(answer, 400, "bad-request")
+            self.assertIn(next(iter(fields)), answer.json()["detail"])
+
+    def test_a_body_over_the_limit_is_refused(self):
+        answer = self._post(self._call(prompt="x" * 4096))
+        self._assert_problem(answer, 413, "too-large")
+
+    def test_unknown_names_are_refused(self):
+        answer = self._post(self._call(model="no" * 900))
+        self._assert_problem(answer, 404, "not-found")
+        answer = self._post(b"", "/services/none/x")
+        self._assert_problem(answer, 404, "not-found")
+        answer = self._post(b"", "/nowhere")
+        self._assert_problem(answer, 404, "not-found")
+
+    def test_wrong_keys_are_refused(self):
+        for key in ("", "Bearer", "Bearer acme.wrong", "Basic acme.secret"):
+            headers = {"authorization": key} if key else {}
+            answer = self._post(self._call(), headers=headers)
+            self._assert_problem(answer, 401, "unauthenticated")
+
+    def test_a_bad_last_event_id_is_refused(self):
+        for last in ("x", "a~b:-1", "a~b:", "~:1x"):
+            headers = AUTHORIZATION | {"last-event-id": last}
+            answer = self._post(self._call(), headers=headers)
+            self._assert_problem(answer, 400, "bad-request")
+        headers = AUTHORIZATION | {"last-event-id": "1-2-3~engine-0:1"}
+        answer = self._post(self._call(), headers=headers)
+        self._assert_problem(answer, 403, "forbidden")
+
+    def test_headers_too_large_are_refused(self):
+        padding = b"x: " + b"y" * 100_000
+        answer = self._exchange(
+            b"POST /v1/completions HTTP/1.1\r\nhost: a\r\n" + padding
+        )
+        self.assertIn(answer.split(b" ")[1], (b"400", b"431"))
+
+    def test_what_is_not_http_is_refused(self):
+        answer = self._exchange(b"\xff\x00 nonsense\r\n\r\n")
+        self.assertEqual(answer.split(b" ")[1], b"400")
+
+    def test_a_path_that_is_not_utf8_is_refused(self):
+        key = AUTHORIZATION["authorization"].encode()
+        answer = self._exchange(
+            b"GET /services/%ff%fe/x HTTP/1.1\r\nhost: a\r\n"
+            b"authorization: " + key + b"\r\n\r\n"
+        )
+        self.assertEqual(answer.split(b" ")[1], b"404", answer)
+
+    def test_a_caller_that_stops_sending_is_refused(self):
+        answer = self._exchange(
+            b"POST /v1/completions HTTP/1.1\r\nhost: a\r\n"
+            b"content-length: 100\r\n\r\n{"
+        )
+        self.assertEqual(answer.split(b" ")[1], b"408", answer)
+        self.assertIn(b"x-verdict: not-run", answer.lower())
+
+    def test_a_vanished_caller_frees_its_engine(self):
+        body = self._call(prompt="len=4000", stream=True)
+        url = f"http://{self.address}{COMPLETIONS}"
+        with httpx.stream("POST", url, content=body, headers=AUTHORIZATION):
+            wait_until(lambda: self._running() == 1, "the start")
+        wait_until(lambda: self._running() == 0, "the end")
+
+    def _running(self):
+        engine = self.fleet.engines[0]
+        return httpx.get(f"http://{engine}/load").json()["running"]
+
+    def test_an_unknown_schema_changes_nothing_in_force(self):
+        newer = builders.model(name="later")
+        newer = builders.Record("model", "later", 99, newer.spec)
+        self.assertEqual(self.fleet.apply([newer]), 3)
+
+    def test_probes_answer(self):
+        for path in ("/healthz", "/readyz"):
+            answer = httpx.get(f"http://{self.address}{path}")
+            self.assertEqual(answer.status_code, 200)
--- /dev/null
+++ b/tests/test_supervisor.py
@@ -0,0 +1,105 @@
+"""Supervisors: restarts, their backoff and their limit."""
+
+import pathlib
+import tempfile
+import unittest
+
+import anyio
+
+from rhubarbwinch.clock import ManualClock
+from rhubarbwinch.exceptions import RestartLimitError
+from rhubarbwinch.supervisor import RestartLimit, Supervisor
+from tests.fleet import Fleet
+from tests.helpers import asynchronous
+
+
+class RecordingClock(ManualClock):
+    """A clock whose sleeps end at once; it notes how long they were."""
+
+    def __init__(self):
+        super().__init__()
+        self.sleeps = []
+
+    async def sleep(self, ms):
+        """Notes the wait and moves the time by it."""
+        self.sleeps.append(ms)
+        self.set(self.now() + ms)
+        await anyio.lowlevel.checkpoint()
+
+
+class Failing:
+    """A task that fails some times and then returns.
+
+    Args:
+        times: How often it fails.
+    """
+
+    def __init__(self, times):
+        self.starts = 0
+        self._times = times
+
+    async def run(self):
+        """Fails or returns."""
+        self.starts += 1
+        if self.starts <= self._times:
+            raise OSError(f"start {self.starts}")
+
+
+class SupervisorTest(unittest.TestCase):
+    """Children that fail."""
+
+    @asynchronous
+    async def test_a_child_is_restarted_with_growing_waits(self):
+        clock, child = RecordingClock(), Failing(5)
+        tree = Supervisor("tree", clock)
+        tree.add("child", child.run, RestartLimit(5, 60_000, 50, 300))
+        await tree.run()
+        self.assertEqual(child.starts, 6)
+        self.assertEqual(clock.sleeps, [50, 100, 200, 300, 300])
+
+    @asynchronous
+    async def test_past_the_limit_the_siblings_end_and_the_tree_fails(self):
+        clock, ended = RecordingClock(), []
+
+        async def sibling():
+            try:
+                await anyio.sleep_forever()
+            finally:
+                ended.append("sibling")
+
+        tree = Supervisor("tree", clock)
+        tree.add("sibling", sibling)
+        tree.add("child", Failing(9).run, RestartLimit(2))
+        with self.assertRaisesRegex(RestartLimitError, "tree/child: start 3"):
+            await tree.run()
+        self.assertEqual(ended, ["sibling"])
+
+    @asynchronous
+    async def test_failures_outside_the_window_do_not_count(self):
+        clock, child = RecordingClock(), Failing(6)
+        tree = Supervisor("tree", clock)
+        # Each wait is as long as the window, so no two failures share one.
+        tree.add("child", child.run, RestartLimit(1, 100, 100, 100))
+        await tree.run()
+        self.assertEqual(child.starts, 7)
+
+    @asynchronous
+    async def test_a_tree_under_a_tree_is_restarted(self):
+        clock, child = RecordingClock(), Failing(2)
+        inner = Supervisor("inner", clock)
+        inner.add("child", child.run, RestartLimit(1))
+        outer = Supervisor("outer", clock)
+        outer.add("inner", inner.run)
+        await outer.run()
+        self.assertEqual(child.starts, 3)
+
+    def test_a_program_past_its_limit_ends_with_a_status(self):
+        directory = self.enterContext(tempfile.TemporaryDirectory())
+        logs = pathlib.Path(directory)
+        with Fleet(logs=logs) as fleet:
+            # The address is taken, so the HTTP interface fails at each start.
+            fleet.start_role("broker", "second", fleet.entries[0])
+            self.assertEqual(fleet.wait("second"), 1)
+        text = (logs / "second.log").read_text()
+        self.assertIn("RW0010 child-failed", text)
+        self.assertIn("RW0011 restart-limit", text)
--- /dev/null
+++ b/tests/test_tracing.py
@@ -0,0 +1,118 @@
+"""Spans within a process and the context that leaves it."""
+
+import re
+import unittest
+
+from opentelemetry.sdk.trace.export import SimpleSpanProcessor
+from opentelemetry.sdk.trace.export.in_memory_span_exporter import (
+    InMemorySpanExporter,
+)
+
+from rhubarbwinch import tracing
+from rhubarbwinch.clock import ManualClock
+from rhubarbwinch.memstore import MemoryStore
+from rhubarbwinch.tracedstore import TracedStore
+from rhubarbwinch.verdict import Reason, not_run
+from tests.helpers import asynchronous
+
+PARENT = f"00-{'12' * 16}-{'34' * 8}-01"
+UNSAMPLED = f"00-{'12' * 16}-{'34' * 8}-00"
+
+
+class TracingTest(unittest.TestCase):
+    """Traces that are on, and off."""
+
+    def setUp(self):
+        self.exporter = InMemorySpanExporter()
+        self.addCleanup(tracing.close)
+
+    def _turn_on(self, percent=100):
+        tracing.use(SimpleSpanProcessor(self.exporter), "entry-1", percent)
+
+    def _spans(self):
+        return {span.name: span for span in self.exporter.get_finished_spans()}
+
+    @asynchronous
+    async def test_each_hop_is_a_span_of_the_callers_trace(self):
+        self._turn_on()
+        store = TracedStore(MemoryStore(ManualClock()))
+        headers = {}
+        with tracing.span("entry", PARENT):
+            with tracing.span("permit"):
+                passed = tracing.current()
+            with tracing.span("queue", passed):
+                pass
+            await store.get("a")
+            with tracing.stream_span("endpoint", headers):
+                pass
+        spans = self._spans()
+        self.assertEqual(
+            set(spans), {"entry", "permit", "queue", "store", "endpoint"}
+        )
+        traces = {span.context.trace_id for span in spans.values()}
+        self.assertEqual(traces, {int("12" * 16, 16)})
+        parents = {
+            name: f"{span.parent.span_id:016x}" for name, span in spans.items()
+        }
+        ids = {
+            name: f"{span.context.span_id:016x}" for name, span in spans.items()
+        }
+        self.assertEqual(parents["entry"], "34" * 8)
+        self.assertEqual(parents["queue"], ids["permit"])
+        self.assertEqual(parents["store"], ids["entry"])
+        self.assertEqual(headers[tracing.HEADER].split("-")[2], ids["endpoint"])
+
+    @asynchronous
+    async def test_calls_outside_a_request_make_no_span(self):
+        self._turn_on()
+        store = TracedStore(MemoryStore(ManualClock()))
+        await store.get("a")
+        headers = {}
+        with tracing.stream_span("endpoint", headers):
+            pass
+        self.assertEqual((self._spans(), headers), ({}, {}))
+
+    def test_a_failure_is_recorded_with_its_verdict(self):
+        self._turn_on()
+        with tracing.span("entry"):
+            tracing.mark_failure(not_run(Reason.QUEUE_FULL, "full"))
+        attributes = self._spans()["entry"].attributes
+        self.assertEqual(attributes["verdict"], "not-run")
+        self.assertEqual(attributes["reason"], "queue-full")
+
+    def test_a_bad_context_begins_a_new_trace(self):
+        self._turn_on()
+        with tracing.span("entry", "00-zz-1"):
+            pass
+        self.assertIsNone(self._spans()["entry"].parent)
+
+    def test_the_callers_choice_not_to_record_holds(self):
+        self._turn_on()
+        with tracing.span("entry", UNSAMPLED):
+            self.assertRegex(tracing.current(), r"-00$")
+        self.assertEqual(self._spans(), {})
+
+    def test_no_trace_begins_here_at_zero_percent(self):
+        self._turn_on(percent=0)
+        with tracing.span("entry"):
+            pass
+        self.assertEqual(self._spans(), {})
+
+    def test_the_context_is_passed_on_while_traces_are_off(self):
+        headers = {}
+        with tracing.span("entry", PARENT):
+            self.assertEqual(tracing.current(), PARENT)
+            with tracing.stream_span("endpoint", headers):
+                pass
+        self.assertEqual(headers, {tracing.HEADER: PARENT})
+
+    def test_finished_spans_are_log_events(self):
+        tracing.use(SimpleSpanProcessor(tracing.LogExporter()), "entry-1")
+        with self.assertLogs("absl", "INFO") as logs:
+            with tracing.span("entry", PARENT, path="/v1"):
+                pass
+        text = re.sub(r"span=\w+|start_ms=\d+| ms=[\d.]+", "", logs.output[0])
+        self.assertIn("RW0500 span", text)
+        self.assertIn(f"trace={'12' * 16}", text)
+        self.assertIn(f"parent={'34' * 8} hop=entry", text)
+        self.assertIn("path=/v1", text)
