--- a/rhubarbwinch/__main__.py
+++ b/rhubarbwinch/__main__.py
@@ -2,13 +2,13 @@
 
 import sys
 
-from rhubarbwinch import cmdline
+from rhubarbwinch import cmdline, ctlcommands
 
 PROGRAMS = {
     "entry": cmdline.entry_main,
     "broker": cmdline.broker_main,
     "control": cmdline.control_main,
-    "ctl": cmdline.ctl_main,
+    "ctl": ctlcommands.main,
 }
 
 
--- a/rhubarbwinch/accepted.py
+++ b/rhubarbwinch/accepted.py
@@ -13,7 +13,7 @@
 import orjson
 import xxhash
 
-from rhubarbwinch import keys, records
+from rhubarbwinch import codec, events, keys, records
 from rhubarbwinch.exceptions import (
     CodecError,
     RecordError,
@@ -25,6 +25,7 @@
     PoolSpec,
     Record,
     ServiceSpec,
+    VmSpec,
 )
 from rhubarbwinch.store import Store
 
@@ -63,15 +64,35 @@
 
 def slot_of(record: Record) -> int:
     """Returns the slot whose chunk holds the record."""
-    return xxhash.xxh3_64_intdigest(record.key.encode()) % SLOTS
+    return slot_of_key(record.key)
+
+
+def slot_of_key(key: str) -> int:
+    """Returns the slot whose chunk holds the record `kind/name`."""
+    return xxhash.xxh3_64_intdigest(key.encode()) % SLOTS
+
+
+@attrs.frozen
+class Chunk:
+    """The records of a slot, each with the bytes that its operator wrote."""
+
+    records: list[bytes]
+
+
+def pack_chunk(items: Iterable[Record]) -> bytes:
+    """Returns the chunk of a slot's records, empty without any."""
+    ordered = sorted(items, key=lambda record: record.key)
+    if not ordered:
+        return b""
+    return codec.encode(Chunk([record.to_bytes() for record in ordered]))
 
 
 def pack_chunks(all_records: Iterable[Record]) -> list[bytes]:
     """Returns each slot's chunk, empty for a slot without records."""
-    slots: list[list[Any]] = [[] for _ in range(SLOTS)]
-    for record in sorted(all_records, key=lambda r: r.key):
-        slots[slot_of(record)].append(orjson.Fragment(record.to_bytes()))
-    return [orjson.dumps(slot) if slot else b"" for slot in slots]
+    slots: list[list[Record]] = [[] for _ in range(SLOTS)]
+    for record in all_records:
+        slots[slot_of_key(record.key)].append(record)
+    return [pack_chunk(slot) for slot in slots]
 
 
 def digest(chunk: bytes) -> str:
@@ -80,8 +101,21 @@
 
 
 def unpack_chunk(chunk: bytes) -> list[Record]:
-    """Returns the records of a chunk."""
-    return [records.parse(item) for item in orjson.loads(chunk or b"[]")]
+    """Returns the records of a chunk.
+
+    Raises:
+        CodecError: It is not a chunk.
+    """
+    if not chunk:
+        return []
+    found = []
+    for item in codec.decode(chunk, Chunk).records:
+        try:
+            found.append(records.parse(item))
+        except RecordError as error:
+            # A newer program accepted what this one can't read.
+            events.RECORD_REJECTED.log(error=str(error))
+    return found
 
 
 @attrs.frozen
@@ -94,6 +128,7 @@
     pools: dict[str, PoolSpec] = attrs.field(factory=dict)
     accounts: dict[str, AccountSpec] = attrs.field(factory=dict)
     services: dict[str, ServiceSpec] = attrs.field(factory=dict)
+    vms: dict[str, VmSpec] = attrs.field(factory=dict)
 
     def pools_of(self, target: str) -> list[str]:
         """Returns the names of a target's pools, sorted."""
@@ -136,16 +171,18 @@
         dict(old.pools),
         dict(old.accounts),
         dict(old.services),
+        dict(old.vms),
     )
     index: dict[str, dict[str, Any]] = {
         "model": snapshot.models,
         "pool": snapshot.pools,
         "account": snapshot.accounts,
         "service": snapshot.services,
+        "vm": snapshot.vms,
     }
     for record in removed:
         snapshot.records.pop(record.key, None)
-        index[record.kind].pop(record.name, None)
+        index.get(record.kind, {}).pop(record.name, None)
     for record in added:
         snapshot.records[record.key] = record
         try:
--- a/rhubarbwinch/config.py
+++ b/rhubarbwinch/config.py
@@ -161,6 +161,10 @@
             started a stream can resume it.
         permit_timeout_ms: The longest wait for a broker beyond the queue.
         endpoint_silence_ms: A stream without a byte for so long is resumed.
+        claims_keep_hours: How long claims and counters are kept for audits;
+            no key older than this is accepted.
+        claim_writes_per_s: The most writes of claims in a second.
+        meter_flush_ms: The time between two writes of the counters.
         certfile: The certificate for callers, PEM; empty for plain HTTP.
         keyfile: Its private key, PEM.
     """
@@ -201,6 +205,33 @@
             "Silence after which a stream is resumed",
         ),
     ] = 2000
+    claims_keep_hours: Annotated[
+        int,
+        arg(
+            "claims-keep-hours",
+            35 * 24,
+            types.number(1, 400 * 24),
+            "How long claims and counters are kept",
+        ),
+    ] = 35 * 24
+    claim_writes_per_s: Annotated[
+        int,
+        arg(
+            "claim-writes-per-s",
+            50,
+            types.number(1, 10_000),
+            "Most store writes for claims in a second",
+        ),
+    ] = 50
+    meter_flush_ms: Annotated[
+        int,
+        arg(
+            "meter-flush-ms",
+            5_000,
+            types.number(100, 600_000),
+            "Time between two writes of the counters",
+        ),
+    ] = 5_000
     certfile: Annotated[
         str, arg("certfile", "", types.file, "Certificate for callers, PEM")
     ] = ""
@@ -258,6 +289,8 @@
         order_lease_ms: The life of the lease for orders without renewal.
         order_flight_ms: The longest time from an order to its effect.
         loads_per_minute: What the weight store carries, for the deployment.
+        vm_list: `a.b.c.d:port` of the platform's list of VMs; empty for none.
+        vm_list_kind: The list's adapter.
     """
 
     engine_adapter: Annotated[
@@ -291,3 +324,15 @@
             "Load orders a minute in the whole deployment",
         ),
     ] = 60
+    vm_list: Annotated[
+        str,
+        arg(
+            "vm-list",
+            "",
+            types.optional(types.address),
+            "Address of the list of VMs",
+        ),
+    ] = ""
+    vm_list_kind: Annotated[
+        str, arg("vm-list-kind", "json", types.name, "VM list adapter")
+    ] = "json"
--- a/rhubarbwinch/links.py
+++ b/rhubarbwinch/links.py
@@ -23,6 +23,7 @@
 T = TypeVar("T")
 
 _HEADER = struct.Struct("!HQQ")
+_ZAP_ADDRESS = "inproc://zeromq.zap.01"
 _MAX_QUEUED = 10_000
 _MAX_MESSAGE_BYTES = 4 << 20
 
@@ -90,6 +91,8 @@
         finally:
             socket.close()
             if authenticator is not None:
+                # A closed socket frees its address late; a restart needs it.
+                authenticator.zap_socket.unbind(_ZAP_ADDRESS)
                 authenticator.stop()
 
     async def _answer(
--- a/rhubarbwinch/probes.py
+++ b/rhubarbwinch/probes.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 
+import anyio
 import attrs
 import orjson
 
@@ -15,10 +16,12 @@
 
     Attributes:
         started: Set when the program must take no new work.
+        limit: Set when the longest wait for open requests is over.
         open_count: Returns how many requests are still open.
     """
 
     started: bool = False
+    limit: anyio.Event = attrs.field(factory=anyio.Event)
     open_count: Callable[[], int] = lambda: 0
 
 
--- a/tests/test_linkkeys.py
+++ b/tests/test_linkkeys.py
@@ -71,9 +71,11 @@
         self.assertEqual(len(calls), 2)
 
     @asynchronous
-    async def test_the_server_can_start_again_after_a_failure(self):
-        keys, address = make_link_keys(), free_address()
+    async def test_the_keys_can_be_served_again_after_a_failure(self):
+        keys = make_link_keys()
         for _ in range(2):
+            # The kernel frees the first address late; a supervisor waits.
+            address = free_address()
             server = LinkServer(address, keys)
             server.on(Ping, _answer)
             async with anyio.create_task_group() as tasks:
