--- a/rhubarbwinch/config.py
+++ b/rhubarbwinch/config.py
@@ -165,6 +165,8 @@
             no key older than this is accepted.
         claim_writes_per_s: The most writes of claims in a second.
         meter_flush_ms: The time between two writes of the counters.
+        resume_grace_ms: How long a generation is kept for a caller that lost
+            its connection and may resume it.
         certfile: The certificate for callers, PEM; empty for plain HTTP.
         keyfile: Its private key, PEM.
     """
@@ -232,6 +234,15 @@
             "Time between two writes of the counters",
         ),
     ] = 5_000
+    resume_grace_ms: Annotated[
+        int,
+        arg(
+            "resume-grace-ms",
+            10_000,
+            types.number(0, 600_000),
+            "How long a generation is kept for a caller that left it",
+        ),
+    ] = 10_000
     certfile: Annotated[
         str, arg("certfile", "", types.file, "Certificate for callers, PEM")
     ] = ""
--- a/tests/test_httpapi.py
+++ b/tests/test_httpapi.py
@@ -11,6 +11,7 @@
 from tests.helpers import free_address, wait_until
 
 STRICT = ("--max-body-bytes", "2048", "--body-timeout-ms", "300")
+STRICT += ("--resume-grace-ms", "0")
 COMPLETIONS = "/v1/completions"
 
 
