--- a/rhubarbwinch/config.py
+++ b/rhubarbwinch/config.py
@@ -10,6 +10,7 @@
 from rhubarbwinch.events import LogFormat
 from rhubarbwinch.exceptions import SettingError
 from rhubarbwinch.links import LinkKeys
+from rhubarbwinch.placement import POLICIES
 from rhubarbwinch.settingtypes import arg
 from rhubarbwinch.store import STORES
 from rhubarbwinch.tls import TlsFiles
@@ -281,8 +282,13 @@
 
     placement: Annotated[
         str,
-        arg("placement", "least-outstanding", types.name, "Placement policy"),
-    ] = "least-outstanding"
+        arg(
+            "placement",
+            "quantile",
+            types.registered(POLICIES),
+            "Placement policy",
+        ),
+    ] = "quantile"
     load_poll_ms: Annotated[
         int,
         arg(
