--- a/rhubarbwinch/events.py
+++ b/rhubarbwinch/events.py
@@ -1,12 +1,13 @@
 """Numbered log events; docs/events.md is their catalogue."""
 
+import datetime
 import enum
 import logging as stdlib_logging
 import sys
 from typing import Any
 
 import orjson
-from absl import logging
+from absl import flags, logging
 
 
 class LogFormat(enum.StrEnum):
@@ -40,6 +41,8 @@
     """Sets the format, the lowest level written and the process's name."""
     _output.format = log_format
     _output.process = process
+    # Our settings take the place of absl's own flags.
+    flags.FLAGS.mark_as_parsed()
     logging.set_verbosity(level)
     logging.set_stderrthreshold(level)
     logging.use_absl_handler()
@@ -47,6 +50,12 @@
     stdlib_logging.getLogger("httpx").setLevel(stdlib_logging.WARNING)
 
 
+def _plain(value: Any) -> str:
+    """Returns a value on one line, whatever a caller has put into it."""
+    text = str(value)
+    return text if text.isprintable() else repr(text)
+
+
 class Event:
     """A kind of log line.
 
@@ -73,16 +82,19 @@
         if not logging.vlog_is_on(self.level):
             return
         if _output.format is LogFormat.JSON:
+            now = datetime.datetime.now(datetime.UTC)
             line = {
+                "time": now.isoformat(timespec="milliseconds"),
+                "level": _LEVELS[self.level],
                 "event": self.number,
                 "name": self.name,
                 "process": _output.process,
-                "level": _LEVELS[self.level],
+                "fields": fields,
             }
-            data = orjson.dumps(line | fields, default=str)
+            data = orjson.dumps(line, default=str)
             sys.stderr.write(data.decode() + "\n")
             return
-        text = " ".join(f"{key}={value}" for key, value in fields.items())
+        text = " ".join(f"{key}={_plain(v)}" for key, v in fields.items())
         logging.log(self.level, "RW%04d %s %s", self.number, self.name, text)
 
 
@@ -180,6 +192,18 @@
 SUSPECT_CLEARED = Event(
     122, "suspect-cleared", logging.INFO, "A suspected request has finished."
 )
+SPAN = Event(
+    500, "span", logging.INFO, "A span of a trace ended; see --traces log."
+)
+NO_STREAM_SECRET = Event(
+    501,
+    "no-stream-secret",
+    logging.WARNING,
+    "Generation ids can be forged: --stream-secret is empty.",
+)
+FATAL = Event(
+    502, "fatal", logging.ERROR, "The program ended by a fault of its own."
+)
 ORDERS_TAKEN = Event(
     600, "orders-taken", logging.INFO, "This control sends a pool's orders."
 )
--- a/rhubarbwinch/permits.py
+++ b/rhubarbwinch/permits.py
@@ -5,7 +5,7 @@
 import attrs
 from result import Err, Ok, Result
 
-from rhubarbwinch import rendezvous
+from rhubarbwinch import rendezvous, tracing
 from rhubarbwinch.exceptions import CodecError, LinkError, LinkTimeout
 from rhubarbwinch.links import Links
 from rhubarbwinch.members import Member, Members, Role
@@ -127,11 +127,13 @@
         for pool in pools:
             owner = pool_owner(pool, self._members)
             asked = attrs.evolve(request, pool=pool, request_id=new_id())
-            answer = await self.ask(asked)
-            if _is_silent(answer) and owner is not None:
-                # Its broker has ended; the pool's next owner can answer.
-                asked = attrs.evolve(asked, request_id=new_id())
-                answer = await self.ask(asked, owner.name)
+            with tracing.span("permit", pool=pool):
+                asked = attrs.evolve(asked, traceparent=tracing.current())
+                answer = await self.ask(asked)
+                if _is_silent(answer) and owner is not None:
+                    # Its broker has ended; the pool's next owner can answer.
+                    asked = attrs.evolve(asked, request_id=new_id())
+                    answer = await self.ask(asked, owner.name)
             if answer.is_ok():
                 break
         return answer
--- a/rhubarbwinch/problems.py
+++ b/rhubarbwinch/problems.py
@@ -14,6 +14,7 @@
     Reason.FORBIDDEN: 403,
     Reason.NOT_FOUND: 404,
     Reason.TOO_LARGE: 413,
+    Reason.TOO_SLOW: 408,
     Reason.RATE_LIMITED: 429,
     Reason.QUEUE_FULL: 429,
     Reason.DEADLINE: 429,
