A seeded run of faults together and twice, on the real entry and broker

The programs now take what they reach the outside by as one argument, so a run in one process drives the real wiring under a manual clock.

Ruled out: a simulator of the cluster; the links, endpoints and store are small fakes at the interfaces.

--- /dev/null
+++ b/lab/seeded/__init__.py
@@ -0,0 +1,1 @@
+"""A seeded run of faults, together and twice, against all that must hold."""
--- /dev/null
+++ b/lab/seeded/callers.py
@@ -0,0 +1,186 @@
+"""Callers that try again as the documentation tells them to."""
+
+import uuid
+from typing import Any
+
+import anyio
+import orjson
+
+from lab.seeded.log import Attempt, End, Kind
+from lab.seeded.world import API_KEY, Program, World, completion_body
+from rhubarbwinch.entry import Entry
+from rhubarbwinch.sse import DONE, Splitter
+
+MAX_ATTEMPTS = 8
+RETRY_MS = 500
+HANG_UP_CHANCE = 0.1
+
+
+class Call:
+    """One attempt's connection to an entry, as an ASGI server would hold it.
+
+    Args:
+        attempt: Where what comes is noted.
+        headers: The request's headers.
+        method: The HTTP method.
+        path: The path.
+        body: The body.
+        hang_up_after: The event after which the caller goes away, or None.
+    """
+
+    def __init__(
+        self,
+        attempt: Attempt,
+        headers: dict[str, str],
+        method: str,
+        path: str,
+        body: bytes,
+        hang_up_after: int | None = None,
+    ) -> None:
+        self._attempt = attempt
+        self._scope: Any = {
+            "type": "http",
+            "method": method,
+            "path": path,
+            "query_string": b"",
+            "headers": [(k.encode(), v.encode()) for k, v in headers.items()],
+        }
+        self._body: bytes | None = body
+        self._hang_up_after = hang_up_after
+        self._gone = anyio.Event()
+        self._splitter = Splitter()
+        self._is_stream = False
+
+    async def run(self, program: Program) -> None:
+        """Makes the attempt; the entry's death cuts it."""
+        daemon = program.daemon
+        if not isinstance(daemon, Entry):
+            raise TypeError("callers call entries")
+        if not program.dead:
+            await program.within(
+                lambda: daemon.app(self._scope, self._receive, self._send)
+            )
+        if self._attempt.end is None:
+            self._attempt.end = End.CUT
+
+    async def _receive(self) -> Any:
+        if self._body is not None:
+            body, self._body = self._body, None
+            return {"type": "http.request", "body": body, "more_body": False}
+        await self._gone.wait()
+        return {"type": "http.disconnect"}
+
+    async def _send(self, message: Any) -> None:
+        attempt = self._attempt
+        if self._gone.is_set() or attempt.end is not None:
+            return
+        if message["type"] == "http.response.start":
+            attempt.status = message["status"]
+            headers = {k.decode(): v.decode() for k, v in message["headers"]}
+            attempt.verdict = headers.get("x-verdict", "")
+            kind = headers.get("content-type", "")
+            self._is_stream = kind.startswith("text/event-stream")
+            return
+        if self._is_stream:
+            self._take_events(message["body"])
+        else:
+            attempt.body += message["body"]
+        if not message.get("more_body", False):
+            refused = attempt.verdict or attempt.status != 200
+            attempt.end = End.REFUSED if refused else End.ANSWERED
+
+    def _take_events(self, data: bytes) -> None:
+        for event in self._splitter.feed(data):
+            if event.raw.startswith(b"id:") or event.raw == DONE:
+                self._attempt.events.append(event.raw)
+            elif event.is_error:
+                problem = orjson.loads(event.data)
+                self._attempt.verdict = problem["verdict"]
+        if len(self._attempt.events) == self._hang_up_after:
+            self._attempt.end = End.CUT
+            self._gone.set()
+
+
+class Caller:
+    """One request and all its attempts.
+
+    Args:
+        world: The world to call.
+        number: The request's number.
+        kind: What is asked for.
+    """
+
+    def __init__(self, world: World, number: int, kind: Kind) -> None:
+        self._world = world
+        self._number = number
+        self._kind = kind
+        self._marker = f"m{number}"
+        self._key = ""
+        if kind is Kind.BOOKING:
+            self._key = _uuid7(world)
+
+    async def run(self) -> Attempt:
+        """Makes attempts until the request is settled; returns the last."""
+        for _ in range(MAX_ATTEMPTS):
+            attempt = await self._attempt()
+            if self._is_settled(attempt):
+                break
+            await self._world.clock.sleep(RETRY_MS)
+        return attempt
+
+    @property
+    def _last_event_id(self) -> str:
+        """The id of the last event of any attempt, or empty."""
+        for attempt in reversed(self._world.journal.attempts):
+            if attempt.request == self._number and attempt.events:
+                head = attempt.events[-1].split(b"\n", 1)[0].decode()
+                return head.removeprefix("id: ")
+        return ""
+
+    async def _attempt(self) -> Attempt:
+        world = self._world
+        name = world.rng.choice(sorted(world.entries))
+        attempt = Attempt(
+            self._number, self._kind, self._marker, self._key, name
+        )
+        world.journal.attempts.append(attempt)
+        await self._call(attempt).run(world.entries[name])
+        return attempt
+
+    def _call(self, attempt: Attempt) -> Call:
+        headers = {"authorization": f"Bearer {API_KEY}"}
+        if self._kind in (Kind.STREAM, Kind.WHOLE):
+            hang_up = None
+            if self._kind is Kind.STREAM:
+                if self._last_event_id:
+                    headers["last-event-id"] = self._last_event_id
+                if self._world.rng.random() < HANG_UP_CHANCE:
+                    hang_up = self._world.rng.randint(1, 10)
+            body = completion_body(self._marker, self._kind is Kind.STREAM)
+            path = "/v1/completions"
+            return Call(attempt, headers, "POST", path, body, hang_up)
+        body = orjson.dumps({"marker": self._marker})
+        if self._key:
+            headers["idempotency-key"] = self._key
+        verb = "book" if self._kind is Kind.BOOKING else "slots"
+        path = f"/services/booking/{verb}"
+        return Call(attempt, headers, "POST", path, body)
+
+    def _is_settled(self, attempt: Attempt) -> bool:
+        if DONE in attempt.events:
+            # A caller that went away with the last event has all of them.
+            return True
+        if attempt.end is End.ANSWERED:
+            return self._kind is not Kind.STREAM
+        if self._kind is Kind.STREAM and self._last_event_id:
+            # Its tokens may still be had, unless the engine has lost them.
+            return attempt.end is End.REFUSED and attempt.verdict != "not-run"
+        if self._kind is Kind.BOOKING:
+            return attempt.verdict == "may-have-run"
+        return False
+
+
+def _uuid7(world: World) -> str:
+    """Returns a UUIDv7 of the present time."""
+    value = world.clock.wall() << 80 | 0x7 << 76 | 0b10 << 62
+    return str(uuid.UUID(int=value | world.rng.getrandbits(60)))
--- /dev/null
+++ b/lab/seeded/check.py
@@ -0,0 +1,105 @@
+"""The checker: reads a journal and names everything that must not be."""
+
+from collections import Counter, defaultdict
+
+import orjson
+
+from lab.seeded.log import Attempt, End, Journal, Kind, Run
+from rhubarbwinch.sse import DONE
+
+
+def faults_of(journal: Journal) -> list[str]:
+    """Returns a line for each promise that was broken; none is good."""
+    return [
+        *_check_streams(journal),
+        *_check_refusals(journal),
+        *_check_bookings(journal),
+        *_check_answers(journal),
+    ]
+
+
+def _check_streams(journal: Journal) -> list[str]:
+    """Each token once, in order, of one generation; a whole answer is whole."""
+    found = []
+    by_request: dict[int, list[Attempt]] = defaultdict(list)
+    for attempt in journal.attempts:
+        if attempt.kind is Kind.STREAM:
+            by_request[attempt.request].append(attempt)
+    lengths = {run.generation: run.number for run in journal.runs}
+    for request, attempts in by_request.items():
+        events = [event for attempt in attempts for event in attempt.events]
+        done = DONE in events
+        tokens = [event for event in events if event.startswith(b"id:")]
+        names = [_generation_and_index(event) for event in tokens]
+        if len({name for name, _ in names}) > 1:
+            found.append(f"request {request}: two generations")
+        if [index for _, index in names] != list(range(len(names))):
+            found.append(f"request {request}: tokens {names}")
+        wanted = lengths.get(names[0][0]) if names else 0
+        if done and len(tokens) != wanted:
+            found.append(f"request {request}: {len(tokens)} of {wanted}")
+    return found
+
+
+def _generation_and_index(event: bytes) -> tuple[str, int]:
+    head = event.split(b"\n", 1)[0].decode().removeprefix("id: ")
+    generation, _, index = head.rpartition(":")
+    return generation, int(index)
+
+
+def _check_refusals(journal: Journal) -> list[str]:
+    """What was told not to have run is in no endpoint's log."""
+    ran = {run.marker for run in journal.runs}
+    told = defaultdict(set)
+    for attempt in journal.attempts:
+        told[attempt.marker].add(attempt.verdict)
+    return [
+        f"{marker}: told not-run, but it ran"
+        for marker, verdicts in told.items()
+        if verdicts == {"not-run"} and marker in ran
+    ]
+
+
+def _check_bookings(journal: Journal) -> list[str]:
+    """A call under a key runs at most once; all are told the same outcome."""
+    found = []
+    runs: dict[str, list[Run]] = defaultdict(list)
+    for run in journal.runs:
+        if run.key:
+            runs[run.key].append(run)
+    for key, of_key in runs.items():
+        if len(of_key) > 1:
+            found.append(f"key {key}: ran {len(of_key)} times")
+    for attempt in journal.attempts:
+        if attempt.kind is not Kind.BOOKING or attempt.status != 200:
+            continue
+        answer = orjson.loads(attempt.body)
+        numbers = [run.number for run in runs[attempt.key]]
+        if answer["number"] not in numbers or answer["key"] != attempt.key:
+            found.append(f"key {attempt.key}: told {answer}, ran {numbers}")
+    return found
+
+
+def _check_answers(journal: Journal) -> list[str]:
+    """An answer holds its own request's marker and nothing of another's."""
+    found = []
+    for attempt in journal.attempts:
+        if attempt.end is not End.ANSWERED or attempt.status != 200:
+            continue
+        if attempt.kind is Kind.LOOKUP:
+            marker = orjson.loads(attempt.body)["marker"]
+            if marker != attempt.marker:
+                found.append(f"{attempt.marker}: answer of {marker}")
+        if attempt.kind is Kind.WHOLE:
+            found += _check_whole(attempt)
+    return found
+
+
+def _check_whole(attempt: Attempt) -> list[str]:
+    text = orjson.loads(attempt.body)["choices"][0]["text"]
+    words = [word.split(".") for word in text.split()]
+    if Counter(word[0] for word in words).keys() != {attempt.marker}:
+        return [f"{attempt.marker}: answer {text!r}"]
+    if [int(word[1]) for word in words] != list(range(len(words))):
+        return [f"{attempt.marker}: answer {text!r}"]
+    return []
--- /dev/null
+++ b/lab/seeded/endpoints.py
@@ -0,0 +1,274 @@
+"""Engines and a plain service without a network, which fail by a seed."""
+
+import random
+from collections.abc import AsyncIterator
+from contextlib import AbstractAsyncContextManager, asynccontextmanager
+from typing import Any
+
+import attrs
+import httpx
+import orjson
+
+from lab.seeded.log import Journal, Run
+from rhubarbwinch.clock import Clock
+from rhubarbwinch.endpoints import EndpointClient
+from rhubarbwinch.exceptions import EndpointError, GenerationLostError
+from rhubarbwinch.relay import EventStream
+from rhubarbwinch.sse import DONE, StreamEvent
+
+TOKEN_MS = 40
+SILENCE_MS = 1000
+DOWN_MS = 3000
+CALL_MS = 20
+
+
+@attrs.define
+class Generation:
+    """A generation at an engine."""
+
+    name: str
+    marker: str
+    length: int
+    began: int
+    cancelled: bool = False
+
+    def event(self, index: int) -> StreamEvent:
+        """Returns the event of a token; its text names the attempt."""
+        finish = '"stop"' if index + 1 == self.length else "null"
+        text = f"{self.marker}.{index} "
+        data = (
+            f'{{"choices":[{{"index":0,"text":"{text}",'
+            f'"finish_reason":{finish}}}]}}'
+        )
+        raw = f"id: {self.name}:{index}\ndata: {data}\n\n"
+        return StreamEvent(raw.encode())
+
+
+@attrs.define
+class Endpoint:
+    """An engine or a plain service.
+
+    Attributes:
+        name: Its name.
+        down_until: It refuses connections until then.
+        generations: What it holds in memory; lost when it dies.
+        calls: How many plain calls it has run.
+    """
+
+    name: str
+    down_until: int = 0
+    generations: dict[str, Generation] = attrs.field(factory=dict)
+    calls: int = 0
+
+
+class Field:
+    """All endpoints, by address.
+
+    Args:
+        clock: The source of time.
+        rng: Draws faults and lengths.
+        journal: Where runs are noted.
+        addresses: The endpoints' names by address.
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        rng: random.Random,
+        journal: Journal,
+        addresses: dict[str, str],
+    ) -> None:
+        self.fault_rate = 0.0
+        self._clock = clock
+        self._rng = rng
+        self._journal = journal
+        self._endpoints = {
+            address: Endpoint(name) for address, name in addresses.items()
+        }
+
+    def kill(self, address: str) -> None:
+        """Makes an endpoint lose all it holds and be down for a while."""
+        endpoint = self._endpoints[address]
+        endpoint.down_until = self._clock.now() + DOWN_MS
+        endpoint.generations.clear()
+
+    def draw(self) -> bool:
+        """Tells whether something goes wrong now."""
+        return self._rng.random() < self.fault_rate
+
+    def find(self, address: str) -> Endpoint:
+        """Returns a live endpoint.
+
+        Raises:
+            EndpointError: It is down; nothing was sent.
+        """
+        endpoint = self._endpoints[address]
+        if self._clock.now() < endpoint.down_until:
+            raise EndpointError("connection refused", sent=False)
+        return endpoint
+
+    async def start(
+        self, address: str, body: bytes, name: str
+    ) -> "tuple[Endpoint, Generation]":
+        """Starts a generation."""
+        endpoint = self.find(address)
+        if self.draw():
+            raise EndpointError("status 503", sent=False)
+        marker = orjson.loads(body)["prompt"]
+        length = self._rng.randint(1, 40)
+        generation = Generation(name, marker, length, self._clock.now())
+        endpoint.generations[name] = generation
+        self._journal.runs.append(Run(endpoint.name, marker, "", length, name))
+        if self.draw():
+            raise EndpointError("the connection broke", sent=True)
+        return endpoint, generation
+
+    async def read(
+        self, endpoint: Endpoint, generation: Generation, index: int
+    ) -> EventStream:
+        """Yields a generation's events as they come, with faults."""
+        while True:
+            await self._clock.sleep(TOKEN_MS)
+            held = endpoint.generations.get(generation.name)
+            if held is None or generation.cancelled:
+                raise EndpointError("the connection broke", sent=True)
+            ready = (self._clock.now() - generation.began) // TOKEN_MS
+            last = min(ready, generation.length)
+            arrived = [generation.event(i) for i in range(index, last)]
+            index = max(index, last)
+            if index == generation.length:
+                arrived.append(StreamEvent(DONE))
+            if self.draw():
+                arrived = await self._spoil(arrived, generation)
+            if arrived:
+                yield arrived
+            if index == generation.length:
+                return
+
+    async def _spoil(
+        self, arrived: list[StreamEvent], generation: Generation
+    ) -> list[StreamEvent]:
+        """Does one of the things that a stream may do wrong."""
+        choice = self._rng.randrange(5)
+        if choice == 0:
+            raise EndpointError("the connection broke", sent=True)
+        if choice == 1:
+            await self._clock.sleep(SILENCE_MS)
+            raise EndpointError("no byte for too long", sent=True)
+        if choice == 2:
+            return [event for event in arrived for _ in range(2)]
+        if choice == 3:
+            return arrived[1:]
+        foreign = Generation("other~engine", "foreign", 9, generation.began)
+        return [*arrived, foreign.event(generation.length + 1)]
+
+    async def run_call(
+        self, address: str, method: str, body: bytes, key: str
+    ) -> httpx.Response:
+        """Runs a plain call."""
+        endpoint = self.find(address)
+        if self.draw():
+            raise EndpointError("status 503", sent=False)
+        await self._clock.sleep(CALL_MS)
+        endpoint.calls += 1
+        marker = orjson.loads(body)["marker"]
+        number = endpoint.calls
+        self._journal.runs.append(Run(endpoint.name, marker, key, number))
+        await self._clock.sleep(CALL_MS)
+        if self.draw():
+            raise EndpointError("the connection broke", sent=True)
+        answer = {"number": number, "key": key, "marker": marker}
+        return httpx.Response(200, json=answer)
+
+
+class SeededEndpoints(EndpointClient):
+    """What one program reaches endpoints by; silent once it is dead.
+
+    Args:
+        field: The endpoints.
+    """
+
+    def __init__(self, field: Field) -> None:
+        # No connection is made, so the HTTP client is left out.
+        self.dead = False
+        self._field = field
+
+    async def close(self) -> None:
+        """Does nothing; there are no connections."""
+
+    def start(
+        self,
+        address: str,
+        path: str,
+        body: bytes,
+        generation: str,
+        priority: int,
+    ) -> AbstractAsyncContextManager[EventStream]:
+        """Starts a generation; returns a context with its events."""
+        del path, priority  # They change nothing here.
+        return self._start(address, body, generation)
+
+    @asynccontextmanager
+    async def _start(
+        self, address: str, body: bytes, generation: str
+    ) -> AsyncIterator[EventStream]:
+        self._check_alive()
+        endpoint, started = await self._field.start(address, body, generation)
+        yield self._field.read(endpoint, started, 0)
+
+    @asynccontextmanager
+    async def resume(
+        self, address: str, generation: str, index: int
+    ) -> AsyncIterator[EventStream]:
+        """Reads a generation again from an index."""
+        self._check_alive()
+        endpoint = self._field.find(address)
+        held = endpoint.generations.get(generation)
+        if held is None:
+            raise GenerationLostError("status 404")
+        yield self._field.read(endpoint, held, index)
+
+    async def cancel(self, address: str, generation: str) -> None:
+        """Ends a generation."""
+        if self.dead:
+            return
+        try:
+            endpoint = self._field.find(address)
+        except EndpointError:
+            return
+        held = endpoint.generations.pop(generation, None)
+        if held is not None:
+            held.cancelled = True
+
+    async def set_priority(
+        self, address: str, generation: str, priority: int
+    ) -> None:
+        """Does nothing; priorities change nothing here."""
+
+    async def call(
+        self, method: str, url: str, body: bytes, headers: dict[str, str]
+    ) -> httpx.Response:
+        """Calls a plain service."""
+        self._check_alive()
+        address = url.removeprefix("http://").partition("/")[0]
+        key = headers.get("idempotency-key", "")
+        return await self._field.run_call(address, method, body, key)
+
+    async def read_json(self, url: str) -> Any:
+        """Returns an engine's load."""
+        self._check_alive()
+        address = url.removeprefix("http://").partition("/")[0]
+        held = self._field.find(address).generations
+        return {
+            "age_ms": 0,
+            "running": len(held),
+            "waiting": 0,
+            "used_tokens": 100 * len(held),
+            "capacity_tokens": 100_000,
+            "step_ms": TOKEN_MS,
+            "preemptions": 0,
+        }
+
+    def _check_alive(self) -> None:
+        if self.dead:
+            raise EndpointError("the process is dead", sent=False)
--- /dev/null
+++ b/lab/seeded/links.py
@@ -0,0 +1,173 @@
+"""Links in memory that delay, reorder and lose messages by a seed."""
+
+import itertools
+import random
+from collections.abc import Awaitable, Callable
+from typing import Any, TypeVar
+
+import anyio
+import anyio.abc
+import attrs
+
+from rhubarbwinch import codec
+from rhubarbwinch.clock import Clock
+from rhubarbwinch.exceptions import LinkTimeout
+
+T = TypeVar("T")
+
+LATENCY_MS = 3
+DELAYED_MS = 900
+DELAY_CHANCE = 0.02
+LOSS_CHANCE = 0.005
+
+
+@attrs.frozen
+class _Handler:
+    """A message's class and the function that takes it."""
+
+    kind: type
+    take: Callable[[Any], Awaitable[Any]]
+
+
+@attrs.define
+class _Waiting:
+    """A call without an answer."""
+
+    done: anyio.Event = attrs.field(factory=anyio.Event)
+    answer: Any = None
+
+
+class SeededNetwork:
+    """Carries messages; what it delays overtakes and is overtaken.
+
+    Args:
+        clock: The source of time.
+        rng: Draws delays and losses.
+        tasks: Carries each message in a task of its own, so that a callee
+            goes on after its caller has given up.
+    """
+
+    def __init__(
+        self, clock: Clock, rng: random.Random, tasks: anyio.abc.TaskGroup
+    ) -> None:
+        self.clock = clock
+        self.tasks = tasks
+        self._rng = rng
+        self._nodes: dict[str, SeededLinks] = {}
+
+    def add(self, address: str) -> "SeededLinks":
+        """Adds a node; the one that had the address before is cut for good."""
+        old = self._nodes.get(address)
+        if old is not None:
+            old.is_cut = True
+        self._nodes[address] = SeededLinks(self)
+        return self._nodes[address]
+
+    def node_at(self, address: str) -> "SeededLinks":
+        """Returns the node of an address."""
+        return self._nodes[address]
+
+    def find(self, address: str) -> "SeededLinks | None":
+        """Returns the node of an address unless it is cut."""
+        node = self._nodes.get(address)
+        return None if node is None or node.is_cut else node
+
+    async def travel(self) -> bool:
+        """Waits for a message's way; returns False if it was lost."""
+        wait = self._rng.randint(1, LATENCY_MS)
+        if self._rng.random() < DELAY_CHANCE:
+            wait = self._rng.randint(LATENCY_MS, DELAYED_MS)
+        await self.clock.sleep(wait)
+        return self._rng.random() >= LOSS_CHANCE
+
+
+class SeededLinks:
+    """One node: calls others and answers them.
+
+    Args:
+        network: Carries its messages.
+    """
+
+    def __init__(self, network: SeededNetwork) -> None:
+        self.is_cut = False
+        self._network = network
+        self._numbers = itertools.count(1)
+        self._waiting: dict[int, _Waiting] = {}
+        self._handlers: dict[str, _Handler] = {}
+        self._late: dict[str, _Handler] = {}
+
+    def on(self, kind: type[T], answer: Callable[[T], Awaitable[Any]]) -> None:
+        """Sets the function that answers messages of a class."""
+        self._handlers[kind.__name__] = _Handler(kind, answer)
+
+    def on_late(
+        self, kind: type[T], handle: Callable[[T], Awaitable[None]]
+    ) -> None:
+        """Sets what is done with answers whose call has been given up."""
+        self._late[kind.__name__] = _Handler(kind, handle)
+
+    async def run(self) -> None:
+        """Waits; there are no connections to keep."""
+        await anyio.sleep_forever()
+
+    def forget(self, address: str) -> None:
+        """Does nothing; there are no connections."""
+
+    async def send(self, address: str, message: Any) -> None:
+        """Sends a message that has no answer."""
+        self._network.tasks.start_soon(
+            self._deliver, address, codec.encode(message), type(message), 0
+        )
+
+    async def call(
+        self, address: str, message: Any, answer: type[T], timeout_ms: int
+    ) -> T:
+        """Sends a message and returns the peer's answer.
+
+        Raises:
+            LinkTimeout: No answer came in time.
+        """
+        number = next(self._numbers)
+        waiting = self._waiting[number] = _Waiting()
+        tasks = self._network.tasks
+        data = codec.encode(message)
+        tasks.start_soon(self._deliver, address, data, type(message), number)
+        tasks.start_soon(self._time_out, waiting, timeout_ms)
+        try:
+            await waiting.done.wait()
+        finally:
+            del self._waiting[number]
+        if waiting.answer is None:
+            raise LinkTimeout(f"{address} gave no answer in {timeout_ms} ms")
+        return waiting.answer
+
+    async def _time_out(self, waiting: _Waiting, timeout_ms: int) -> None:
+        await self._network.clock.sleep(timeout_ms)
+        waiting.done.set()
+
+    async def _deliver(
+        self, address: str, data: bytes, kind: type, number: int
+    ) -> None:
+        """Carries a message there and its answer back."""
+        if self.is_cut or not await self._network.travel():
+            return
+        node = self._network.find(address)
+        handler = node._handlers.get(kind.__name__) if node else None
+        if node is None or handler is None:
+            return
+        answer = await handler.take(codec.decode(data, handler.kind))
+        if answer is None or not number or node.is_cut:
+            return
+        if await self._network.travel() and not self.is_cut:
+            copy = codec.decode(codec.encode(answer), type(answer))
+            await self._take_answer(number, copy)
+
+    async def _take_answer(self, number: int, answer: Any) -> None:
+        waiting = self._waiting.get(number)
+        if waiting is not None:
+            waiting.answer = answer
+            waiting.done.set()
+            return
+        late = self._late.get(type(answer).__name__)
+        if late is not None:
+            await late.take(answer)
--- /dev/null
+++ b/lab/seeded/run.py
@@ -0,0 +1,210 @@
+"""One seeded run: callers under faults, then quiet, then the checks."""
+
+import anyio
+import attrs
+
+from lab.seeded.callers import Caller
+from lab.seeded.check import faults_of
+from lab.seeded.log import Attempt, End, Kind
+from lab.seeded.world import DESKS, ENGINES, Program, World
+from rhubarbwinch.registry import Registry
+from rhubarbwinch.sse import DONE
+
+ENTRIES = 3
+BROKERS = 2
+REQUESTS = 60
+ARRIVAL_MS = 250
+FAULT_MS = 900
+STEP_MS = 20
+QUIET_MS = 12_000
+PROBES = 6
+ENDPOINT_FAULT_RATE = 0.03
+KINDS = [Kind.STREAM, Kind.STREAM, Kind.BOOKING, Kind.WHOLE, Kind.LOOKUP]
+
+
+@attrs.frozen
+class Report:
+    """What a seed showed.
+
+    Attributes:
+        seed: The seed.
+        requests: How many requests callers made.
+        settled: How many of them were answered in the end.
+        injected: How many faults there were.
+        broken: A line for each promise that was broken.
+        faults: The faults, with their times.
+    """
+
+    seed: int
+    requests: int
+    settled: int
+    injected: int
+    broken: list[str]
+    faults: list[str]
+
+
+class Injector:
+    """Draws faults and takes them back.
+
+    Args:
+        world: The world to disturb.
+    """
+
+    def __init__(self, world: World) -> None:
+        self._world = world
+        self.active = True
+
+    async def run(self) -> None:
+        """Injects faults, now and then two at once, until told to stop."""
+        world = self._world
+        async with anyio.create_task_group() as tasks:
+            while True:
+                wait = world.rng.randint(FAULT_MS // 3, FAULT_MS * 2)
+                await world.clock.sleep(wait)
+                if not self.active:
+                    return
+                for _ in range(world.rng.choice([1, 1, 2])):
+                    name = world.rng.choice(list(FAULTS))
+                    world.journal.faults.append(f"{world.clock.now()} {name}")
+                    tasks.start_soon(FAULTS.get(name), world)
+
+
+FAULTS: Registry = Registry("fault")
+
+
+def _pick(world: World, programs: dict[str, Program]) -> str | None:
+    """Returns the name of a live program, but never the last one."""
+    alive = sorted(name for name, p in programs.items() if not p.dead)
+    return world.rng.choice(alive) if len(alive) > 1 else None
+
+
+@FAULTS.register("kill-entry")
+async def _kill_entry(world: World) -> None:
+    name = _pick(world, world.entries)
+    if name is not None:
+        world.kill(world.entries[name])
+        await world.clock.sleep(world.rng.randint(200, 3000))
+        world.start_entry(name)
+
+
+@FAULTS.register("kill-broker")
+async def _kill_broker(world: World) -> None:
+    name = _pick(world, world.brokers)
+    if name is not None:
+        world.kill(world.brokers[name])
+        await world.clock.sleep(world.rng.randint(200, 3000))
+        world.start_broker(name)
+
+
+@FAULTS.register("cut-links")
+async def _cut_links(world: World) -> None:
+    programs = world.entries | world.brokers
+    name = _pick(world, programs)
+    if name is None:
+        return
+    program = programs[name]
+    world.cut(program)
+    await world.clock.sleep(world.rng.randint(200, 3000))
+    if not program.dead:
+        world.mend(program)
+
+
+@FAULTS.register("store-down")
+async def _store_down(world: World) -> None:
+    world.store.faults.down = True
+    world.store.wake_watches()
+    await world.clock.sleep(world.rng.randint(200, 4000))
+    world.store.faults.down = False
+
+
+@FAULTS.register("store-loses-answers")
+async def _lose_answers(world: World) -> None:
+    world.store.faults.lose_answers = world.rng.randint(1, 3)
+
+
+@FAULTS.register("kill-engine")
+async def _kill_engine(world: World) -> None:
+    world.field.kill(world.rng.choice(list(ENGINES)))
+
+
+@FAULTS.register("kill-plain-endpoint")
+async def _kill_desk(world: World) -> None:
+    world.field.kill(world.rng.choice(list(DESKS)))
+
+
+async def run_seed(seed: int) -> Report:
+    """Runs a seed and checks what came of it."""
+    async with anyio.create_task_group() as tasks:
+        world = World(seed, tasks)
+        await world.publish()
+        for i in range(BROKERS):
+            world.start_broker(f"broker-{i}")
+        for i in range(ENTRIES):
+            world.start_entry(f"entry-{i}")
+        await world.clock.advance(2000)
+        injector = Injector(world)
+        world.field.fault_rate = ENDPOINT_FAULT_RATE
+        tasks.start_soon(injector.run)
+        last: list[Attempt] = []
+        await _call_all(world, tasks, last)
+        injector.active = False
+        world.field.fault_rate = 0.0
+        await _pass(world, QUIET_MS)
+        broken = await _probe(world, tasks)
+        broken += faults_of(world.journal)
+        settled = sum(a.end is End.ANSWERED for a in last)
+        for program in [*world.entries.values(), *world.brokers.values()]:
+            program.kill()
+        tasks.cancel_scope.cancel()
+    return Report(
+        seed=seed,
+        requests=len(last),
+        settled=settled,
+        injected=len(world.journal.faults),
+        broken=broken,
+        faults=world.journal.faults,
+    )
+
+
+async def _pass(world: World, ms: int) -> None:
+    for _ in range(ms // STEP_MS):
+        await world.clock.advance(STEP_MS)
+
+
+async def _call_all(
+    world: World, tasks: anyio.abc.TaskGroup, last: list[Attempt]
+) -> None:
+    """Lets all callers come and waits until each has finished."""
+
+    async def call(number: int) -> None:
+        kind = world.rng.choice(KINDS)
+        last.append(await Caller(world, number, kind).run())
+
+    for number in range(REQUESTS):
+        tasks.start_soon(call, number)
+        await _pass(world, world.rng.randint(0, 2 * ARRIVAL_MS))
+    for _ in range(10):
+        if len(last) < REQUESTS:
+            await _pass(world, QUIET_MS)
+
+
+async def _probe(world: World, tasks: anyio.abc.TaskGroup) -> list[str]:
+    """Requests after the faults must all succeed at once."""
+    found: list[Attempt] = []
+
+    async def call(number: int) -> None:
+        kind = KINDS[number % len(KINDS)]
+        found.append(await Caller(world, REQUESTS + number, kind).run())
+
+    for number in range(PROBES):
+        tasks.start_soon(call, number)
+    await _pass(world, QUIET_MS)
+    broken = [
+        f"probe {a.request}: {a.kind} ended {a.end} {a.status} "
+        f"{a.verdict} {a.body.decode()}"
+        for a in found
+        if a.end is not End.ANSWERED and DONE not in a.events
+    ]
+    if len(found) < PROBES:
+        broken.append(f"{PROBES - len(found)} probes without an answer")
+    return broken
--- /dev/null
+++ b/lab/seeded/world.py
@@ -0,0 +1,267 @@
+"""Entries and brokers in one process, each of which can be killed."""
+
+import random
+from collections.abc import AsyncIterator, Awaitable, Callable
+from typing import Any
+
+import anyio
+import anyio.abc
+import orjson
+
+from lab.seeded.endpoints import Field, SeededEndpoints
+from lab.seeded.links import SeededNetwork
+from lab.seeded.log import Journal
+from rhubarbwinch import accepted, keys
+from rhubarbwinch.accepted import Head
+from rhubarbwinch.apikeys import hash_key
+from rhubarbwinch.broker import Broker
+from rhubarbwinch.clock import ManualClock
+from rhubarbwinch.config import BrokerSettings, EntrySettings
+from rhubarbwinch.entry import Entry
+from rhubarbwinch.exceptions import StoreUnavailable
+from rhubarbwinch.memstore import MemoryStore
+from rhubarbwinch.records import Record
+from rhubarbwinch.store import Change, Listing, Swap
+from rhubarbwinch.store import Entry as StoreEntry
+from rhubarbwinch.surroundings import Surroundings
+
+API_KEY = "acme.secret"
+ENGINES = {f"10.0.1.{i}:80": f"engine-{i}" for i in range(1, 4)}
+DESKS = {f"10.0.2.{i}:80": f"desk-{i}" for i in range(1, 3)}
+
+
+def records() -> list[Record]:
+    """Returns the configuration: three engines and two plain endpoints."""
+    digest = hash_key(API_KEY, "00")
+
+    def pool(target: str, endpoints: dict[str, str]) -> Record:
+        listed = [{"name": n, "address": a} for a, n in endpoints.items()]
+        spec = {"target": target, "data_center": "dc", "endpoints": listed}
+        return Record("pool", target, 2, spec)
+
+    return [
+        Record("model", "vintner", 2),
+        pool("vintner", ENGINES),
+        pool("bookings", DESKS),
+        Record("service", "chat", 2, {"kind": "generate", "target": "vintner"}),
+        Record(
+            "service",
+            "booking",
+            2,
+            {
+                "kind": "plain",
+                "target": "bookings",
+                "not_repeatable": ["POST /book"],
+            },
+        ),
+        Record(
+            "account",
+            "acme",
+            2,
+            {
+                "keys": [{"salt": "00", "digest": digest}],
+                "services": ["chat", "booking"],
+            },
+        ),
+    ]
+
+
+class MortalStore:
+    """The store as one program reaches it; silent once that is dead.
+
+    Args:
+        store: The store of the whole world.
+    """
+
+    def __init__(self, store: MemoryStore) -> None:
+        self.dead = False
+        self._store = store
+
+    async def get(self, key: str) -> StoreEntry | None:
+        """Returns the entry of `key`, or None."""
+        self._check()
+        return await self._store.get(key)
+
+    async def scan(self, prefix: str) -> Listing:
+        """Returns all entries whose keys start with `prefix`."""
+        self._check()
+        return await self._store.scan(prefix)
+
+    async def swap(
+        self, key: str, expected: int, value: bytes, lease: int = 0
+    ) -> Swap:
+        """Writes `value` if the key's revision is `expected`."""
+        self._check()
+        return await self._store.swap(key, expected, value, lease)
+
+    async def delete(self, key: str, expected: int) -> Swap:
+        """Deletes the key if its revision is `expected`."""
+        self._check()
+        return await self._store.delete(key, expected)
+
+    async def grant_lease(self, ttl_ms: int) -> int:
+        """Returns the id of a new lease."""
+        self._check()
+        return await self._store.grant_lease(ttl_ms)
+
+    async def keep_lease(self, lease: int) -> int:
+        """Renews a lease."""
+        self._check()
+        return await self._store.keep_lease(lease)
+
+    async def revoke_lease(self, lease: int) -> None:
+        """Ends a lease."""
+        self._check()
+        await self._store.revoke_lease(lease)
+
+    async def watch(self, prefix: str, after: int) -> AsyncIterator[Change]:
+        """Yields every change under `prefix`."""
+        self._check()
+        async for change in self._store.watch(prefix, after):
+            yield change
+
+    async def close(self) -> None:
+        """Does nothing; there are no connections."""
+
+    def _check(self) -> None:
+        if self.dead:
+            raise StoreUnavailable("the process is dead")
+
+
+class Program:
+    """An entry or a broker that runs until it is killed.
+
+    Args:
+        build: Builds it from its surroundings and endpoints.
+        surroundings: What it reaches the outside by.
+        store: Its way to the store.
+        endpoints: Its way to endpoints.
+        link: Its address for peers.
+    """
+
+    def __init__(
+        self,
+        build: Callable[[Surroundings, SeededEndpoints], Entry | Broker],
+        surroundings: Surroundings,
+        store: MortalStore,
+        endpoints: SeededEndpoints,
+        link: str,
+    ) -> None:
+        self.daemon = build(surroundings, endpoints)
+        self.link = link
+        self.dead = False
+        self._store = store
+        self._endpoints = endpoints
+        self._scopes: list[anyio.CancelScope] = []
+
+    async def run(self) -> None:
+        """Runs the program until it is killed."""
+        await self.within(self.daemon.run)
+
+    async def within(self, work: Callable[[], Awaitable[Any]]) -> None:
+        """Does work that ends with the program."""
+        with anyio.CancelScope() as scope:
+            self._scopes.append(scope)
+            try:
+                await work()
+            finally:
+                self._scopes.remove(scope)
+
+    def kill(self) -> None:
+        """Ends everything at once; what it still tries has no effect."""
+        self.dead = True
+        self._store.dead = True
+        self._endpoints.dead = True
+        for scope in list(self._scopes):
+            scope.cancel()
+
+
+class World:
+    """The programs, the store, the network and the endpoints of a run.
+
+    Args:
+        seed: Draws everything that is drawn.
+        tasks: Runs the programs.
+    """
+
+    def __init__(self, seed: int, tasks: anyio.abc.TaskGroup) -> None:
+        self.rng = random.Random(seed)
+        self.clock = ManualClock()
+        self.store = MemoryStore(self.clock)
+        self.network = SeededNetwork(self.clock, self.rng, tasks)
+        self.journal = Journal()
+        self.field = Field(self.clock, self.rng, self.journal, ENGINES | DESKS)
+        self.entries: dict[str, Program] = {}
+        self.brokers: dict[str, Program] = {}
+        self._tasks = tasks
+        self._started = 0
+
+    async def publish(self) -> None:
+        """Writes the accepted configuration to the store."""
+        chunks = accepted.pack_chunks(records())
+        names = [await accepted.write_chunk(self.store, c) for c in chunks]
+        head = Head(1, names)
+        await self.store.swap(keys.ACCEPTED_HEAD, 0, head.to_bytes())
+
+    def start_entry(self, name: str) -> None:
+        """Starts an entry, again if it was killed."""
+        settings = EntrySettings(
+            name=name, link=f"{name}:1", http="", store="", stream_secret="s"
+        )
+
+        def build(outside: Surroundings, endpoints: SeededEndpoints) -> Entry:
+            return Entry(settings, outside, endpoints)
+
+        self.entries[name] = self._start(build, settings.link)
+
+    def start_broker(self, name: str) -> None:
+        """Starts a broker, again if it was killed."""
+        settings = BrokerSettings(
+            name=name, link=f"{name}:1", http="", store=""
+        )
+
+        def build(outside: Surroundings, endpoints: SeededEndpoints) -> Broker:
+            return Broker(settings, outside, endpoints)
+
+        self.brokers[name] = self._start(build, settings.link)
+
+    def cut(self, program: Program) -> None:
+        """Cuts a program off its peers."""
+        self.network.node_at(program.link).is_cut = True
+
+    def mend(self, program: Program) -> None:
+        """Joins a program to its peers again."""
+        self.network.node_at(program.link).is_cut = False
+
+    def kill(self, program: Program) -> None:
+        """Kills a program."""
+        self.cut(program)
+        program.kill()
+
+    def _start(
+        self,
+        build: Callable[[Surroundings, SeededEndpoints], Entry | Broker],
+        link: str,
+    ) -> Program:
+        self._started += 1
+        node = self.network.add(link)
+        store = MortalStore(self.store)
+        surroundings = Surroundings(
+            clock=self.clock,
+            store=store,
+            links=node,
+            gossip_links=node,
+            server=node,
+            incarnation=self._started,
+            is_embedded=True,
+        )
+        endpoints = SeededEndpoints(self.field)
+        program = Program(build, surroundings, store, endpoints, link)
+        self._tasks.start_soon(program.run)
+        return program
+
+
+def completion_body(marker: str, stream: bool) -> bytes:
+    """Returns the body of a generation request."""
+    data = {"model": "chat", "prompt": marker, "stream": stream}
+    return orjson.dumps(data)
--- a/rhubarbwinch/broker.py
+++ b/rhubarbwinch/broker.py
@@ -30,6 +30,7 @@
 )
 from rhubarbwinch.ownership import Ownership
 from rhubarbwinch.records import PoolSpec
+from rhubarbwinch.surroundings import Surroundings
 from rhubarbwinch.verdict import Reason, not_run
 
 # Returns the names of a pool's endpoints that leave.
@@ -173,12 +174,19 @@
 
     Args:
         settings: What it was told.
+        outside: What it reaches the outside by, if not by a process's own.
+        endpoints: Calls endpoints, if not over HTTP.
     """
 
-    def __init__(self, settings: BrokerSettings) -> None:
-        self._daemon = Daemon(Role.BROKER, settings)
+    def __init__(
+        self,
+        settings: BrokerSettings,
+        outside: Surroundings | None = None,
+        endpoints: EndpointClient | None = None,
+    ) -> None:
+        self._daemon = Daemon(Role.BROKER, settings, outside)
         self._settings = settings
-        self._endpoints = EndpointClient(LOAD_SILENCE_MS)
+        self._endpoints = endpoints or EndpointClient(LOAD_SILENCE_MS)
         self._keeper = PoolKeeper(
             self._daemon.clock,
             random.Random(self._daemon.incarnation),
--- a/rhubarbwinch/claimowners.py
+++ b/rhubarbwinch/claimowners.py
@@ -5,7 +5,7 @@
 
 from rhubarbwinch.claimpages import ClaimRecord
 from rhubarbwinch.exceptions import CodecError, LinkError
-from rhubarbwinch.links import Links
+from rhubarbwinch.linktypes import Caller
 from rhubarbwinch.members import Members
 from rhubarbwinch.messages import ClaimAnswer, ClaimQuestion
 
@@ -36,7 +36,7 @@
         members: The known members.
     """
 
-    def __init__(self, links: Links, members: Members) -> None:
+    def __init__(self, links: Caller, members: Members) -> None:
         self._links = links
         self._members = members
 
--- a/rhubarbwinch/daemon.py
+++ b/rhubarbwinch/daemon.py
@@ -8,8 +8,7 @@
 import hypercorn.asyncio
 from hypercorn.config import Config
 
-from rhubarbwinch import events, identity, misc
-from rhubarbwinch.clock import Clock, SystemClock
+from rhubarbwinch import events, misc
 from rhubarbwinch.config import Settings
 from rhubarbwinch.distribution import Distribution
 from rhubarbwinch.exceptions import StoreError
@@ -17,13 +16,13 @@
 from rhubarbwinch.gossip import Gossip
 from rhubarbwinch.httpapi import App
 from rhubarbwinch.leaving import LeavingVms
-from rhubarbwinch.links import Links, LinkServer
 from rhubarbwinch.members import Member, Members, MemberState, Role
 from rhubarbwinch.metrics import Metrics
 from rhubarbwinch.probes import Drain, Probes
 from rhubarbwinch.registration import Registration
-from rhubarbwinch.store import STORES, Store
+from rhubarbwinch.store import Store
 from rhubarbwinch.supervisor import Supervisor
+from rhubarbwinch.surroundings import Surroundings, make_surroundings
 from rhubarbwinch.tls import TlsFiles
 from rhubarbwinch.tracedstore import TracedStore
 
@@ -39,31 +38,27 @@
     Args:
         role: What the program does.
         settings: What it was told.
-        clock: The source of time.
-        store: The platform's store; built from the settings by default.
+        outside: What it reaches the outside by; by default a process's own,
+            built from the settings.
     """
 
     def __init__(
         self,
         role: Role,
         settings: Settings,
-        clock: Clock | None = None,
-        store: Store | None = None,
+        outside: Surroundings | None = None,
     ) -> None:
+        outside = outside or make_surroundings(settings)
         self.settings = settings
-        self.clock = clock or SystemClock()
-        self.incarnation = identity.new_incarnation()
+        self.clock = outside.clock
+        self.incarnation = outside.incarnation
         self.metrics = Metrics(settings.statsd, role)
-        make_store = STORES.get(settings.store_kind)
-        self.store: Store = TracedStore(
-            store or make_store(settings.store, settings.store_timeout_ms)
-        )
+        self.store: Store = TracedStore(outside.store)
         self.drain = Drain()
-        self.links = Links(self.incarnation, settings.link_keys)
-        self.server = LinkServer(settings.link, settings.link_keys)
-        # Heartbeats have links of their own, so that none waits for a large
-        # message and none of the peers' connections is closed by others.
-        self._gossip_links = Links(self.incarnation, settings.link_keys)
+        self.links = outside.links
+        self.server = outside.server
+        self._gossip_links = outside.gossip_links
+        self._is_embedded = outside.is_embedded
         rng = random.Random(self.incarnation)
         me = Member(
             settings.name,
@@ -112,6 +107,8 @@
     def serve_http(self, app: App, tls: TlsFiles | None = None) -> None:
         """Adds the HTTP interface with the probes; call it before `run`."""
         Probes(self.follower, self.drain).add_to(app)
+        if self._is_embedded:
+            return
         config = Config()
         config.bind = [self.settings.http]
         config.accesslog = None
@@ -144,7 +141,8 @@
         self.add("follower", self.follower.run)
         try:
             async with anyio.create_task_group() as tasks:
-                tasks.start_soon(self._watch_signals, tasks)
+                if not self._is_embedded:
+                    tasks.start_soon(self._watch_signals, tasks)
                 events.STARTED.log(name=self.settings.name)
                 await self._tree.run()
                 tasks.cancel_scope.cancel()
--- a/rhubarbwinch/entry.py
+++ b/rhubarbwinch/entry.py
@@ -23,6 +23,7 @@
 from rhubarbwinch.reports import Reporter
 from rhubarbwinch.retries import RatioBudget
 from rhubarbwinch.streams import OpenStreams
+from rhubarbwinch.surroundings import Surroundings
 from rhubarbwinch.takeover import Takeover
 from rhubarbwinch.verdict import Reason, not_run
 
@@ -50,13 +51,22 @@
 
     Args:
         settings: What it was told.
+        outside: What it reaches the outside by, if not by a process's own.
+        endpoints: Calls endpoints, if not over HTTP.
     """
 
-    def __init__(self, settings: EntrySettings) -> None:
-        daemon = Daemon(Role.ENTRY, settings)
+    def __init__(
+        self,
+        settings: EntrySettings,
+        outside: Surroundings | None = None,
+        endpoints: EndpointClient | None = None,
+    ) -> None:
+        daemon = Daemon(Role.ENTRY, settings, outside)
         self._daemon = daemon
         self._keys = KeyChecker()
-        self._endpoints = EndpointClient(settings.endpoint_silence_ms)
+        self._endpoints = endpoints or EndpointClient(
+            settings.endpoint_silence_ms
+        )
         self._permits = PermitClient(
             daemon.links, daemon.members, settings.permit_timeout_ms
         )
@@ -115,6 +125,11 @@
             events.NO_STREAM_SECRET.log()
         self._app = App(settings.max_body_bytes, settings.body_timeout_ms)
 
+    @property
+    def app(self) -> App:
+        """The ASGI application, for a program that serves it itself."""
+        return self._app
+
     async def run(self) -> None:
         """Runs until asked to stop."""
         daemon = self._daemon
--- a/rhubarbwinch/linktypes.py
+++ b/rhubarbwinch/linktypes.py
@@ -31,3 +31,33 @@
     def on(self, kind: type[T], answer: Callable[[T], Awaitable[Any]]) -> None:
         """Sets the function that answers messages of a class."""
         ...
+
+
+class RunningCaller(Caller, Protocol):
+    """Calls peers while it runs."""
+
+    async def run(self) -> None:
+        """Keeps the connections until cancelled."""
+        ...
+
+    async def send(self, address: str, message: Any) -> None:
+        """Sends a message that has no answer.
+
+        Raises:
+            LinkError: The message was not sent.
+        """
+        ...
+
+    def on_late(
+        self, kind: type[T], handle: Callable[[T], Awaitable[None]]
+    ) -> None:
+        """Sets what is done with answers whose call has been given up."""
+        ...
+
+
+class RunningListener(Listener, Protocol):
+    """Answers calls of peers while it runs."""
+
+    async def run(self) -> None:
+        """Serves until cancelled."""
+        ...
--- a/rhubarbwinch/permits.py
+++ b/rhubarbwinch/permits.py
@@ -7,7 +7,7 @@
 
 from rhubarbwinch import rendezvous, tracing
 from rhubarbwinch.exceptions import CodecError, LinkError, LinkTimeout
-from rhubarbwinch.links import Links
+from rhubarbwinch.linktypes import RunningCaller
 from rhubarbwinch.members import Member, Members, Role
 from rhubarbwinch.messages import (
     PermitGrant,
@@ -53,7 +53,9 @@
         timeout_ms: The longest wait for an answer, beyond the queue's.
     """
 
-    def __init__(self, links: Links, members: Members, timeout_ms: int) -> None:
+    def __init__(
+        self, links: RunningCaller, members: Members, timeout_ms: int
+    ) -> None:
         self._links = links
         self._members = members
         self._timeout_ms = timeout_ms
--- a/rhubarbwinch/reports.py
+++ b/rhubarbwinch/reports.py
@@ -4,7 +4,7 @@
 
 from rhubarbwinch.clock import Clock
 from rhubarbwinch.exceptions import LinkError
-from rhubarbwinch.links import Links
+from rhubarbwinch.linktypes import RunningCaller
 from rhubarbwinch.members import Member, Members
 from rhubarbwinch.messages import ProgressReport, StreamProgress
 from rhubarbwinch.permits import Permit, PermitClient, pool_owner
@@ -28,7 +28,7 @@
         entry: str,
         permits: PermitClient,
         members: Members,
-        links: Links,
+        links: RunningCaller,
         clock: Clock,
     ) -> None:
         self._entry = entry
--- /dev/null
+++ b/rhubarbwinch/surroundings.py
@@ -0,0 +1,49 @@
+"""What a program reaches the outside by, replaced as a whole when embedded."""
+
+import attrs
+
+from rhubarbwinch import identity
+from rhubarbwinch.clock import Clock, SystemClock
+from rhubarbwinch.config import Settings
+from rhubarbwinch.links import Links, LinkServer
+from rhubarbwinch.linktypes import RunningCaller, RunningListener
+from rhubarbwinch.store import STORES, Store
+
+
+@attrs.frozen
+class Surroundings:
+    """The outside of a program.
+
+    Attributes:
+        clock: The source of time.
+        store: The platform's store.
+        links: Calls peers.
+        gossip_links: Calls peers for heartbeats. They have links of their
+            own, so that none waits for a large message and none of the peers'
+            connections is closed by others.
+        server: Answers calls of peers.
+        incarnation: The process's number, new at each start.
+        is_embedded: Whether another program serves HTTP and takes signals.
+    """
+
+    clock: Clock
+    store: Store
+    links: RunningCaller
+    gossip_links: RunningCaller
+    server: RunningListener
+    incarnation: int
+    is_embedded: bool = False
+
+
+def make_surroundings(settings: Settings) -> Surroundings:
+    """Returns the surroundings of a process, from its settings."""
+    incarnation = identity.new_incarnation()
+    make_store = STORES.get(settings.store_kind)
+    return Surroundings(
+        clock=SystemClock(),
+        store=make_store(settings.store, settings.store_timeout_ms),
+        links=Links(incarnation, settings.link_keys),
+        gossip_links=Links(incarnation, settings.link_keys),
+        server=LinkServer(settings.link, settings.link_keys),
+        incarnation=incarnation,
+    )
--- a/rhubarbwinch/takeover.py
+++ b/rhubarbwinch/takeover.py
@@ -5,7 +5,7 @@
 from rhubarbwinch import identity
 from rhubarbwinch.accepted import Snapshot
 from rhubarbwinch.exceptions import CodecError, LinkError
-from rhubarbwinch.links import Links
+from rhubarbwinch.linktypes import Caller
 from rhubarbwinch.members import Member, Members, Role
 from rhubarbwinch.messages import PermitGrant, StreamTake, StreamTaken
 from rhubarbwinch.permits import Permit
@@ -25,7 +25,7 @@
     def __init__(
         self,
         streams: OpenStreams,
-        links: Links,
+        links: Caller,
         members: Members,
         timeout_ms: int,
     ) -> None:
