--- a/rhubarbwinch/accepted.py
+++ b/rhubarbwinch/accepted.py
@@ -84,7 +84,7 @@
     ordered = sorted(items, key=lambda record: record.key)
     if not ordered:
         return b""
-    return codec.encode(Chunk([record.to_bytes() for record in ordered]))
+    return codec.encode(Chunk([r.raw or r.to_bytes() for r in ordered]))
 
 
 def pack_chunks(all_records: Iterable[Record]) -> list[bytes]:
--- /dev/null
+++ b/rhubarbwinch/fleetstatus.py
@@ -0,0 +1,206 @@
+"""What operators ask about a deployment: who is there and what is in force."""
+
+import anyio
+import attrs
+import httpx
+import orjson
+
+from rhubarbwinch import accepted, codec, keys, records, rendezvous
+from rhubarbwinch.accepted import Snapshot
+from rhubarbwinch.exceptions import ConflictError, RecordError, StoreUncertain
+from rhubarbwinch.members import Member, MemberState, Role
+from rhubarbwinch.records import Record
+from rhubarbwinch.store import Store
+
+READ_TIMEOUT_S = 2.0
+MAX_READS_AT_ONCE = 32
+
+
+@attrs.frozen
+class RecordState:
+    """An operator's record and whether it is in force.
+
+    Attributes:
+        record: The record as it is in the store.
+        revision: Its revision there.
+        state: `in force`, `pending` or `rejected`.
+        error: Why it was rejected, or empty.
+    """
+
+    record: Record
+    revision: int
+    state: str
+    error: str = ""
+
+
+@attrs.frozen
+class MemberStatus:
+    """A registered member.
+
+    Attributes:
+        member: The member.
+        generation: The generation in force there; None without an answer.
+    """
+
+    member: Member
+    generation: int | None
+
+
+@attrs.frozen
+class PoolStatus:
+    """A pool.
+
+    Attributes:
+        name: Its name.
+        owner: The broker that owns it by the registered members.
+        endpoints: How many endpoints it has.
+        leaving: How many of them are on VMs that records mark as leaving.
+    """
+
+    name: str
+    owner: str
+    endpoints: int
+    leaving: int
+
+
+@attrs.frozen
+class FleetStatus:
+    """A deployment as the store and its members show it.
+
+    Attributes:
+        generation: The accepted generation.
+        members: The registered members.
+        pools: The pools in force.
+        leaving_vms: The VMs that records mark as leaving.
+    """
+
+    generation: int
+    members: list[MemberStatus]
+    pools: list[PoolStatus]
+    leaving_vms: list[str]
+
+
+async def read_snapshot(store: Store) -> Snapshot:
+    """Returns the accepted configuration.
+
+    Raises:
+        StoreError: The store failed.
+    """
+    head, _ = await accepted.read_head(store)
+    items: list[Record] = []
+    for name in filter(None, head.chunks):
+        chunk = await accepted.read_chunk(store, name)
+        items += accepted.unpack_chunk(chunk)
+    return accepted.make_snapshot(head.generation, items)
+
+
+async def read_status(store: Store) -> FleetStatus:
+    """Returns the state of the deployment.
+
+    Raises:
+        StoreError: The store failed.
+    """
+    snapshot = await read_snapshot(store)
+    listing = await store.scan(keys.MEMBERS)
+    members = [codec.decode(entry.value, Member) for entry in listing.entries]
+    leaving = sorted(h for h, vm in snapshot.vms.items() if vm.leaving)
+    return FleetStatus(
+        snapshot.generation,
+        await _read_generations(members),
+        _pools(snapshot, members, leaving),
+        leaving,
+    )
+
+
+async def get_record(store: Store, key: str) -> RecordState:
+    """Returns a record with its state.
+
+    Args:
+        store: The platform's store.
+        key: `kind/name`.
+
+    Raises:
+        RecordError: There is no such record.
+        StoreError: The store failed.
+    """
+    entry = await store.get(keys.RECORDS + key)
+    if entry is None:
+        raise RecordError(key, "name", key, "a record that exists")
+    record = records.parse(entry.value, key)
+    status = await store.get(keys.STATUS + key)
+    if status is not None:
+        judgement = orjson.loads(status.value)
+        if judgement["revision"] == entry.revision:
+            error = judgement["error"]
+            return RecordState(record, entry.revision, "rejected", error)
+    in_force = (await read_snapshot(store)).records.get(key)
+    is_same = in_force is not None and in_force.raw == entry.value
+    state = "in force" if is_same else "pending"
+    return RecordState(record, entry.revision, state)
+
+
+async def set_leaving(store: Store, host: str, leaving: bool) -> None:
+    """Marks a VM as leaving, or as no longer leaving.
+
+    Raises:
+        ConflictError: Another operator changed the mark first.
+        StoreError: The store failed.
+    """
+    record = Record("vm", host, records.CURRENT_SCHEMA, {"leaving": leaving})
+    records.check(record)
+    key = keys.record("vm", host)
+    current = await store.get(key)
+    expected = current.revision if current else 0
+    try:
+        swap = await store.swap(key, expected, record.to_bytes())
+    except StoreUncertain:
+        current = await store.get(key)
+        if current is None or current.value != record.to_bytes():
+            raise
+        return
+    if not swap.won:
+        raise ConflictError(record.key, swap.revision)
+
+
+def _pools(
+    snapshot: Snapshot, members: list[Member], leaving: list[str]
+) -> list[PoolStatus]:
+    brokers = [
+        m.name
+        for m in members
+        if m.role is Role.BROKER and m.state is MemberState.SERVING
+    ]
+    return [
+        PoolStatus(
+            name,
+            rendezvous.owner(name, brokers) or "",
+            len(spec.endpoints),
+            sum(e.address.partition(":")[0] in leaving for e in spec.endpoints),
+        )
+        for name, spec in sorted(snapshot.pools.items())
+    ]
+
+
+async def _read_generations(members: list[Member]) -> list[MemberStatus]:
+    found: dict[str, int | None] = {}
+    limiter = anyio.CapacityLimiter(MAX_READS_AT_ONCE)
+    async with httpx.AsyncClient(timeout=READ_TIMEOUT_S) as client:
+
+        async def read(member: Member) -> None:
+            async with limiter:
+                found[member.name] = await _read_generation(client, member)
+
+        async with anyio.create_task_group() as tasks:
+            for member in members:
+                tasks.start_soon(read, member)
+    return [MemberStatus(m, found[m.name]) for m in members]
+
+
+async def _read_generation(
+    client: httpx.AsyncClient, member: Member
+) -> int | None:
+    try:
+        response = await client.get(f"http://{member.http}/readyz")
+        return int(orjson.loads(response.content)["generation"])
+    except (httpx.HTTPError, ValueError, KeyError, TypeError):
+        return None
--- a/rhubarbwinch/records.py
+++ b/rhubarbwinch/records.py
@@ -286,9 +286,7 @@
         return self.schema > CURRENT_SCHEMA
 
     def to_bytes(self) -> bytes:
-        """Returns the bytes that it was read from, or JSON with sorted keys."""
-        if self.raw:
-            return self.raw
+        """Returns the record as JSON, with sorted keys."""
         data = {
             "kind": self.kind,
             "name": self.name,
--- a/tests/test_distribution.py
+++ b/tests/test_distribution.py
@@ -329,7 +329,7 @@
             chunk = follower.chunk(
                 follower.head.chunks[accepted.slot_of_key("account/future")]
             )
-            kept = [r.to_bytes() for r in accepted.unpack_chunk(chunk)]
+            kept = [r.raw for r in accepted.unpack_chunk(chunk)]
             session.say(f"byte for byte: {newer in kept}")
             is_used = "future" in follower.snapshot.accounts
             session.say(f"an old entry uses it: {is_used}")
--- a/tests/test_rolling.py
+++ b/tests/test_rolling.py
@@ -4,6 +4,7 @@
 import json
 import signal
 import threading
+import time
 
 import httpx
 
@@ -13,6 +14,8 @@
 VMS = 4
 ROLES = ("control", "broker", "entry")
 TIMEOUT_S = 20
+# Between two rounds over all addresses.
+PAUSE_S = 0.1
 
 
 class VmFleet(Fleet):
@@ -58,9 +61,10 @@
         addresses: The entries it was told of at first.
         refreshes: Whether it asks for the addresses again.
         plain: Whether it calls the plain service.
+        tokens: The length of its generations.
     """
 
-    def __init__(self, addresses, refreshes, plain=False):
+    def __init__(self, addresses, refreshes, plain=False, tokens=30):
         super().__init__()
         self.done = 0
         self.failures = []
@@ -68,6 +72,7 @@
         self._addresses = list(addresses)
         self._refreshes = refreshes
         self._plain = plain
+        self._tokens = tokens
         self._client = httpx.Client(headers=AUTHORIZATION, timeout=TIMEOUT_S)
 
     def run(self):
@@ -93,7 +98,12 @@
     def _request(self):
         """Tries the addresses in turn; only NOT_RUN is tried again."""
         refused = "no address"
-        for address in itertools.islice(itertools.cycle(self._addresses), 12):
+        end = time.monotonic() + TIMEOUT_S
+        for i, address in enumerate(itertools.cycle(self._addresses), 1):
+            if time.monotonic() > end:
+                return refused
+            if i % len(self._addresses) == 0:
+                time.sleep(PAUSE_S)
             try:
                 answer = self._send(address)
             except httpx.ConnectError:
@@ -104,21 +114,24 @@
                 refused = answer.text
                 continue
             return self._judge(answer)
-        return refused
+        raise AssertionError("the addresses never end")
 
     def _send(self, address):
         if self._plain:
             url = f"http://{address}/services/booking/slots"
             return self._client.post(url, json={})
-        body = {"model": "chat", "prompt": "len=30", "stream": True}
+        prompt = f"len={self._tokens}"
+        body = {"model": "chat", "prompt": prompt, "stream": True}
         return self._client.post(f"http://{address}/v1/completions", json=body)
 
     def _judge(self, answer):
         if self._plain:
             return "whole" if answer.is_success else answer.text
         blocks = answer.text.strip().split("\n\n")
-        is_whole = len(blocks) == 31 and blocks[-1] == "data: [DONE]"
-        return "whole" if is_whole else answer.text
+        is_whole = len(blocks) == self._tokens + 1
+        if is_whole and blocks[-1] == "data: [DONE]":
+            return "whole"
+        return f"{len(blocks)} blocks, the last {blocks[-1]}"
 
 
 class RollingRestartTest(GoldTestCase):
@@ -128,8 +141,9 @@
         lines = ["# A rolling restart of four VMs under load"]
         with VmFleet() as fleet:
             callers = [
-                Caller(fleet.entries, refreshes=True),
-                Caller(fleet.entries[::-1], refreshes=False),
+                Caller(fleet.entries, refreshes=True, tokens=200),
+                Caller(fleet.entries[::-1], refreshes=False, tokens=200),
+                Caller(fleet.entries[1:], refreshes=False),
                 Caller(fleet.entries, refreshes=True, plain=True),
                 Caller(fleet.entries[:2], refreshes=False, plain=True),
             ]
