--- /dev/null
+++ b/rhubarbwinch/callparams.py
@@ -0,0 +1,44 @@
+"""Checks the parameters of a generation request that are numbers."""
+
+from typing import Any
+
+import attrs
+
+from rhubarbwinch.httpapi import Refused
+from rhubarbwinch.verdict import Reason, not_run
+
+
+@attrs.frozen
+class _Range:
+    """The values of a parameter, both ends included."""
+
+    name: str
+    low: float
+    high: float
+
+
+_RANGES = (
+    # One generation answers one request, so there is one choice.
+    _Range("n", 1, 1),
+    _Range("temperature", 0, 2),
+    _Range("top_p", 0, 1),
+    _Range("frequency_penalty", -2, 2),
+    _Range("presence_penalty", -2, 2),
+)
+
+
+def check_parameters(data: dict[str, Any]) -> None:
+    """Checks the parameters that are there.
+
+    Raises:
+        Refused: One is not a number in its range.
+    """
+    for known in _RANGES:
+        value = data.get(known.name)
+        if value is None:
+            continue
+        number = type(value) in (int, float)
+        if not number or not known.low <= value <= known.high:
+            allowed = f"a number from {known.low} to {known.high}"
+            detail = f"{known.name}: {value!r}; allowed: {allowed}"
+            raise Refused(not_run(Reason.BAD_REQUEST, detail))
--- a/rhubarbwinch/daemon.py
+++ b/rhubarbwinch/daemon.py
@@ -5,10 +5,8 @@
 from collections.abc import Awaitable, Callable
 
 import anyio
-import attrs
 import hypercorn.asyncio
 from hypercorn.config import Config
-from hypercorn.typing import ASGIFramework
 
 from rhubarbwinch import events, identity, misc
 from rhubarbwinch.clock import Clock, SystemClock
@@ -17,13 +15,17 @@
 from rhubarbwinch.exceptions import StoreError
 from rhubarbwinch.follower import Follower
 from rhubarbwinch.gossip import Gossip
+from rhubarbwinch.httpapi import App
 from rhubarbwinch.leaving import LeavingVms
 from rhubarbwinch.links import Links, LinkServer
 from rhubarbwinch.members import Member, Members, MemberState, Role
 from rhubarbwinch.metrics import Metrics
+from rhubarbwinch.probes import Drain, Probes
 from rhubarbwinch.registration import Registration
 from rhubarbwinch.store import STORES, Store
 from rhubarbwinch.supervisor import Supervisor
+from rhubarbwinch.tls import TlsFiles
+from rhubarbwinch.tracedstore import TracedStore
 
 DRAIN_CHECK_MS = 20
 LEAVING_NOTICE_MS = 500
@@ -31,21 +33,6 @@
 MAX_HEADER_BYTES = 32 << 10
 
 
-@attrs.define
-class Drain:
-    """The state of a shutdown.
-
-    Attributes:
-        started: Set when the program must take no new work.
-        limit: Set when the longest wait for open requests is over.
-        open_count: Returns how many requests are still open.
-    """
-
-    started: bool = False
-    limit: anyio.Event = attrs.field(factory=anyio.Event)
-    open_count: Callable[[], int] = lambda: 0
-
-
 class Daemon:
     """One program: builds the parts and runs them under a supervisor.
 
@@ -68,8 +55,8 @@
         self.incarnation = identity.new_incarnation()
         self.metrics = Metrics(settings.statsd, role)
         make_store = STORES.get(settings.store_kind)
-        self.store = store or make_store(
-            settings.store, settings.store_timeout_ms
+        self.store: Store = TracedStore(
+            store or make_store(settings.store, settings.store_timeout_ms)
         )
         self.drain = Drain()
         self.links = Links(self.incarnation, settings.link_keys)
@@ -122,8 +109,9 @@
         """Adds a task to the supervisor tree; call it before `run`."""
         self._tree.add(name, run)
 
-    def serve_http(self, app: ASGIFramework) -> None:
-        """Adds the HTTP interface; call it before `run`."""
+    def serve_http(self, app: App, tls: TlsFiles | None = None) -> None:
+        """Adds the HTTP interface with the probes; call it before `run`."""
+        Probes(self.follower, self.drain).add_to(app)
         config = Config()
         config.bind = [self.settings.http]
         config.accesslog = None
@@ -131,6 +119,8 @@
         config.h11_max_incomplete_size = MAX_HEADER_BYTES
         config.graceful_timeout = self.settings.drain_ms / 1000
         config.keep_alive_timeout = 75
+        if tls is not None:
+            tls.use_in(config)
 
         async def run() -> None:
             await hypercorn.asyncio.serve(
--- a/rhubarbwinch/endpoints.py
+++ b/rhubarbwinch/endpoints.py
@@ -7,6 +7,7 @@
 import httpx
 import orjson
 
+from rhubarbwinch import tracing
 from rhubarbwinch.exceptions import EndpointError, GenerationLostError
 from rhubarbwinch.relay import EventStream
 from rhubarbwinch.sse import Splitter
@@ -53,7 +54,7 @@
             PRIORITY_HEADER: str(priority),
         }
         url = f"http://{address}{path}"
-        return self._stream("POST", url, body, headers)
+        return self._traced("POST", url, body, headers)
 
     def resume(
         self, address: str, generation: str, index: int
@@ -65,7 +66,7 @@
                 `GenerationLostError` if the engine does not know it.
         """
         url = f"http://{address}/v1/generations/{generation}?from={index}"
-        return self._stream("GET", url, b"", {})
+        return self._traced("GET", url, b"", {})
 
     async def cancel(self, address: str, generation: str) -> None:
         """Ends a generation; a failure to reach the engine is ignored."""
@@ -99,9 +100,10 @@
             EndpointError: No whole answer came.
         """
         try:
-            return await self._client.request(
-                method, url, content=body, headers=headers
-            )
+            with tracing.stream_span("endpoint", headers, url=url):
+                return await self._client.request(
+                    method, url, content=body, headers=headers
+                )
         except (httpx.ConnectError, httpx.ConnectTimeout) as error:
             raise EndpointError(f"{url}: {error!r}", sent=False) from error
         except httpx.HTTPError as error:
@@ -119,6 +121,14 @@
         except orjson.JSONDecodeError as error:
             raise EndpointError(f"{url}: {error}", sent=True) from error
 
+    @asynccontextmanager
+    async def _traced(
+        self, method: str, url: str, body: bytes, headers: dict[str, str]
+    ) -> AsyncIterator[EventStream]:
+        with tracing.stream_span("endpoint", headers, url=url):
+            async with self._stream(method, url, body, headers) as stream:
+                yield stream
+
     @asynccontextmanager
     async def _stream(
         self, method: str, url: str, body: bytes, headers: dict[str, str]
