Streams: golden sessions with real kills, and a transport of our own

- The engine stand-in shows faults (POST /faults); sessions with separate processes check order and counts; what happens to a generation whose caller left is checked under a manual clock.
- rhubarbwinch/transport.py: heads by h11, chunks by scanning, one timer for a connection, backpressure, reuse, errors that tell "nothing was sent" apart.
Bodies are asked for uncompressed, as events are read by bytes.

Seen to fail: without the ownership check, the grace, the expiry, the hand-over of the permit, the rule for streams without an event, or the call to the first entry, `python -m tests tests.test_streams` is red. The relay's rules behind the process sessions were seen to fail in tests.test_relay.

--- /dev/null
+++ b/lab/stream_client.py
@@ -0,0 +1,163 @@
+"""Callers for measuring the relay: many streams, each id checked.
+
+Prints one JSON line: tokens, seconds, errors, and percentiles in microseconds
+of the time from the source's write to the caller's read and of the time to
+the first token. The clock is the machine's own, so it fits both processes.
+"""
+
+import argparse
+import asyncio
+import re
+import sys
+import time
+from typing import cast
+
+import orjson
+import uvloop
+from hdrh.histogram import HdrHistogram
+
+_ID = re.compile(rb'id: [^\n]*:(\d+)\ndata: [^\n]*"t":(\d+)}\n\n')
+MAX_US = 60_000_000
+
+
+class Results:
+    """What all streams add up to."""
+
+    def __init__(self) -> None:
+        self.tokens = 0
+        self.reads = 0
+        self.errors = 0
+        self.delay_us = HdrHistogram(1, MAX_US, 3)
+        self.first_us = HdrHistogram(1, MAX_US, 3)
+
+
+class Caller(asyncio.Protocol):
+    """One stream.
+
+    Args:
+        request: The bytes of the request.
+        length: The tokens that must come.
+        results: Where the outcome is added.
+    """
+
+    def __init__(self, request: bytes, length: int, results: Results) -> None:
+        self._request = request
+        self._length = length
+        self._results = results
+        self._next = 0
+        self._rest = b""
+        self._head_seen = False
+        self._began = 0
+        self.done: asyncio.Future[None] = (
+            asyncio.get_running_loop().create_future()
+        )
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Sends the request."""
+        self._began = time.monotonic_ns()
+        self._transport = cast(asyncio.Transport, transport)
+        self._transport.write(self._request)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Counts a stream that was cut."""
+        if not self.done.done():
+            self._results.errors += 1
+            self.done.set_result(None)
+
+    def _fail(self, data: bytes) -> None:
+        """Counts a stream that ended in a failure, and closes it."""
+        sys.stderr.write(data.rpartition(b"\r\n\r\n")[2].decode()[:200] + "\n")
+        self._transport.close()
+
+    def data_received(self, data: bytes) -> None:
+        """Checks the events and their times."""
+        now = time.monotonic_ns()
+        results = self._results
+        results.reads += 1
+        data = self._rest + data
+        if not self._head_seen and b" 200 " not in data[:16]:
+            self._fail(data)
+            return
+        self._head_seen = True
+        if b"event: error" in data:
+            self._fail(data)
+            return
+        end = 0
+        for match in _ID.finditer(data):
+            if int(match[1]) != self._next:
+                results.errors += 1
+            if self._next == 0:
+                results.first_us.record_value((now - self._began) // 1000)
+            self._next += 1
+            results.tokens += 1
+            results.delay_us.record_value((now - int(match[2])) // 1000 + 1)
+            end = match.end()
+        self._rest = data[end:]
+        if b"data: [DONE]\n\n" in self._rest and not self.done.done():
+            results.errors += self._next != self._length
+            self.done.set_result(None)
+            self._transport.close()
+
+
+async def run(
+    address: str, streams: int, length: int, gap_ms: int, key: str
+) -> Results:
+    """Opens all streams at once and reads them to their ends."""
+    results = Results()
+    body = orjson.dumps(
+        {
+            "model": "chat",
+            "prompt": f"len={length} gap={gap_ms}",
+            "max_tokens": length,
+            "stream": True,
+        }
+    )
+    request = (
+        b"POST /v1/completions HTTP/1.1\r\nhost: x\r\n"
+        b"authorization: Bearer %b\r\ncontent-type: application/json\r\n"
+        b"content-length: %d\r\n\r\n%b" % (key.encode(), len(body), body)
+    )
+    host, _, port = address.rpartition(":")
+    loop = asyncio.get_running_loop()
+    callers = []
+    for number in range(streams):
+        _, caller = await loop.create_connection(
+            lambda: Caller(request, length, results), host, int(port)
+        )
+        callers.append(caller)
+        if gap_ms:
+            # Streams at an even offset, as independent callers have.
+            await asyncio.sleep(gap_ms / 1000 / streams)
+        elif number % 50 == 49:
+            await asyncio.sleep(0.005)
+    await asyncio.gather(*(caller.done for caller in callers))
+    return results
+
+
+def main() -> None:
+    """Runs the callers and prints their line."""
+    options = argparse.ArgumentParser(description="Callers")
+    options.add_argument("--address", required=True)
+    options.add_argument("--streams", type=int, required=True)
+    options.add_argument("--length", type=int, required=True)
+    options.add_argument("--gap-ms", type=int, required=True)
+    options.add_argument("--key", required=True)
+    found = options.parse_args()
+    began = time.monotonic()
+    results = uvloop.run(
+        run(found.address, found.streams, found.length, found.gap_ms, found.key)
+    )
+    line = {
+        "tokens": results.tokens,
+        "reads": results.reads,
+        "errors": results.errors,
+        "seconds": time.monotonic() - began,
+        "delay_p50_us": results.delay_us.get_value_at_percentile(50),
+        "delay_p95_us": results.delay_us.get_value_at_percentile(95),
+        "first_p95_us": results.first_us.get_value_at_percentile(95),
+    }
+    print(orjson.dumps(line).decode())
+
+
+if __name__ == "__main__":
+    main()
--- a/rhubarbwinch/endpoints.py
+++ b/rhubarbwinch/endpoints.py
@@ -10,6 +10,7 @@
 from rhubarbwinch.exceptions import EndpointError, GenerationLostError
 from rhubarbwinch.relay import EventStream
 from rhubarbwinch.sse import Splitter
+from rhubarbwinch.transport import Transport
 
 CONNECT_S = 1.0
 GENERATION_HEADER = "x-generation-id"
@@ -21,13 +22,18 @@
 
     Args:
         silence_ms: A call without a byte for so long fails.
+        transport: Carries the calls; `transport.Transport` by default.
     """
 
-    def __init__(self, silence_ms: int) -> None:
+    def __init__(
+        self,
+        silence_ms: int,
+        transport: httpx.AsyncBaseTransport | None = None,
+    ) -> None:
         silence = silence_ms / 1000
         self._client = httpx.AsyncClient(
             timeout=httpx.Timeout(silence, connect=CONNECT_S, pool=CONNECT_S),
-            limits=httpx.Limits(max_connections=None),
+            transport=transport or Transport(),
         )
 
     async def close(self) -> None:
@@ -124,6 +130,8 @@
         self, method: str, url: str, body: bytes, headers: dict[str, str]
     ) -> AsyncIterator[EventStream]:
         try:
+            # Tokens are passed on as bytes, so they must not be compressed.
+            headers = headers | {"accept-encoding": "identity"}
             async with self._client.stream(
                 method, url, content=body, headers=headers
             ) as response:
@@ -149,7 +157,9 @@
 
 async def _events(response: httpx.Response) -> EventStream:
     splitter = Splitter()
-    async for data in response.aiter_raw():
+    # The stream itself is read: `aiter_raw` adds layers to each token.
+    assert isinstance(response.stream, httpx.AsyncByteStream)
+    async for data in response.stream:
         arrived = splitter.feed(data)
         if arrived:
             yield arrived
--- /dev/null
+++ b/rhubarbwinch/httpbody.py
@@ -0,0 +1,122 @@
+"""Bodies of HTTP/1.1 answers, cut out of the bytes of a connection."""
+
+import re
+
+import h11
+
+MAX_LINE_BYTES = 4096
+# At most 6 digits, so a chunk has less than 16 MiB.
+_SIZE = re.compile(rb"([0-9A-Fa-f]{1,6})[ \t]*(?:;|$)")
+
+
+class Body:
+    """A body whose end is known by its length or by the connection's end.
+
+    Args:
+        length: The number of bytes; None if the connection's end ends it.
+    """
+
+    def __init__(self, length: int | None) -> None:
+        self._left = length
+        self.is_complete = length == 0
+        self.rest = b""
+
+    @property
+    def ends_with_connection(self) -> bool:
+        """Whether the end of the connection is the end of the body."""
+        return self._left is None
+
+    def feed(self, data: bytes) -> bytes:
+        """Returns the bytes of the body in `data`."""
+        if self._left is None:
+            return data
+        found, self.rest = data[: self._left], data[self._left :]
+        self._left -= len(found)
+        self.is_complete = self._left == 0
+        return found
+
+
+class ChunkedBody(Body):
+    """A body in chunks, each led by its length."""
+
+    def __init__(self) -> None:
+        super().__init__(-1)
+        # Bytes left of the chunk, its line end included; 0 between chunks.
+        self._chunk = 0
+        self._in_trailer = False
+
+    def feed(self, data: bytes) -> bytes:
+        """Returns the bytes of the body in `data`.
+
+        Raises:
+            ValueError: The chunks are not well formed.
+        """
+        data = self.rest + data if self.rest else data
+        parts: list[bytes] = []
+        at = 0
+        while at < len(data) and not self.is_complete:
+            if self._chunk:
+                end = at + self._chunk
+                if end > len(data):
+                    at = self._take_part(data, at, parts)
+                    break
+                parts.append(self._take_chunk(data, at, end))
+                at = end
+                continue
+            end = data.find(b"\r\n", at)
+            if end < 0:
+                _check_line(len(data) - at)
+                break
+            self._read_line(data[at:end])
+            at = end + 2
+        self.rest = data[at:]
+        return parts[0] if len(parts) == 1 else b"".join(parts)
+
+    def _take_chunk(self, data: bytes, at: int, end: int) -> bytes:
+        """Returns what is left of a chunk that ends in `data`."""
+        if data[end - 2 : end] != b"\r\n":
+            raise ValueError("a chunk without its line end")
+        self._chunk = 0
+        return data[at : end - 2]
+
+    def _take_part(self, data: bytes, at: int, parts: list[bytes]) -> int:
+        """Takes the start of a chunk; returns where its rest begins."""
+        # The last two bytes of a chunk are its line end, not content.
+        end = min(len(data), at + self._chunk - 2)
+        parts.append(data[at:end])
+        self._chunk -= end - at
+        return end
+
+    def _read_line(self, line: bytes) -> None:
+        """Reads the length of a chunk, or a line of the trailer."""
+        if self._in_trailer:
+            self.is_complete = not line
+            return
+        match = _SIZE.match(line)
+        if match is None:
+            raise ValueError(f"a chunk's length of {line!r}")
+        size = int(match[1], 16)
+        if size == 0:
+            self._in_trailer = True
+        else:
+            self._chunk = size + 2
+
+
+def _check_line(length: int) -> None:
+    if length > MAX_LINE_BYTES:
+        raise ValueError("a chunk's first line is too long")
+
+
+def make_body(method: bytes, head: h11.Response) -> Body:
+    """Returns the reader for the body that an answer's head announces.
+
+    Raises:
+        ValueError: The head is contradictory.
+    """
+    if method == b"HEAD" or head.status_code in (204, 304):
+        return Body(0)
+    found = dict(head.headers)
+    if found.get(b"transfer-encoding", b"").lower() == b"chunked":
+        return ChunkedBody()
+    length = found.get(b"content-length")
+    return Body(None if length is None else int(length))
--- /dev/null
+++ b/rhubarbwinch/transport.py
@@ -0,0 +1,365 @@
+"""An httpx transport whose cost for each read of a long stream is small.
+
+The heads of requests and answers are left to `h11`. What comes many times a
+stream, the chunks of its body, is cut by scanning, without a timer, a lock or
+an event object for each read. It speaks HTTP/1.1 over TCP without TLS.
+"""
+
+import asyncio
+from collections import deque
+from collections.abc import AsyncIterator
+
+import h11
+import httpx
+
+from rhubarbwinch.httpbody import Body, make_body
+
+MAX_HEAD_BYTES = 64 << 10
+# Reading stops while so much waits for the caller, and goes on below.
+MAX_WAITING_BYTES = 256 << 10
+MAX_IDLE_CONNECTIONS = 1024
+IDLE_S = 20.0
+
+
+class _Timer:
+    """Fails a wait for bytes; made again only when it has fired early.
+
+    Moving a deadline costs a comparison, where a new timer for each read
+    costs more than the read.
+    """
+
+    def __init__(self, connection: "Connection") -> None:
+        self._connection = connection
+        self._loop = asyncio.get_running_loop()
+        self._handle: asyncio.TimerHandle | None = None
+        self._deadline = 0.0
+
+    def start(self, seconds: float | None) -> None:
+        """Sets the deadline of the wait that begins."""
+        if seconds is None:
+            self._deadline = 0.0
+            return
+        self._deadline = self._loop.time() + seconds
+        if self._handle is None:
+            self._handle = self._loop.call_at(self._deadline, self._fire)
+
+    def stop(self) -> None:
+        """Ends the wait."""
+        self._deadline = 0.0
+
+    def close(self) -> None:
+        """Drops the timer."""
+        if self._handle is not None:
+            self._handle.cancel()
+            self._handle = None
+
+    def _fire(self) -> None:
+        self._handle = None
+        if not self._deadline:
+            return
+        if self._loop.time() < self._deadline:
+            self._handle = self._loop.call_at(self._deadline, self._fire)
+            return
+        self._connection.fail(httpx.ReadTimeout("no byte came in time"))
+
+
+class Connection(asyncio.Protocol):
+    """One connection to an endpoint, for one request at a time."""
+
+    def __init__(self) -> None:
+        self._loop = asyncio.get_running_loop()
+        self._transport: asyncio.Transport
+        self._http = h11.Connection(
+            h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES
+        )
+        self._method = b""
+        self._head: h11.Response | None = None
+        self._body: Body | None = None
+        self._arrived: deque[bytes] = deque()
+        self._waiting_bytes = 0
+        self._is_paused = False
+        self._error: httpx.TransportError | None = None
+        self._wakeup: asyncio.Future[None] | None = None
+        self._can_write: asyncio.Future[None] | None = None
+        self._timer = _Timer(self)
+        self.is_open = False
+        self.is_used = False
+        self.idle_since = 0.0
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Keeps the transport."""
+        self._transport = transport  # type: ignore[assignment]
+        self.is_open = True
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Ends a body that has no length; fails what is waited for."""
+        self.is_open = False
+        self._timer.close()
+        if self._body is not None and self._body.ends_with_connection:
+            self._body.is_complete = True
+            self._wake()
+        else:
+            self.fail(httpx.ReadError(f"the connection was closed: {exc}"))
+        if self._can_write is not None and not self._can_write.done():
+            self._can_write.set_result(None)
+
+    def pause_writing(self) -> None:
+        """Makes the sender wait."""
+        self._can_write = self._loop.create_future()
+
+    def resume_writing(self) -> None:
+        """Lets the sender go on."""
+        if self._can_write is not None and not self._can_write.done():
+            self._can_write.set_result(None)
+        self._can_write = None
+
+    def data_received(self, data: bytes) -> None:
+        """Takes bytes of the answer."""
+        try:
+            if self._head is None:
+                data = self._read_head(data)
+            if self._body is not None and data:
+                self._take(self._body.feed(data))
+            elif data and not self.is_used:
+                # An endpoint has nothing to say before it is asked.
+                self.abort()
+        except (h11.RemoteProtocolError, ValueError) as error:
+            self.fail(httpx.RemoteProtocolError(str(error)))
+        self._wake()
+
+    def fail(self, error: httpx.TransportError) -> None:
+        """Ends the request with an error; the connection is of no more use."""
+        if self._error is None:
+            self._error = error
+        self._wake()
+        self.abort()
+
+    def abort(self) -> None:
+        """Closes the connection at once."""
+        self._timer.close()
+        self.is_open = False
+        self._transport.abort()
+
+    async def exchange(
+        self, request: httpx.Request, timeout_s: float | None
+    ) -> h11.Response:
+        """Sends a request and returns the head of its answer.
+
+        Raises:
+            httpx.TransportError: It failed; bytes may have been sent.
+        """
+        self.is_used = True
+        self._error = None
+        target = request.url.raw_path
+        method = self._method = request.method.encode()
+        head = h11.Request(
+            method=method, target=target, headers=request.headers.raw
+        )
+        await self._send(self._http.send(head))
+        assert isinstance(request.stream, httpx.AsyncByteStream)
+        async for data in request.stream:
+            if data:
+                await self._send(self._http.send(h11.Data(data)))
+        await self._send(self._http.send(h11.EndOfMessage()))
+        while self._head is None:
+            await self._wait(timeout_s)
+        return self._head
+
+    async def body(self, timeout_s: float | None) -> AsyncIterator[bytes]:
+        """Yields the body as it comes; all that has come in one piece.
+
+        Raises:
+            httpx.TransportError: The body was cut, garbled or silent.
+        """
+        body = self._body
+        assert body is not None
+        while True:
+            if self._arrived:
+                yield self._pop()
+            elif body.is_complete:
+                return
+            else:
+                await self._wait(timeout_s)
+
+    def reset(self) -> bool:
+        """Prepares for the next request; False if there can't be one."""
+        body, self._body = self._body, None
+        head, self._head = self._head, None
+        is_whole = body is not None and body.is_complete and not self._arrived
+        if not self.is_open or not is_whole or head is None:
+            return False
+        if body is not None and (body.rest or body.ends_with_connection):
+            return False
+        options = dict(head.headers).get(b"connection", b"").lower()
+        if b"close" in options or head.http_version < b"1.1":
+            return False
+        self._http = h11.Connection(
+            h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES
+        )
+        self._timer.stop()
+        self.is_used = False
+        self.idle_since = self._loop.time()
+        return True
+
+    async def _send(self, data: bytes | None) -> None:
+        if not data:
+            return
+        self._transport.write(data)
+        if self._can_write is not None:
+            await self._can_write
+        if self._error is not None and self._head is None:
+            raise self._error
+
+    def _read_head(self, data: bytes) -> bytes:
+        """Reads the answer's head; returns the bytes of the body."""
+        self._http.receive_data(data)
+        event = self._http.next_event()
+        while isinstance(event, h11.InformationalResponse):
+            event = self._http.next_event()
+        if not isinstance(event, h11.Response):
+            return b""
+        self._head = event
+        self._body = make_body(self._method, event)
+        return self._http.trailing_data[0]
+
+    def _take(self, data: bytes) -> None:
+        if not data:
+            return
+        self._arrived.append(data)
+        self._waiting_bytes += len(data)
+        if self._waiting_bytes > MAX_WAITING_BYTES and not self._is_paused:
+            self._is_paused = True
+            self._transport.pause_reading()
+
+    def _pop(self) -> bytes:
+        """Returns all bytes that wait."""
+        arrived = self._arrived
+        data = arrived[0] if len(arrived) == 1 else b"".join(arrived)
+        arrived.clear()
+        self._waiting_bytes = 0
+        if self._is_paused and self.is_open:
+            self._is_paused = False
+            self._transport.resume_reading()
+        return data
+
+    async def _wait(self, timeout_s: float | None) -> None:
+        if self._error is not None:
+            raise self._error
+        self._wakeup = self._loop.create_future()
+        self._timer.start(timeout_s)
+        try:
+            await self._wakeup
+        finally:
+            self._wakeup = None
+            self._timer.stop()
+
+    def _wake(self) -> None:
+        if self._wakeup is not None and not self._wakeup.done():
+            self._wakeup.set_result(None)
+
+
+class _Stream(httpx.AsyncByteStream):
+    """The body of an answer; returns its connection when it is closed."""
+
+    def __init__(
+        self,
+        transport: "Transport",
+        key: str,
+        connection: Connection,
+        timeout_s: float | None,
+    ) -> None:
+        self._transport = transport
+        self._key = key
+        self._connection = connection
+        self._timeout_s = timeout_s
+
+    def __aiter__(self) -> AsyncIterator[bytes]:
+        return self._connection.body(self._timeout_s)
+
+    async def aclose(self) -> None:
+        """Returns the connection, or closes it in the middle of a body."""
+        self._transport.give_back(self._key, self._connection)
+
+
+class Transport(httpx.AsyncBaseTransport):
+    """Keeps connections to endpoints and sends requests over them."""
+
+    def __init__(self) -> None:
+        self._idle: dict[str, deque[Connection]] = {}
+        self._idle_count = 0
+
+    async def handle_async_request(
+        self, request: httpx.Request
+    ) -> httpx.Response:
+        """Sends a request; the body of the answer is read as it comes.
+
+        Raises:
+            httpx.ConnectError: There is no connection; nothing was sent.
+            httpx.ConnectTimeout: None came in time; nothing was sent.
+            httpx.TransportError: It failed later; bytes may have been sent.
+        """
+        if request.url.scheme != "http":
+            raise httpx.UnsupportedProtocol("only http:// is supported")
+        timeouts = request.extensions.get("timeout", {})
+        read_s = timeouts.get("read")
+        host, port = request.url.host, request.url.port or 80
+        key = f"{host}:{port}"
+        connection = self._take_idle(key)
+        if connection is None:
+            connection = await _connect(host, port, timeouts.get("connect"))
+        try:
+            head = await connection.exchange(request, read_s)
+        except BaseException:
+            connection.abort()
+            raise
+        return httpx.Response(
+            head.status_code,
+            headers=list(head.headers.raw_items()),
+            stream=_Stream(self, key, connection, read_s),
+        )
+
+    async def aclose(self) -> None:
+        """Closes the idle connections."""
+        for connections in self._idle.values():
+            for connection in connections:
+                connection.abort()
+        self._idle.clear()
+        self._idle_count = 0
+
+    def give_back(self, key: str, connection: Connection) -> None:
+        """Takes a connection back whose answer has been read or given up."""
+        if self._idle_count >= MAX_IDLE_CONNECTIONS or not connection.reset():
+            connection.abort()
+            return
+        self._idle.setdefault(key, deque()).append(connection)
+        self._idle_count += 1
+
+    def _take_idle(self, key: str) -> Connection | None:
+        """Returns the connection used last that is still good."""
+        connections = self._idle.get(key, ())
+        now = asyncio.get_running_loop().time()
+        while connections:
+            connection = connections.pop()  # type: ignore[union-attr]
+            self._idle_count -= 1
+            if connection.is_open and now - connection.idle_since < IDLE_S:
+                return connection
+            connection.abort()
+        return None
+
+
+async def _connect(host: str, port: int, timeout_s: float | None) -> Connection:
+    """Returns a new connection.
+
+    Raises:
+        httpx.ConnectError: The endpoint can't be reached.
+        httpx.ConnectTimeout: It was not reached in time.
+    """
+    loop = asyncio.get_running_loop()
+    try:
+        async with asyncio.timeout(timeout_s):
+            _, connection = await loop.create_connection(Connection, host, port)
+    except TimeoutError as error:
+        raise httpx.ConnectTimeout(f"{host}:{port}") from error
+    except OSError as error:
+        raise httpx.ConnectError(f"{host}:{port}: {error}") from error
+    return connection
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -2,6 +2,7 @@
 
 import orjson
 
+from rhubarbwinch.accepted import make_snapshot
 from rhubarbwinch.apikeys import hash_key
 from rhubarbwinch.messages import PermitRequest
 from rhubarbwinch.records import Record
@@ -71,3 +72,8 @@
     choice = {"index": 0, "text": f"t{index} ", "finish_reason": finish}
     data = orjson.dumps({"choices": [choice]})
     return b"id: %s:%d\ndata: %s\n\n" % (generation.encode(), index, data)
+
+
+def snapshot(*items, generation=1):
+    """Returns a configuration of some records."""
+    return make_snapshot(generation, items)
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -70,6 +70,10 @@
             stderr=None if os.environ.get("SHOW_LOGS") else subprocess.DEVNULL,
         )
 
+    def pid(self, name):
+        """Returns a process's id."""
+        return self._running[name].pid
+
     def signal(self, name, number):
         """Sends a signal to a process."""
         self._running[name].send_signal(number)
--- /dev/null
+++ b/tests/test_generate.py
@@ -0,0 +1,194 @@
+"""Streams through separate processes, with real kills and pauses."""
+
+import json
+import signal
+
+import httpx
+
+from tests.fleet import AUTHORIZATION, Fleet
+from tests.helpers import GoldTestCase, wait_until
+
+LENGTH = 60
+SOME = 10
+MANY = 8
+
+
+class Reading:
+    """A caller's reading of one stream, over several connections.
+
+    Args:
+        fleet: The deployment.
+        entry: The index of the entry to ask first.
+        length: The tokens to ask for.
+    """
+
+    def __init__(self, fleet, entry=0, length=LENGTH):
+        self.indexes = []
+        self.tokens = []
+        self.tags = set()
+        self.last_id = ""
+        self.end = "cut"
+        self.lines = []
+        self._fleet = fleet
+        self._entry = entry
+        self._prompt = f"len={length}"
+        self._context = None
+
+    def open(self):
+        """Connects, to resume if something has been read."""
+        headers = dict(AUTHORIZATION)
+        body = {"model": "chat", "prompt": self._prompt, "stream": True}
+        if self.last_id:
+            headers["Last-Event-ID"] = self.last_id
+            body = {}
+        url = f"http://{self._fleet.entries[self._entry]}/v1/completions"
+        self._client = httpx.Client(timeout=20)
+        self._context = self._client.stream(
+            "POST", url, json=body, headers=headers
+        )
+        response = self._context.__enter__()
+        self._events = _split(response)
+        return self
+
+    def move(self, entry):
+        """Resumes at another entry."""
+        self._client.close()
+        self._entry = entry
+        return self.open()
+
+    def read(self, count=None):
+        """Reads a number of events, or all."""
+        try:
+            for event in self._events:
+                self._take(event)
+                if len(self.indexes) == count:
+                    break
+        except httpx.TransportError:
+            self.end = "cut"
+        return self
+
+    def _take(self, event):
+        if event == "data: [DONE]":
+            self.end = "done"
+        elif event.startswith("event: error"):
+            problem = json.loads(event.partition("data: ")[2])
+            kind = problem["type"].rpartition(":")[2]
+            self.end = f"error {kind}, verdict {problem['verdict']}"
+        else:
+            head, data = event.split("\n")
+            self.last_id = head.removeprefix("id: ")
+            text = json.loads(data.removeprefix("data: "))["choices"][0]["text"]
+            tag, number = text.strip().split(".")
+            self.tags.add(tag)
+            self.tokens.append(int(number))
+            self.indexes.append(int(self.last_id.rpartition(":")[2]))
+
+    @property
+    def engine(self):
+        """The name of the engine that runs the stream."""
+        return self.last_id.rpartition(":")[0].partition("~")[2]
+
+    def describe(self, title, length=LENGTH):
+        """Returns the reading as text that is the same in each run."""
+        expected = list(range(len(self.tokens)))
+        in_order = self.tokens == expected and self.indexes == expected
+        count = "all" if len(self.tokens) == length else "some"
+        if not self.tokens:
+            count = "none"
+        return (
+            f"# {title}\ntokens {count}, "
+            f"{'once and in order' if in_order else self.indexes}, "
+            f"generations {len(self.tags)}, end {self.end}\n"
+        )
+
+
+def _split(response):
+    """Yields the events of a response."""
+    rest = ""
+    for text in response.iter_text():
+        *events, rest = (rest + text).split("\n\n")
+        yield from events
+
+
+class GenerateTest(GoldTestCase):
+    """Callers' whole sessions against a deployment that loses parts."""
+
+    def test_streams_that_lose_their_link_or_engine_match_the_gold(self):
+        text = ""
+        with Fleet(entries=1, engines=2, speed=4) as fleet:
+            for fault in (
+                "duplicate_at",
+                "gap_at",
+                "cut_at",
+                "done_at",
+                "freeze_at",
+                "foreign_at",
+            ):
+                _set_faults(fleet, {fault: SOME})
+                text += Reading(fleet).open().read().describe(fault)
+                _set_faults(fleet, {fault: None})
+            url = f"http://{fleet.engines[0]}/faults"
+            httpx.post(url, json={"refuse": 3})
+            text += _describe_many("one engine refuses with 503", fleet)
+            text += _describe_logs(fleet)
+            text += self._lose_engines(fleet)
+        self.assert_gold("streams_engines", text)
+
+    def _lose_engines(self, fleet):
+        """Kills the engine of a stream, then asks while one is gone."""
+        reading = Reading(fleet, length=4000).open().read(SOME)
+        fleet.kill(reading.engine)
+        reading.read()
+        text = reading.describe("engine killed after the first token", 4000)
+        return text + _describe_many("engine gone before the start", fleet)
+
+    def test_streams_that_lose_their_entry_or_broker_match_the_gold(self):
+        length = 300
+        with Fleet(entries=2, engines=2, speed=2) as fleet:
+            moved = Reading(fleet, 0, length).open().read(SOME)
+            moved.move(1).read()
+            text = moved.describe("the caller moves to another entry", length)
+            frozen = Reading(fleet, 1, length).open().read(SOME)
+            fleet.signal("broker-0", signal.SIGSTOP)
+            frozen.read()
+            fleet.signal("broker-0", signal.SIGCONT)
+            text += frozen.describe("broker frozen", length)
+            fleet.wait_ready(fleet.entries[0])
+            killed = Reading(fleet, 0, length).open().read(SOME)
+            lost = Reading(fleet, 1, length).open().read(SOME)
+            fleet.kill("broker-0")
+            killed.read()
+            text += killed.describe("broker killed", length)
+            fleet.kill("entry-1")
+            lost.read()
+            lost.move(0).read()
+            text += lost.describe("broker and entry killed", length)
+        self.assert_gold("streams_entries", text)
+
+
+def _set_faults(fleet, faults):
+    for address in fleet.engines:
+        httpx.post(f"http://{address}/faults", json=faults)
+
+
+def _describe_many(title, fleet):
+    """Returns how many of some requests were answered whole."""
+    whole = 0
+    for _ in range(MANY):
+        whole += Reading(fleet).open().read().end == "done"
+    return f"# {title}\nwhole {whole} of {MANY}\n"
+
+
+def _describe_logs(fleet):
+    """Returns how many generations of a fault session the engines ran."""
+
+    def count():
+        logs = [httpx.get(f"http://{a}/log").json() for a in fleet.engines]
+        wanted = [
+            line for log in logs for line in log if line.get("tokens") == LENGTH
+        ]
+        return len(wanted)
+
+    # Six faults and the requests that an engine refused at first.
+    wait_until(lambda: count() >= 6 + MANY, "the engines' logs")
+    return f"# the engines' logs\ngenerations started {count()}\n"
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -11,7 +11,7 @@
 from rhubarbwinch import codec
 from rhubarbwinch.exceptions import LinkError, LinkTimeout, PeerFailed
 from rhubarbwinch.links import Links, LinkServer
-from rhubarbwinch.members import Member, Members, Role
+from rhubarbwinch.members import Member, MemberNews, Members, Role
 from rhubarbwinch.messages import (
     PermitGrant,
     PermitRelease,
@@ -64,7 +64,7 @@
     member = Member("broker-1", Role.BROKER, "dc-a", "r", 2, address, "")
     me = Member("entry-1", Role.ENTRY, "dc-a", "r", 1, "127.0.0.1:1", "")
     members = Members(me)
-    members.replace([member])
+    members.hear(MemberNews(member))
     return members
 
 
--- /dev/null
+++ b/tests/test_streams.py
@@ -0,0 +1,170 @@
+"""Generations whose caller went away; clock, engine and links are fakes."""
+
+from contextlib import asynccontextmanager
+
+import anyio
+
+from rhubarbwinch.clock import ManualClock
+from rhubarbwinch.exceptions import LinkTimeout
+from rhubarbwinch.members import Member, MemberNews, Members, Role
+from rhubarbwinch.messages import PermitGrant, PriorityChange, StreamEnd
+from rhubarbwinch.permits import Permit
+from rhubarbwinch.relay import Position
+from rhubarbwinch.streams import OpenStreams
+from rhubarbwinch.takeover import Takeover
+from tests import builders
+from tests.helpers import GoldTestCase, asynchronous
+
+GRACE_MS = 1000
+GENERATION = "1-1-tag~engine-0"
+
+
+class Journal:
+    """Stands for the engines and the brokers; notes what they are told."""
+
+    def __init__(self, name):
+        self.lines = []
+        self._name = name
+
+    def note(self, text):
+        self.lines.append(f"{self._name}: {text}")
+
+    async def cancel(self, address, generation):
+        self.note(f"engine ends {generation}")
+
+    async def set_priority(self, address, generation, priority):
+        self.note(f"engine gives {generation} priority {priority}")
+
+    async def give_back(self, permit, end, tokens):
+        self.note(f"permit back, {end}, {tokens} tokens")
+
+    def drop(self, permit):
+        self.note("permit handed over")
+
+
+class FakeLinks:
+    """Calls the entry whose streams are given; None does not answer."""
+
+    def __init__(self, holder):
+        self._holder = holder
+
+    async def call(self, address, message, answer, timeout_ms):
+        if self._holder is None:
+            raise LinkTimeout("silent")
+        return await self._holder.take_for_peer(message)
+
+
+class Side:
+    """One entry's streams."""
+
+    def __init__(self, name, clock, incarnation):
+        self.journal = Journal(name)
+        self.streams = OpenStreams(self.journal, self.journal, clock, GRACE_MS)
+        self.member = Member(
+            name, Role.ENTRY, "dc-a", "r", incarnation, "127.0.0.1:1", ""
+        )
+
+    def open(self, passed=5):
+        """Returns a stream that has passed some tokens on."""
+        grant = PermitGrant("1-1-tag", "engine-0", "127.0.0.1:2")
+        permit = Permit(builders.permit_request("1-1-tag"), grant)
+        position = Position(GENERATION, next_index=passed, passed=passed)
+        return self.streams.add(permit, position)
+
+    def takeover(self, other, answers=True):
+        """Returns what takes streams over from the other entry."""
+        members = Members(self.member)
+        members.hear(MemberNews(other.member))
+        links = FakeLinks(other.streams if answers else None)
+        return Takeover(self.streams, links, members, 100)
+
+
+@asynccontextmanager
+async def _two_sides():
+    clock = ManualClock()
+    first, second = Side("entry-1", clock, 1), Side("entry-2", clock, 2)
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(first.streams.run)
+        tasks.start_soon(second.streams.run)
+        await anyio.wait_all_tasks_blocked()
+        yield clock, first, second
+        tasks.cancel_scope.cancel()
+
+
+def _snapshot():
+    endpoint = builders.endpoint("engine-0", "127.0.0.1:2")
+    return builders.snapshot(builders.pool("vintner", [endpoint]))
+
+
+class StreamsTest(GoldTestCase):
+    """What becomes of a generation, in several sessions."""
+
+    @asynchronous
+    async def test_each_way_a_caller_can_go_ends_as_in_the_gold(self):
+        text = ""
+        for title, session in (
+            ("the answer is whole", self._finish),
+            ("the engine is lost", self._lose_engine),
+            ("the caller stays away", self._stay_away),
+            ("the caller goes before the first token", self._go_early),
+            ("the caller comes back to the same entry", self._come_back),
+            ("the caller goes to another entry", self._move),
+            ("it moves before its first entry notices", self._move_early),
+            ("it moves, its first entry does not answer", self._move_alone),
+            ("a broker changes the priority", self._change_priority),
+        ):
+            async with _two_sides() as (clock, first, second):
+                await session(clock, first, second)
+                await clock.advance(3 * GRACE_MS)
+                lines = first.journal.lines + second.journal.lines
+                waiting = first.streams.waiting + second.streams.waiting
+            text += "\n".join([f"# {title}", *lines, f"kept {waiting}"]) + "\n"
+        self.assert_gold("streams_left", text)
+
+    async def _finish(self, clock, first, second):
+        await first.streams.close(first.open(), StreamEnd.FINISHED)
+
+    async def _lose_engine(self, clock, first, second):
+        await first.streams.close(first.open(), StreamEnd.ENDPOINT_LOST)
+
+    async def _stay_away(self, clock, first, second):
+        await first.streams.leave(first.open())
+        await clock.advance(GRACE_MS - 100)
+        first.journal.note("still kept")
+
+    async def _go_early(self, clock, first, second):
+        await first.streams.leave(first.open(passed=0))
+
+    async def _come_back(self, clock, first, second):
+        old = first.open()
+        await first.streams.leave(old)
+        takeover = first.takeover(second)
+        await takeover.take(GENERATION, _snapshot())
+        again = first.open(passed=9)
+        await clock.advance(2 * GRACE_MS)
+        await first.streams.close(old, StreamEnd.CANCELLED)
+        first.journal.note("the new reading ends")
+        await first.streams.close(again, StreamEnd.FINISHED)
+
+    async def _move(self, clock, first, second):
+        await first.streams.leave(first.open())
+        permit = await second.takeover(first).take(GENERATION, _snapshot())
+        request, grant = permit.request, permit.grant
+        second.journal.note(f"holds {request.request_id} as {request.entry}")
+        second.journal.note(f"reads at {grant.endpoint} {grant.address}")
+
+    async def _move_early(self, clock, first, second):
+        stream = first.open()
+        await second.takeover(first).take(GENERATION, _snapshot())
+        await first.streams.leave(stream)
+
+    async def _move_alone(self, clock, first, second):
+        takeover = second.takeover(first, answers=False)
+        permit = await takeover.take(GENERATION, _snapshot())
+        second.journal.note(f"permit {permit}")
+
+    async def _change_priority(self, clock, first, second):
+        first.open()
+        for name in ("1-1-tag", "other"):
+            change = PriorityChange(name, "engine-0", 7)
+            await first.streams.change_priority(change)
--- /dev/null
+++ b/tests/test_transport.py
@@ -0,0 +1,206 @@
+"""The transport against a server that plays scripted bytes."""
+
+import asyncio
+import unittest
+
+import h11
+import httpx
+
+from rhubarbwinch.httpbody import make_body
+from rhubarbwinch.transport import MAX_WAITING_BYTES, Transport
+from tests.helpers import asynchronous, free_address
+
+CHUNKED = b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n"
+TWO_CHUNKS = b"5;x=1\r\nhello\r\n6\r\n world\r\n0\r\ntrailer: 1\r\n\r\n"
+SIZED = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok"
+
+
+class Script:
+    """A server that answers the n-th request by the n-th list of parts.
+
+    A part is bytes, or an event to wait for; None closes the connection.
+    """
+
+    def __init__(self, *answers):
+        self.answers = list(answers)
+        self.connections = 0
+        self.requests = []
+        self.sent = 0
+
+    async def __aenter__(self):
+        self.address = free_address()
+        host, port = self.address.split(":")
+        self._server = await asyncio.start_server(self._serve, host, int(port))
+        self.client = httpx.AsyncClient(transport=Transport(), timeout=20)
+        self.url = f"http://{self.address}/"
+        return self
+
+    async def __aexit__(self, *_):
+        await self.client.aclose()
+        self._server.close()
+
+    async def _serve(self, reader, writer):
+        self.connections += 1
+        try:
+            while True:
+                head = await reader.readuntil(b"\r\n\r\n")
+                lines = head.decode().lower().split("\r\n")
+                sizes = [x for x in lines if x.startswith("content-length")]
+                size = int(sizes[0].split(":")[1]) if sizes else 0
+                body = await reader.readexactly(size)
+                self.requests.append(f"{lines[0]} {body.decode()}".strip())
+                for part in self.answers.pop(0):
+                    if part is None:
+                        return
+                    if isinstance(part, asyncio.Event):
+                        await part.wait()
+                        continue
+                    writer.write(part)
+                    await writer.drain()
+                    self.sent += len(part)
+        except (
+            asyncio.IncompleteReadError,
+            asyncio.CancelledError,
+            ConnectionError,
+        ):
+            # The client or the test is done.
+            return
+        finally:
+            writer.close()
+
+
+class TransportTest(unittest.TestCase):
+    """What callers of httpx expect of a transport."""
+
+    @asynchronous
+    async def test_whole_answers_share_a_connection(self):
+        async with Script(
+            [CHUNKED + TWO_CHUNKS], [SIZED], [CHUNKED, TWO_CHUNKS]
+        ) as server:
+            texts = []
+            for i in range(3):
+                answer = await server.client.post(server.url, content=f"b{i}")
+                texts.append(answer.text)
+        self.assertEqual(texts, ["hello world", "ok", "hello world"])
+        self.assertEqual(server.connections, 1)
+        self.assertEqual(
+            server.requests, [f"post / http/1.1 b{i}" for i in range(3)]
+        )
+
+    def test_a_body_is_the_same_wherever_reads_cut_it(self):
+        head = h11.Response(
+            status_code=200, headers=[("transfer-encoding", "chunked")]
+        )
+        for first in range(len(TWO_CHUNKS)):
+            for second in range(first, len(TWO_CHUNKS)):
+                body = make_body(b"GET", head)
+                found = body.feed(TWO_CHUNKS[:first])
+                found += body.feed(TWO_CHUNKS[first:second])
+                self.assertFalse(body.is_complete)
+                found += body.feed(TWO_CHUNKS[second:])
+                self.assertEqual(found, b"hello world")
+                self.assertTrue(body.is_complete)
+
+    def test_malformed_chunks_are_refused(self):
+        head = h11.Response(
+            status_code=200, headers=[("transfer-encoding", "chunked")]
+        )
+        for data in (
+            b"-1\r\n",
+            b"0x5\r\nhello\r\n",
+            b"1_0\r\n",
+            b"fffffff\r\n",
+            b"\r\n",
+            b"5\r\nhelloXX",
+            b"1" * 5000,
+        ):
+            with self.assertRaises(ValueError, msg=data[:8]):
+                make_body(b"GET", head).feed(data)
+
+    @asynchronous
+    async def test_a_connection_is_not_used_again_after_a_fault(self):
+        cases = [
+            [CHUNKED + b"5\r\nhel", None],
+            [b"HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\nshort", None],
+            [CHUNKED + b"zz\r\n"],
+            [b"no HTTP at all\r\n\r\n"],
+            [b"HTTP/1.1 200 OK\r\nx: " + b"y" * (1 << 20)],
+            [None],
+        ]
+        for steps in cases:
+            async with Script(steps, [SIZED]) as server:
+                with self.assertRaises(
+                    httpx.TransportError, msg=steps
+                ) as caught:
+                    await server.client.get(server.url)
+                self.assertNotIsInstance(caught.exception, httpx.ConnectError)
+                self.assertEqual(
+                    (await server.client.get(server.url)).text, "ok"
+                )
+            self.assertEqual(server.connections, 2)
+
+    @asynchronous
+    async def test_more_bytes_than_announced_end_the_connection(self):
+        async with Script([SIZED + b"extra"], [SIZED]) as server:
+            for _ in range(2):
+                self.assertEqual(
+                    (await server.client.get(server.url)).text, "ok"
+                )
+        self.assertEqual(server.connections, 2)
+
+    @asynchronous
+    async def test_the_end_of_the_connection_can_end_a_body(self):
+        head = b"HTTP/1.1 200 OK\r\n\r\n"
+        async with Script([head + b"all", b" of it", None]) as server:
+            answer = await server.client.get(server.url)
+        self.assertEqual(answer.text, "all of it")
+
+    @asynchronous
+    async def test_silence_before_or_within_an_answer_is_a_timeout(self):
+        never = asyncio.Event()
+        for steps in ([never], [CHUNKED + b"5\r\nhello\r\n", never]):
+            async with Script(steps) as server:
+                with self.assertRaises(httpx.ReadTimeout):
+                    await server.client.get(server.url, timeout=0.05)
+                never.set()
+
+    @asynchronous
+    async def test_without_a_connection_nothing_was_sent(self):
+        client = httpx.AsyncClient(transport=Transport())
+        with self.assertRaises(httpx.ConnectError):
+            await client.get(f"http://{free_address()}/")
+        await client.aclose()
+
+    @asynchronous
+    async def test_a_cancelled_reader_closes_its_connection(self):
+        async with Script([CHUNKED + b"5\r\nhello\r\n", asyncio.Event()]) as (
+            server
+        ):
+            server.answers[0].insert(1, b"1\r\nx\r\n")
+            async with server.client.stream("GET", server.url) as answer:
+                async for _ in answer.aiter_raw():
+                    break
+            # The connection is gone although the body had not ended.
+            self.assertEqual(server.client._transport._idle_count, 0)
+
+    @asynchronous
+    async def test_a_slow_reader_holds_the_sender_back(self):
+        size = 64 << 10
+        chunk = b"%x\r\n%b\r\n" % (size, b"z" * size)
+        count = 1000
+        steps = [CHUNKED, *[chunk] * count, b"0\r\n\r\n"]
+        async with Script(steps) as server:
+            async with server.client.stream("GET", server.url) as answer:
+                body = answer.stream.__aiter__()
+                total = len(await anext(body))
+                before = -1
+                while server.sent != before:
+                    before = server.sent
+                    await asyncio.sleep(0.05)
+                self.assertLess(server.sent, count * size)
+                most = len(await anext(body))
+                total += most
+                async for data in body:
+                    total += len(data)
+        self.assertEqual(total, count * size)
+        self.assertLess(most, MAX_WAITING_BYTES + 8 * size)
