--- a/rhubarbwinch/broker.py
+++ b/rhubarbwinch/broker.py
@@ -6,14 +6,21 @@
 import anyio
 import attrs
 
-from rhubarbwinch import metrics
+from rhubarbwinch import metrics, tracing
 from rhubarbwinch.accepted import Snapshot
-from rhubarbwinch.admission import Admission, Decision, LoadReport
+from rhubarbwinch.admission import (
+    Admission,
+    Decision,
+    EntryChange,
+    LoadReport,
+    Options,
+)
 from rhubarbwinch.clock import Clock
 from rhubarbwinch.config import BrokerSettings
 from rhubarbwinch.daemon import Daemon
 from rhubarbwinch.endpoints import EndpointClient
-from rhubarbwinch.exceptions import EndpointError
+from rhubarbwinch.exceptions import EndpointError, LinkError
+from rhubarbwinch.httpapi import App
 from rhubarbwinch.members import Role
 from rhubarbwinch.messages import (
     PermitRelease,
@@ -30,6 +37,7 @@
 
 TICK_MS = 20
 LOAD_SILENCE_MS = 1000
+MAX_BODY_BYTES = 64 << 10
 
 
 @attrs.define
@@ -48,6 +56,7 @@
         rng: Breaks ties.
         counters: Where permits and refusals are counted.
         ownership: Tells of pools that came from another broker.
+        options: Which decisions the pools make.
     """
 
     def __init__(
@@ -56,10 +65,12 @@
         rng: random.Random,
         counters: metrics.Metrics,
         ownership: Ownership | None = None,
+        options: Options | None = None,
     ) -> None:
         self._clock = clock
         self._rng = rng
         self._metrics = counters
+        self._options = options or Options()
         self._ownership = ownership
         self._pools: dict[str, Admission] = {}
         self._specs: dict[str, PoolSpec] = {}
@@ -84,9 +95,15 @@
             self._ownership.set_pools(snapshot.pools)
         for name, spec in snapshot.pools.items():
             if name in self._pools:
-                self._pools[name].configure(spec)
+                self._pools[name].configure(spec, snapshot.accounts)
             else:
-                self._pools[name] = Admission(spec, self._clock, self._rng)
+                self._pools[name] = Admission(
+                    spec,
+                    self._clock,
+                    self._rng,
+                    snapshot.accounts,
+                    self._options,
+                )
         for name in self._pools.keys() - snapshot.pools.keys():
             del self._pools[name]
         self.mark_leaving(self._find_leaving)
@@ -129,12 +146,16 @@
         if pool in self._pools:
             self._pools[pool].report_load(report)
 
-    def tick(self) -> None:
-        """Decides what the passing of time decides."""
+    def tick(self) -> list[EntryChange]:
+        """Decides what time decides; returns changes to send to entries."""
+        changes = []
         for pool in self._pools.values():
             self._spread(pool.decide())
+            changes += pool.take_priority_changes()
         queued = sum(pool.queued for pool in self._pools.values())
         self._metrics.gauge(metrics.QUEUED, queued)
+        self._metrics.count(metrics.YIELDS, len(changes))
+        return changes
 
     def _spread(self, decisions: list[Decision]) -> None:
         for decision in decisions:
@@ -163,6 +184,7 @@
             random.Random(self._daemon.incarnation),
             self._daemon.metrics,
             Ownership(self._daemon.members, self._daemon.clock),
+            Options(placement=settings.placement),
         )
 
     async def run(self) -> None:
@@ -172,21 +194,37 @@
         daemon.leaving.on_change(self._mark_leaving)
         self._mark_leaving()
         daemon.drain.open_count = lambda: self._keeper.waiting
-        daemon.server.on(PermitRequest, self._keeper.answer)
+        daemon.server.on(PermitRequest, self._answer)
         daemon.server.on(PermitRelease, self._keeper.release)
         daemon.server.on(ProgressReport, self._keeper.report_progress)
+        daemon.serve_http(App(MAX_BODY_BYTES))
         daemon.add("tick", self._tick)
         daemon.add("load", self._read_loads)
         await daemon.run()
         await self._endpoints.close()
 
+    async def _answer(self, request: PermitRequest) -> PermitReply:
+        with tracing.span("queue", request.traceparent, pool=request.pool):
+            return await self._keeper.answer(request)
+
     def _mark_leaving(self) -> None:
         self._keeper.mark_leaving(self._daemon.leaving.endpoints_of)
 
     async def _tick(self) -> None:
         while True:
             await self._daemon.clock.sleep(TICK_MS)
-            self._keeper.tick()
+            for change in self._keeper.tick():
+                await self._send_change(change)
+
+    async def _send_change(self, change: EntryChange) -> None:
+        for entry in self._daemon.members.serving(Role.ENTRY):
+            if entry.name != change.entry:
+                continue
+            try:
+                await self._daemon.links.send(entry.link, change.message)
+            except LinkError:
+                # Without the change the engine chooses its own victim.
+                return
 
     async def _read_loads(self) -> None:
         while True:
--- a/rhubarbwinch/cmdline.py
+++ b/rhubarbwinch/cmdline.py
@@ -1,19 +1,16 @@
-"""The command lines of all programs."""
+"""The command lines of the daemons."""
 
-import enum
 import os
 import sys
 from collections.abc import Callable
-from typing import Annotated, Any
+from typing import Any
 
 # libuv is told before it is loaded; io_uring is not allowed on our VMs.
 os.environ["UV_USE_IO_URING"] = "0"
 
 import anyio
-import attrs
-import cappa
 
-from rhubarbwinch import audit, ctl, etcdstore, events
+from rhubarbwinch import events, options, tracing
 from rhubarbwinch.broker import Broker
 from rhubarbwinch.config import (
     BrokerSettings,
@@ -22,26 +19,27 @@
     Settings,
 )
 from rhubarbwinch.control import Control
-from rhubarbwinch.ctl import ExitStatus, Output
+from rhubarbwinch.ctl import ExitStatus
 from rhubarbwinch.entry import Entry
-from rhubarbwinch.exceptions import (
-    ConflictError,
-    RecordError,
-    RestartLimitError,
-    SettingError,
-    StoreError,
+from rhubarbwinch.exceptions import RestartLimitError
+
+_SETTINGS_HELP = (
+    " Each setting is a flag and an environment variable; the flag wins. Give "
+    "secrets by the environment. Exit status: 0 ended as asked, 1 failed, 2 "
+    "bad setting. docs/settings.md has every setting."
 )
-from rhubarbwinch.store import Store
-from rhubarbwinch.version import VERSION
+ENTRY_HELP = "Serves callers over HTTP." + _SETTINGS_HELP
+BROKER_HELP = "Grants permits for the pools that it owns." + _SETTINGS_HELP
+CONTROL_HELP = "Accepts operators' records." + _SETTINGS_HELP
 
 
 def _run_daemon(
-    name: str, kind: type[Any], build: Callable[[Any], Any]
+    name: str, kind: type[Any], build: Callable[[Any], Any], text: str
 ) -> None:
     """Parses the settings, runs a daemon and exits with its status."""
-    command = cappa.command(kind, name=name)
-    settings: Settings = cappa.parse(command, version=VERSION, completion=False)
+    settings: Settings = options.parse_settings(kind, name, text)
     events.configure(settings.log_format, settings.log_level, settings.name)
+    tracing.configure(settings.traces, settings.name, settings.trace_percent)
 
     async def run() -> None:
         await build(settings).run()
@@ -51,151 +49,23 @@
     except RestartLimitError as error:
         events.RESTART_LIMIT.log(error=str(error))
         sys.exit(ExitStatus.FAILED)
+    except Exception as error:
+        events.FATAL.log(error=repr(error))
+        sys.exit(ExitStatus.FAILED)
+    finally:
+        tracing.close()
 
 
 def entry_main() -> None:
     """Runs `rhubarbwinch-entry`."""
-    _run_daemon("rhubarbwinch-entry", EntrySettings, Entry)
+    _run_daemon("rhubarbwinch-entry", EntrySettings, Entry, ENTRY_HELP)
 
 
 def broker_main() -> None:
     """Runs `rhubarbwinch-broker`."""
-    _run_daemon("rhubarbwinch-broker", BrokerSettings, Broker)
+    _run_daemon("rhubarbwinch-broker", BrokerSettings, Broker, BROKER_HELP)
 
 
 def control_main() -> None:
     """Runs `rhubarbwinch-control`."""
-    _run_daemon("rhubarbwinch-control", ControlSettings, Control)
-
-
-@cappa.command(name="validate", help="Check record files.")
-@attrs.define
-class Validate:
-    """Checks record files."""
-
-    files: Annotated[list[str], cappa.Arg(help="TOML or JSON files")]
-
-
-@cappa.command(name="apply", help="Write record files to the store.")
-@attrs.define
-class Apply:
-    """Writes record files to the store."""
-
-    files: Annotated[list[str], cappa.Arg(help="TOML or JSON files")]
-
-
-@cappa.command(name="list", help="List records.")
-@attrs.define
-class ListRecords:
-    """Lists records."""
-
-    kind: Annotated[str, cappa.Arg(help="Only this kind")] = ""
-
-
-@cappa.command(name="status", help="Show members and the generation.")
-@attrs.define
-class ShowStatus:
-    """Shows members and the generation."""
-
-
-class Listed(enum.StrEnum):
-    """What the audit lists."""
-
-    CALLS = "calls"
-    TOKENS = "tokens"
-
-
-@cappa.command(name="audit", help="List the paid actions of a period.")
-@attrs.define
-class Audit:
-    """Lists the paid actions of a period."""
-
-    listed: Annotated[Listed, cappa.Arg(help="calls or tokens")]
-    start: Annotated[
-        str, cappa.Arg(long="--from", help="Whole hour, UTC: 2026-12-03T14")
-    ]
-    end: Annotated[
-        str, cappa.Arg(long="--to", help="Whole hour, not in the period")
-    ]
-
-
-@attrs.define(kw_only=True)
-class Ctl:
-    """The operators' command line."""
-
-    command: cappa.Subcommands[
-        Validate | Apply | ListRecords | ShowStatus | Audit
-    ]
-    store: Annotated[
-        str,
-        cappa.Arg(
-            long=True,
-            default=cappa.Env("RHUBARBWINCH_STORE", default="127.0.0.1:2379"),
-            help="Address of the store",
-        ),
-    ] = "127.0.0.1:2379"
-    output: Annotated[Output, cappa.Arg(long=True, help="table or json")] = (
-        Output.TABLE
-    )
-
-
-def ctl_main() -> None:
-    """Runs `rhubarbwinchctl`."""
-    options = cappa.parse(
-        cappa.command(Ctl, name="rhubarbwinchctl"),
-        version=VERSION,
-        completion=False,
-    )
-    try:
-        anyio.run(_run_ctl, options)
-    except RecordError as error:
-        _fail(error, ExitStatus.INVALID)
-    except ConflictError as error:
-        _fail(error, ExitStatus.CONFLICT)
-    except SettingError as error:
-        _fail(error, ExitStatus.USAGE)
-    except StoreError as error:
-        _fail(error, ExitStatus.STORE)
-
-
-def _fail(error: Exception, status: ExitStatus) -> None:
-    sys.stderr.write(f"rhubarbwinchctl: {error}\n")
-    sys.exit(status)
-
-
-async def _run_ctl(options: Ctl) -> None:
-    store = etcdstore.EtcdStore(options.store, 2000)
-    try:
-        match options.command:
-            case Validate(files):
-                found = ctl.read_records(files)
-                ctl.print_rows(_rows(found), options.output)
-            case Apply(files):
-                found = await ctl.apply(store, ctl.read_records(files))
-                ctl.print_rows(_rows(found), options.output)
-            case ListRecords(kind):
-                found = await ctl.list_records(store, kind)
-                ctl.print_rows(_rows(found), options.output)
-            case ShowStatus():
-                status = await ctl.read_status(store)
-                rows = [attrs.asdict(m) for m in status.members]
-                rows = [row | {"accepted": status.generation} for row in rows]
-                ctl.print_rows(rows, options.output)
-            case Audit(listed, start, end):
-                rows = await _audit(store, listed, start, end)
-                ctl.print_rows(rows, options.output)
-    finally:
-        await store.close()
-
-
-async def _audit(
-    store: Store, listed: Listed, start: str, end: str
-) -> list[dict[str, Any]]:
-    period = audit.parse_period(start, end)
-    if listed is Listed.CALLS:
-        return [attrs.asdict(c) for c in await audit.list_calls(store, period)]
-    return [attrs.asdict(t) for t in await audit.list_tokens(store, period)]
-
-
-def _rows(found: list[Any]) -> list[dict[str, Any]]:
-    return [{"kind": r.kind, "name": r.name, "schema": r.schema} for r in found]
+    _run_daemon("rhubarbwinch-control", ControlSettings, Control, CONTROL_HELP)
--- a/rhubarbwinch/httpapi.py
+++ b/rhubarbwinch/httpapi.py
@@ -10,6 +10,8 @@
 from rhubarbwinch import events, problems
 from rhubarbwinch.verdict import Failure, Reason, Verdict, not_run
 
+BODY_TIMEOUT_MS = 30_000
+
 Headers = list[tuple[bytes, bytes]]
 
 
@@ -125,15 +127,19 @@
 
     Args:
         max_body_bytes: A longer body is refused.
+        body_timeout_ms: A body that takes longer is refused.
 
     Attributes:
         is_closing: Returns whether the program takes no new work; then each
             answer ends its connection, and none is left idle at the end.
     """
 
-    def __init__(self, max_body_bytes: int) -> None:
+    def __init__(
+        self, max_body_bytes: int, body_timeout_ms: int = BODY_TIMEOUT_MS
+    ) -> None:
         self.is_closing: Callable[[], bool] = lambda: False
         self._max_body_bytes = max_body_bytes
+        self._body_timeout_ms = body_timeout_ms
         self._routes: list[Route] = []
 
     def route(self, method: str, prefix: str, handle: Handler) -> None:
@@ -154,7 +160,7 @@
             return
         responder = Responder(send, self.is_closing())
         try:
-            request = await self._read(scope, receive)
+            request = await self._read_in_time(scope, receive)
             handle = self._find(request)
             await _until_gone(handle, request, responder, receive)
         except Refused as refused:
@@ -166,6 +172,14 @@
             )
             await responder.problem(failure)
 
+    async def _read_in_time(
+        self, scope: Any, receive: ASGIReceiveCallable
+    ) -> Request:
+        with anyio.move_on_after(self._body_timeout_ms / 1000):
+            return await self._read(scope, receive)
+        detail = f"the body took over {self._body_timeout_ms} ms"
+        raise Refused(not_run(Reason.TOO_SLOW, detail))
+
     async def _read(self, scope: Any, receive: ASGIReceiveCallable) -> Request:
         body = bytearray()
         more = True
--- a/rhubarbwinch/links.py
+++ b/rhubarbwinch/links.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import hmac
 import itertools
 import struct
 from collections.abc import Awaitable, Callable
@@ -28,6 +29,7 @@
 T = TypeVar("T")
 
 _HEADER = struct.Struct("!HQQ")
+_ZAP_ADDRESS = "inproc://zeromq.zap.01"
 _MAX_QUEUED = 10_000
 _MAX_MESSAGE_BYTES = 4 << 20
 _MAX_HANDLING = 20_000
@@ -108,6 +110,8 @@
         finally:
             socket.close()
             if authenticator is not None:
+                # A closed socket frees its address late; a restart needs it.
+                authenticator.zap_socket.unbind(_ZAP_ADDRESS)
                 authenticator.stop()
 
     async def _answer(
@@ -185,8 +189,11 @@
         self._public = public.encode()
 
     def callback(self, domain: str, key: bytes) -> bool:
-        """Tells whether a peer's public key may connect."""
-        return zmq.utils.z85.encode(key) == self._public
+        """Tells whether a peer's public key, in Z85, may connect."""
+        known = hmac.compare_digest(key, self._public)
+        if not known:
+            events.PEER_REFUSED.log(error="a peer with another key")
+        return known
 
 
 class Links:
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -134,6 +134,7 @@
 
     async def _go_early(self, clock, first, second):
         await first.streams.leave(first.open(passed=0))
+        first.journal.note("without a wait")
 
     async def _come_back(self, clock, first, second):
         old = first.open()
