Pages made from the code, every fault of a record, tests of rhubarbwinchctl

Found by the tests: adding a key to an account wrote the old bytes back, as a converted record kept the bytes that it was read from; it no longer does. Ruled out: taking every fault from cattrs, whose class rules run only when all types are right.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 BIN = $(VENV)/bin
 READY = $(VENV)/.ready
 
-.PHONY: demo test check format bench bench-relay capacity clean
+.PHONY: docs demo test check format bench bench-relay capacity clean
 
 $(READY): requirements.txt
 	$(PYTHON) -m venv $(VENV)
@@ -26,6 +26,9 @@
 	$(BIN)/ruff format .
 	$(BIN)/ruff check --fix .
 
+docs: $(READY)
+	$(BIN)/python -m lab.catalogue
+
 bench: $(READY)
 	$(BIN)/python -m lab.bench
 
--- a/rhubarbwinch/ctlcommands.py
+++ b/rhubarbwinch/ctlcommands.py
@@ -49,7 +49,7 @@
 class ListRecords:
     """Lists records."""
 
-    kind: Annotated[str, cappa.Arg(help="Only this kind")] = ""
+    kind: Annotated[str, cappa.Arg(default="", help="Only this kind")] = ""
 
 
 @cappa.command(name="keys", help="Make a key pair for links.")
--- a/rhubarbwinch/options.py
+++ b/rhubarbwinch/options.py
@@ -41,8 +41,9 @@
     if found := _NO_VALUE.fullmatch(message):
         name = found[1].lower().replace("_", "-")
         known = settingtypes.info(name)
-        allowed = known.allowed if known else "a value"
-        return f"setting {_label(name)}: no value; allowed: {allowed}"
+        if known is None:
+            return f"argument {name}: no value"
+        return f"setting {_label(name)}: no value; allowed: {known.allowed}"
     if found := _UNKNOWN.fullmatch(message):
         return f"setting {found[1]}: unknown; allowed: those in --help"
     return message
--- a/rhubarbwinch/records.py
+++ b/rhubarbwinch/records.py
@@ -5,7 +5,6 @@
 newer schema is kept as it is and not used. docs/records.md lists the fields.
 """
 
-import re
 from collections.abc import Callable, Iterator
 from typing import Any
 
@@ -18,201 +17,49 @@
     IterableValidationError,
 )
 
-from rhubarbwinch import misc
 from rhubarbwinch.exceptions import RecordError
 from rhubarbwinch.registry import Registry
+from rhubarbwinch.specs import (
+    KINDS,
+    NAME_ALLOWED,
+    AccountSpec,
+    EndpointSpec,
+    FieldError,
+    KeyHash,
+    ModelSpec,
+    PoolSpec,
+    Room,
+    ServiceSpec,
+    VmSpec,
+    is_name,
+)
+
+__all__ = [
+    "CONVERTERS",
+    "CURRENT_SCHEMA",
+    "KINDS",
+    "MAX_RECORD_BYTES",
+    "AccountSpec",
+    "EndpointSpec",
+    "KeyHash",
+    "ModelSpec",
+    "PoolSpec",
+    "Record",
+    "Room",
+    "ServiceSpec",
+    "VmSpec",
+    "check",
+    "errors",
+    "parse",
+    "upgrade",
+]
 
 JSON = dict[str, Any]
 
 CURRENT_SCHEMA = 2
 MAX_RECORD_BYTES = 256 << 10
-_NAME = re.compile(r"^[a-z0-9][a-z0-9.-]{0,62}$")
-_HOUR_MS = 3_600_000
-
-
-class _FieldError(ValueError):
-    """A field has a value that is not allowed."""
-
-    def __init__(self, field: str, value: object, allowed: str) -> None:
-        super().__init__(f"{field}: {value!r}; allowed: {allowed}")
-        self.field = field
-        self.value = value
-        self.allowed = allowed
-
-
-Validator = Callable[[Any, "attrs.Attribute[Any]", Any], None]
-
-
-def _between(low: float, high: float) -> Validator:
-    def check(_: Any, field: "attrs.Attribute[Any]", value: Any) -> None:
-        if not low <= value <= high:
-            raise _FieldError(field.name, value, f"{low} to {high}")
-
-    return check
-
-
-def _one_of(*names: str) -> Validator:
-    def check(_: Any, field: "attrs.Attribute[Any]", value: Any) -> None:
-        if value not in names:
-            raise _FieldError(field.name, value, ", ".join(names))
-
-    return check
-
-
-def _is_name(_: Any, field: "attrs.Attribute[Any]", value: Any) -> None:
-    if not _NAME.match(value):
-        allowed = "1 to 63 of a-z, 0-9, dot and dash"
-        raise _FieldError(field.name, value, allowed)
-
-
-def _is_address(_: Any, field: "attrs.Attribute[Any]", value: Any) -> None:
-    try:
-        misc.split_address(value)
-    except ValueError:
-        raise _FieldError(field.name, value, "IP number:port") from None
-
-
-@attrs.frozen
-class ModelSpec:
-    """A model that engines can load.
-
-    Attributes:
-        context_tokens: Prompt and output together are at most this long.
-        versions: The versions that may be in use side by side.
-        adapters: Names of adapters that can be loaded on top.
-    """
-
-    context_tokens: int = attrs.field(
-        default=32_768, validator=_between(16, 10_000_000)
-    )
-    versions: list[str] = attrs.field(factory=lambda: ["1"])
-    adapters: list[str] = attrs.field(factory=list)
-
-
-@attrs.frozen
-class EndpointSpec:
-    """An endpoint of a pool.
-
-    Attributes:
-        name: Unique among all endpoints.
-        address: `a.b.c.d:port`.
-        checks_fencing: Whether it refuses orders with an old fencing number.
-        role: What an engine does: `mixed`, `prefill` or `decode`.
-    """
-
-    name: str = attrs.field(validator=_is_name)
-    address: str = attrs.field(validator=_is_address)
-    checks_fencing: bool = True
-    role: str = attrs.field(
-        default="mixed", validator=_one_of("mixed", "prefill", "decode")
-    )
-
-
-@attrs.frozen
-class PoolSpec:
-    """The endpoints of one model or plain service in one data centre.
-
-    Attributes:
-        target: The model's or plain service's name.
-        data_center: Where the endpoints are.
-        endpoints: The endpoints, at most 64.
-        max_running: Requests that an endpoint runs at once.
-    """
-
-    target: str = attrs.field(validator=_is_name)
-    data_center: str = attrs.field(validator=_is_name)
-    endpoints: list[EndpointSpec] = attrs.field(factory=list)
-    max_running: int = attrs.field(default=64, validator=_between(1, 4096))
 
 
-@attrs.frozen
-class KeyHash:
-    """A salted SHA-256 of an API key, both in hexadecimal."""
-
-    salt: str
-    digest: str
-
-
-@attrs.frozen
-class Room:
-    """How much an account may have in flight.
-
-    Attributes:
-        requests: Requests at once.
-        tokens: Prompt and expected output tokens at once.
-    """
-
-    requests: int = attrs.field(default=256, validator=_between(0, 1_000_000))
-    tokens: int = attrs.field(default=1_000_000, validator=_between(0, 10**12))
-
-
-@attrs.frozen
-class AccountSpec:
-    """A client account.
-
-    Attributes:
-        keys: Hashes of its API keys.
-        services: The services that it may call.
-        weight: Its share when engines are crowded.
-        room: What it may have in flight.
-        requests_per_second: The rate of new requests; 0 is no limit.
-    """
-
-    keys: list[KeyHash] = attrs.field(factory=list)
-    services: list[str] = attrs.field(factory=list)
-    weight: float = attrs.field(default=1.0, validator=_between(0.01, 1000))
-    room: Room = attrs.field(factory=Room)
-    requests_per_second: float = attrs.field(
-        default=0.0, validator=_between(0, 1_000_000)
-    )
-
-
-@attrs.frozen
-class ServiceSpec:
-    """A name that callers use: a model with its settings, or plain calls.
-
-    Attributes:
-        kind: `generate` for a model, `plain` for other calls.
-        target: The model or the plain service's pools.
-        version: The model version.
-        adapter: The adapter's name, or empty.
-        interactive: Whether a person waits for the first token.
-        wait_ms: The longest wait in the queue.
-        not_repeatable: `METHOD /path` of calls that run at most once.
-        retention_ms: How long an idempotency key is kept.
-    """
-
-    kind: str = attrs.field(validator=_one_of("generate", "plain"))
-    target: str = attrs.field(validator=_is_name)
-    version: str = "1"
-    adapter: str = ""
-    interactive: bool = True
-    wait_ms: int = attrs.field(default=2_000, validator=_between(0, 600_000))
-    not_repeatable: list[str] = attrs.field(factory=list)
-    retention_ms: int = attrs.field(
-        default=24 * _HOUR_MS, validator=_between(60_000, 90 * 24 * _HOUR_MS)
-    )
-
-
-@attrs.frozen
-class VmSpec:
-    """A VM, named by its IP number.
-
-    Attributes:
-        leaving: Whether it gets no new work.
-    """
-
-    leaving: bool = True
-
-
-KINDS: dict[str, type] = {
-    "model": ModelSpec,
-    "pool": PoolSpec,
-    "account": AccountSpec,
-    "service": ServiceSpec,
-    "vm": VmSpec,
-}
-
 # Converts the spec of `kind/schema` to the next schema.
 CONVERTERS: Registry[Callable[[JSON], JSON]] = Registry("record conversion")
 
@@ -326,9 +173,8 @@
     is_newer = type(schema) is int and schema > CURRENT_SCHEMA
     if kind not in KINDS and not (is_newer and isinstance(kind, str)):
         raise RecordError(where, "kind", kind, ", ".join(KINDS))
-    if not isinstance(name, str) or not _NAME.match(name):
-        allowed = "1 to 63 of a-z, 0-9, dot and dash"
-        raise RecordError(where, "name", name, allowed)
+    if not isinstance(name, str) or not is_name(name):
+        raise RecordError(where, "name", name, NAME_ALLOWED)
     if type(schema) is not int or schema < 1:
         raise RecordError(where, "schema", schema, "a whole number from 1")
     if not isinstance(spec, dict):
@@ -350,10 +196,11 @@
     try:
         return _converter.structure(spec, KINDS[record.kind])
     except Exception as error:
-        found = next(_faults(error, ""))
-        raise RecordError(
-            record.key, found.field, found.value, found.allowed
-        ) from None
+        found = errors(record)
+        if not found:
+            allowed = "another form"
+            found = [RecordError(record.key, "-", str(error), allowed)]
+        raise found[0] from None
 
 
 def errors(record: Record) -> list[RecordError]:
@@ -361,14 +208,35 @@
     if record.is_newer:
         allowed = f"1 to {CURRENT_SCHEMA}"
         return [RecordError(record.key, "schema", record.schema, allowed)]
+    return [
+        RecordError(record.key, found.field, found.value, found.allowed)
+        for found in _spec_faults(upgrade(record).spec, KINDS[record.kind])
+    ]
+
+
+def _spec_faults(spec: JSON, kind: Any) -> Iterator[FieldError]:
+    """Yields the faults of each field, in the order of the class."""
+    fields = attrs.fields(kind)
+    for field in fields:
+        if field.name in spec:
+            yield from _field_faults(spec[field.name], field)
+        elif field.default is attrs.NOTHING:
+            yield FieldError(field.name, "missing", "required")
+    for extra in sorted(spec.keys() - {field.name for field in fields}):
+        yield FieldError(extra, "present", "no such field")
+
+
+def _field_faults(value: Any, field: Any) -> Iterator[FieldError]:
     try:
-        _converter.structure(upgrade(record).spec, KINDS[record.kind])
+        made = _converter.structure(value, field.type)
     except Exception as error:
-        return [
-            RecordError(record.key, found.field, found.value, found.allowed)
-            for found in _faults(error, "")
-        ]
-    return []
+        yield from _faults(error, field.name)
+        return
+    try:
+        if field.validator is not None:
+            field.validator(None, field, made)
+    except FieldError as error:
+        yield error
 
 
 def upgrade(record: Record) -> Record:
@@ -376,13 +244,13 @@
     spec = record.spec
     for schema in range(record.schema, CURRENT_SCHEMA):
         spec = CONVERTERS.get(f"{record.kind}/{schema}")(spec)
-    return attrs.evolve(record, schema=CURRENT_SCHEMA, spec=spec)
+    return Record(record.kind, record.name, CURRENT_SCHEMA, spec)
 
 
 def _strict(kind: type) -> Callable[[Any, Any], Any]:
     def structure(value: Any, _: Any) -> Any:
         if type(value) is not kind:
-            raise _FieldError("", value, f"a {kind.__name__}")
+            raise FieldError("", value, f"a {kind.__name__}")
         return value
 
     return structure
@@ -390,7 +258,7 @@
 
 def _float(value: Any, _: Any) -> float:
     if type(value) not in (int, float):
-        raise _FieldError("", value, "a number")
+        raise FieldError("", value, "a number")
     return float(value)
 
 
@@ -405,7 +273,7 @@
 _converter = _make_converter()
 
 
-def _faults(error: BaseException, path: str) -> Iterator[_FieldError]:
+def _faults(error: BaseException, path: str) -> Iterator[FieldError]:
     """Yields the faults in cattrs's tree, each with its whole path."""
     if isinstance(error, ClassValidationError | IterableValidationError):
         noted, plain = error.group_exceptions()
@@ -417,15 +285,18 @@
     elif isinstance(error, ExceptionGroup):
         for inner in error.exceptions:
             yield from _faults(inner, path)
-    elif isinstance(error, _FieldError):
+    elif isinstance(error, FieldError):
         field = f"{path}.{error.field}".strip(".")
-        yield _FieldError(field, error.value, error.allowed)
+        yield FieldError(field, error.value, error.allowed)
     elif isinstance(error, ForbiddenExtraKeysError):
         for extra in sorted(error.extra_fields):
             field = f"{path}.{extra}".strip(".")
-            yield _FieldError(field, "present", "no such field")
+            yield FieldError(field, "present", "no such field")
     elif isinstance(error, KeyError):
-        field = f"{path}.{error.args[0]}".strip(".")
-        yield _FieldError(field, "missing", "required")
+        missing = str(error.args[0])
+        # cattrs has noted the field of a nested class already.
+        noted_already = path.rpartition(".")[2] == missing
+        field = path if noted_already else f"{path}.{missing}"
+        yield FieldError(field, "missing", "required")
     else:
-        yield _FieldError(path or "-", str(error), "another form")
+        yield FieldError(path or "-", str(error), "another form")
--- /dev/null
+++ b/rhubarbwinch/specs.py
@@ -0,0 +1,223 @@
+"""The fields of records, as attrs classes with their rules."""
+
+import re
+from collections.abc import Callable
+from typing import Any
+
+import attrs
+
+from rhubarbwinch import misc
+
+MAX_ENDPOINTS = 64
+_NAME = re.compile(r"^[a-z0-9][a-z0-9.-]{0,62}$")
+_HOUR_MS = 3_600_000
+
+
+class FieldError(ValueError):
+    """A field has a value that is not allowed."""
+
+    def __init__(self, field: str, value: object, allowed: str) -> None:
+        super().__init__(f"{field}: {value!r}; allowed: {allowed}")
+        self.field = field
+        self.value = value
+        self.allowed = allowed
+
+
+@attrs.frozen
+class _Rule:
+    """A validator of a field that can say what it allows.
+
+    Attributes:
+        allowed: What is allowed, in words.
+        accepts: Tells whether a value is.
+    """
+
+    allowed: str
+    accepts: Callable[[Any], bool]
+
+    def __call__(
+        self, _: Any, field: "attrs.Attribute[Any]", value: Any
+    ) -> None:
+        """Raises a FieldError for a value that is not allowed."""
+        if not self.accepts(value):
+            raise FieldError(field.name, value, self.allowed)
+
+
+def _between(low: float, high: float) -> _Rule:
+    return _Rule(f"{low} to {high}", lambda value: low <= value <= high)
+
+
+def _one_of(*names: str) -> _Rule:
+    return _Rule(", ".join(names), lambda value: value in names)
+
+
+def _at_most(count: int) -> _Rule:
+    return _Rule(f"at most {count}", lambda value: len(value) <= count)
+
+
+def is_name(value: Any) -> bool:
+    """Tells whether a value may name a record."""
+    return isinstance(value, str) and bool(_NAME.match(value))
+
+
+def _is_address(value: str) -> bool:
+    try:
+        misc.split_address(value)
+    except ValueError:
+        return False
+    return True
+
+
+NAME_ALLOWED = "1 to 63 of a-z, 0-9, dot and dash"
+_is_name = _Rule(NAME_ALLOWED, is_name)
+_address = _Rule("IP number:port", _is_address)
+
+
+@attrs.frozen
+class ModelSpec:
+    """A model that engines can load.
+
+    Attributes:
+        context_tokens: Prompt and output together are at most this long.
+        versions: The versions that may be in use side by side.
+        adapters: Names of adapters that can be loaded on top.
+    """
+
+    context_tokens: int = attrs.field(
+        default=32_768, validator=_between(16, 10_000_000)
+    )
+    versions: list[str] = attrs.field(factory=lambda: ["1"])
+    adapters: list[str] = attrs.field(factory=list)
+
+
+@attrs.frozen
+class EndpointSpec:
+    """An endpoint of a pool.
+
+    Attributes:
+        name: Unique among all endpoints.
+        address: `a.b.c.d:port`.
+        checks_fencing: Whether it refuses orders with an old fencing number.
+        role: What an engine does: `mixed`, `prefill` or `decode`.
+    """
+
+    name: str = attrs.field(validator=_is_name)
+    address: str = attrs.field(validator=_address)
+    checks_fencing: bool = True
+    role: str = attrs.field(
+        default="mixed", validator=_one_of("mixed", "prefill", "decode")
+    )
+
+
+@attrs.frozen
+class PoolSpec:
+    """The endpoints of one model or plain service in one data centre.
+
+    Attributes:
+        target: The model's or plain service's name.
+        data_center: Where the endpoints are.
+        endpoints: The endpoints, at most 64.
+        max_running: Requests that an endpoint runs at once.
+    """
+
+    target: str = attrs.field(validator=_is_name)
+    data_center: str = attrs.field(validator=_is_name)
+    endpoints: list[EndpointSpec] = attrs.field(
+        factory=list, validator=_at_most(MAX_ENDPOINTS)
+    )
+    max_running: int = attrs.field(default=64, validator=_between(1, 4096))
+
+
+@attrs.frozen
+class KeyHash:
+    """A salted SHA-256 of an API key, both in hexadecimal."""
+
+    salt: str
+    digest: str
+
+
+@attrs.frozen
+class Room:
+    """How much an account may have in flight.
+
+    Attributes:
+        requests: Requests at once.
+        tokens: Prompt and expected output tokens at once.
+    """
+
+    requests: int = attrs.field(default=256, validator=_between(0, 1_000_000))
+    tokens: int = attrs.field(default=1_000_000, validator=_between(0, 10**12))
+
+
+@attrs.frozen
+class AccountSpec:
+    """A client account.
+
+    Attributes:
+        keys: Hashes of its API keys.
+        services: The services that it may call.
+        weight: Its share when engines are crowded.
+        room: What it may have in flight.
+        requests_per_second: The rate of new requests; 0 is no limit.
+    """
+
+    keys: list[KeyHash] = attrs.field(factory=list)
+    services: list[str] = attrs.field(factory=list)
+    weight: float = attrs.field(default=1.0, validator=_between(0.01, 1000))
+    room: Room = attrs.field(factory=Room)
+    requests_per_second: float = attrs.field(
+        default=0.0, validator=_between(0, 1_000_000)
+    )
+
+
+@attrs.frozen
+class ServiceSpec:
+    """A name that callers use: a model with its settings, or plain calls.
+
+    Attributes:
+        kind: `generate` for a model, `plain` for other calls.
+        target: The model or the plain service's pools.
+        version: The model version.
+        adapter: The adapter's name, or empty.
+        interactive: Whether a person waits for the first token.
+        wait_ms: The longest wait in the queue.
+        not_repeatable: `METHOD /path` of calls that run at most once.
+        retention_ms: How long an idempotency key is kept.
+    """
+
+    kind: str = attrs.field(validator=_one_of("generate", "plain"))
+    target: str = attrs.field(validator=_is_name)
+    version: str = "1"
+    adapter: str = ""
+    interactive: bool = True
+    wait_ms: int = attrs.field(default=2_000, validator=_between(0, 600_000))
+    not_repeatable: list[str] = attrs.field(factory=list)
+    retention_ms: int = attrs.field(
+        default=24 * _HOUR_MS, validator=_between(60_000, 90 * 24 * _HOUR_MS)
+    )
+
+
+@attrs.frozen
+class VmSpec:
+    """A VM, named by its IP number.
+
+    Attributes:
+        leaving: Whether it gets no new work.
+    """
+
+    leaving: bool = True
+
+
+KINDS: dict[str, type] = {
+    "model": ModelSpec,
+    "pool": PoolSpec,
+    "account": AccountSpec,
+    "service": ServiceSpec,
+    "vm": VmSpec,
+}
+
+
+def allowed(field: "attrs.Attribute[Any]") -> str:
+    """Returns what a field allows beyond its type, or empty."""
+    rule = field.validator
+    return rule.allowed if isinstance(rule, _Rule) else ""
