--- a/lab/catalogue.py
+++ b/lab/catalogue.py
@@ -71,6 +71,23 @@
 `name`, `process` and `fields`. A number is never given to another event.
 """
 
+_OPERATORS_TEXT = """\
+Start with [settings](settings.md), [records](records.md) and
+[rhubarbwinchctl](ctl.md). When something is wrong, look the number of the log
+event up in [events](events.md) and the metric in [metrics](metrics.md).
+
+## Probes
+
+Every program answers `GET /healthz` (it runs) and `GET /readyz` (it has a
+configuration and is not draining) at its `--http` address. Restart a program
+whose `/healthz` fails; send no callers to an entry whose `/readyz` is 503.
+
+## Stopping
+
+SIGTERM drains: the program is no longer listed, refuses new requests with the
+verdict `not-run`, finishes what is open up to `--drain-ms`, and exits with 0.
+"""
+
 _METRIC_TEXT = """\
 Sent to `--statsd` as `rhubarbwinch.<role>.<name>`.
 """
@@ -115,6 +132,7 @@
         "events.md": _events_page(),
         "metrics.md": _metrics_page(),
         "records.md": _records_page(),
+        "operators.md": _operators_page(),
     }
 
 
@@ -254,6 +272,23 @@
     return "empty" if value == "" else f"`{str(value).lower()}`"
 
 
+def _operators_page() -> str:
+    rows = []
+    for path in sorted((ROOT / "docs" / "operators").glob("*.md")):
+        title = path.read_text().splitlines()[0].removeprefix("# ")
+        name = f"operators/{path.name}"
+        rows.append([f"[{name}]({name})", title])
+    return "\n".join(
+        [
+            "# For operators\n",
+            _NOTE,
+            _OPERATORS_TEXT,
+            "## Pages by matter\n",
+            _table(["page", "matter"], rows),
+        ]
+    )
+
+
 def main() -> None:
     """Writes the pages."""
     for name, text in pages().items():
--- a/tests/test_ctl.py
+++ b/tests/test_ctl.py
@@ -4,12 +4,14 @@
 import io
 import json
 import pathlib
+import re
 import subprocess
 import sys
 import tempfile
+import typing
 import unittest
 
-from rhubarbwinch import ctl, keys, secretkeys
+from rhubarbwinch import ctl, ctlcommands, keys, secretkeys
 from rhubarbwinch.apikeys import matches
 from rhubarbwinch.clock import ManualClock
 from rhubarbwinch.ctl import ExitStatus, Output
@@ -154,3 +156,16 @@
             self.assertEqual(done.returncode, status, done.stderr)
             lines = 0 if status is ExitStatus.OK else 1
             self.assertEqual(len(done.stderr.splitlines()), lines, done.stderr)
+
+
+class PageTest(unittest.TestCase):
+    """docs/ctl.md against the code."""
+
+    def test_each_command_and_exit_status_is_on_the_page(self):
+        text = (ROOT / "docs" / "ctl.md").read_text()
+        kinds = typing.get_type_hints(ctlcommands.Ctl)["command"]
+        names = {kind.__cappa__.name for kind in typing.get_args(kinds)}
+        listed = set(re.findall(r"^\| `([\w-]+)", text, re.M))
+        self.assertEqual(listed, names)
+        statuses = {int(n) for n in re.findall(r"^\| (\d) \|", text, re.M)}
+        self.assertEqual(statuses, set(ExitStatus))
--- a/tests/test_tracing.py
+++ b/tests/test_tracing.py
@@ -1,8 +1,14 @@
 """Spans within a process and the context that leaves it."""
 
+import json
+import os
+import pathlib
 import re
+import tempfile
 import unittest
+from unittest import mock
 
+import httpx
 from opentelemetry.sdk.trace.export import SimpleSpanProcessor
 from opentelemetry.sdk.trace.export.in_memory_span_exporter import (
     InMemorySpanExporter,
@@ -13,7 +19,8 @@
 from rhubarbwinch.memstore import MemoryStore
 from rhubarbwinch.tracedstore import TracedStore
 from rhubarbwinch.verdict import Reason, not_run
-from tests.helpers import asynchronous
+from tests.fleet import AUTHORIZATION, Fleet
+from tests.helpers import asynchronous, wait_until
 
 PARENT = f"00-{'12' * 16}-{'34' * 8}-01"
 UNSAMPLED = f"00-{'12' * 16}-{'34' * 8}-00"
@@ -116,3 +123,45 @@
         self.assertIn(f"trace={'12' * 16}", text)
         self.assertIn(f"parent={'34' * 8} hop=entry", text)
         self.assertIn("path=/v1", text)
+
+
+class ProcessesTest(unittest.TestCase):
+    """One trace across all processes of a request."""
+
+    def test_a_request_is_one_trace_across_its_processes(self):
+        name = self.enterContext(tempfile.TemporaryDirectory())
+        logs = pathlib.Path(name)
+        variables = {
+            "RHUBARBWINCH_TRACES": "log",
+            "RHUBARBWINCH_LOG_FORMAT": "json",
+        }
+        with (
+            mock.patch.dict(os.environ, variables),
+            Fleet(logs=logs) as fleet,
+        ):
+            answer = httpx.post(
+                f"http://{fleet.entries[0]}/v1/completions",
+                json={"model": "chat", "prompt": "len=3"},
+                headers=AUTHORIZATION | {"traceparent": PARENT},
+            )
+            self.assertEqual(answer.status_code, 200)
+            wanted = {
+                ("entry-0", "entry"),
+                ("entry-0", "permit"),
+                ("broker-0", "queue"),
+                ("entry-0", "endpoint"),
+            }
+            wait_until(lambda: self._hops(logs) >= wanted, "the spans")
+
+    def _hops(self, logs):
+        lines = [
+            json.loads(line)
+            for path in logs.glob("*.log")
+            for line in path.read_text().splitlines()
+            if line.startswith("{") and line.endswith("}")
+        ]
+        return {
+            (line["process"], line["fields"]["hop"])
+            for line in lines
+            if line["fields"].get("trace") == "12" * 16
+        }
