--- a/tests/test_httpapi.py
+++ b/tests/test_httpapi.py
@@ -2,20 +2,19 @@
 
 import json
 import socket
-import unittest
 
 import httpx
 
 from tests import builders
 from tests.fleet import AUTHORIZATION, Fleet
-from tests.helpers import free_address, wait_until
+from tests.helpers import GoldTestCase, free_address, wait_until
 
 STRICT = ("--max-body-bytes", "2048", "--body-timeout-ms", "300")
 STRICT += ("--resume-grace-ms", "0")
 COMPLETIONS = "/v1/completions"
 
 
-class BadInputTest(unittest.TestCase):
+class BadInputTest(GoldTestCase):
     """One deployment; every test ends with a request that is served."""
 
     @classmethod
@@ -157,6 +156,44 @@
             wait_until(lambda: self._running() == 1, "the start")
         wait_until(lambda: self._running() == 0, "the end")
 
+    def test_a_session_of_bad_input_reaches_no_endpoint(self):
+        key = AUTHORIZATION
+        good = self._call()
+        before = self._reached()
+        session = [
+            ("no JSON", self._post(b"{")),
+            ("invalid UTF-8", self._post(b'{"model": "\xff"}')),
+            ("a negative number", self._post(self._call(max_tokens=-1))),
+            ("a huge number", self._post(self._call(max_tokens=10**40))),
+            ("a body over the limit", self._post(b"x" * 4096)),
+            ("an unknown model", self._post(self._call(model="none"))),
+            ("an unknown service", self._post(good, "/services/none/x")),
+            ("an unknown path", self._post(good, "/v2/none")),
+            ("no key", self._post(good, headers={})),
+            (
+                "a wrong key",
+                self._post(good, headers={"authorization": "Bearer acme.x"}),
+            ),
+            (
+                "another account's stream",
+                self._post(good, headers=key | {"last-event-id": "1-1-1~e:1"}),
+            ),
+        ]
+        lines = []
+        for title, answer in session:
+            data = answer.json()
+            kind = data["type"].rpartition(":")[2]
+            lines.append(f"# {title}")
+            lines.append(f"{answer.status_code} {kind} {data['verdict']}")
+        lines.append(
+            f"calls that reached an engine: {self._reached() - before}"
+        )
+        self.assert_gold("bad-input", "\n".join(lines) + "\n")
+
+    def _reached(self):
+        engine = self.fleet.engines[0]
+        return len(httpx.get(f"http://{engine}/log").json())
+
     def _running(self):
         engine = self.fleet.engines[0]
         return httpx.get(f"http://{engine}/load").json()["running"]
