No io_uring: the programs run on asyncio's own loop, and a check refuses others

Cause: UV_USE_IO_URING=0 was set before uvloop was loaded, and the installed uvloop 0.23 opens an io_uring all the same (the list of open descriptors shows anon_inode:[io_uring], with the variable set by the program or by the shell).

Ruled out: setting the variable earlier (set in the shell it makes no difference).

--- a/lab/bare_relay.py
+++ b/lab/bare_relay.py
@@ -3,16 +3,12 @@
 It passes bytes on as they come: no permit, no ids, no resume.
 """
 
-import os
-
-os.environ["UV_USE_IO_URING"] = "0"
-
 import argparse
+import asyncio
 from typing import Any
 
 import httpx
 import hypercorn.asyncio
-import uvloop
 from hypercorn.config import Config
 
 
@@ -71,7 +67,7 @@
     config = Config()
     config.bind = [options.listen]
     config.errorlog = None
-    uvloop.run(
+    asyncio.run(
         hypercorn.asyncio.serve(BareRelay(options.target), config)  # type: ignore[arg-type]
     )
 
--- a/lab/stream_client.py
+++ b/lab/stream_client.py
@@ -13,7 +13,6 @@
 from typing import cast
 
 import orjson
-import uvloop
 from hdrh.histogram import HdrHistogram
 
 from rhubarbwinch.httpbody import ChunkedBody
@@ -155,7 +154,7 @@
     options.add_argument("--key", required=True)
     found = options.parse_args()
     began = time.monotonic()
-    results = uvloop.run(
+    results = asyncio.run(
         run(found.address, found.streams, found.length, found.gap_ms, found.key)
     )
     line = {
--- a/lab/token_source.py
+++ b/lab/token_source.py
@@ -10,8 +10,6 @@
 import time
 from typing import cast
 
-import uvloop
-
 _HEAD = (
     b"HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n"
     b"transfer-encoding: chunked\r\n\r\n"
@@ -106,7 +104,7 @@
     """Runs the source."""
     options = argparse.ArgumentParser(description="Token source")
     options.add_argument("--listen", required=True, help="a.b.c.d:port")
-    uvloop.run(_run(options.parse_args().listen))
+    asyncio.run(_run(options.parse_args().listen))
 
 
 if __name__ == "__main__":
--- a/rhubarbwinch/cmdline.py
+++ b/rhubarbwinch/cmdline.py
@@ -1,13 +1,9 @@
 """The command lines of the daemons."""
 
-import os
 import sys
 from collections.abc import Callable
 from typing import Any
 
-# libuv is told before it is loaded; io_uring is not allowed on our VMs.
-os.environ["UV_USE_IO_URING"] = "0"
-
 import anyio
 
 from rhubarbwinch import events, options, tracing
@@ -21,6 +17,7 @@
 from rhubarbwinch.control import Control
 from rhubarbwinch.ctl import ExitStatus
 from rhubarbwinch.entry import Entry
+from rhubarbwinch.eventloop import check_no_io_uring
 from rhubarbwinch.exceptions import RestartLimitError
 
 _SETTINGS_HELP = (
@@ -42,10 +39,12 @@
     tracing.configure(settings.traces, settings.name, settings.trace_percent)
 
     async def run() -> None:
+        check_no_io_uring()
         await build(settings).run()
 
     try:
-        anyio.run(run, backend_options={"use_uvloop": True})
+        # uvloop opens an io_uring whatever UV_USE_IO_URING says.
+        anyio.run(run)
     except RestartLimitError as error:
         events.RESTART_LIMIT.log(error=str(error))
         sys.exit(ExitStatus.FAILED)
--- a/rhubarbwinch/exceptions.py
+++ b/rhubarbwinch/exceptions.py
@@ -124,5 +124,9 @@
         self.winner_revision = winner_revision
 
 
+class EventLoopError(RhubarbwinchError):
+    """The event loop uses what is not allowed."""
+
+
 class RestartLimitError(RhubarbwinchError):
     """A supervised task failed more often than its limit allows."""
