--- a/lab/seeded/run.py
+++ b/lab/seeded/run.py
@@ -207,4 +207,10 @@
     ]
     if len(found) < PROBES:
         broken.append(f"{PROBES - len(found)} probes without an answer")
+        broken += [
+            f"  {a.kind} at {a.entry}: {a.end} {a.status} {a.verdict} "
+            f"{len(a.events)} events {a.body.decode()}"
+            for a in world.journal.attempts
+            if a.request >= REQUESTS
+        ]
     return broken
--- a/rhubarbwinch/quarantine.py
+++ b/rhubarbwinch/quarantine.py
@@ -8,7 +8,6 @@
 from collections.abc import Awaitable, Callable
 from typing import Protocol
 
-import anyio
 import attrs
 
 from rhubarbwinch import codec, events, keys
@@ -21,6 +20,8 @@
 MAX_SUSPECTS = 10_000
 KEEP_MS = 3_600_000
 REFRESH_MS = 30_000
+RETRY_MS = 500
+LOAD_POLL_MS = 20
 MAX_RACES = 10
 LOCK_MS = 600_000
 LOCK_WAIT_MS = 5_000
@@ -86,7 +87,7 @@
         self._clock = clock
         self._suspects: dict[str, Suspect] = {}
         self._unsaved: dict[str, str] = {}
-        self._loaded = anyio.Event()
+        self._is_loaded = False
         sharer.on(KIND, self._hear)
 
     async def run(self) -> None:
@@ -94,9 +95,11 @@
         while True:
             try:
                 await self.load()
+                wait = REFRESH_MS
             except StoreError as error:
                 events.STORE_DOWN.log(error=str(error))
-            await self._clock.sleep(REFRESH_MS)
+                wait = RETRY_MS
+            await self._clock.sleep(wait)
 
     async def load(self) -> None:
         """Reads all suspects; writes strikes that the store missed."""
@@ -110,12 +113,13 @@
             else:
                 self._merge(suspect)
         self._forget()
-        self._loaded.set()
+        self._is_loaded = True
 
     async def wait_loaded(self, limit_ms: int) -> None:
         """Waits until the store's suspects are known, up to a limit."""
-        with anyio.move_on_after(limit_ms / 1000):
-            await self._loaded.wait()
+        end = self._clock.now() + limit_ms
+        while not self._is_loaded and self._clock.now() < end:
+            await self._clock.sleep(LOAD_POLL_MS)
 
     def get(self, fingerprint: str) -> Suspect | None:
         """Returns what is known of a request; None if it is no suspect."""
