--- a/rhubarbwinch/calls.py
+++ b/rhubarbwinch/calls.py
@@ -7,6 +7,7 @@
 import orjson
 
 from rhubarbwinch.accepted import Snapshot
+from rhubarbwinch.callparams import check_parameters
 from rhubarbwinch.claimkeys import ClaimKey
 from rhubarbwinch.httpapi import Refused, Request, Responder
 from rhubarbwinch.records import ServiceSpec
@@ -64,6 +65,7 @@
         raise Refused(not_run(Reason.BAD_REQUEST, f"body: {error}")) from None
     if not isinstance(data, dict) or not isinstance(data.get("model"), str):
         raise Refused(not_run(Reason.BAD_REQUEST, "model: a name is required"))
+    check_parameters(data)
     name = data["model"]
     service = snapshot.services.get(name)
     spec = snapshot.accounts[account]
--- a/rhubarbwinch/control.py
+++ b/rhubarbwinch/control.py
@@ -5,6 +5,7 @@
 from rhubarbwinch.config import ControlSettings
 from rhubarbwinch.daemon import Daemon
 from rhubarbwinch.fencing import Fencing
+from rhubarbwinch.httpapi import App
 from rhubarbwinch.members import Role
 from rhubarbwinch.orders import ENGINE_ADAPTERS, LoadPacer, Orderer
 from rhubarbwinch.pauseguard import end_if_paused
@@ -12,6 +13,7 @@
 from rhubarbwinch.publishing import Publishing
 from rhubarbwinch.vmlist import VM_LISTS, VmListReader
 
+MAX_BODY_BYTES = 64 << 10
 ORDER_PERIOD_MS = 1000
 RENEWALS_PER_LEASE = 5
 
@@ -59,6 +61,7 @@
 
     async def run(self) -> None:
         """Runs until asked to stop."""
+        self._daemon.serve_http(App(MAX_BODY_BYTES))
         self._daemon.add("publisher", self._publishing.run)
         if self._vms is not None:
             self._daemon.add("vm-list", self._vms.run)
--- a/rhubarbwinch/endpoints.py
+++ b/rhubarbwinch/endpoints.py
@@ -7,9 +7,11 @@
 import httpx
 import orjson
 
+from rhubarbwinch import tracing
 from rhubarbwinch.exceptions import EndpointError, GenerationLostError
 from rhubarbwinch.relay import EventStream
 from rhubarbwinch.sse import Splitter
+from rhubarbwinch.transport import Transport
 
 CONNECT_S = 1.0
 GENERATION_HEADER = "x-generation-id"
@@ -21,13 +23,18 @@
 
     Args:
         silence_ms: A call without a byte for so long fails.
+        transport: Carries the calls; `transport.Transport` by default.
     """
 
-    def __init__(self, silence_ms: int) -> None:
+    def __init__(
+        self,
+        silence_ms: int,
+        transport: httpx.AsyncBaseTransport | None = None,
+    ) -> None:
         silence = silence_ms / 1000
         self._client = httpx.AsyncClient(
             timeout=httpx.Timeout(silence, connect=CONNECT_S, pool=CONNECT_S),
-            limits=httpx.Limits(max_connections=None),
+            transport=transport or Transport(),
         )
 
     async def close(self) -> None:
@@ -53,7 +60,7 @@
             PRIORITY_HEADER: str(priority),
         }
         url = f"http://{address}{path}"
-        return self._stream("POST", url, body, headers)
+        return self._traced("POST", url, body, headers)
 
     def resume(
         self, address: str, generation: str, index: int
@@ -65,7 +72,7 @@
                 `GenerationLostError` if the engine does not know it.
         """
         url = f"http://{address}/v1/generations/{generation}?from={index}"
-        return self._stream("GET", url, b"", {})
+        return self._traced("GET", url, b"", {})
 
     async def cancel(self, address: str, generation: str) -> None:
         """Ends a generation; a failure to reach the engine is ignored."""
@@ -99,9 +106,10 @@
             EndpointError: No whole answer came.
         """
         try:
-            return await self._client.request(
-                method, url, content=body, headers=headers
-            )
+            with tracing.stream_span("endpoint", headers, url=url):
+                return await self._client.request(
+                    method, url, content=body, headers=headers
+                )
         except (httpx.ConnectError, httpx.ConnectTimeout) as error:
             raise EndpointError(f"{url}: {error!r}", sent=False) from error
         except httpx.HTTPError as error:
@@ -119,11 +127,21 @@
         except orjson.JSONDecodeError as error:
             raise EndpointError(f"{url}: {error}", sent=True) from error
 
+    @asynccontextmanager
+    async def _traced(
+        self, method: str, url: str, body: bytes, headers: dict[str, str]
+    ) -> AsyncIterator[EventStream]:
+        with tracing.stream_span("endpoint", headers, url=url):
+            async with self._stream(method, url, body, headers) as stream:
+                yield stream
+
     @asynccontextmanager
     async def _stream(
         self, method: str, url: str, body: bytes, headers: dict[str, str]
     ) -> AsyncIterator[EventStream]:
         try:
+            # Tokens are passed on as bytes, so they must not be compressed.
+            headers = headers | {"accept-encoding": "identity"}
             async with self._client.stream(
                 method, url, content=body, headers=headers
             ) as response:
@@ -149,7 +167,9 @@
 
 async def _events(response: httpx.Response) -> EventStream:
     splitter = Splitter()
-    async for data in response.aiter_raw():
+    # The stream itself is read: `aiter_raw` adds layers to each token.
+    assert isinstance(response.stream, httpx.AsyncByteStream)
+    async for data in response.stream:
         arrived = splitter.feed(data)
         if arrived:
             yield arrived
--- a/rhubarbwinch/entry.py
+++ b/rhubarbwinch/entry.py
@@ -5,7 +5,7 @@
 
 import orjson
 
-from rhubarbwinch import identity, metrics, rendezvous
+from rhubarbwinch import events, identity, metrics, models, rendezvous, tracing
 from rhubarbwinch.apikeys import KeyChecker
 from rhubarbwinch.calls import parse_call
 from rhubarbwinch.claimparts import ClaimParts
@@ -15,7 +15,7 @@
 from rhubarbwinch.endpoints import EndpointClient
 from rhubarbwinch.generate import Generator
 from rhubarbwinch.guarded import GuardedGenerator
-from rhubarbwinch.httpapi import App, Refused, Request, Responder
+from rhubarbwinch.httpapi import App, Handler, Refused, Request, Responder
 from rhubarbwinch.members import Role
 from rhubarbwinch.messages import PriorityChange, StreamTake
 from rhubarbwinch.permits import PermitClient
@@ -23,6 +23,7 @@
 from rhubarbwinch.reports import Reporter
 from rhubarbwinch.retries import RatioBudget
 from rhubarbwinch.streams import OpenStreams
+from rhubarbwinch.surroundings import Surroundings
 from rhubarbwinch.takeover import Takeover
 from rhubarbwinch.verdict import Reason, not_run
 
@@ -30,18 +31,42 @@
 RETRY_AFTER_MS = 1000
 
 
+def _traced(handle: Handler) -> Handler:
+    """Returns a handler that runs in the span of its request."""
+
+    async def run(request: Request, responder: Responder) -> None:
+        parent = request.headers.get(tracing.HEADER, "")
+        with tracing.span("entry", parent, path=request.path):
+            try:
+                await handle(request, responder)
+            except Refused as refused:
+                tracing.mark_failure(refused.failure)
+                raise
+
+    return run
+
+
 class Entry:
     """The entry's program.
 
     Args:
         settings: What it was told.
+        outside: What it reaches the outside by, if not by a process's own.
+        endpoints: Calls endpoints, if not over HTTP.
     """
 
-    def __init__(self, settings: EntrySettings) -> None:
-        daemon = Daemon(Role.ENTRY, settings)
+    def __init__(
+        self,
+        settings: EntrySettings,
+        outside: Surroundings | None = None,
+        endpoints: EndpointClient | None = None,
+    ) -> None:
+        daemon = Daemon(Role.ENTRY, settings, outside)
         self._daemon = daemon
         self._keys = KeyChecker()
-        self._endpoints = EndpointClient(settings.endpoint_silence_ms)
+        self._endpoints = endpoints or EndpointClient(
+            settings.endpoint_silence_ms
+        )
         self._permits = PermitClient(
             daemon.links, daemon.members, settings.permit_timeout_ms
         )
@@ -95,22 +120,30 @@
             daemon.clock,
         )
         self._open = 0
-        self._app = App(settings.max_body_bytes)
+        self._tls = settings.tls
+        if not settings.stream_secret:
+            events.NO_STREAM_SECRET.log()
+        self._app = App(settings.max_body_bytes, settings.body_timeout_ms)
+
+    @property
+    def app(self) -> App:
+        """The ASGI application, for a program that serves it itself."""
+        return self._app
 
     async def run(self) -> None:
         """Runs until asked to stop."""
         daemon = self._daemon
-        self._app.route("POST", "/v1/completions", self._generate)
-        self._app.route("POST", "/v1/chat/completions", self._generate)
+        generate = _traced(self._generate)
+        self._app.route("POST", "/v1/completions", generate)
+        self._app.route("POST", "/v1/chat/completions", generate)
         self._app.route("GET", "/v1/entries", self._entries)
-        self._app.route("GET", "/healthz", self._healthz)
-        self._app.route("GET", "/readyz", self._readyz)
-        self._app.route("*", PREFIX, self._call_plain)
+        self._app.route("GET", "/v1/models", self._list_models)
+        self._app.route("*", PREFIX, _traced(self._call_plain))
         daemon.server.on(StreamTake, self._streams.take_for_peer)
         daemon.server.on(PriorityChange, self._streams.change_priority)
         daemon.drain.open_count = lambda: self._open
         self._app.is_closing = lambda: daemon.drain.started
-        daemon.serve_http(self._app)
+        daemon.serve_http(self._app, self._tls)
         daemon.add("reports", self._reporter.run)
         self._claims.attach(daemon)
         daemon.add("streams", self._streams.run)
@@ -201,11 +234,10 @@
         data = {"entries": listed, "ttl_ms": ENTRIES_TTL_MS}
         await responder.json(orjson.dumps(data))
 
-    async def _healthz(self, _: Request, responder: Responder) -> None:
-        await responder.json(b'{"alive":true}')
-
-    async def _readyz(self, _: Request, responder: Responder) -> None:
-        generation = self._daemon.follower.snapshot.generation
-        ready = generation > 0 and not self._daemon.drain.started
-        data = {"ready": ready, "generation": generation}
-        await responder.json(orjson.dumps(data), 200 if ready else 503)
+    async def _list_models(
+        self, request: Request, responder: Responder
+    ) -> None:
+        """Lists the account's services that generate, as OpenAI does."""
+        account = self._account(request)
+        snapshot = self._daemon.follower.snapshot
+        await responder.json(models.listing(account, snapshot))
--- /dev/null
+++ b/rhubarbwinch/models.py
@@ -0,0 +1,18 @@
+"""The list of models that an account may use."""
+
+import orjson
+
+from rhubarbwinch.accepted import Snapshot
+
+OWNER = "rhubarbwinch"
+
+
+def listing(account: str, snapshot: Snapshot) -> bytes:
+    """Returns an account's services that generate, as OpenAI lists models."""
+    found = [
+        {"id": name, "object": "model", "created": 0, "owned_by": OWNER}
+        for name in sorted(snapshot.accounts[account].services)
+        if name in snapshot.services
+        and snapshot.services[name].kind == "generate"
+    ]
+    return orjson.dumps({"object": "list", "data": found})
--- a/rhubarbwinch/permits.py
+++ b/rhubarbwinch/permits.py
@@ -5,9 +5,9 @@
 import attrs
 from result import Err, Ok, Result
 
-from rhubarbwinch import rendezvous
+from rhubarbwinch import rendezvous, tracing
 from rhubarbwinch.exceptions import CodecError, LinkError, LinkTimeout
-from rhubarbwinch.links import Links
+from rhubarbwinch.linktypes import RunningCaller
 from rhubarbwinch.members import Member, Members, Role
 from rhubarbwinch.messages import (
     PermitGrant,
@@ -53,7 +53,9 @@
         timeout_ms: The longest wait for an answer, beyond the queue's.
     """
 
-    def __init__(self, links: Links, members: Members, timeout_ms: int) -> None:
+    def __init__(
+        self, links: RunningCaller, members: Members, timeout_ms: int
+    ) -> None:
         self._links = links
         self._members = members
         self._timeout_ms = timeout_ms
@@ -127,11 +129,13 @@
         for pool in pools:
             owner = pool_owner(pool, self._members)
             asked = attrs.evolve(request, pool=pool, request_id=new_id())
-            answer = await self.ask(asked)
-            if _is_silent(answer) and owner is not None:
-                # Its broker has ended; the pool's next owner can answer.
-                asked = attrs.evolve(asked, request_id=new_id())
-                answer = await self.ask(asked, owner.name)
+            with tracing.span("permit", pool=pool):
+                asked = attrs.evolve(asked, traceparent=tracing.current())
+                answer = await self.ask(asked)
+                if _is_silent(answer) and owner is not None:
+                    # Its broker has ended; the pool's next owner can answer.
+                    asked = attrs.evolve(asked, request_id=new_id())
+                    answer = await self.ask(asked, owner.name)
             if answer.is_ok():
                 break
         return answer
--- /dev/null
+++ b/rhubarbwinch/probes.py
@@ -0,0 +1,52 @@
+"""Liveness and readiness over HTTP, at every program."""
+
+from collections.abc import Callable
+
+import anyio
+import attrs
+import orjson
+
+from rhubarbwinch.follower import Follower
+from rhubarbwinch.httpapi import App, Request, Responder
+
+
+@attrs.define
+class Drain:
+    """The state of a shutdown.
+
+    Attributes:
+        started: Set when the program must take no new work.
+        limit: Set when the longest wait for open requests is over.
+        open_count: Returns how many requests are still open.
+    """
+
+    started: bool = False
+    limit: anyio.Event = attrs.field(factory=anyio.Event)
+    open_count: Callable[[], int] = lambda: 0
+
+
+class Probes:
+    """`GET /healthz` and `GET /readyz`.
+
+    Args:
+        follower: A program without a configuration is not ready.
+        drain: A program that is draining is not ready.
+    """
+
+    def __init__(self, follower: Follower, drain: Drain) -> None:
+        self._follower = follower
+        self._drain = drain
+
+    def add_to(self, app: App) -> None:
+        """Adds the routes."""
+        app.route("GET", "/healthz", self._healthz)
+        app.route("GET", "/readyz", self._readyz)
+
+    async def _healthz(self, _: Request, responder: Responder) -> None:
+        await responder.json(b'{"alive":true}')
+
+    async def _readyz(self, _: Request, responder: Responder) -> None:
+        generation = self._follower.snapshot.generation
+        ready = generation > 0 and not self._drain.started
+        data = {"ready": ready, "generation": generation}
+        await responder.json(orjson.dumps(data), 200 if ready else 503)
