--- a/lab/bench_claims.py
+++ b/lab/bench_claims.py
@@ -1,27 +1,36 @@
 """Measures claims a second and store writes for each claim.
 
 Entries claim and complete keys at a fixed rate over one store whose calls take
-some milliseconds, with many changes in a write and with one in each.
+some milliseconds: with many changes in a write and with one in each, and with
+one writer for each page and with all entries writing all pages.
 
     python -m lab.bench_claims
 """
 
 import argparse
 import random
+from typing import Any, TypeVar
 
 import anyio
 import attrs
 from result import Ok
 
+from rhubarbwinch import codec
 from rhubarbwinch.claimfloor import ClaimFloor
 from rhubarbwinch.claimkeys import ClaimKey
 from rhubarbwinch.claimowners import Standing
 from rhubarbwinch.claimpages import ClaimPages, ClaimRecord
+from rhubarbwinch.claimrouting import RoutedPages
 from rhubarbwinch.claims import Claims, make_outcome
 from rhubarbwinch.clock import SystemClock
+from rhubarbwinch.members import Member, MemberNews, Members, Role
 from rhubarbwinch.memstore import MemoryStore
 from rhubarbwinch.store import Entry, Swap
 
+T = TypeVar("T")
+
+WRITES_PER_S = 50
+
 
 class SlowStore(MemoryStore):
     """A store in memory whose calls take time.
@@ -50,6 +59,27 @@
         return swap
 
 
+class Peers:
+    """Links between the entries of this process, without delay."""
+
+    def __init__(self) -> None:
+        self.routed: dict[str, RoutedPages] = {}
+
+    async def call(
+        self, address: str, message: Any, answer: type[T], timeout_ms: int
+    ) -> T:
+        """Sends a message and returns the peer's answer."""
+        _ = timeout_ms
+        data = codec.encode(message)
+        reply = await self.routed[address].answer(
+            codec.decode(data, type(message))
+        )
+        return codec.decode(codec.encode(reply), answer)
+
+    def forget(self, address: str) -> None:
+        """Does nothing; there are no connections."""
+
+
 class NoOwners:
     """Nobody else's claims are asked for."""
 
@@ -65,6 +95,7 @@
     offered: int
     entries: int
     batched: bool
+    routed: bool
     done: int = 0
     refused: int = 0
     waits_ms: list[int] = attrs.field(factory=list)
@@ -73,6 +104,11 @@
     races: int = 0
 
 
+def _member(number: int) -> Member:
+    name = f"entry-{number}"
+    return Member(name, Role.ENTRY, "dc", "region", number + 1, name, "")
+
+
 def _uuid7(clock: SystemClock, rng: random.Random) -> str:
     value = clock.wall() << 80 | 0x7 << 76 | rng.getrandbits(76)
     value = value & ~(0b11 << 62) | 0b10 << 62
@@ -106,18 +142,25 @@
     async with anyio.create_task_group() as tasks:
         claims = []
         pages = []
-        for number in range(run.entries):
-            page = ClaimPages(store, clock, 50, run.batched)
+        peers = Peers()
+        entries = [_member(number) for number in range(run.entries)]
+        for number, entry in enumerate(entries):
+            page = ClaimPages(store, clock, WRITES_PER_S, run.batched)
             pages.append(page)
+            members = Members(entry)
+            for other in entries:
+                members.hear(MemberNews(other))
+            routed = RoutedPages(page, peers, members, clock)
+            peers.routed[entry.link] = routed
             claims.append(
                 Claims(
-                    page,
+                    routed if run.routed else page,
                     NoOwners(),
                     ClaimFloor(store, clock),
                     clock,
                     random.Random(number),
-                    f"entry-{number}",
-                    number + 1,
+                    entry.name,
+                    entry.incarnation,
                 )
             )
             tasks.start_soon(page.run)
@@ -143,18 +186,18 @@
     parser.add_argument("--seconds", type=float, default=5.0)
     parser.add_argument("--delay-ms", type=int, default=4)
     options = parser.parse_args()
-    print("batched entries offered/s done/s refused writes/s writes/claim")
-    for batched in (True, False):
+    print("writer batched offered/s done/s refused writes/s writes/call")
+    for routed, batched in ((True, True), (False, True), (False, False)):
         for offered in (10, 100, 400):
-            run = Run(offered, 4, batched)
+            run = Run(offered, 4, batched, routed)
             anyio.run(_measure, run, options.seconds, options.delay_ms)
             waits = sorted(run.waits_ms) or [0]
             p95 = waits[int(len(waits) * 0.95)]
             print(
-                f"{batched!s:7} {run.entries:7} {offered:9}"
+                f"{'one' if routed else 'all':6} {batched!s:7} {offered:9}"
                 f" {run.done / options.seconds:6.0f} {run.refused:7}"
                 f" {run.writes / options.seconds:8.0f}"
-                f" {run.writes / max(1, run.done):12.2f}"
+                f" {run.writes / max(1, run.done):11.2f}"
                 f" reads/s {run.reads / options.seconds:.0f}"
                 f" lost races {run.races} claim p95 {p95} ms"
             )
--- a/rhubarbwinch/claimpages.py
+++ b/rhubarbwinch/claimpages.py
@@ -245,11 +245,18 @@
 
     async def _write(self, page: str, batch: list[_Pending]) -> None:
         known = self._cache.get(page)
-        if known is None or any(pending.change is None for pending in batch):
+        is_fresh = known is None or any(p.change is None for p in batch)
+        if known is None or is_fresh:
             known = await self._fetch(page)
         lost_answers = 0
         for _ in range(MAX_ATTEMPTS):
             wanted = _apply(known, batch)
+            if wanted is known.page and not is_fresh:
+                # Another entry may have written since; only the store knows
+                # that there is nothing to do.
+                known = await self._fetch(page)
+                is_fresh = True
+                continue
             if wanted is known.page:
                 self._settle(page, known, batch)
                 return
@@ -263,6 +270,7 @@
                 if lost_answers > MAX_LOST_ANSWERS:
                     raise
                 known = await self._fetch_uncertain(page)
+                is_fresh = True
                 continue
             if swap.won:
                 self.counters.changes += len(batch)
@@ -271,6 +279,7 @@
                 return
             self.counters.lost_races += 1
             known = _known(swap.current)
+            is_fresh = True
             # A lost write counts against the store's rate as well.
             await self._pace()
         raise StoreUncertain(f"{page}: lost {MAX_ATTEMPTS} races")
--- a/rhubarbwinch/claimparts.py
+++ b/rhubarbwinch/claimparts.py
@@ -5,6 +5,7 @@
 from rhubarbwinch.claimfloor import ClaimCleaner, ClaimFloor
 from rhubarbwinch.claimowners import LinkOwners
 from rhubarbwinch.claimpages import ClaimPages
+from rhubarbwinch.claimrouting import PageCall, RoutedPages
 from rhubarbwinch.claims import Claims
 from rhubarbwinch.config import EntrySettings
 from rhubarbwinch.daemon import Daemon
@@ -37,8 +38,11 @@
             settings.meter_flush_ms,
         )
         self.quarantine = Quarantine(store, daemon.gossip, clock)
+        self._routed = RoutedPages(
+            self._pages, daemon.links, daemon.members, clock
+        )
         self.claims = Claims(
-            self._pages,
+            self._routed,
             LinkOwners(daemon.links, daemon.members),
             ClaimFloor(store, clock),
             clock,
@@ -50,6 +54,7 @@
     def attach(self, daemon: Daemon) -> None:
         """Adds the tasks and the answers to other members."""
         daemon.server.on(ClaimQuestion, self.claims.answer)
+        daemon.server.on(PageCall, self._routed.answer)
         daemon.add("claim-pages", self._pages.run)
         daemon.add("claims", self.claims.run)
         daemon.add("claim-cleaner", self._cleaner.run)
--- a/rhubarbwinch/claims.py
+++ b/rhubarbwinch/claims.py
@@ -17,12 +17,8 @@
 from rhubarbwinch.claimfloor import ClaimFloor
 from rhubarbwinch.claimkeys import CLOCK_SKEW_MS, ClaimKey
 from rhubarbwinch.claimowners import Owners, Standing
-from rhubarbwinch.claimpages import (
-    ClaimPages,
-    ClaimRecord,
-    ClaimState,
-    Outcome,
-)
+from rhubarbwinch.claimpages import ClaimRecord, ClaimState, Outcome
+from rhubarbwinch.claimrouting import Pages
 from rhubarbwinch.clock import Clock
 from rhubarbwinch.exceptions import StoreError
 from rhubarbwinch.messages import ClaimAnswer, ClaimQuestion
@@ -113,7 +109,7 @@
 
     def __init__(
         self,
-        pages: ClaimPages,
+        pages: Pages,
         owners: Owners,
         floor: ClaimFloor,
         clock: Clock,
--- a/tests/test_plain.py
+++ b/tests/test_plain.py
@@ -16,6 +16,7 @@
 from tests.helpers import ROOT, GoldTestCase, wait_until
 
 SLOW_MS = 1500
+REPLACED = ("service/booking", "account/acme")
 
 
 class Desks(Fleet):
@@ -23,8 +24,12 @@
 
     def records(self):
         return [
-            *(r for r in super().records() if r.key != "service/booking"),
+            *(r for r in super().records() if r.key not in REPLACED),
             builders.plain_service(not_repeatable=["POST /book"]),
+            builders.generate_service(
+                "draft", not_repeatable=["POST /v1/completions"]
+            ),
+            builders.account(services=("chat", "booking", "draft")),
         ]
 
     def book(self, entry, key, delay_ms=0):
@@ -111,9 +116,41 @@
             self.assertEqual(len(rows), 4)
         self.assert_gold("claims-processes", "\n".join(lines) + "\n")
 
+    def test_a_generation_that_is_not_repeatable_runs_once(self):
+        key = uuid7(int(time.time() * 1000), 1)
+        lines = []
+        with Desks(entries=2) as fleet:
+            for entry, headers in (
+                (0, {}),
+                (0, {"idempotency-key": key}),
+                (1, {"idempotency-key": key}),
+            ):
+                answer = httpx.post(
+                    f"http://{fleet.entries[entry]}/v1/completions",
+                    json={"model": "draft", "prompt": "len=7"},
+                    headers=AUTHORIZATION | headers,
+                    timeout=20,
+                )
+                again = answer.headers.get("idempotency-replayed", "")
+                lines.append(f"{answer.status_code} recorded {again or 'no'}")
+            log = httpx.get(f"http://{fleet.engines[0]}/log").json()
+            runs = [row for row in log if row["tokens"] == 7]
+            lines.append(f"engine ran {len(runs)}")
+            rows = fleet.audit("calls")
+            lines += [f"audit: {r['service']} ran {r['ran']}" for r in rows]
+            wait_until(lambda: _drafts(fleet), "the counters")
+            lines.append(f"audit: tokens {_drafts(fleet)}")
+        self.assert_gold("claims-generation", "\n".join(lines) + "\n")
+
     def _start(self, fleet, key, entry=0):
         """Starts a slow call and waits until the endpoint has it."""
         call = threading.Thread(target=fleet.book, args=(entry, key, SLOW_MS))
         call.start()
         wait_until(lambda: fleet.ran(key), "the call")
         return call
+
+
+def _drafts(fleet):
+    """Returns the tokens of drafts in the audit."""
+    rows = fleet.audit("tokens")
+    return sum(row["tokens"] for row in rows if row["service"] == "draft")
