Listeners close before connections do; get, status and drain

Ruled out: a wait after the shutdown, since the cut comes before it; ending on a quiet period, since callers with old addresses never pause. rhubarbwinchctl shows whether a record is in force, pending or rejected, the generation in force at each member, pools, and marks VMs as leaving. A lost answer to an operator's write is settled by reading back.

--- a/rhubarbwinch/ctl.py
+++ b/rhubarbwinch/ctl.py
@@ -6,13 +6,10 @@
 from pathlib import Path
 from typing import Any
 
-import attrs
 import orjson
 
-from rhubarbwinch import codec, keys, records, secretkeys
-from rhubarbwinch.accepted import read_head
-from rhubarbwinch.exceptions import ConflictError, RecordError
-from rhubarbwinch.members import Member
+from rhubarbwinch import keys, records, secretkeys
+from rhubarbwinch.exceptions import ConflictError, RecordError, StoreUncertain
 from rhubarbwinch.records import Record
 from rhubarbwinch.secretkeys import ApiKey
 from rhubarbwinch.store import Store
@@ -91,13 +88,32 @@
         if current is not None and current.value == record.to_bytes():
             continue
         expected = current.revision if current else 0
-        swap = await store.swap(key, expected, record.to_bytes())
-        if not swap.won:
-            raise ConflictError(record.key, swap.revision)
+        await write(store, record, expected)
         changed.append(record)
     return changed
 
 
+async def write(store: Store, record: Record, expected: int) -> None:
+    """Writes a record if its revision is `expected`; 0 is absent.
+
+    Raises:
+        ConflictError: Another operator changed the record meanwhile.
+        StoreError: The store failed.
+    """
+    key = keys.record(record.kind, record.name)
+    value = record.to_bytes()
+    try:
+        swap = await store.swap(key, expected, value)
+    except StoreUncertain:
+        # What is there now tells whether the write took effect.
+        current = await store.get(key)
+        if current is None or current.value != value:
+            raise
+        return
+    if not swap.won:
+        raise ConflictError(record.key, swap.revision)
+
+
 async def add_key(store: Store, account: str) -> ApiKey:
     """Makes an API key and adds its hash to an account's record.
 
@@ -124,22 +140,6 @@
     return [records.parse(entry.value, entry.key) for entry in listing.entries]
 
 
-@attrs.frozen
-class Status:
-    """What is in force and who is there."""
-
-    generation: int
-    members: list[Member]
-
-
-async def read_status(store: Store) -> Status:
-    """Returns the generation in the store and the members."""
-    head, _ = await read_head(store)
-    listing = await store.scan(keys.MEMBERS)
-    members = [codec.decode(entry.value, Member) for entry in listing.entries]
-    return Status(head.generation, members)
-
-
 def print_rows(rows: list[dict[str, Any]], output: Output) -> None:
     """Prints rows as a table for people or as JSON for programs."""
     if output is Output.JSON:
--- a/rhubarbwinch/ctlcommands.py
+++ b/rhubarbwinch/ctlcommands.py
@@ -8,7 +8,7 @@
 import attrs
 import cappa
 
-from rhubarbwinch import audit, ctl, etcdstore, options, secretkeys
+from rhubarbwinch import audit, ctl, etcdstore, fleetstatus, options, secretkeys
 from rhubarbwinch import settingtypes as types
 from rhubarbwinch.ctl import ExitStatus, Output
 from rhubarbwinch.exceptions import (
@@ -17,6 +17,7 @@
     SettingError,
     StoreError,
 )
+from rhubarbwinch.fleetstatus import FleetStatus, RecordState
 from rhubarbwinch.records import Record
 from rhubarbwinch.secretkeys import ApiKey
 from rhubarbwinch.store import Store
@@ -74,10 +75,41 @@
     account: Annotated[str, cappa.Arg(help="The client account")]
 
 
-@cappa.command(name="status", help="Show members and the generation.")
+@cappa.command(name="get", help="Show a record and whether it is in force.")
+@attrs.define
+class GetRecord:
+    """Shows a record and whether it is in force."""
+
+    record: Annotated[str, cappa.Arg(help="kind/name")]
+
+
+class StatusOf(enum.StrEnum):
+    """What the status lists."""
+
+    MEMBERS = "members"
+    POOLS = "pools"
+    VMS = "vms"
+
+
+@cappa.command(name="status", help="Show members, pools or leaving VMs.")
 @attrs.define
 class ShowStatus:
-    """Shows members and the generation."""
+    """Shows members, pools or leaving VMs, and the generation."""
+
+    listed: Annotated[StatusOf, cappa.Arg(help="members, pools or vms")] = (
+        StatusOf.MEMBERS
+    )
+
+
+@cappa.command(name="drain", help="Mark a VM as leaving.")
+@attrs.define
+class DrainVm:
+    """Marks a VM as leaving, or as no longer leaving."""
+
+    vm: Annotated[str, cappa.Arg(help="The VM's IP number")]
+    undo: Annotated[bool, cappa.Arg(long=True, help="It gets work again")] = (
+        False
+    )
 
 
 class Listed(enum.StrEnum):
@@ -109,10 +141,12 @@
         Validate
         | Apply
         | ListRecords
+        | GetRecord
         | MakeLinkKeys
         | HashKey
         | AddKey
         | ShowStatus
+        | DrainVm
         | Audit
     ]
     store: Annotated[
@@ -177,11 +211,19 @@
             case ListRecords(kind):
                 found = await ctl.list_records(store, kind)
                 ctl.print_rows(_rows(found), command.output)
-            case ShowStatus():
-                status = await ctl.read_status(store)
-                rows = [attrs.asdict(m) for m in status.members]
-                rows = [row | {"accepted": status.generation} for row in rows]
+            case GetRecord(key):
+                state = await fleetstatus.get_record(store, key)
+                ctl.print_rows([_record_row(state)], command.output)
+            case ShowStatus(wanted):
+                rows = _status_rows(
+                    await fleetstatus.read_status(store), wanted
+                )
                 ctl.print_rows(rows, command.output)
+            case DrainVm(vm, undo):
+                await fleetstatus.set_leaving(store, vm, not undo)
+                ctl.print_rows(
+                    [{"vm": vm, "leaving": not undo}], command.output
+                )
             case Audit(listed, start, end):
                 rows = await _audit(store, listed, start, end)
                 ctl.print_rows(rows, command.output)
@@ -239,3 +281,33 @@
 
 def _rows(found: list[Any]) -> list[dict[str, Any]]:
     return [{"kind": r.kind, "name": r.name, "schema": r.schema} for r in found]
+
+
+def _record_row(state: RecordState) -> dict[str, Any]:
+    record = state.record
+    return {
+        "kind": record.kind,
+        "name": record.name,
+        "schema": record.schema,
+        "revision": state.revision,
+        "state": state.state,
+        "error": state.error,
+        "spec": record.spec,
+    }
+
+
+def _status_rows(status: FleetStatus, wanted: StatusOf) -> list[dict[str, Any]]:
+    """Returns the rows of one list; each names the accepted generation."""
+    accepted = {"accepted": status.generation}
+    match wanted:
+        case StatusOf.MEMBERS:
+            return [
+                attrs.asdict(found.member)
+                | {"in_force": found.generation}
+                | accepted
+                for found in status.members
+            ]
+        case StatusOf.POOLS:
+            return [attrs.asdict(pool) | accepted for pool in status.pools]
+        case StatusOf.VMS:
+            return [{"vm": vm} | accepted for vm in status.leaving_vms]
--- a/rhubarbwinch/daemon.py
+++ b/rhubarbwinch/daemon.py
@@ -5,7 +5,6 @@
 from collections.abc import Awaitable, Callable
 
 import anyio
-import hypercorn.asyncio
 from hypercorn.config import Config
 
 from rhubarbwinch import events, identity, misc
@@ -16,6 +15,7 @@
 from rhubarbwinch.follower import Follower
 from rhubarbwinch.gossip import Gossip
 from rhubarbwinch.httpapi import App
+from rhubarbwinch.httpserver import HttpServer
 from rhubarbwinch.leaving import LeavingVms
 from rhubarbwinch.links import Links, LinkServer
 from rhubarbwinch.members import Member, Members, MemberState, Role
@@ -30,6 +30,7 @@
 DRAIN_CHECK_MS = 20
 LEAVING_NOTICE_MS = 500
 LAST_WORDS_MS = 200
+MAX_CLOSE_S = 5.0
 MAX_HEADER_BYTES = 32 << 10
 
 
@@ -104,6 +105,9 @@
         self.leaving.on_change(self._follow_notice)
         self._tree = Supervisor(settings.name, self.clock)
         self._shutdown = anyio.Event()
+        self._closed = anyio.Event()
+        # Without an HTTP interface there is nothing to close.
+        self._closed.set()
 
     def add(self, name: str, run: Callable[[], Awaitable[None]]) -> None:
         """Adds a task to the supervisor tree; call it before `run`."""
@@ -117,15 +121,16 @@
         config.accesslog = None
         config.errorlog = None
         config.h11_max_incomplete_size = MAX_HEADER_BYTES
-        config.graceful_timeout = self.settings.drain_ms / 1000
         config.keep_alive_timeout = 75
         if tls is not None:
             tls.use_in(config)
 
+        server = HttpServer(app, config)
+        self._closed = anyio.Event()
+
         async def run() -> None:
-            await hypercorn.asyncio.serve(
-                app, config, shutdown_trigger=self._shutdown.wait
-            )
+            await server.run(self._shutdown)
+            self._closed.set()
 
         self.add("http", run)
 
@@ -189,7 +194,8 @@
             await self.clock.sleep(LAST_WORDS_MS)
         self._shutdown.set()
         await self.gossip.goodbye()
-        await self.clock.sleep(DRAIN_CHECK_MS)
+        with anyio.move_on_after(MAX_CLOSE_S):
+            await self._closed.wait()
 
     def _follow_notice(self) -> None:
         """Leaves, or serves again, as the notices on this VM say."""
--- a/rhubarbwinch/fleetstatus.py
+++ b/rhubarbwinch/fleetstatus.py
@@ -5,9 +5,9 @@
 import httpx
 import orjson
 
-from rhubarbwinch import accepted, codec, keys, records, rendezvous
+from rhubarbwinch import accepted, codec, ctl, keys, records, rendezvous
 from rhubarbwinch.accepted import Snapshot
-from rhubarbwinch.exceptions import ConflictError, RecordError, StoreUncertain
+from rhubarbwinch.exceptions import RecordError
 from rhubarbwinch.members import Member, MemberState, Role
 from rhubarbwinch.records import Record
 from rhubarbwinch.store import Store
@@ -148,18 +148,8 @@
     """
     record = Record("vm", host, records.CURRENT_SCHEMA, {"leaving": leaving})
     records.check(record)
-    key = keys.record("vm", host)
-    current = await store.get(key)
-    expected = current.revision if current else 0
-    try:
-        swap = await store.swap(key, expected, record.to_bytes())
-    except StoreUncertain:
-        current = await store.get(key)
-        if current is None or current.value != record.to_bytes():
-            raise
-        return
-    if not swap.won:
-        raise ConflictError(record.key, swap.revision)
+    current = await store.get(keys.record("vm", host))
+    await ctl.write(store, record, current.revision if current else 0)
 
 
 def _pools(
