--- a/lab/processes.py
+++ b/lab/processes.py
@@ -79,6 +79,10 @@
                 stderr=stderr,
             )
 
+    def pid(self, name: str) -> int:
+        """Returns a process's id."""
+        return self._running[name].pid
+
     def signal(self, name: str, number: int) -> None:
         """Sends a signal to a process."""
         self._running[name].send_signal(number)
