--- a/lab/processes.py
+++ b/lab/processes.py
@@ -3,6 +3,7 @@
 import contextlib
 import os
 import pathlib
+import random
 import signal
 import socket
 import subprocess
@@ -18,13 +19,24 @@
 ROOT = pathlib.Path(__file__).parent.parent
 WAIT_S = 20.0
 POLL_S = 0.02
+LOWEST_PORT = 10_240
+FIRST_EPHEMERAL_PORT = 32_768
 
 
 def free_address() -> str:
-    """Returns a loopback address whose port is free."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{probe.getsockname()[1]}"
+    """Returns a loopback address whose port is free.
+
+    The port lies below those that the system gives to connections, so none
+    can take it before the program does that the address is for.
+    """
+    while True:
+        port = random.randrange(LOWEST_PORT, FIRST_EPHEMERAL_PORT)
+        with socket.socket() as probe:
+            try:
+                probe.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+            return f"127.0.0.1:{port}"
 
 
 def wait_until(check: Callable[[], T], what: str) -> T:
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -31,6 +31,7 @@
         self.entries = [free_address() for _ in range(entries)]
         self._speed = speed
         self._control_options = control_options
+        self.links = {}
 
     def __enter__(self):
         self.start("store", "lab.standins.kvstore", "--listen", self.store)
@@ -56,7 +57,8 @@
 
     def start_role(self, role, name, http, *options):
         """Starts one of the programs."""
-        arguments = ["--name", name, "--link", free_address(), "--http", http]
+        self.links[name] = free_address()
+        arguments = ["--name", name, "--link", self.links[name], "--http", http]
         arguments += ["--store", self.store, "--data-center", "dc-a"]
         self.start(name, f"rhubarbwinch {role}", *arguments, *options)
 
--- /dev/null
+++ b/tests/test_outage.py
@@ -0,0 +1,55 @@
+"""The store's outages and frozen programs, with separate processes."""
+
+import signal
+
+import httpx
+
+from tests import builders
+from tests.fleet import Fleet
+from tests.helpers import GoldTestCase, free_address, wait_until
+
+
+def _generation(address):
+    return httpx.get(f"http://{address}/readyz").json()["generation"]
+
+
+class OutageTest(GoldTestCase):
+    """What was accepted stays, whatever stops."""
+
+    def test_a_configuration_outlives_the_store_and_its_publisher(self):
+        lines = ["# The store fails and the publisher freezes"]
+        with Fleet(entries=2) as fleet:
+            fleet.start_role("control", "control-1", free_address())
+
+            def tell(what, addresses, generation):
+                for address in addresses:
+                    wait_until(
+                        lambda a=address: _generation(a) >= generation, what
+                    )
+                lines.append(f"{what}: {len(addresses)} entries have it")
+
+            first = _generation(fleet.entries[0])
+            tell("the first configuration", fleet.entries, first)
+            httpx.post(f"http://{fleet.store}/faults", json={"down": True})
+            status = fleet.apply([builders.account(weight=2.0)])
+            lines.append(f"apply while the store is down: status {status}")
+            late = free_address()
+            peers = ("--peers", fleet.links["entry-0"])
+            fleet.start_role("entry", "entry-late", late, *peers)
+            fleet.wait_ready(late)
+            lines.append("an entry that starts meanwhile serves a request")
+            httpx.post(f"http://{fleet.store}/faults", json={"down": False})
+            lines.append(
+                f"apply: {fleet.apply([builders.account(weight=2.0)])}"
+            )
+            everyone = [*fleet.entries, late]
+            tell("the change", everyone, first + 1)
+            for name in ("control-0", "control-1"):
+                # One of the two publishes; the other takes over.
+                fleet.signal(name, signal.SIGSTOP)
+                weight = 3.0 if name == "control-0" else 4.0
+                fleet.apply([builders.account(weight=weight)])
+                number = first + (2 if name == "control-0" else 3)
+                tell(f"a change while {name} is frozen", everyone, number)
+                fleet.signal(name, signal.SIGCONT)
+        self.assert_gold("config-processes", "\n".join(lines) + "\n")
