--- a/rhubarbwinch/admission.py
+++ b/rhubarbwinch/admission.py
@@ -37,6 +37,8 @@
 
 MAX_QUEUED = 1000
 RETRY_AFTER_MS = 1000
+# Expected waits are uncertain; what would only just start is refused too.
+WAIT_MARGIN = 0.75
 REFRESH_MS = 500
 # A grant may cross its entry's report; only older ones must be in it.
 SETTLE_MS = 2000
@@ -160,11 +162,12 @@
 
     def submit(self, request: PermitRequest) -> list[Decision]:
         """Takes a request in; returns what can be decided now."""
-        failure = self._refusal(request)
+        expected = self._expected_tokens(request)
+        failure = self._refusal(request, expected)
         if failure is not None:
             return [_refuse(request, failure)]
         lane = self._lane(request)
-        lane.push(self._share_key(request), request)
+        lane.push(self._share_key(request), request, expected)
         return self.decide()
 
     def release(self, release: PermitRelease) -> list[Decision]:
@@ -247,7 +250,7 @@
     def _share_key(self, request: PermitRequest) -> str:
         return request.account if self._options.is_fair else ""
 
-    def _refusal(self, request: PermitRequest) -> Failure | None:
+    def _refusal(self, request: PermitRequest, expected: int) -> Failure | None:
         """Returns why a request can't be taken in, or None."""
         limits = self._limits.of(request.account)
         if self._options.limits_retries:
@@ -261,7 +264,7 @@
             if wait_ms:
                 detail = "the account's rate of requests is used up"
                 return not_run(Reason.RATE_LIMITED, detail, wait_ms)
-        if not limits.can_ever_fit(self._expected_tokens(request)):
+        if not limits.can_ever_fit(expected):
             detail = "the request is larger than the account's room"
             return not_run(Reason.RATE_LIMITED, detail)
         if self.queued >= MAX_QUEUED:
@@ -275,9 +278,11 @@
         """Refuses what has no chance to start in time."""
         lane = self._lane(request)
         wait_ms = lane.wait_ms(self._share_key(request))
-        if wait_ms <= request.wait_ms:
+        if wait_ms <= WAIT_MARGIN * request.wait_ms:
             return None
-        after = int(max(RETRY_AFTER_MS, wait_ms - request.wait_ms))
+        after = max(
+            RETRY_AFTER_MS, int(wait_ms - WAIT_MARGIN * request.wait_ms)
+        )
         detail = f"no place within {request.wait_ms} ms"
         return not_run(Reason.DEADLINE, detail, after)
 
@@ -297,7 +302,7 @@
                 continue
             engine = self._place(stream)
             if engine is not None:
-                lane.start(self._share_key(item.request), item, expected)
+                lane.start(self._share_key(item.request), item)
                 decisions.append(self._grant(stream, engine))
             elif not item.request.avoid:
                 # A later one must not pass by, or large ones would starve.
@@ -359,7 +364,6 @@
             request, endpoint, now, self._expected_tokens(request), tokens
         )
         stream.forecast(tokens, self._lengths)
-        self._lane(request).note_running()
         self._add(stream, self._engines.get(endpoint))
 
     def _add(self, stream: Stream, engine: EngineState | None) -> None:
@@ -368,6 +372,9 @@
         self._streams[request.request_id] = stream
         self._entries_seen.setdefault(request.entry, stream.at_ms)
         self._limits.of(request.account).add(stream.expected_tokens)
+        self._lane(request).service.note_start(
+            stream.expected_tokens, stream.expected_steps
+        )
         if engine is not None:
             stream.endpoint = engine.spec.name
             engine.add(stream)
@@ -380,9 +387,10 @@
         self._limits.of(request.account).remove(stream.expected_tokens)
         lane = self._lane(request)
         served = request.prompt_tokens + tokens
-        lane.end(
-            self._share_key(request),
-            served - stream.expected_tokens,
+        lane.correct(self._share_key(request), served - stream.expected_tokens)
+        lane.service.note_end(
+            stream.expected_tokens,
+            stream.expected_steps,
             self._clock.now() - stream.granted_ms,
         )
         engine = self._engines.get(stream.endpoint)
@@ -408,6 +416,11 @@
             engine.peak_tokens = engine.peak_with(None, MEMORY_DEVIATIONS)
             if self._options.lowers_priority:
                 self._make_yield(engine)
+        steps = [e.step_ms for e in self._engines.values() if e.load]
+        if steps:
+            mean = sum(steps) / len(steps)
+            self._interactive.service.step_ms = mean
+            self._patient.service.step_ms = mean
         self._unblock()
 
     def _drop_silent(self, now: int) -> None:
--- a/rhubarbwinch/enginestate.py
+++ b/rhubarbwinch/enginestate.py
@@ -13,6 +13,7 @@
 MAX_HINTS = 4096
 SILENCE_MS = 2500
 FORECAST_MS = 1000
+SMALL_CHANCE = 0.02
 DEFAULT_STEP_MS = 30.0
 _COUNT = len(HORIZONS)
 
@@ -73,6 +74,7 @@
         forecast_ms: When its forecast was made.
         priority: The engine priority.
         left_tokens: The expected tokens still to come.
+        last_horizon: How many horizons it may well live to see.
         mean: What it adds to the expected memory at each horizon.
         variance: What it adds to the variance at each horizon.
     """
@@ -86,9 +88,15 @@
     forecast_ms: int = 0
     priority: int = 0
     left_tokens: float = 0.0
+    last_horizon: int = _COUNT
     mean: list[float] = attrs.field(factory=list)
     variance: list[float] = attrs.field(factory=list)
 
+    @property
+    def expected_steps(self) -> int:
+        """The output tokens that were expected of it at its start."""
+        return self.expected_tokens - self.request.prompt_tokens
+
     def tokens_at(self, now_ms: int, step_ms: float) -> int:
         """Returns the tokens that it should have by now."""
         return self.tokens + int(max(0, now_ms - self.at_ms) / step_ms)
@@ -102,6 +110,8 @@
             size * alive + growth
             for alive, growth in zip(outlook.alive, outlook.growth, strict=True)
         ]
+        alive = [a for a in outlook.alive if a >= SMALL_CHANCE]
+        self.last_horizon = max(1, len(alive))
         self.variance = [
             (size + horizon) ** 2 * spread
             for horizon, spread in zip(HORIZONS, outlook.spread, strict=True)
@@ -183,6 +193,9 @@
             variances = [
                 a + b for a, b in zip(variances, stream.variance, strict=True)
             ]
+            # A stream is not kept out by a peak after its own end.
+            last = stream.last_horizon
+            means, variances = means[:last], variances[:last]
         peak = max(
             mean + deviations * math.sqrt(variance)
             for mean, variance in zip(means, variances, strict=True)
--- a/rhubarbwinch/fairness.py
+++ b/rhubarbwinch/fairness.py
@@ -17,6 +17,7 @@
 
     Attributes:
         request: The request.
+        tokens: What it is expected to take.
         since_ms: When it came.
         until_ms: When its wait ends.
         is_gone: Whether it was granted or refused.
@@ -24,6 +25,7 @@
     """
 
     request: PermitRequest
+    tokens: int
     since_ms: int
     until_ms: int
     is_gone: bool = False
@@ -38,6 +40,7 @@
     weight: float
     virtual: float
     live: int = 0
+    tokens: float = 0.0
     is_listed: bool = False
     items: deque[Queued] = attrs.field(factory=deque)
 
@@ -66,6 +69,7 @@
         self._order = itertools.count()
         self._virtual = 0.0
         self._length = 0
+        self._tokens = 0
         self._active_weight = 0.0
 
     def __len__(self) -> int:
@@ -80,6 +84,8 @@
             self._enter(line)
         line.items.append(item)
         line.live += 1
+        line.tokens += item.tokens
+        self._tokens += item.tokens
         self._length += 1
 
     def remove(self, account: str, item: Queued) -> None:
@@ -87,6 +93,8 @@
         item.is_gone = True
         line = self._lines[account]
         line.live -= 1
+        line.tokens -= item.tokens
+        self._tokens -= item.tokens
         self._length -= 1
         if line.live == 0:
             self._active_weight -= line.weight
@@ -98,12 +106,20 @@
         line.virtual += tokens / line.weight
 
     def ahead(self, account: str) -> float:
-        """Returns about how many requests go before a new one."""
+        """Returns about how many tokens start before a new request.
+
+        Its turn comes when the queue's virtual time reaches the account's
+        own, behind its other requests. Until then each active account starts
+        tokens by its weight.
+        """
         line = self._lines.get(account)
-        own = line.live if line else 0
         weight = line.weight if line else self._weight_of(account)
-        others = self._active_weight - (weight if own else 0)
-        return min(self._length, own * (1 + others / weight) + others / weight)
+        lead, active = 0.0, self._active_weight
+        if line is None or line.live == 0:
+            active += weight
+        if line is not None:
+            lead = max(0.0, line.virtual - self._virtual) + line.tokens / weight
+        return min(self._tokens, lead * active)
 
     def heads(self, limit: int) -> Iterator[Queued]:
         """Yields the first request of up to `limit` accounts, in order.
--- a/rhubarbwinch/placement.py
+++ b/rhubarbwinch/placement.py
@@ -13,6 +13,8 @@
 MEMORY_DEVIATIONS = 2.0
 HEADROOM_SHARE = 0.08
 PREFILL_MS_PER_TOKEN = 0.04
+# A prompt is read in one step, a stream is in all steps until its end.
+PREFILL_WEIGHT = 0.25
 CANDIDATES = 3
 
 
@@ -137,14 +139,12 @@
 
     def _cost_ms(self, stream: Stream, engine: EngineState) -> float:
         """Returns what the stream would wait and cost there, in ms."""
-        uncached = stream.request.prompt_tokens - engine.cached_tokens(
-            stream.request.prefix
-        )
         if not engine.capacity_tokens:
             return engine.outstanding * self._rng.uniform(1.0, 1.001)
-        filled = engine.peak_tokens / engine.capacity_tokens
-        prefill = uncached * PREFILL_MS_PER_TOKEN
-        return prefill + GAP_TARGET_MS * filled
+        request = stream.request
+        uncached = request.prompt_tokens - engine.cached_tokens(request.prefix)
+        step = self._step_time.predict(engine.outstanding, engine.peak_tokens)
+        return step + PREFILL_WEIGHT * uncached * PREFILL_MS_PER_TOKEN
 
     def _fits(self, stream: Stream, engine: EngineState) -> bool:
         capacity = engine.capacity_tokens
--- a/rhubarbwinch/queueing.py
+++ b/rhubarbwinch/queueing.py
@@ -7,7 +7,7 @@
 from rhubarbwinch.clock import Clock
 from rhubarbwinch.fairness import FairQueue, Queued
 from rhubarbwinch.messages import PermitRequest
-from rhubarbwinch.waits import StartRate
+from rhubarbwinch.waits import ServiceRate
 
 # Accounts that are looked at when others are at their limits.
 MAX_HEADS = 8
@@ -20,6 +20,11 @@
     Args:
         clock: The source of time.
         weight_of: Returns an account's weight.
+
+    Attributes:
+        is_blocked: Whether the first request found no place and nothing has
+            changed since.
+        service: What the class's running requests get done.
     """
 
     def __init__(self, clock: Clock, weight_of: Callable[[str], float]) -> None:
@@ -28,17 +33,18 @@
         self._queue = FairQueue(weight_of)
         self._deadlines: list[tuple[int, int, Queued]] = []
         self._order = itertools.count()
-        self._starts = StartRate(clock)
+        self.service = ServiceRate(clock)
 
     def __len__(self) -> int:
         return len(self._queue)
 
-    def push(self, key: str, request: PermitRequest) -> None:
-        """Adds a request."""
+    def push(self, key: str, request: PermitRequest, tokens: int) -> None:
+        """Adds a request that is expected to take `tokens`."""
         now = self._clock.now()
-        item = Queued(request, now, now + request.wait_ms)
+        item = Queued(request, tokens, now, now + request.wait_ms)
         if len(self._queue) == 0:
             self.is_blocked = False
+            self.service.starts.note_idle()
         self._queue.push(key, item)
         entry = (item.until_ms, next(self._order), item)
         heapq.heappush(self._deadlines, entry)
@@ -47,30 +53,24 @@
         """Yields the requests that may be next."""
         return self._queue.heads(MAX_HEADS)
 
-    def start(self, key: str, item: Queued, tokens: int) -> None:
-        """Takes out a request that starts, charged with `tokens`."""
-        self._queue.charge(key, tokens)
+    def start(self, key: str, item: Queued) -> None:
+        """Takes out a request that starts."""
+        self._queue.charge(key, item.tokens)
         self._queue.remove(key, item)
-        self._starts.note_start()
 
     def remove(self, key: str, item: Queued) -> None:
         """Takes out a request that was refused."""
         self._queue.remove(key, item)
 
-    def note_running(self) -> None:
-        """Counts a request that was started elsewhere."""
-        self._starts.running += 1
-
-    def end(self, key: str, tokens: int, run_ms: int) -> None:
-        """Counts a request that ended; corrects its charge by `tokens`."""
+    def correct(self, key: str, tokens: int) -> None:
+        """Corrects what an account was charged for a request that ended."""
         self._queue.charge(key, tokens)
-        self._starts.note_end(run_ms)
 
     def wait_ms(self, key: str) -> float:
         """Returns the expected wait of a new request."""
         if len(self._queue) == 0:
             return 0.0
-        return self._starts.wait_ms(self._queue.ahead(key))
+        return self.service.wait_ms(self._queue.ahead(key))
 
     def is_overdue(self) -> bool:
         """Tells whether a request has used up half of its longest wait."""
--- a/rhubarbwinch/steptime.py
+++ b/rhubarbwinch/steptime.py
@@ -1,7 +1,7 @@
 """The step time of a pool's engines, learned from their load reports."""
 
 MIN_REPORTS = 30
-FORGETTING = 0.998
+FORGETTING = 0.9995
 UPPER_SHARE = 0.98
 QUANTILE_STEP_MS = 0.05
 START_UNCERTAINTY = 1000.0
