An account over its share gets no interactive work while others wait

Cause: fair queueing held for the work that waits, but interactive work goes first, so a flood of it took the others' share of the engines.

--- a/rhubarbwinch/admission.py
+++ b/rhubarbwinch/admission.py
@@ -17,7 +17,7 @@
     LoadReport,
     Stream,
 )
-from rhubarbwinch.fairness import Queued
+from rhubarbwinch.fairness import Queued, ShareMeter
 from rhubarbwinch.lengths import LearnedLengths, LengthEstimator
 from rhubarbwinch.limits import Limits
 from rhubarbwinch.messages import (
@@ -131,6 +131,7 @@
         self._entries_seen: dict[str, int] = {}
         self._interactive = Lane(clock, self._limits.weight)
         self._patient = Lane(clock, self._limits.weight)
+        self._shares = ShareMeter(clock, self._limits.weight)
         self._leaving: set[str] = set()
         self._changes: list[EntryChange] = []
         self._refreshed_ms = clock.now()
@@ -270,10 +271,21 @@
         if self.queued >= MAX_QUEUED:
             detail = "too many requests wait"
             return not_run(Reason.QUEUE_FULL, detail, RETRY_AFTER_MS)
+        if self._options.is_fair and self._crowds_out(request):
+            detail = "over the account's share while others wait"
+            return not_run(Reason.RATE_LIMITED, detail, RETRY_AFTER_MS)
         if self._options.refuses_early:
             return self._late_refusal(request)
         return None
 
+    def _crowds_out(self, request: PermitRequest) -> bool:
+        """Tells whether interactive work takes what others wait for."""
+        return (
+            request.interactive
+            and len(self._patient) > 0
+            and self._shares.is_over(request.account)
+        )
+
     def _late_refusal(self, request: PermitRequest) -> Failure | None:
         """Refuses what has no chance to start in time."""
         lane = self._lane(request)
@@ -372,6 +384,7 @@
         self._streams[request.request_id] = stream
         self._entries_seen.setdefault(request.entry, stream.at_ms)
         self._limits.of(request.account).add(stream.expected_tokens)
+        self._shares.add(request.account, stream.expected_tokens)
         self._lane(request).service.note_start(
             stream.expected_tokens, stream.expected_steps
         )
--- a/rhubarbwinch/fairness.py
+++ b/rhubarbwinch/fairness.py
@@ -7,9 +7,14 @@
 
 import attrs
 
+from rhubarbwinch.clock import Clock
 from rhubarbwinch.enginestate import Stream
 from rhubarbwinch.messages import PermitRequest
 
+SHARE_HALF_LIFE_MS = 30_000
+# Accounts' demands differ; only a flood is this far over its share.
+OVER_SHARE = 1.5
+
 
 @attrs.define(eq=False)
 class Queued:
@@ -164,3 +169,46 @@
             line = _Line(account, weight, self._virtual)
             self._lines[account] = line
         return line
+
+
+class ShareMeter:
+    """What accounts were granted lately, against their weights.
+
+    Args:
+        clock: The source of time.
+        weight_of: Returns an account's weight.
+    """
+
+    def __init__(self, clock: Clock, weight_of: Callable[[str], float]) -> None:
+        self._clock = clock
+        self._weight_of = weight_of
+        self._faded_ms = clock.now()
+        self._tokens: dict[str, float] = {}
+        self._total = 0.0
+        self._weight = 0.0
+
+    def add(self, account: str, tokens: float) -> None:
+        """Counts tokens granted to an account."""
+        self._fade()
+        if account not in self._tokens:
+            self._tokens[account] = 0.0
+            self._weight += self._weight_of(account)
+        self._tokens[account] += tokens
+        self._total += tokens
+
+    def is_over(self, account: str) -> bool:
+        """Tells whether an account has far more than its share."""
+        held = self._tokens.get(account, 0.0)
+        share = self._weight_of(account) / max(self._weight, 1e-9)
+        return held > OVER_SHARE * share * self._total
+
+    def _fade(self) -> None:
+        """Halves all counts now and then; forgets accounts that are away."""
+        now = self._clock.now()
+        if now - self._faded_ms < SHARE_HALF_LIFE_MS:
+            return
+        self._faded_ms = now
+        halved = {a: t / 2 for a, t in self._tokens.items() if t >= 2}
+        self._tokens = halved
+        self._total = sum(halved.values())
+        self._weight = sum(self._weight_of(a) for a in halved)
