Broker bench; a pool that knows no rate yet refuses nothing as late

Cause: the new bench of permits never filled its queue: before the first refresh the served rate is 0, and every request behind another was refused. Also: the record of an unknown account was built on each look-up. Ruled out: a start value for the rate, which would be a guess by deployment. Conclusion: without an estimate requests wait.

--- /dev/null
+++ b/lab/bench_broker.py
@@ -0,0 +1,164 @@
+"""Permits a second of one pool's decisions on one core.
+
+64 engines, 1,000 requests waiting: `python -m lab.bench_broker`. It prints
+the time of a permit, which is one submission, its part of the reports and one
+release, and the memory of a held stream and of a waiting request.
+"""
+
+import argparse
+import random
+import sys
+import time
+import tracemalloc
+
+from hdrh.histogram import HdrHistogram
+
+from lab.bench_load import ACCOUNTS, account_specs
+from rhubarbwinch.admission import Admission, Decision, LoadReport
+from rhubarbwinch.clock import ManualClock
+from rhubarbwinch.messages import PermitRelease, PermitRequest, StreamEnd
+from rhubarbwinch.records import EndpointSpec, PoolSpec
+
+ENGINES = 64
+WAITING = 1000
+# A permit each 300 us of the pool's time, as the target has it.
+PERMITS_PER_SECOND = 3300
+LOAD_PERIOD_MS = 250
+CAPACITY_TOKENS = 60_000
+WARM_PERMITS = 4000
+MAX_US = 1_000_000
+
+
+class BrokerBench:
+    """A full pool whose streams end as others start.
+
+    Args:
+        waiting: How many requests wait at the start.
+        seed: Fixes the requests.
+    """
+
+    def __init__(self, waiting: int, seed: int = 1) -> None:
+        self._rng = random.Random(seed)
+        self._clock = ManualClock()
+        self._names = [f"engine-{i}" for i in range(ENGINES)]
+        spec = PoolSpec(
+            "model",
+            "dc",
+            [EndpointSpec(name, "127.0.0.1:1") for name in self._names],
+        )
+        self.admission = Admission(
+            spec, self._clock, random.Random(seed), account_specs()
+        )
+        self._running: list[str] = []
+        self._number = 0
+        self._now_ms = 0.0
+        self._report_loads()
+        self._fill(waiting)
+
+    @property
+    def running(self) -> int:
+        """The number of held permits."""
+        return len(self._running)
+
+    def permit(self) -> None:
+        """Ends a stream and submits a request, as time passes."""
+        before = int(self._now_ms / LOAD_PERIOD_MS)
+        self._now_ms += 1000 / PERMITS_PER_SECOND
+        self._clock.set(int(self._now_ms))
+        if int(self._now_ms / LOAD_PERIOD_MS) != before:
+            self._report_loads()
+        index = self._rng.randrange(len(self._running))
+        self._running[index], self._running[-1] = (
+            self._running[-1],
+            self._running[index],
+        )
+        release = PermitRelease(
+            self._running.pop(), "model.dc", StreamEnd.FINISHED, self._length()
+        )
+        self._take(self.admission.release(release))
+        self._take(self.admission.submit(self._request()))
+
+    def _fill(self, waiting: int) -> None:
+        while self.admission.queued < waiting:
+            self._take(self.admission.submit(self._request()))
+
+    def _take(self, decisions: list[Decision]) -> None:
+        granted = [d.request_id for d in decisions if d.reply.grant]
+        self._running += granted
+
+    def _length(self) -> int:
+        return min(4000, int(self._rng.lognormvariate(5, 1)) + 1)
+
+    def _request(self) -> PermitRequest:
+        self._number += 1
+        is_interactive = self._rng.random() < 0.8
+        return PermitRequest(
+            request_id=f"request-{self._number}",
+            entry=f"entry-{self._number % 4}",
+            pool="model.dc",
+            account=self._rng.choice(ACCOUNTS),
+            service="short" if is_interactive else "long",
+            interactive=is_interactive,
+            prompt_tokens=self._rng.randrange(50, 800),
+            max_tokens=4096,
+            wait_ms=100_000_000,
+        )
+
+    def _report_loads(self) -> None:
+        for name in self._names:
+            report = LoadReport(
+                name,
+                self._clock.now(),
+                running=30,
+                used_tokens=self._rng.randrange(20_000, 50_000),
+                capacity_tokens=CAPACITY_TOKENS,
+                step_ms=self._rng.uniform(25, 35),
+            )
+            self.admission.report_load(report)
+
+
+def _measure(permits: int) -> None:
+    bench = BrokerBench(WAITING)
+    for _ in range(WARM_PERMITS):
+        bench.permit()
+    histogram = HdrHistogram(1, MAX_US, 3)
+    began = time.process_time()
+    for _ in range(permits):
+        start = time.perf_counter_ns()
+        bench.permit()
+        elapsed_us = (time.perf_counter_ns() - start) // 1000
+        histogram.record_value(max(1, elapsed_us))
+    cpu_s = time.process_time() - began
+    p50, p99 = (histogram.get_value_at_percentile(p) for p in (50, 99))
+    sys.stdout.write(
+        f"{ENGINES} engines, {bench.running} streams, "
+        f"{bench.admission.queued} waiting: {permits / cpu_s:.0f} permits/s, "
+        f"{cpu_s / permits * 1e6:.0f} us each, p50 {p50} us, p99 {p99} us\n"
+    )
+
+
+def _measure_memory() -> None:
+    tracemalloc.start()
+    small = BrokerBench(1)
+    base, streams = tracemalloc.get_traced_memory()[0], small.running
+    large = BrokerBench(WAITING)
+    grown = tracemalloc.get_traced_memory()[0] - base
+    queued = (grown - base) / (WAITING - 1)
+    sys.stdout.write(
+        f"memory: {base / streams:.0f} bytes a stream with its request, "
+        f"{queued:.0f} bytes a waiting request "
+        f"({streams} and {large.running} streams)\n"
+    )
+
+
+def main() -> None:
+    """Measures and prints."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--permits", type=int, default=20_000)
+    options = parser.parse_args()
+    _measure(options.permits)
+    _measure_memory()
+
+
+if __name__ == "__main__":
+    main()
--- a/rhubarbwinch/admission.py
+++ b/rhubarbwinch/admission.py
@@ -19,7 +19,7 @@
 )
 from rhubarbwinch.fairness import Queued, ShareMeter
 from rhubarbwinch.lengths import LearnedLengths, LengthEstimator
-from rhubarbwinch.limits import Limits
+from rhubarbwinch.limits import AccountLimits, Limits
 from rhubarbwinch.messages import (
     PermitGrant,
     PermitRelease,
@@ -254,17 +254,9 @@
     def _refusal(self, request: PermitRequest, expected: int) -> Failure | None:
         """Returns why a request can't be taken in, or None."""
         limits = self._limits.of(request.account)
-        if self._options.limits_retries:
-            if not request.avoid:
-                limits.retries.add_attempt()
-            elif not limits.retries.take():
-                detail = "the account's retry budget is used up"
-                return not_run(Reason.RATE_LIMITED, detail, RETRY_AFTER_MS)
-        if limits.rate is not None:
-            wait_ms = limits.rate.take()
-            if wait_ms:
-                detail = "the account's rate of requests is used up"
-                return not_run(Reason.RATE_LIMITED, detail, wait_ms)
+        limited = self._rate_refusal(request, limits)
+        if limited is not None:
+            return limited
         if not limits.can_ever_fit(expected):
             detail = "the request is larger than the account's room"
             return not_run(Reason.RATE_LIMITED, detail)
@@ -274,8 +266,22 @@
         if self._options.is_fair and self._crowds_out(request):
             detail = "over the account's share while others wait"
             return not_run(Reason.RATE_LIMITED, detail, RETRY_AFTER_MS)
-        if self._options.refuses_early:
-            return self._late_refusal(request)
+        return self._late_refusal(request)
+
+    def _rate_refusal(
+        self, request: PermitRequest, limits: AccountLimits
+    ) -> Failure | None:
+        """Refuses what is over the account's rates."""
+        if self._options.limits_retries:
+            if not request.avoid:
+                limits.retries.add_attempt()
+            elif not limits.retries.take():
+                detail = "the account's retry budget is used up"
+                return not_run(Reason.RATE_LIMITED, detail, RETRY_AFTER_MS)
+        wait_ms = limits.rate.take() if limits.rate is not None else 0
+        if wait_ms:
+            detail = "the account's rate of requests is used up"
+            return not_run(Reason.RATE_LIMITED, detail, wait_ms)
         return None
 
     def _crowds_out(self, request: PermitRequest) -> bool:
@@ -288,6 +294,8 @@
 
     def _late_refusal(self, request: PermitRequest) -> Failure | None:
         """Refuses what has no chance to start in time."""
+        if not self._options.refuses_early:
+            return None
         lane = self._lane(request)
         wait_ms = lane.wait_ms(self._share_key(request))
         if wait_ms <= WAIT_MARGIN * request.wait_ms:
--- a/rhubarbwinch/limits.py
+++ b/rhubarbwinch/limits.py
@@ -8,6 +8,7 @@
 from rhubarbwinch.records import AccountSpec
 
 RETRY_SHARE = 0.1
+_DEFAULT = AccountSpec()
 RETRY_RESERVE = 10.0
 MAX_BACKOFF_DOUBLINGS = 10
 
@@ -138,7 +139,7 @@
         """Takes new records; what is in flight stays counted."""
         self._specs = accounts
         for name, held in self._held.items():
-            spec = accounts.get(name, AccountSpec())
+            spec = accounts.get(name, _DEFAULT)
             if spec.requests_per_second != held.spec.requests_per_second:
                 held.rate = self._rate(spec)
             held.spec = spec
@@ -147,13 +148,13 @@
         """Returns an account's limits."""
         held = self._held.get(account)
         if held is None:
-            spec = self._specs.get(account, AccountSpec())
+            spec = self._specs.get(account, _DEFAULT)
             held = self._held[account] = AccountLimits(spec, self._rate(spec))
         return held
 
     def weight(self, account: str) -> float:
         """Returns an account's share when engines are crowded."""
-        return self._specs.get(account, AccountSpec()).weight
+        return self._specs.get(account, _DEFAULT).weight
 
     def _rate(self, spec: AccountSpec) -> TokenBucket | None:
         if not spec.requests_per_second:
--- a/rhubarbwinch/waits.py
+++ b/rhubarbwinch/waits.py
@@ -52,8 +52,8 @@
     """The tokens a millisecond that the requests of a class are served.
 
     In the long run as much starts as is served. While engines still fill up
-    less starts, so the slower of the two rates counts. Generations are served a token each step; requests without
-    steps are served over their usual time.
+    less starts, so the slower of the two rates counts. Generations are served
+    a token each step; requests without steps over their usual time.
 
     Args:
         clock: The source of time.
@@ -85,12 +85,13 @@
         self._mean_run_ms += (run_ms - self._mean_run_ms) / RUN_MEMORY
 
     def wait_ms(self, ahead: float) -> float:
-        """Returns the expected wait behind `ahead` tokens."""
-        rate = 0.0
+        """Returns the expected wait behind `ahead` tokens; 0 if unknown."""
         if self.step_ms:
             rate = self._tokens_per_step / self.step_ms
         elif self._mean_run_ms:
             rate = self._running_tokens / self._mean_run_ms
+        else:
+            return 0.0
         if self.starts.is_full:
             rate = min(rate, self.starts.per_ms)
         return ahead / max(rate, MIN_RATE_PER_MS)
