Every metric and event on the pages is sent by the code

Cause: five metrics and one event stood on the generated pages but nothing sent them: failures, open_streams, resumes, generation, late_answers and event 52. A test now looks for each name outside its own module. Ruled out: a counter in the interface of the links, which links in memory would have to carry too; late permits are counted where they are handed back.

--- a/rhubarbwinch/daemon.py
+++ b/rhubarbwinch/daemon.py
@@ -8,7 +8,7 @@
 import hypercorn.asyncio
 from hypercorn.config import Config
 
-from rhubarbwinch import events, misc
+from rhubarbwinch import events, metrics, misc
 from rhubarbwinch.config import Settings
 from rhubarbwinch.distribution import Distribution
 from rhubarbwinch.exceptions import StoreError
@@ -97,6 +97,11 @@
         self.leaving = LeavingVms(self.gossip, self.clock)
         self.follower.on_change(self.leaving.configure)
         self.leaving.on_change(self._follow_notice)
+        self.follower.on_change(
+            lambda snapshot: self.metrics.gauge(
+                metrics.GENERATION, snapshot.generation
+            )
+        )
         self._tree = Supervisor(settings.name, self.clock)
         self._shutdown = anyio.Event()
 
--- a/rhubarbwinch/entry.py
+++ b/rhubarbwinch/entry.py
@@ -31,21 +31,6 @@
 RETRY_AFTER_MS = 1000
 
 
-def _traced(handle: Handler) -> Handler:
-    """Returns a handler that runs in the span of its request."""
-
-    async def run(request: Request, responder: Responder) -> None:
-        parent = request.headers.get(tracing.HEADER, "")
-        with tracing.span("entry", parent, path=request.path):
-            try:
-                await handle(request, responder)
-            except Refused as refused:
-                tracing.mark_failure(refused.failure)
-                raise
-
-    return run
-
-
 class Entry:
     """The entry's program.
 
@@ -68,7 +53,10 @@
             settings.endpoint_silence_ms
         )
         self._permits = PermitClient(
-            daemon.links, daemon.members, settings.permit_timeout_ms
+            daemon.links,
+            daemon.members,
+            settings.permit_timeout_ms,
+            daemon.metrics,
         )
         ids = identity.IdMaker(daemon.incarnation, settings.stream_secret)
         self._claims = ClaimParts(daemon, settings)
@@ -133,12 +121,12 @@
     async def run(self) -> None:
         """Runs until asked to stop."""
         daemon = self._daemon
-        generate = _traced(self._generate)
+        generate = self._observed(self._generate)
         self._app.route("POST", "/v1/completions", generate)
         self._app.route("POST", "/v1/chat/completions", generate)
         self._app.route("GET", "/v1/entries", self._entries)
         self._app.route("GET", "/v1/models", self._list_models)
-        self._app.route("*", PREFIX, _traced(self._call_plain))
+        self._app.route("*", PREFIX, self._observed(self._call_plain))
         daemon.server.on(StreamTake, self._streams.take_for_peer)
         daemon.server.on(PriorityChange, self._streams.change_priority)
         daemon.drain.open_count = lambda: self._open
@@ -150,6 +138,24 @@
         await daemon.run()
         await self._endpoints.close()
 
+    def _observed(self, handle: Handler) -> Handler:
+        """Returns a handler that is counted and runs in a span."""
+        counters = self._daemon.metrics
+
+        async def run(request: Request, responder: Responder) -> None:
+            parent = request.headers.get(tracing.HEADER, "")
+            with tracing.span("entry", parent, path=request.path):
+                try:
+                    await handle(request, responder)
+                except Refused as refused:
+                    counters.count(metrics.FAILURES)
+                    tracing.mark_failure(refused.failure)
+                    raise
+                finally:
+                    counters.gauge(metrics.OPEN_STREAMS, self._open)
+
+        return run
+
     def _account(self, request: Request) -> str:
         """Returns the caller's account.
 
--- a/rhubarbwinch/generate.py
+++ b/rhubarbwinch/generate.py
@@ -260,8 +260,11 @@
             end = StreamEnd.FINISHED
         except EndpointError as error:
             end = StreamEnd.ENDPOINT_LOST if error.sent else StreamEnd.FAILED
+            endpoint = stream.permit.grant.endpoint
+            events.ENDPOINT_LOST.log(endpoint=endpoint, error=str(error))
             raise
         finally:
+            self._metrics.count(metrics.RESUMES, stream.position.resumes)
             with anyio.CancelScope(shield=True):
                 if end is StreamEnd.CANCELLED and keep:
                     await self._streams.leave(stream)
--- a/rhubarbwinch/permits.py
+++ b/rhubarbwinch/permits.py
@@ -5,7 +5,7 @@
 import attrs
 from result import Err, Ok, Result
 
-from rhubarbwinch import rendezvous, tracing
+from rhubarbwinch import metrics, rendezvous, tracing
 from rhubarbwinch.exceptions import CodecError, LinkError, LinkTimeout
 from rhubarbwinch.linktypes import RunningCaller
 from rhubarbwinch.members import Member, Members, Role
@@ -51,11 +51,17 @@
         links: The links to the brokers.
         members: The known members.
         timeout_ms: The longest wait for an answer, beyond the queue's.
+        counters: Where late answers are counted.
     """
 
     def __init__(
-        self, links: RunningCaller, members: Members, timeout_ms: int
+        self,
+        links: RunningCaller,
+        members: Members,
+        timeout_ms: int,
+        counters: metrics.Metrics | None = None,
     ) -> None:
+        self._metrics = counters
         self._links = links
         self._members = members
         self._timeout_ms = timeout_ms
@@ -153,6 +159,8 @@
 
     async def _hand_back(self, reply: PermitReply) -> None:
         """Returns a permit whose request has been given up."""
+        if self._metrics is not None:
+            self._metrics.count(metrics.LATE_ANSWERS)
         if reply.grant is None:
             return
         release = PermitRelease(reply.grant.request_id, "", StreamEnd.UNUSED)
--- a/rhubarbwinch/plain.py
+++ b/rhubarbwinch/plain.py
@@ -7,7 +7,7 @@
 import httpx
 from result import Err
 
-from rhubarbwinch import identity
+from rhubarbwinch import events, identity
 from rhubarbwinch.accepted import Snapshot
 from rhubarbwinch.claimkeys import ClaimKey
 from rhubarbwinch.claims import Claim, Claims, make_outcome
@@ -247,6 +247,8 @@
             end = StreamEnd.FINISHED
         except EndpointError as error:
             end = StreamEnd.ENDPOINT_LOST if error.sent else StreamEnd.FAILED
+            endpoint = permit.grant.endpoint
+            events.ENDPOINT_LOST.log(endpoint=endpoint, error=str(error))
             raise
         finally:
             with anyio.CancelScope(shield=True):
--- a/tests/lab/test_catalogue.py
+++ b/tests/lab/test_catalogue.py
@@ -1,9 +1,11 @@
 """The pages under docs/ that are made from the code."""
 
+import inspect
+import re
 import unittest
 
 from lab import catalogue
-from rhubarbwinch import apicatalogue, problems
+from rhubarbwinch import apicatalogue, events, metrics, problems
 from rhubarbwinch.verdict import Reason
 from tests.helpers import ROOT
 
@@ -16,6 +18,20 @@
             page = (ROOT / "docs" / name).read_text()
             self.assertEqual(page, text, f"{name}: run `make docs`")
 
+    def test_each_event_and_metric_of_the_pages_is_used(self):
+        sources = "".join(
+            path.read_text() for path in (ROOT / "rhubarbwinch").glob("*.py")
+        )
+        for module in (events, metrics):
+            stem = module.__name__.rpartition(".")[2]
+            names = re.findall(
+                r"^([A-Z_]+) = (?:Event|define)\(",
+                inspect.getsource(module),
+                re.M,
+            )
+            used = set(re.findall(rf"\b{stem}\.([A-Z_]+)\b", sources))
+            self.assertEqual(set(names) - used, set())
+
     def test_each_failure_has_a_status_and_a_meaning(self):
         self.assertEqual(set(apicatalogue.PROBLEMS), set(Reason))
         self.assertEqual(set(problems.STATUS), set(Reason))
