Tests of OTLP export, of the scripts and of the catalogue's requests

Cause: export to a collector, the console scripts and the requests named in docs/http.md were covered by no test; an interrupted demo printed a stack. Ruled out: a test that runs the demo, which takes as long as a quarter of the whole suite; make demo is its own check.

--- a/lab/demo.py
+++ b/lab/demo.py
@@ -303,6 +303,14 @@
 def main() -> None:
     """Runs the demo; exits with 0 if all went as it should."""
     signal.signal(signal.SIGTERM, _interrupt)
+    try:
+        _run()
+    except KeyboardInterrupt as error:
+        sys.exit(f"interrupted: {error}")
+    _say("done; every process has been ended")
+
+
+def _run() -> None:
     with (
         tempfile.TemporaryDirectory() as name,
         Processes(pathlib.Path(name)) as processes,
@@ -317,7 +325,6 @@
         _stream_through_a_loss(deployments[0], processes)
         _show_plain_call(deployments[1])
         _show_trace(directory)
-    _say("done; every process has been ended")
 
 
 if __name__ == "__main__":
--- /dev/null
+++ b/tests/test_cmdline.py
@@ -0,0 +1,21 @@
+"""The programs as they are installed."""
+
+import importlib
+import tomllib
+import unittest
+
+from tests.helpers import ROOT
+
+
+class ScriptsTest(unittest.TestCase):
+    """The scripts of pyproject.toml."""
+
+    def test_each_script_leads_to_a_function(self):
+        project = tomllib.loads((ROOT / "pyproject.toml").read_text())
+        scripts = project["project"]["scripts"]
+        wanted = {f"rhubarbwinch-{r}" for r in ("entry", "broker", "control")}
+        self.assertEqual(set(scripts), wanted | {"rhubarbwinchctl"})
+        for target in scripts.values():
+            module, _, name = target.partition(":")
+            found = getattr(importlib.import_module(module), name)
+            self.assertTrue(callable(found), target)
--- a/tests/test_httpapi.py
+++ b/tests/test_httpapi.py
@@ -5,6 +5,7 @@
 
 import httpx
 
+from rhubarbwinch import apicatalogue
 from tests import builders
 from tests.fleet import AUTHORIZATION, Fleet
 from tests.helpers import GoldTestCase, free_address, wait_until
@@ -203,6 +204,14 @@
         newer = builders.Record("model", "later", 99, newer.spec)
         self.assertEqual(self.fleet.apply([newer]), 3)
 
+    def test_each_request_of_the_catalogue_has_a_route(self):
+        for operation in apicatalogue.OPERATIONS:
+            method = operation.method.replace("ANY", "PUT")
+            path = operation.path.replace("<service>/<path>", "booking/slots")
+            url = f"http://{self.address}{path}"
+            answer = httpx.request(method, url, headers=AUTHORIZATION)
+            self.assertNotEqual(answer.status_code, 404, operation)
+
     def test_probes_answer(self):
         for path in ("/healthz", "/readyz"):
             answer = httpx.get(f"http://{self.address}{path}")
--- a/tests/test_tracing.py
+++ b/tests/test_tracing.py
@@ -1,10 +1,12 @@
 """Spans within a process and the context that leaves it."""
 
+import http.server
 import json
 import os
 import pathlib
 import re
 import tempfile
+import threading
 import unittest
 from unittest import mock
 
@@ -125,6 +127,45 @@
         self.assertIn("path=/v1", text)
 
 
+class _Collector(http.server.BaseHTTPRequestHandler):
+    """An OTLP collector that keeps what it gets in `server.received`."""
+
+    def do_POST(self):
+        """Takes an export."""
+        length = int(self.headers["content-length"])
+        kind = self.headers["content-type"]
+        self.server.received.append((self.path, kind, self.rfile.read(length)))
+        self.send_response(200)
+        self.end_headers()
+
+    def log_message(self, *_):
+        """Keeps the test's output clean."""
+
+
+class CollectorTest(unittest.TestCase):
+    """Export by OTLP over HTTP."""
+
+    def test_spans_reach_the_collector_at_the_latest_when_closed(self):
+        server = http.server.HTTPServer(("127.0.0.1", 0), _Collector)
+        server.received = []
+        thread = threading.Thread(target=server.serve_forever)
+        thread.start()
+        try:
+            url = f"http://127.0.0.1:{server.server_port}/v1/traces"
+            tracing.configure(url, "entry-1")
+            with tracing.span("entry", PARENT):
+                pass
+            tracing.close()
+        finally:
+            server.shutdown()
+            thread.join()
+            server.server_close()
+        ((path, kind, body),) = server.received
+        self.assertEqual((path, kind), ("/v1/traces", "application/x-protobuf"))
+        self.assertIn(bytes.fromhex("12" * 16), body)
+        self.assertIn(b"entry-1", body)
+
+
 class ProcessesTest(unittest.TestCase):
     """One trace across all processes of a request."""
 
