--- a/lab/demo.py
+++ b/lab/demo.py
@@ -139,10 +139,10 @@
         for role in ("control", "broker", "entry"):
             http = self.entries[index] if role == "entry" else free_address()
             name = f"{self.example.name}-{role}-{index}"
-            zone = f"{self.example.region}-{'abc'[index % 3]}"
+            data_center = f"{self.example.region}-{'abc'[index % 3]}"
             env = {
                 "RHUBARBWINCH_NAME": name,
-                "RHUBARBWINCH_DATA_CENTER": zone,
+                "RHUBARBWINCH_DATA_CENTER": data_center,
                 "RHUBARBWINCH_REGION": self.example.region,
                 "RHUBARBWINCH_LINK": free_address(),
                 "RHUBARBWINCH_HTTP": http,
