A caller's trace context is checked and forgotten after its request

Cause: with traces off, a context that a caller sent was kept in the task's context after the request, and any text was passed on to endpoints. Found by a test of malformed contexts, which got the one of another test. Ruled out: dropping the context while traces are off; endpoints may use it.

--- a/rhubarbwinch/tracing.py
+++ b/rhubarbwinch/tracing.py
@@ -9,6 +9,7 @@
 Without `configure` every span is one shared object that records nothing.
 """
 
+import re
 from collections.abc import Iterator, Sequence
 from contextlib import contextmanager
 from contextvars import ContextVar
@@ -34,6 +35,7 @@
 
 HEADER = "traceparent"
 LOG_TARGET = "log"
+_FORM = re.compile(r"[0-9a-f]{2}-[0-9a-f]{32}-[0-9a-f]{16}-[0-9a-f]{2}")
 _NS_PER_MS = 1_000_000
 
 # The context that a caller sent, while this program makes no spans.
@@ -129,9 +131,8 @@
         attributes: What is recorded with the span.
     """
     if _state.tracer is None:
-        if traceparent:
-            _passed_on.set(traceparent)
-        yield trace.INVALID_SPAN
+        with _passing_on(traceparent):
+            yield trace.INVALID_SPAN
         return
     context = None
     if traceparent is not None:
@@ -142,6 +143,19 @@
         yield begun
 
 
+@contextmanager
+def _passing_on(traceparent: str | None) -> Iterator[None]:
+    """Keeps a caller's context for the calls that a block makes."""
+    if not traceparent or not _FORM.fullmatch(traceparent):
+        yield
+        return
+    token = _passed_on.set(traceparent)
+    try:
+        yield
+    finally:
+        _passed_on.reset(token)
+
+
 @contextmanager
 def stream_span(
     name: str, headers: dict[str, str], **attributes: Any
--- a/tests/test_tracing.py
+++ b/tests/test_tracing.py
@@ -115,6 +115,14 @@
                 pass
         self.assertEqual(headers, {tracing.HEADER: PARENT})
 
+    def test_what_is_no_context_is_not_passed_on(self):
+        for bad in ("", "x" * 20_000, PARENT + "-more", PARENT.upper() + "Z"):
+            headers = {}
+            with tracing.span("entry", bad):
+                with tracing.stream_span("endpoint", headers):
+                    pass
+            self.assertEqual(headers, {})
+
     def test_finished_spans_are_log_events(self):
         tracing.use(SimpleSpanProcessor(tracing.LogExporter()), "entry-1")
         with self.assertLogs("absl", "INFO") as logs:
