Tests of admission; a request at its account's limit blocks nobody

Cause: two faults that the new tests found. A queue whose only waiting request was at its account's limit counted as blocked, so a new request of another account waited for the next release; and the queue's virtual time was not raised when a caller took one request at a time, so an account that came back was served alone (40 of 40 in place of 10 of 40). Ruled out: an easier test; both are what docs promise of fairness.

--- a/rhubarbwinch/admission.py
+++ b/rhubarbwinch/admission.py
@@ -329,8 +329,8 @@
                 decisions.append(self._grant(stream, engine))
             elif not item.request.avoid:
                 # A later one must not pass by, or large ones would starve.
+                lane.is_blocked = True
                 break
-        lane.is_blocked = len(lane) > 0
 
     def _forecast(self, item: Queued) -> Stream:
         """Returns the stream that a request would be, made anew at times."""
@@ -352,11 +352,11 @@
             decisions.append(_refuse(item.request, failure))
 
     def _place(self, stream: Stream) -> EngineState | None:
-        now = self._clock.now()
+        now, limit = self._clock.now(), self._spec.max_running
         fit = [
             engine
             for name, engine in self._engines.items()
-            if engine.outstanding < self._spec.max_running
+            if len(engine.streams) < limit
             and name not in stream.request.avoid
             and name not in self._leaving
             and not engine.is_silent(now)
@@ -402,7 +402,7 @@
         if engine is not None:
             stream.endpoint = engine.spec.name
             engine.add(stream)
-            engine.peak_tokens = engine.peak_with(None, MEMORY_DEVIATIONS)
+            engine.rank(self._step_time, MEMORY_DEVIATIONS)
             engine.expect_cached(request.prefix)
 
     def _forget(self, stream: Stream, tokens: int) -> None:
@@ -420,7 +420,7 @@
         engine = self._engines.get(stream.endpoint)
         if engine is not None:
             engine.remove(stream)
-            engine.peak_tokens = engine.peak_with(None, MEMORY_DEVIATIONS)
+            engine.rank(self._step_time, MEMORY_DEVIATIONS)
         self._unblock()
 
     def _note_released(self, request_id: str) -> None:
@@ -442,7 +442,7 @@
             due += 1
             self._turns.rotate(-1)
             engine.refresh(now, self._lengths)
-            engine.peak_tokens = engine.peak_with(None, MEMORY_DEVIATIONS)
+            engine.rank(self._step_time, MEMORY_DEVIATIONS)
             if self._options.lowers_priority:
                 self._make_yield(engine)
         if due:
--- a/rhubarbwinch/enginestate.py
+++ b/rhubarbwinch/enginestate.py
@@ -8,6 +8,7 @@
 from rhubarbwinch.lengths import HORIZONS, LengthEstimator
 from rhubarbwinch.messages import PermitRequest
 from rhubarbwinch.records import EndpointSpec
+from rhubarbwinch.steptime import StepTime
 
 BLOCK_TOKENS = 64
 MAX_HINTS = 4096
@@ -129,7 +130,7 @@
         self.spec = spec
         self.streams: dict[str, Stream] = {}
         self.load: LoadReport | None = None
-        self.peak_tokens = 0.0
+        self.cost_ms = 0.0
         self.excess_tokens = 0.0
         self.refreshed_ms = 0
         self._heard_ms: int | None = None
@@ -204,6 +205,11 @@
         )
         return peak + self.excess_tokens
 
+    def rank(self, step_time: StepTime, deviations: float) -> None:
+        """Works out the step time by which placement ranks endpoints."""
+        peak = self.peak_with(None, deviations)
+        self.cost_ms = step_time.predict(len(self.streams), peak)
+
     def soon_tokens(self) -> float:
         """Returns the memory expected at the first horizon after now."""
         return self._mean[1] + self.excess_tokens
--- a/rhubarbwinch/fairness.py
+++ b/rhubarbwinch/fairness.py
@@ -105,6 +105,13 @@
             self._active_weight -= line.weight
             line.items.clear()
 
+    def start(self, account: str, item: Queued) -> None:
+        """Takes out a request that starts, and charges its account."""
+        line = self._lines[account]
+        self._virtual = max(self._virtual, line.virtual)
+        self.charge(account, item.tokens)
+        self.remove(account, item)
+
     def charge(self, account: str, tokens: float) -> None:
         """Counts tokens served to an account; negative to correct."""
         line = self._line(account)
@@ -145,7 +152,6 @@
                     passed.append(line)
                     yield item
                     if item.is_gone:
-                        self._virtual = max(self._virtual, virtual)
                         self._enter(passed.pop())
         finally:
             for line in passed:
--- a/rhubarbwinch/placement.py
+++ b/rhubarbwinch/placement.py
@@ -142,9 +142,9 @@
 
     def _cost_ms(self, stream: Stream, engine: EngineState) -> float:
         """Returns what the stream would wait and cost there, in ms."""
-        if not engine.capacity_tokens:
+        if engine.load is None:
             return engine.outstanding * self._rng.uniform(1.0, 1.001)
-        step = self._step_time.predict(len(engine.streams), engine.peak_tokens)
+        step = engine.cost_ms
         prefix = stream.request.prefix
         if not prefix:
             return step
--- a/rhubarbwinch/queueing.py
+++ b/rhubarbwinch/queueing.py
@@ -10,7 +10,7 @@
 from rhubarbwinch.waits import ServiceRate
 
 # Accounts that are looked at when others are at their limits.
-MAX_HEADS = 8
+MAX_HEADS = 64
 OVERDUE_SHARE = 0.5
 
 
@@ -55,8 +55,7 @@
 
     def start(self, key: str, item: Queued) -> None:
         """Takes out a request that starts."""
-        self._queue.charge(key, item.tokens)
-        self._queue.remove(key, item)
+        self._queue.start(key, item)
 
     def remove(self, key: str, item: Queued) -> None:
         """Takes out a request that was refused."""
--- /dev/null
+++ b/tests/test_admission.py
@@ -0,0 +1,296 @@
+"""Decisions of one pool, under a manual clock."""
+
+import random
+import unittest
+
+from rhubarbwinch.admission import Admission, LoadReport, Options
+from rhubarbwinch.clock import ManualClock
+from rhubarbwinch.messages import (
+    PermitRelease,
+    ProgressReport,
+    StreamEnd,
+    StreamProgress,
+)
+from rhubarbwinch.records import (
+    AccountSpec,
+    EndpointSpec,
+    PoolSpec,
+    Room,
+)
+from rhubarbwinch.verdict import Reason, Verdict
+from tests import builders
+
+POOL = "vintner.dc-a"
+
+
+class Pool:
+    """An Admission with two engines, and short ways to drive it."""
+
+    def __init__(self, capacity=10_000, max_running=64, options=None, **specs):
+        self.clock = ManualClock()
+        accounts = {name: AccountSpec(**spec) for name, spec in specs.items()}
+        spec = PoolSpec(
+            "vintner",
+            "dc-a",
+            [EndpointSpec(f"e{i}", "127.0.0.1:1") for i in range(2)],
+            max_running,
+        )
+        self.admission = Admission(
+            spec, self.clock, random.Random(1), accounts, options
+        )
+        self.capacity = capacity
+        self.number = 0
+        self.report_loads()
+
+    def report_loads(self):
+        """Both engines report that they are there."""
+        for name in ("e0", "e1"):
+            report = LoadReport(
+                name,
+                self.clock.now(),
+                running=1,
+                capacity_tokens=self.capacity,
+                step_ms=20.0,
+            )
+            self.admission.report_load(report)
+
+    def pass_time(self, ms):
+        """Moves the clock on, with reports; returns what was decided."""
+        decisions = []
+        for _ in range(ms // 100):
+            self.clock.set(self.clock.now() + 100)
+            self.report_loads()
+            decisions += self.admission.decide()
+        return decisions
+
+    def submit(self, **fields):
+        """Submits a request and returns all decisions."""
+        self.number += 1
+        base = {"max_tokens": 400, "prompt_tokens": 100, "interactive": False}
+        request = builders.permit_request(
+            f"r{self.number}", **(base | {"wait_ms": 10_000} | fields)
+        )
+        return self.admission.submit(request)
+
+    def end(self, request_id, end=StreamEnd.FINISHED, tokens=10):
+        """Releases a permit and returns all decisions."""
+        release = PermitRelease(request_id, POOL, end, tokens)
+        return self.admission.release(release)
+
+
+def granted(decisions):
+    """Returns the ids of granted requests."""
+    return [d.request_id for d in decisions if d.reply.grant]
+
+
+def failures(decisions):
+    """Returns the failures."""
+    return [d.reply.failure for d in decisions if d.reply.failure]
+
+
+class LimitsTest(unittest.TestCase):
+    """What an account may have in flight."""
+
+    def test_requests_in_flight_are_held_exactly(self):
+        pool = Pool(acme={"room": Room(requests=3)})
+        started = [i for _ in range(6) for i in granted(pool.submit())]
+        self.assertEqual(len(started), 3)
+        self.assertEqual(len(granted(pool.end(started[0]))), 1)
+        self.assertEqual(granted(pool.pass_time(500)), [])
+
+    def test_tokens_in_flight_are_held_exactly_and_given_back(self):
+        # Each is expected to take 100 + 200 tokens.
+        pool = Pool(acme={"room": Room(tokens=700)})
+        started = [i for _ in range(4) for i in granted(pool.submit())]
+        self.assertEqual(len(started), 2)
+        for request_id in started:
+            pool.end(request_id, StreamEnd.CANCELLED)
+        self.assertEqual(pool.admission.queued, 0)
+
+    def test_what_is_larger_than_the_room_is_refused_at_once(self):
+        pool = Pool(acme={"room": Room(tokens=200)})
+        (failure,) = failures(pool.submit())
+        self.assertIs(failure.reason, Reason.RATE_LIMITED)
+        self.assertIs(failure.verdict, Verdict.NOT_RUN)
+
+    def test_an_account_at_its_limit_does_not_hold_up_others(self):
+        pool = Pool(acme={"room": Room(requests=1)})
+        pool.submit()
+        pool.submit()
+        self.assertEqual(granted(pool.submit(account="other")), ["r3"])
+
+    def test_a_rate_is_held_and_the_refusal_says_when_to_come_back(self):
+        pool = Pool(acme={"requests_per_second": 2.0})
+        decisions = [d for _ in range(3) for d in pool.submit()]
+        self.assertEqual(len(granted(decisions)), 2)
+        (failure,) = failures(decisions)
+        pool.clock.set(failure.retry_after_ms)
+        self.assertEqual(len(granted(pool.submit())), 1)
+
+    def test_retries_beyond_the_budget_are_refused(self):
+        pool = Pool(capacity=10**9, max_running=500)
+        decisions = [d for _ in range(40) for d in pool.submit(avoid=["e0"])]
+        self.assertEqual(len(granted(decisions)), 10)
+        self.assertIs(failures(decisions)[0].reason, Reason.RATE_LIMITED)
+
+
+class PlacementTest(unittest.TestCase):
+    """Memory, headroom and endpoints that are not to be used."""
+
+    def test_memory_is_not_promised_twice_once_lengths_are_known(self):
+        pool = Pool(capacity=3000)
+        for _ in range(60):
+            decisions = pool.submit(wait_ms=0)
+            if granted(decisions):
+                pool.end(decisions[0].request_id, tokens=400)
+        count = sum(len(granted(pool.submit())) for _ in range(20))
+        # Each grows to 500 tokens.
+        self.assertLessEqual(count * 500, 2 * 3000)
+        self.assertGreaterEqual(count, 8)
+
+    def test_headroom_is_left_for_interactive_work(self):
+        pool = Pool(capacity=10_000)
+        while granted(pool.submit()):
+            pass
+        answer = pool.submit(interactive=True, max_tokens=20, prompt_tokens=50)
+        self.assertEqual(len(granted(answer)), 1)
+
+    def test_a_leaving_endpoint_gets_nothing(self):
+        pool = Pool()
+        pool.admission.set_leaving({"e0"})
+        decisions = [d for _ in range(6) for d in pool.submit()]
+        endpoints = {d.reply.grant.endpoint for d in decisions}
+        self.assertEqual(endpoints, {"e1"})
+
+    def test_a_silent_endpoint_gets_nothing(self):
+        pool = Pool()
+        pool.clock.set(5000)
+        pool.admission.report_load(
+            LoadReport("e1", 5000, capacity_tokens=10_000, step_ms=20.0)
+        )
+        decisions = [d for _ in range(6) for d in pool.submit()]
+        endpoints = {d.reply.grant.endpoint for d in decisions}
+        self.assertEqual(endpoints, {"e1"})
+
+    def test_an_endpoint_that_lost_a_request_waits_for_its_next_report(self):
+        pool = Pool()
+        endpoint = pool.submit()[0].reply.grant.endpoint
+        pool.end("r1", StreamEnd.ENDPOINT_LOST)
+        others = [pool.submit()[0].reply.grant.endpoint for _ in range(4)]
+        self.assertNotIn(endpoint, others)
+        pool.pass_time(100)
+        later = [pool.submit()[0].reply.grant.endpoint for _ in range(4)]
+        self.assertIn(endpoint, later)
+
+    def test_a_long_stream_yields_when_memory_is_about_to_run_out(self):
+        pool = Pool(capacity=3000)
+        streams = [
+            StreamProgress(
+                builders.permit_request(
+                    request_id,
+                    interactive=is_interactive,
+                    max_tokens=400,
+                    prompt_tokens=1700,
+                ),
+                "e0",
+                10,
+            )
+            for request_id, is_interactive in (("long", False), ("short", True))
+        ]
+        report = ProgressReport("entry-1", POOL, streams)
+        pool.admission.report_progress(report)
+        pool.pass_time(1000)
+        (change,) = pool.admission.take_priority_changes()
+        self.assertEqual(change.entry, "entry-1")
+        self.assertEqual(change.message.request_id, "long")
+
+
+class RefusalTest(unittest.TestCase):
+    """What can't start in time is refused at once."""
+
+    def test_without_a_chance_to_start_the_refusal_is_immediate(self):
+        pool = Pool(max_running=2)
+        for _ in range(12):
+            pool.submit(wait_ms=600_000)
+        pool.pass_time(1000)
+        (failure,) = failures(pool.submit(wait_ms=100))
+        self.assertIs(failure.reason, Reason.DEADLINE)
+        self.assertIs(failure.verdict, Verdict.NOT_RUN)
+        self.assertGreaterEqual(failure.retry_after_ms, 1000)
+
+    def test_a_wait_ends_at_its_deadline(self):
+        pool = Pool(max_running=1, options=Options(refuses_early=False))
+        for _ in range(3):
+            pool.submit(wait_ms=500)
+        (failure,) = failures(pool.pass_time(600))
+        self.assertIs(failure.reason, Reason.DEADLINE)
+        self.assertEqual(pool.admission.queued, 0)
+
+    def test_work_that_waited_long_goes_before_interactive_work(self):
+        pool = Pool(max_running=1)
+        started = [granted(pool.submit(interactive=True))[0] for _ in "ab"]
+        pool.submit(wait_ms=10_000)
+        pool.pass_time(6000)
+        pool.submit(interactive=True, wait_ms=10_000)
+        self.assertEqual(granted(pool.end(started[0])), ["r3"])
+
+
+class ReportTest(unittest.TestCase):
+    """What entries report of their open streams."""
+
+    def test_a_new_owner_holds_limits_after_the_first_reports(self):
+        pool = Pool(acme={"room": Room(requests=3)})
+        streams = [
+            StreamProgress(
+                builders.permit_request(f"old-{i}", max_tokens=400), "e0", 5
+            )
+            for i in range(3)
+        ]
+        pool.admission.report_progress(ProgressReport("entry-1", POOL, streams))
+        self.assertEqual(granted(pool.submit()), [])
+        self.assertEqual(granted(pool.end("old-0")), ["r1"])
+
+    def test_a_stream_that_its_entry_no_longer_reports_is_given_up(self):
+        pool = Pool(acme={"room": Room(requests=1)})
+        pool.submit()
+        pool.submit(wait_ms=100_000)
+        empty = ProgressReport("entry-1", POOL, [])
+        pool.admission.report_progress(empty)
+        self.assertEqual(granted(pool.pass_time(100)), [])
+        pool.pass_time(2500)
+        pool.admission.report_progress(empty)
+        self.assertEqual(granted(pool.pass_time(100)), ["r2"])
+
+    def test_a_late_report_does_not_bring_back_a_released_stream(self):
+        pool = Pool(acme={"room": Room(requests=1)})
+        pool.submit()
+        pool.end("r1")
+        stream = StreamProgress(builders.permit_request("r1"), "e0", 5)
+        pool.admission.report_progress(
+            ProgressReport("entry-1", POOL, [stream])
+        )
+        self.assertEqual(granted(pool.submit()), ["r2"])
+
+    def test_the_streams_of_an_entry_without_reports_are_given_up(self):
+        pool = Pool(acme={"room": Room(requests=1)})
+        pool.submit()
+        pool.submit(wait_ms=100_000)
+        self.assertEqual(granted(pool.pass_time(14_000)), [])
+        self.assertEqual(granted(pool.pass_time(3000)), ["r2"])
+
+
+class PolicyTest(unittest.TestCase):
+    """The policies that need no forecast."""
+
+    def test_each_policy_spreads_requests_and_keeps_to_the_count(self):
+        for name in ("round-robin", "least-outstanding", "least-load"):
+            with self.subTest(name):
+                pool = Pool(max_running=3, options=Options(placement=name))
+                count = sum(len(granted(pool.submit())) for _ in range(9))
+                self.assertEqual(count, 6)
+
+    def test_reserving_the_maximum_never_overcommits(self):
+        options = Options(placement="reserve-maximum")
+        pool = Pool(capacity=1100, options=options)
+        count = sum(len(granted(pool.submit())) for _ in range(9))
+        self.assertEqual(count, 4)
--- /dev/null
+++ b/tests/test_fairness.py
@@ -0,0 +1,77 @@
+"""Fair queueing between accounts."""
+
+import unittest
+from collections import Counter
+
+from rhubarbwinch.clock import ManualClock
+from rhubarbwinch.fairness import FairQueue, Queued, ShareMeter
+from tests import builders
+
+WEIGHTS = {"large": 3.0, "small": 1.0}
+
+
+def _queue(counts):
+    """Returns a queue that holds so many requests of each account."""
+    queue = FairQueue(WEIGHTS.__getitem__)
+    for account, count in counts.items():
+        for _ in range(count):
+            request = builders.permit_request(account=account)
+            queue.push(account, Queued(request, 100, 0, 1000))
+    return queue
+
+
+def _serve(queue, count):
+    """Starts requests in order; returns how many of each account."""
+    served = Counter()
+    for _ in range(count):
+        item = next(queue.heads(1))
+        account = item.request.account
+        queue.start(account, item)
+        served[account] += 1
+    return served
+
+
+class FairQueueTest(unittest.TestCase):
+    """Weights, tokens and absence."""
+
+    def test_accounts_are_served_by_their_weights(self):
+        queue = _queue({"large": 200, "small": 200})
+        served = _serve(queue, 100)
+        self.assertAlmostEqual(served["large"], 75, delta=2)
+
+    def test_a_correction_makes_up_for_tokens_that_were_not_expected(self):
+        queue = _queue({"large": 200, "small": 200})
+        queue.charge("large", 3000)
+        self.assertEqual(_serve(queue, 10)["small"], 10)
+
+    def test_an_account_that_was_away_has_saved_up_nothing(self):
+        queue = _queue({"large": 400})
+        _serve(queue, 300)
+        for _ in range(50):
+            request = builders.permit_request(account="small")
+            queue.push("small", Queued(request, 100, 0, 1000))
+        self.assertAlmostEqual(_serve(queue, 40)["small"], 10, delta=2)
+
+    def test_a_flood_is_not_ahead_of_another_account(self):
+        queue = _queue({"large": 500})
+        self.assertLess(queue.ahead("small"), 1000)
+        self.assertEqual(queue.ahead("large"), 50_000)
+
+    def test_an_account_that_must_wait_lets_the_next_one_pass(self):
+        queue = _queue({"large": 2, "small": 1})
+        accounts = [item.request.account for item in queue.heads(8)]
+        self.assertEqual(accounts, ["large", "small"])
+        self.assertEqual(len(queue), 3)
+
+
+class ShareMeterTest(unittest.TestCase):
+    """Accounts far over their share."""
+
+    def test_only_the_account_that_floods_is_over_its_share(self):
+        meter = ShareMeter(ManualClock(), WEIGHTS.__getitem__)
+        meter.add("large", 300)
+        meter.add("small", 100)
+        self.assertFalse(meter.is_over("small"))
+        meter.add("small", 300)
+        self.assertTrue(meter.is_over("small"))
+        self.assertFalse(meter.is_over("large"))
--- /dev/null
+++ b/tests/test_lengths.py
@@ -0,0 +1,84 @@
+"""Survival curves of output lengths."""
+
+import random
+import unittest
+
+from rhubarbwinch.lengths import (
+    HORIZONS,
+    MIN_OBSERVATIONS,
+    LearnedLengths,
+    SurvivalCurve,
+)
+from tests import builders
+
+
+class SurvivalCurveTest(unittest.TestCase):
+    """One cell."""
+
+    def test_the_curve_follows_the_observed_lengths(self):
+        rng = random.Random(1)
+        curve = SurvivalCurve()
+        for _ in range(2000):
+            curve.add(rng.randrange(1, 1001), is_complete=True)
+        for tokens in (100, 500, 900):
+            self.assertAlmostEqual(
+                curve.chance(tokens), 1 - tokens / 1000, delta=0.08
+            )
+
+    def test_censored_streams_lengthen_the_curve(self):
+        rng = random.Random(2)
+        naive, curve = SurvivalCurve(), SurvivalCurve()
+        for _ in range(2000):
+            length, cut = rng.randrange(1, 1001), rng.randrange(1, 1001)
+            seen = min(length, cut)
+            curve.add(seen, is_complete=length <= cut)
+            naive.add(seen, is_complete=True)
+        self.assertAlmostEqual(curve.chance(500), 0.5, delta=0.08)
+        self.assertLess(naive.chance(500), 0.35)
+
+    def test_a_stream_that_outlived_the_short_ones_is_expected_to_go_on(self):
+        curve = SurvivalCurve()
+        for length in [20] * 90 + [2000] * 10:
+            curve.add(length, is_complete=True)
+        self.assertLess(curve.outlook(0, 8192).mean_tokens, 400)
+        self.assertGreater(curve.outlook(100, 8192).mean_tokens, 1500)
+
+    def test_nothing_is_expected_past_the_callers_bound(self):
+        curve = SurvivalCurve()
+        for _ in range(100):
+            curve.add(5000, is_complete=True)
+        outlook = curve.outlook(0, 256)
+        for horizon, alive in zip(HORIZONS, outlook.alive, strict=True):
+            if horizon > 2 * 256:
+                self.assertEqual(alive, 0)
+
+    def test_old_observations_fade(self):
+        curve = SurvivalCurve()
+        for _ in range(2000):
+            curve.add(10, is_complete=True)
+        for _ in range(1200):
+            curve.add(1000, is_complete=True)
+        self.assertGreater(curve.chance(500), 0.8)
+
+
+class LearnedLengthsTest(unittest.TestCase):
+    """Cells and their back-off."""
+
+    def test_a_new_account_is_judged_by_the_service_until_it_is_known(self):
+        lengths = LearnedLengths()
+        old = builders.permit_request(account="old", max_tokens=4096)
+        new = builders.permit_request(account="new", max_tokens=4096)
+        for _ in range(MIN_OBSERVATIONS + 1):
+            lengths.observe(old, 50, is_complete=True)
+        self.assertLess(lengths.outlook(new, 0).mean_tokens, 100)
+        for _ in range(MIN_OBSERVATIONS + 1):
+            lengths.observe(new, 2000, is_complete=True)
+        self.assertGreater(lengths.outlook(new, 0).mean_tokens, 1500)
+        self.assertLess(lengths.outlook(old, 0).mean_tokens, 100)
+
+    def test_without_observations_each_length_up_to_the_bound_is_as_likely(
+        self,
+    ):
+        request = builders.permit_request(max_tokens=1000)
+        outlook = LearnedLengths().outlook(request, 0)
+        self.assertEqual(outlook.mean_tokens, 500)
--- /dev/null
+++ b/tests/test_limits.py
@@ -0,0 +1,46 @@
+"""Rates, retry budgets and backoff."""
+
+import random
+import unittest
+
+from rhubarbwinch.clock import ManualClock
+from rhubarbwinch.limits import RetryBudget, TokenBucket, backoff_ms
+
+
+class TokenBucketTest(unittest.TestCase):
+    """Requests a second."""
+
+    def test_the_rate_is_held_and_the_wait_that_is_told_suffices(self):
+        clock = ManualClock()
+        bucket = TokenBucket(clock, 5)
+        self.assertEqual([bucket.take() for _ in range(5)], [0] * 5)
+        wait_ms = bucket.take()
+        self.assertEqual(wait_ms, 201)
+        clock.set(wait_ms)
+        self.assertEqual(bucket.take(), 0)
+        self.assertGreater(bucket.take(), 0)
+
+
+class RetryBudgetTest(unittest.TestCase):
+    """Retries."""
+
+    def test_retries_stay_a_share_of_first_attempts(self):
+        budget = RetryBudget(share=0.1, reserve=10)
+        allowed = 0
+        for _ in range(1000):
+            budget.add_attempt()
+            allowed += budget.take()
+        self.assertLessEqual(allowed, 110)
+        self.assertGreaterEqual(allowed, 100)
+
+
+class BackoffTest(unittest.TestCase):
+    """Waits before retries."""
+
+    def test_the_bound_doubles_up_to_the_limit(self):
+        rng = random.Random(1)
+        for attempt, bound in ((1, 100), (2, 200), (5, 1000), (60, 1000)):
+            waits = [backoff_ms(attempt, 100, 1000, rng) for _ in range(500)]
+            self.assertLessEqual(max(waits), bound)
+            self.assertGreater(max(waits), 0.9 * bound)
+            self.assertLess(min(waits), 0.1 * bound)
