--- a/rhubarbwinch/broker.py
+++ b/rhubarbwinch/broker.py
@@ -6,7 +6,7 @@
 import anyio
 import attrs
 
-from rhubarbwinch import metrics
+from rhubarbwinch import metrics, tracing
 from rhubarbwinch.accepted import Snapshot
 from rhubarbwinch.admission import (
     Admission,
@@ -20,6 +20,7 @@
 from rhubarbwinch.daemon import Daemon
 from rhubarbwinch.endpoints import EndpointClient
 from rhubarbwinch.exceptions import EndpointError, LinkError
+from rhubarbwinch.httpapi import App
 from rhubarbwinch.members import Role
 from rhubarbwinch.messages import (
     PermitRelease,
@@ -29,6 +30,7 @@
 )
 from rhubarbwinch.ownership import Ownership
 from rhubarbwinch.records import PoolSpec
+from rhubarbwinch.surroundings import Surroundings
 from rhubarbwinch.verdict import Reason, not_run
 
 # Returns the names of a pool's endpoints that leave.
@@ -36,6 +38,7 @@
 
 TICK_MS = 20
 LOAD_SILENCE_MS = 1000
+MAX_BODY_BYTES = 64 << 10
 
 
 @attrs.define
@@ -171,12 +174,19 @@
 
     Args:
         settings: What it was told.
+        outside: What it reaches the outside by, if not by a process's own.
+        endpoints: Calls endpoints, if not over HTTP.
     """
 
-    def __init__(self, settings: BrokerSettings) -> None:
-        self._daemon = Daemon(Role.BROKER, settings)
+    def __init__(
+        self,
+        settings: BrokerSettings,
+        outside: Surroundings | None = None,
+        endpoints: EndpointClient | None = None,
+    ) -> None:
+        self._daemon = Daemon(Role.BROKER, settings, outside)
         self._settings = settings
-        self._endpoints = EndpointClient(LOAD_SILENCE_MS)
+        self._endpoints = endpoints or EndpointClient(LOAD_SILENCE_MS)
         self._keeper = PoolKeeper(
             self._daemon.clock,
             random.Random(self._daemon.incarnation),
@@ -192,14 +202,19 @@
         daemon.leaving.on_change(self._mark_leaving)
         self._mark_leaving()
         daemon.drain.open_count = lambda: self._keeper.waiting
-        daemon.server.on(PermitRequest, self._keeper.answer)
+        daemon.server.on(PermitRequest, self._answer)
         daemon.server.on(PermitRelease, self._keeper.release)
         daemon.server.on(ProgressReport, self._keeper.report_progress)
+        daemon.serve_http(App(MAX_BODY_BYTES))
         daemon.add("tick", self._tick)
         daemon.add("load", self._read_loads)
         await daemon.run()
         await self._endpoints.close()
 
+    async def _answer(self, request: PermitRequest) -> PermitReply:
+        with tracing.span("queue", request.traceparent, pool=request.pool):
+            return await self._keeper.answer(request)
+
     def _mark_leaving(self) -> None:
         self._keeper.mark_leaving(self._daemon.leaving.endpoints_of)
 
--- a/rhubarbwinch/claimparts.py
+++ b/rhubarbwinch/claimparts.py
@@ -1,20 +1,23 @@
-"""Builds an entry's claims and hangs them into its supervisor tree."""
+"""Builds an entry's claims, meter and quarantine and adds their tasks."""
 
 import secrets
 
 from rhubarbwinch.claimfloor import ClaimCleaner, ClaimFloor
 from rhubarbwinch.claimowners import LinkOwners
 from rhubarbwinch.claimpages import ClaimPages
+from rhubarbwinch.claimrouting import PageCall, RoutedPages
 from rhubarbwinch.claims import Claims
 from rhubarbwinch.config import EntrySettings
 from rhubarbwinch.daemon import Daemon
 from rhubarbwinch.messages import ClaimQuestion
+from rhubarbwinch.metering import Meter, MeterCleaner
+from rhubarbwinch.quarantine import Quarantine
 
 HOUR_MS = 3_600_000
 
 
 class ClaimParts:
-    """The claims of an entry.
+    """The claims, the meter and the quarantine of an entry.
 
     Args:
         daemon: The entry's program.
@@ -23,12 +26,23 @@
 
     def __init__(self, daemon: Daemon, settings: EntrySettings) -> None:
         store, clock = daemon.store, daemon.clock
+        keep_ms = settings.claims_keep_hours * HOUR_MS
         self._pages = ClaimPages(store, clock, settings.claim_writes_per_s)
-        self._cleaner = ClaimCleaner(
-            store, clock, settings.claims_keep_hours * HOUR_MS
+        self._cleaner = ClaimCleaner(store, clock, keep_ms)
+        self._meter_cleaner = MeterCleaner(store, clock, keep_ms)
+        self.meter = Meter(
+            store,
+            clock,
+            settings.name,
+            daemon.incarnation,
+            settings.meter_flush_ms,
+        )
+        self.quarantine = Quarantine(store, daemon.gossip, clock)
+        self._routed = RoutedPages(
+            self._pages, daemon.links, daemon.members, clock
         )
         self.claims = Claims(
-            self._pages,
+            self._routed,
             LinkOwners(daemon.links, daemon.members),
             ClaimFloor(store, clock),
             clock,
@@ -40,6 +54,10 @@
     def attach(self, daemon: Daemon) -> None:
         """Adds the tasks and the answers to other members."""
         daemon.server.on(ClaimQuestion, self.claims.answer)
+        daemon.server.on(PageCall, self._routed.answer)
         daemon.add("claim-pages", self._pages.run)
         daemon.add("claims", self.claims.run)
         daemon.add("claim-cleaner", self._cleaner.run)
+        daemon.add("meter", self.meter.run)
+        daemon.add("meter-cleaner", self._meter_cleaner.run)
+        daemon.add("quarantine", self.quarantine.run)
--- a/rhubarbwinch/ctl.py
+++ b/rhubarbwinch/ctl.py
@@ -6,16 +6,16 @@
 from pathlib import Path
 from typing import Any
 
-import attrs
 import orjson
 
-from rhubarbwinch import codec, keys, records
-from rhubarbwinch.accepted import read_head
-from rhubarbwinch.exceptions import ConflictError, RecordError
-from rhubarbwinch.members import Member
+from rhubarbwinch import keys, records, secretkeys
+from rhubarbwinch.exceptions import ConflictError, RecordError, StoreUncertain
 from rhubarbwinch.records import Record
+from rhubarbwinch.secretkeys import ApiKey
 from rhubarbwinch.store import Store
 
+DEFAULT_STORE = "127.0.0.1:2379"
+
 
 class ExitStatus(enum.IntEnum):
     """Exit statuses of the command line."""
@@ -56,8 +56,19 @@
                 path, "-", str(error), "a readable file"
             ) from None
         found += [records.parse(item, path) for item in items]
-    for record in found:
-        records.check(record)
+    return found
+
+
+def check_records(items: list[Record]) -> list[RecordError]:
+    """Returns every fault of the records, doubled names among them."""
+    found: list[RecordError] = []
+    seen: set[str] = set()
+    for record in items:
+        found += records.errors(record)
+        if record.key in seen:
+            error = RecordError(record.key, "name", record.name, "given once")
+            found.append(error)
+        seen.add(record.key)
     return found
 
 
@@ -65,8 +76,11 @@
     """Writes records that have changed; returns those.
 
     Raises:
+        RecordError: A record is not valid; nothing was written.
         ConflictError: Another operator changed a record meanwhile.
     """
+    for error in check_records(items):
+        raise error
     changed = []
     for record in items:
         key = keys.record(record.kind, record.name)
@@ -74,34 +88,56 @@
         if current is not None and current.value == record.to_bytes():
             continue
         expected = current.revision if current else 0
-        swap = await store.swap(key, expected, record.to_bytes())
-        if not swap.won:
-            raise ConflictError(record.key, swap.revision)
+        await write(store, record, expected)
         changed.append(record)
     return changed
 
 
-async def list_records(store: Store, kind: str = "") -> list[Record]:
-    """Returns the records of a kind, or all."""
-    prefix = keys.RECORDS + (f"{kind}/" if kind else "")
-    listing = await store.scan(prefix)
-    return [records.parse(entry.value, entry.key) for entry in listing.entries]
+async def write(store: Store, record: Record, expected: int) -> None:
+    """Writes a record if its revision is `expected`; 0 is absent.
+
+    Raises:
+        ConflictError: Another operator changed the record meanwhile.
+        StoreError: The store failed.
+    """
+    key = keys.record(record.kind, record.name)
+    value = record.to_bytes()
+    try:
+        swap = await store.swap(key, expected, value)
+    except StoreUncertain:
+        # What is there now tells whether the write took effect.
+        current = await store.get(key)
+        if current is None or current.value != value:
+            raise
+        return
+    if not swap.won:
+        raise ConflictError(record.key, swap.revision)
 
 
-@attrs.frozen
-class Status:
-    """What is in force and who is there."""
+async def add_key(store: Store, account: str) -> ApiKey:
+    """Makes an API key and adds its hash to an account's record.
 
-    generation: int
-    members: list[Member]
+    Raises:
+        RecordError: There is no such account.
+        ConflictError: Another operator changed the record meanwhile.
+    """
+    key = keys.record("account", account)
+    current = await store.get(key)
+    if current is None:
+        raise RecordError(f"account/{account}", "name", account, "an account")
+    made = secretkeys.make_api_key(account)
+    record = secretkeys.add_key(records.parse(current.value), made.hashed)
+    swap = await store.swap(key, current.revision, record.to_bytes())
+    if not swap.won:
+        raise ConflictError(record.key, swap.revision)
+    return made
 
 
-async def read_status(store: Store) -> Status:
-    """Returns the generation in the store and the members."""
-    head, _ = await read_head(store)
-    listing = await store.scan(keys.MEMBERS)
-    members = [codec.decode(entry.value, Member) for entry in listing.entries]
-    return Status(head.generation, members)
+async def list_records(store: Store, kind: str = "") -> list[Record]:
+    """Returns the records of a kind, or all."""
+    prefix = keys.RECORDS + (f"{kind}/" if kind else "")
+    listing = await store.scan(prefix)
+    return [records.parse(entry.value, entry.key) for entry in listing.entries]
 
 
 def print_rows(rows: list[dict[str, Any]], output: Output) -> None:
--- a/rhubarbwinch/daemon.py
+++ b/rhubarbwinch/daemon.py
@@ -5,78 +5,61 @@
 from collections.abc import Awaitable, Callable
 
 import anyio
-import attrs
-import hypercorn.asyncio
 from hypercorn.config import Config
-from hypercorn.typing import ASGIFramework
 
-from rhubarbwinch import events, identity, misc
-from rhubarbwinch.clock import Clock, SystemClock
+from rhubarbwinch import events, metrics, misc
 from rhubarbwinch.config import Settings
 from rhubarbwinch.distribution import Distribution
 from rhubarbwinch.exceptions import StoreError
 from rhubarbwinch.follower import Follower
 from rhubarbwinch.gossip import Gossip
+from rhubarbwinch.httpapi import App
+from rhubarbwinch.httpserver import HttpServer
 from rhubarbwinch.leaving import LeavingVms
-from rhubarbwinch.links import Links, LinkServer
 from rhubarbwinch.members import Member, Members, MemberState, Role
 from rhubarbwinch.metrics import Metrics
+from rhubarbwinch.probes import Drain, Probes
 from rhubarbwinch.registration import Registration
-from rhubarbwinch.store import STORES, Store
+from rhubarbwinch.store import Store
 from rhubarbwinch.supervisor import Supervisor
+from rhubarbwinch.surroundings import Surroundings, make_surroundings
+from rhubarbwinch.tls import TlsFiles
+from rhubarbwinch.tracedstore import TracedStore
 
 DRAIN_CHECK_MS = 20
 LEAVING_NOTICE_MS = 500
 LAST_WORDS_MS = 200
+MAX_CLOSE_S = 5.0
 MAX_HEADER_BYTES = 32 << 10
 
 
-@attrs.define
-class Drain:
-    """The state of a shutdown.
-
-    Attributes:
-        started: Set when the program must take no new work.
-        limit: Set when the longest wait for open requests is over.
-        open_count: Returns how many requests are still open.
-    """
-
-    started: bool = False
-    limit: anyio.Event = attrs.field(factory=anyio.Event)
-    open_count: Callable[[], int] = lambda: 0
-
-
 class Daemon:
     """One program: builds the parts and runs them under a supervisor.
 
     Args:
         role: What the program does.
         settings: What it was told.
-        clock: The source of time.
-        store: The platform's store; built from the settings by default.
+        outside: What it reaches the outside by; by default a process's own,
+            built from the settings.
     """
 
     def __init__(
         self,
         role: Role,
         settings: Settings,
-        clock: Clock | None = None,
-        store: Store | None = None,
+        outside: Surroundings | None = None,
     ) -> None:
+        outside = outside or make_surroundings(settings)
         self.settings = settings
-        self.clock = clock or SystemClock()
-        self.incarnation = identity.new_incarnation()
+        self.clock = outside.clock
+        self.incarnation = outside.incarnation
         self.metrics = Metrics(settings.statsd, role)
-        make_store = STORES.get(settings.store_kind)
-        self.store = store or make_store(
-            settings.store, settings.store_timeout_ms
-        )
+        self.store: Store = TracedStore(outside.store)
         self.drain = Drain()
-        self.links = Links(self.incarnation, settings.link_keys)
-        self.server = LinkServer(settings.link, settings.link_keys)
-        # Heartbeats have links of their own, so that none waits for a large
-        # message and none of the peers' connections is closed by others.
-        self._gossip_links = Links(self.incarnation, settings.link_keys)
+        self.links = outside.links
+        self.server = outside.server
+        self._gossip_links = outside.gossip_links
+        self._is_embedded = outside.is_embedded
         rng = random.Random(self.incarnation)
         me = Member(
             settings.name,
@@ -112,32 +95,44 @@
         self.follower.on_change(
             lambda snapshot: self.gossip.set_generation(snapshot.generation)
         )
-        self.leaving = LeavingVms(
-            self.gossip, self._gossip_links, self.server, self.clock
-        )
+        self.leaving = LeavingVms(self.gossip, self.clock)
         self.follower.on_change(self.leaving.configure)
         self.leaving.on_change(self._follow_notice)
+        self.follower.on_change(
+            lambda snapshot: self.metrics.gauge(
+                metrics.GENERATION, snapshot.generation
+            )
+        )
         self._tree = Supervisor(settings.name, self.clock)
         self._shutdown = anyio.Event()
+        self._closed = anyio.Event()
+        # Without an HTTP interface there is nothing to close.
+        self._closed.set()
 
     def add(self, name: str, run: Callable[[], Awaitable[None]]) -> None:
         """Adds a task to the supervisor tree; call it before `run`."""
         self._tree.add(name, run)
 
-    def serve_http(self, app: ASGIFramework) -> None:
-        """Adds the HTTP interface; call it before `run`."""
+    def serve_http(self, app: App, tls: TlsFiles | None = None) -> None:
+        """Adds the HTTP interface with the probes; call it before `run`."""
+        Probes(self.follower, self.drain).add_to(app)
+        if self._is_embedded:
+            return
         config = Config()
         config.bind = [self.settings.http]
         config.accesslog = None
         config.errorlog = None
         config.h11_max_incomplete_size = MAX_HEADER_BYTES
-        config.graceful_timeout = self.settings.drain_ms / 1000
         config.keep_alive_timeout = 75
+        if tls is not None:
+            tls.use_in(config)
+
+        server = HttpServer(app, config)
+        self._closed = anyio.Event()
 
         async def run() -> None:
-            await hypercorn.asyncio.serve(
-                app, config, shutdown_trigger=self._shutdown.wait
-            )
+            await server.run(self._shutdown)
+            self._closed.set()
 
         self.add("http", run)
 
@@ -156,7 +151,8 @@
         self.add("follower", self.follower.run)
         try:
             async with anyio.create_task_group() as tasks:
-                tasks.start_soon(self._watch_signals, tasks)
+                if not self._is_embedded:
+                    tasks.start_soon(self._watch_signals, tasks)
                 events.STARTED.log(name=self.settings.name)
                 await self._tree.run()
                 tasks.cancel_scope.cancel()
@@ -201,7 +197,8 @@
             await self.clock.sleep(LAST_WORDS_MS)
         self._shutdown.set()
         await self.gossip.goodbye()
-        await self.clock.sleep(DRAIN_CHECK_MS)
+        with anyio.move_on_after(MAX_CLOSE_S):
+            await self._closed.wait()
 
     def _follow_notice(self) -> None:
         """Leaves, or serves again, as the notices on this VM say."""
--- a/rhubarbwinch/permits.py
+++ b/rhubarbwinch/permits.py
@@ -5,9 +5,9 @@
 import attrs
 from result import Err, Ok, Result
 
-from rhubarbwinch import rendezvous
+from rhubarbwinch import metrics, rendezvous, tracing
 from rhubarbwinch.exceptions import CodecError, LinkError, LinkTimeout
-from rhubarbwinch.links import Links
+from rhubarbwinch.linktypes import RunningCaller
 from rhubarbwinch.members import Member, Members, Role
 from rhubarbwinch.messages import (
     PermitGrant,
@@ -51,9 +51,17 @@
         links: The links to the brokers.
         members: The known members.
         timeout_ms: The longest wait for an answer, beyond the queue's.
+        counters: Where late answers are counted.
     """
 
-    def __init__(self, links: Links, members: Members, timeout_ms: int) -> None:
+    def __init__(
+        self,
+        links: RunningCaller,
+        members: Members,
+        timeout_ms: int,
+        counters: metrics.Metrics | None = None,
+    ) -> None:
+        self._metrics = counters
         self._links = links
         self._members = members
         self._timeout_ms = timeout_ms
@@ -127,11 +135,13 @@
         for pool in pools:
             owner = pool_owner(pool, self._members)
             asked = attrs.evolve(request, pool=pool, request_id=new_id())
-            answer = await self.ask(asked)
-            if _is_silent(answer) and owner is not None:
-                # Its broker has ended; the pool's next owner can answer.
-                asked = attrs.evolve(asked, request_id=new_id())
-                answer = await self.ask(asked, owner.name)
+            with tracing.span("permit", pool=pool):
+                asked = attrs.evolve(asked, traceparent=tracing.current())
+                answer = await self.ask(asked)
+                if _is_silent(answer) and owner is not None:
+                    # Its broker has ended; the pool's next owner can answer.
+                    asked = attrs.evolve(asked, request_id=new_id())
+                    answer = await self.ask(asked, owner.name)
             if answer.is_ok():
                 break
         return answer
@@ -149,6 +159,8 @@
 
     async def _hand_back(self, reply: PermitReply) -> None:
         """Returns a permit whose request has been given up."""
+        if self._metrics is not None:
+            self._metrics.count(metrics.LATE_ANSWERS)
         if reply.grant is None:
             return
         release = PermitRelease(reply.grant.request_id, "", StreamEnd.UNUSED)
--- a/rhubarbwinch/verdict.py
+++ b/rhubarbwinch/verdict.py
@@ -4,6 +4,8 @@
 
 import attrs
 
+MAX_DETAIL_CHARS = 300
+
 
 class Verdict(enum.StrEnum):
     """Whether a request ran at an endpoint."""
@@ -21,6 +23,7 @@
     FORBIDDEN = "forbidden"
     NOT_FOUND = "not-found"
     TOO_LARGE = "too-large"
+    TOO_SLOW = "request-timeout"
     RATE_LIMITED = "rate-limited"
     QUEUE_FULL = "queue-full"
     DEADLINE = "deadline"
@@ -41,6 +44,13 @@
     INTERNAL = "internal"
 
 
+def _shorten(detail: str) -> str:
+    """Returns a detail without the bulk that a caller may have put there."""
+    if len(detail) <= MAX_DETAIL_CHARS:
+        return detail
+    return detail[:MAX_DETAIL_CHARS] + "..."
+
+
 @attrs.frozen
 class Failure:
     """Why a request failed and whether it may have run.
@@ -54,7 +64,7 @@
 
     verdict: Verdict
     reason: Reason
-    detail: str
+    detail: str = attrs.field(converter=_shorten)
     retry_after_ms: int | None = None
 
 
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -12,6 +12,7 @@
     async def test_two_entries_with_the_same_key_at_once_run_it_once(self):
         async with World() as world:
             key = world.key()
+            world.desk.delay_ms = 1_000
             answers = [world.start(i, key) for i in (0, 1, 0, 1)]
             await world.settle(*answers)
             for answer in answers:
@@ -151,6 +152,7 @@
             world.note(f"once: {await world.call(0, world.key(1))}")
             world.desk.refuses = 3
             world.note(f"always: {await world.call(0, world.key(2))}")
+            await world.judge()
             world.note(f"again: {await world.call(1, world.key(2))}")
             await world.judge()
             world.note("# the caller hangs up in the call")
