Proofs of a pool's handover and of what a publication costs

A pool's next owner must neither fill engines twice nor refuse; a change must not cost a call for each record. One change beside 200 records: two calls to the store.

--- a/rhubarbwinch/memlinks.py
+++ b/rhubarbwinch/memlinks.py
@@ -108,6 +108,21 @@
             raise LinkError(f"{address} refused {type(message).__name__}")
         return self._pass(found)
 
+    async def send(self, address: str, message: Any) -> None:
+        """Sends a message that has no answer."""
+        try:
+            await self._network.carry(
+                self._address, address, self._pass(message), 0
+            )
+        except LinkTimeout:
+            # Nobody tells the sender of a message whether it arrived.
+            return
+
+    def on_late(
+        self, kind: type[T], handle: Callable[[T], Awaitable[None]]
+    ) -> None:
+        """Does nothing; an answer comes before its call is given up."""
+
     async def receive(self, message: Any) -> Any:
         """Answers a message; None if its class is not known."""
         handler = self._handlers.get(type(message).__name__)
--- /dev/null
+++ b/tests/test_ownership.py
@@ -0,0 +1,141 @@
+"""A pool that changes hands while its engines are full."""
+
+import random
+
+import anyio
+
+from lab.memberset import MemberSet
+from rhubarbwinch import ctl
+from rhubarbwinch.broker import PoolKeeper
+from rhubarbwinch.members import Role
+from rhubarbwinch.messages import (
+    PermitRelease,
+    PermitRequest,
+    ProgressReport,
+    StreamEnd,
+)
+from rhubarbwinch.metrics import Metrics
+from rhubarbwinch.ownership import Ownership
+from rhubarbwinch.permits import PermitClient, pool_owner
+from rhubarbwinch.reports import Reporter
+from tests import builders
+from tests.helpers import GoldTestCase, asynchronous
+
+POOL = "vintner.dc-a"
+TICK_MS = 20
+REPORT_DELAY_MS = 50
+
+
+def _add_broker(fleet, tasks, name):
+    node = fleet.add(name, Role.BROKER)
+    keeper = PoolKeeper(
+        fleet.clock,
+        random.Random(1),
+        Metrics("", Role.BROKER),
+        Ownership(node.members, fleet.clock),
+    )
+    node.follower.on_change(keeper.configure)
+    node.links.on(PermitRequest, keeper.answer)
+    node.links.on(PermitRelease, keeper.release)
+    node.links.on(ProgressReport, keeper.report_progress)
+
+    async def tick():
+        while True:
+            await fleet.clock.sleep(TICK_MS)
+            keeper.tick()
+
+    tasks.start_soon(tick)
+
+
+class SlowSender:
+    """Links whose messages take longer than a call."""
+
+    def __init__(self, links, clock):
+        self._links = links
+        self._clock = clock
+
+    async def send(self, address, message):
+        await self._clock.sleep(REPORT_DELAY_MS)
+        await self._links.send(address, message)
+
+
+class Asker:
+    """An entry that asks for permits one after another.
+
+    Args:
+        fleet: The members.
+        tasks: Runs its parts.
+    """
+
+    def __init__(self, fleet, tasks):
+        node = fleet.add("entry-0")
+        self.members = node.members
+        self.permits = PermitClient(node.links, node.members, 500)
+        self.lines = []
+        self._number = 0
+        slow = SlowSender(node.links, fleet.clock)
+        reporter = Reporter(
+            "entry-0", self.permits, node.members, slow, fleet.clock
+        )
+        tasks.start_soon(reporter.run)
+
+    async def ask(self, what, avoid=""):
+        """Asks for a permit and says what came of it."""
+        self._number += 1
+        request = builders.permit_request(
+            f"r{self._number}", pool=POOL, entry="entry-0", wait_ms=5000
+        )
+        answer = await self.permits.ask(request, avoid)
+        found = "granted" if answer.is_ok() else answer.err_value.reason
+        self.lines.append(f"{what}: {found}")
+
+    def say_held(self):
+        held = sorted(p.grant.endpoint for p in self.permits.open_permits)
+        self.lines.append(f"streams run at {' '.join(held)}")
+
+
+class HandoverTest(GoldTestCase):
+    """A broker that leaves."""
+
+    @asynchronous
+    async def test_the_next_owner_neither_overfills_engines_nor_refuses(self):
+        async with anyio.create_task_group() as tasks:
+            fleet = MemberSet(tasks)
+            fleet.add("control-0", Role.CONTROL)
+            for i in range(2):
+                _add_broker(fleet, tasks, f"broker-{i}")
+            asker = Asker(fleet, tasks)
+            engines = [builders.endpoint(f"engine-{i}") for i in range(2)]
+            await fleet.clock.advance(3000)
+            pool = builders.pool("vintner", engines, max_running=1)
+            await ctl.apply(fleet.store, [builders.model(), pool])
+            await fleet.clock.advance(1000)
+            for what in ("first", "second"):
+                tasks.start_soon(asker.ask, what)
+                await fleet.clock.advance(1000)
+            asker.say_held()
+            owner = pool_owner(POOL, asker.members).name
+            asker.lines.append(
+                "# the pool's owner leaves; the next one is asked before it "
+                "has the entry's report"
+            )
+            heir = next(n for n in ("broker-0", "broker-1") if n != owner)
+            # The next regular report is too late for the new owner.
+            await fleet.clock.advance(300)
+            leaver = fleet.nodes[owner]
+            leaver.members.leave()
+            leaver.gossip.announce()
+            while pool_owner(POOL, fleet.nodes[heir].members).name == owner:
+                await fleet.clock.advance(1)
+            tasks.start_soon(asker.ask, "third", owner)
+            await fleet.clock.advance(2000)
+            asker.say_held()
+            asker.lines.append("# the first ends")
+            permit = asker.permits.open_permits[0]
+            tasks.start_soon(
+                asker.permits.give_back, permit, StreamEnd.FINISHED
+            )
+            await fleet.clock.advance(500)
+            asker.say_held()
+            tasks.cancel_scope.cancel()
+        self.assert_gold("pool-handover", "\n".join(asker.lines) + "\n")
--- /dev/null
+++ b/tests/test_publisher.py
@@ -0,0 +1,108 @@
+"""What a change costs the publisher, and the collection of old chunks."""
+
+import unittest
+
+import anyio
+
+from rhubarbwinch import accepted, ctl, keys
+from rhubarbwinch.clock import ManualClock
+from rhubarbwinch.exceptions import StoreError
+from rhubarbwinch.follower import Follower
+from rhubarbwinch.memstore import MemoryStore
+from rhubarbwinch.publisher import Publisher
+from tests import builders
+from tests.helpers import asynchronous
+
+
+class PublisherTest(unittest.TestCase):
+    """A publisher on a store in memory."""
+
+    def setUp(self):
+        self.store = MemoryStore(ManualClock())
+
+    def _publisher(self):
+        return Publisher(self.store, Follower(self.store, ManualClock()))
+
+    async def _apply(self, *items):
+        """Applies records; returns the changes that a watch would show."""
+        seen = len(self.store.changes)
+        await ctl.apply(self.store, list(items))
+        return self.store.changes[seen:]
+
+    async def _chunks(self):
+        listing = await self.store.scan(keys.CHUNKS)
+        return {
+            entry.key.removeprefix(keys.CHUNKS) for entry in listing.entries
+        }
+
+    @asynchronous
+    async def test_a_change_costs_two_calls_however_many_records_there_are(
+        self,
+    ):
+        publisher = self._publisher()
+        await self._apply(*[builders.account(f"a-{i}") for i in range(200)])
+        await publisher.start()
+        changes = await self._apply(builders.account("a-7", weight=2.0))
+        before = self.store.calls
+        head = await publisher.update(changes)
+        self.assertEqual(self.store.calls - before, 2)
+        self.assertEqual(head.generation, 2)
+        more = [builders.account(f"a-{i}", weight=3.0) for i in range(20)]
+        head = await publisher.update(await self._apply(*more))
+        self.assertEqual(head.generation, 3)
+
+    @asynchronous
+    async def test_a_record_that_is_deleted_leaves_also_when_nobody_watched(
+        self,
+    ):
+        # The two are in different slots.
+        await self._apply(builders.account("a"), builders.account("c"))
+        self.assertNotEqual(
+            accepted.slot_of_key("account/a"), accepted.slot_of_key("account/c")
+        )
+        await self._publisher().start()
+        entry = await self.store.get(keys.record("account", "a"))
+        await self.store.delete(entry.key, entry.revision)
+        await self._publisher().start()
+        follower = Follower(self.store, ManualClock())
+        await follower.read()
+        self.assertEqual(set(follower.snapshot.accounts), {"c"})
+
+    @asynchronous
+    async def test_unused_chunks_go_and_a_paused_publisher_can_not_use_them(
+        self,
+    ):
+        paused, awake = self._publisher(), self._publisher()
+        await self._apply(builders.account(weight=1.0))
+        await awake.start()
+        await paused.start()
+        write = accepted.write_chunk
+        stopped, go_on = anyio.Event(), anyio.Event()
+
+        async def pause(store, chunk):
+            await write(store, chunk)
+            stopped.set()
+            await go_on.wait()
+
+        changes = await self._apply(builders.account(weight=2.0))
+        failed = []
+
+        async def publish():
+            try:
+                await paused.update(changes)
+            except StoreError:
+                failed.append(True)
+
+        async with anyio.create_task_group() as tasks:
+            accepted.write_chunk = pause
+            try:
+                tasks.start_soon(publish)
+                await stopped.wait()
+            finally:
+                accepted.write_chunk = write
+            self.assertEqual(await awake.collect(), 0)
+            self.assertEqual(await awake.collect(), 1)
+            go_on.set()
+        self.assertEqual(failed, [True])
+        head, _ = await accepted.read_head(self.store)
+        self.assertEqual(await self._chunks(), set(filter(None, head.chunks)))
