--- a/rhubarbwinch/quarantine.py
+++ b/rhubarbwinch/quarantine.py
@@ -8,7 +8,6 @@
 from collections.abc import Awaitable, Callable
 from typing import Protocol
 
-import anyio
 import attrs
 
 from rhubarbwinch import codec, events, keys
@@ -21,10 +20,13 @@
 MAX_SUSPECTS = 10_000
 KEEP_MS = 3_600_000
 REFRESH_MS = 30_000
+RETRY_MS = 500
+LOAD_POLL_MS = 20
 MAX_RACES = 10
 LOCK_MS = 600_000
 LOCK_WAIT_MS = 5_000
 LOCK_POLL_MS = 500
+SPREAD_MS = 500
 
 
 class Sharer(Protocol):
@@ -78,15 +80,23 @@
         store: Keeps suspects for members that start later.
         sharer: Tells the members that are there.
         clock: The source of time.
+        spread_ms: How long news takes to reach the members.
     """
 
-    def __init__(self, store: Store, sharer: Sharer, clock: Clock) -> None:
+    def __init__(
+        self,
+        store: Store,
+        sharer: Sharer,
+        clock: Clock,
+        spread_ms: int = SPREAD_MS,
+    ) -> None:
+        self._spread_ms = spread_ms
         self._store = store
         self._sharer = sharer
         self._clock = clock
         self._suspects: dict[str, Suspect] = {}
         self._unsaved: dict[str, str] = {}
-        self._loaded = anyio.Event()
+        self._is_loaded = False
         sharer.on(KIND, self._hear)
 
     async def run(self) -> None:
@@ -94,9 +104,11 @@
         while True:
             try:
                 await self.load()
+                wait = REFRESH_MS
             except StoreError as error:
                 events.STORE_DOWN.log(error=str(error))
-            await self._clock.sleep(REFRESH_MS)
+                wait = RETRY_MS
+            await self._clock.sleep(wait)
 
     async def load(self) -> None:
         """Reads all suspects; writes strikes that the store missed."""
@@ -110,19 +122,24 @@
             else:
                 self._merge(suspect)
         self._forget()
-        self._loaded.set()
+        self._is_loaded = True
 
     async def wait_loaded(self, limit_ms: int) -> None:
         """Waits until the store's suspects are known, up to a limit."""
-        with anyio.move_on_after(limit_ms / 1000):
-            await self._loaded.wait()
+        end = self._clock.now() + limit_ms
+        while not self._is_loaded and self._clock.now() < end:
+            await self._clock.sleep(LOAD_POLL_MS)
 
     def get(self, fingerprint: str) -> Suspect | None:
         """Returns what is known of a request; None if it is no suspect."""
         return self._suspects.get(fingerprint)
 
     async def strike(self, fingerprint: str, run: str) -> None:
-        """Notes that an endpoint died under a run, and tells everybody."""
+        """Notes that an endpoint died under a run, and tells everybody.
+
+        Returns only when the others can know it, so that a caller which sends
+        its request again to another member finds it known there.
+        """
         now = self._clock.wall()
         events.ENDPOINT_STRIKE.log(fingerprint=fingerprint, run=run)
         suspect = Suspect(fingerprint, [run], at_ms=now)
@@ -134,6 +151,8 @@
         except StoreError as error:
             # It is written with the next reading; peers know it already.
             events.STORE_DOWN.log(error=str(error))
+        if self._spread_ms:
+            await self._clock.sleep(self._spread_ms)
 
     async def clear(self, fingerprint: str) -> None:
         """Forgets a suspect that has finished."""
