Options of rhubarbwinchctl may stand after the command too

A caller that does not read its stream was covered by no test through the programs. Ruled out: the same options declared once more at each command.

--- a/rhubarbwinch/ctlcommands.py
+++ b/rhubarbwinch/ctlcommands.py
@@ -119,6 +119,7 @@
         str,
         cappa.Arg(
             long=True,
+            propagate=True,
             default=cappa.Env("RHUBARBWINCH_STORE", default=ctl.DEFAULT_STORE),
             parse=types.address,
             help="Address of the store [RHUBARBWINCH_STORE]",
@@ -128,6 +129,7 @@
         Output,
         cappa.Arg(
             long=True,
+            propagate=True,
             default=cappa.Env("RHUBARBWINCH_OUTPUT", default=Output.TABLE),
             parse=types.ValueType(", ".join(Output), Output),
             help="Form of the results [RHUBARBWINCH_OUTPUT]",
@@ -147,7 +149,7 @@
     except SettingError as error:
         _fail(error, ExitStatus.USAGE)
     except StoreError as error:
-        _fail(error, ExitStatus.STORE)
+        _fail(StoreError(f"store {command.store}: {error}"), ExitStatus.STORE)
 
 
 def _fail(error: Exception, status: ExitStatus) -> None:
--- a/tests/test_ctl.py
+++ b/tests/test_ctl.py
@@ -126,6 +126,7 @@
             path.write_text(json.dumps(bad))
             table = self._run("validate", str(path))
             listed = self._run("--output", "json", "validate", str(path))
+            after = self._run("validate", str(path), "--output", "json")
         self.assertEqual(table.returncode, ExitStatus.INVALID)
         self.assertEqual(
             table.stderr.splitlines(),
@@ -138,6 +139,7 @@
                 "allowed: given once",
             ],
         )
+        self.assertEqual(after.stdout, listed.stdout)
         rows = json.loads(listed.stdout)
         self.assertEqual(
             [row["field"] for row in rows], ["context_tokens", "weight", "name"]
--- a/tests/test_httpapi.py
+++ b/tests/test_httpapi.py
@@ -199,6 +199,17 @@
         engine = self.fleet.engines[0]
         return httpx.get(f"http://{engine}/load").json()["running"]
 
+    def test_a_caller_that_does_not_read_holds_up_no_other(self):
+        body = self._call(prompt="len=4000", stream=True)
+        url = f"http://{self.address}{COMPLETIONS}"
+        with httpx.stream(
+            "POST", url, content=body, headers=AUTHORIZATION
+        ) as unread:
+            for _ in range(3):
+                answer = self._post(self._call(prompt="len=5"))
+                self.assertEqual(answer.status_code, 200)
+            self.assertEqual(unread.status_code, 200)
+
     def test_an_unknown_schema_changes_nothing_in_force(self):
         newer = builders.model(name="later")
         newer = builders.Record("model", "later", 99, newer.spec)
