A whole deployment with link keys, and an entry without them

Cause: keys were tested on one link only; gossip and permits had never run encrypted between processes. An entry without the keys reads its configuration from the store but gets no permit: its caller is refused with 503, not-run. Ruled out: keys in every test's deployment, which would slow each start.

--- a/tests/test_linkkeys.py
+++ b/tests/test_linkkeys.py
@@ -1,14 +1,18 @@
 """Links whose peers hold the right key pair, another or none."""
 
+import os
 import unittest
+from unittest import mock
 
 import anyio
 import attrs
+import httpx
 
 from rhubarbwinch.exceptions import LinkError
 from rhubarbwinch.links import Links, LinkServer
 from rhubarbwinch.secretkeys import make_link_keys
-from tests.helpers import asynchronous, free_address
+from tests.fleet import AUTHORIZATION, Fleet
+from tests.helpers import asynchronous, free_address, wait_until
 
 ANSWER_MS = 5000
 SILENCE_MS = 300
@@ -98,3 +102,35 @@
     def test_the_secret_is_not_shown(self):
         keys = make_link_keys()
         self.assertNotIn(keys.secret, repr(keys))
+
+
+class ProcessesTest(unittest.TestCase):
+    """A whole deployment whose links have keys."""
+
+    def test_requests_are_served_and_a_program_without_keys_is_not_heard(self):
+        keys = make_link_keys()
+        variables = {
+            "RHUBARBWINCH_LINK_PUBLIC_KEY": keys.public,
+            "RHUBARBWINCH_LINK_SECRET_KEY": keys.secret,
+        }
+        bare = free_address()
+        body = {"model": "chat", "prompt": "len=3"}
+        statuses = []
+        with mock.patch.dict(os.environ, variables), Fleet() as fleet:
+            with mock.patch.dict(os.environ):
+                for name in variables:
+                    del os.environ[name]
+                fleet.start_role("entry", "bare", bare)
+            # It has its configuration from the store, but no broker hears it.
+            url = f"http://{bare}/readyz"
+            wait_until(lambda: httpx.get(url).is_success, "the bare entry")
+            for address in (fleet.entries[0], bare):
+                answer = httpx.post(
+                    f"http://{address}/v1/completions",
+                    json=body,
+                    headers=AUTHORIZATION,
+                    timeout=20,
+                )
+                statuses.append(answer.status_code)
+                verdict = answer.headers.get("x-verdict")
+        self.assertEqual((statuses, verdict), ([200, 503], "not-run"))
