--- a/tests/claimworld.py
+++ b/tests/claimworld.py
@@ -227,9 +227,14 @@
             Entry(self, f"entry-{i}", 100 + i) for i in range(entries)
         ]
         items = [
-            builders.account(),
+            builders.account(services=("booking", "ledger")),
             builders.plain_service(not_repeatable=["POST /book"]),
             builders.plain_service("empty", "nowhere"),
+            builders.plain_service(
+                "ledger",
+                not_repeatable=["POST /book"],
+                retention_ms=90 * 24 * 3_600_000,
+            ),
             builders.pool("bookings", [builders.endpoint("desk")]),
         ]
         self.snapshot = make_snapshot(1, items)
--- /dev/null
+++ b/tests/test_claimfloor.py
@@ -0,0 +1,47 @@
+"""The cleanup of pages: state stays bounded, and no key runs again."""
+
+from rhubarbwinch import keys
+from rhubarbwinch.claimfloor import PASS_MS, REFRESH_MS, ClaimCleaner
+from tests.claimworld import World
+from tests.helpers import GoldTestCase, asynchronous
+
+HOUR_MS = 3_600_000
+LEDGER = "/services/ledger/book"
+
+
+class ClaimFloorTest(GoldTestCase):
+    """Keys whose pages are past their keeping."""
+
+    @asynchronous
+    async def test_a_key_whose_page_is_deleted_never_runs_again(self):
+        async with World() as world:
+            cleaner = ClaimCleaner(world.store, world.clock, HOUR_MS)
+
+            async def pages(title):
+                listing = await world.store.scan(keys.CLAIMS)
+                world.note(f"{title}: {len(listing.entries)} pages")
+
+            async def call(title, entry, key):
+                told = await world.call(entry, key, path=LEDGER)
+                world.note(f"{title}: {told}")
+
+            await cleaner.step()
+            key, late = world.key(1), world.key(2)
+            await call("first", 0, key)
+            await world.clock.advance(HOUR_MS + 2 * PASS_MS)
+            await call("before the cleanup", 0, key)
+            gate = world.entries[1].gate
+            paused = await world.stop(1, "before write", late, path=LEDGER)
+            await cleaner.step()
+            await pages("floor raised")
+            await world.clock.advance(PASS_MS)
+            await cleaner.step()
+            await pages("a pass later")
+            await call("again", 0, key)
+            gate.wake()
+            await world.settle(paused)
+            world.note(f"paused through the cleanup: {paused.text}")
+            await world.clock.advance(REFRESH_MS)
+            await call("a new key", 1, world.key(3))
+            world.note(f"endpoint ran {len(world.desk.ran)}")
+        self.assert_gold("claims-cleanup", "\n".join(world.lines) + "\n")
