Prompts carry the hashes of their blocks; pools of a data centre share work

And with more than 64 engines in a data centre (two pools) every entry asked the same pool first.

Now: chained hashes of blocks of 64 tokens, at most 32; the pools of one data centre are ranked by a request's fingerprint.

--- a/rhubarbwinch/accepted.py
+++ b/rhubarbwinch/accepted.py
@@ -13,7 +13,7 @@
 import orjson
 import xxhash
 
-from rhubarbwinch import codec, events, keys, records
+from rhubarbwinch import codec, events, keys, records, rendezvous
 from rhubarbwinch.exceptions import (
     CodecError,
     RecordError,
@@ -134,10 +134,18 @@
         """Returns the names of a target's pools, sorted."""
         return sorted(n for n, p in self.pools.items() if p.target == target)
 
-    def pools_near(self, target: str, data_center: str) -> list[str]:
-        """Returns a target's pools, those in `data_center` first."""
+    def pools_near(
+        self, target: str, data_center: str, request: str
+    ) -> list[str]:
+        """Returns a target's pools, those in `data_center` first.
+
+        Args:
+            target: The model or plain service.
+            data_center: Where the asking entry is.
+            request: Spreads requests over the pools of one data centre.
+        """
         return sorted(
-            self.pools_of(target),
+            rendezvous.ranking(request, self.pools_of(target)),
             key=lambda name: self.pools[name].data_center != data_center,
         )
 
--- a/rhubarbwinch/calls.py
+++ b/rhubarbwinch/calls.py
@@ -10,13 +10,17 @@
 from rhubarbwinch.callparams import check_parameters
 from rhubarbwinch.claimkeys import ClaimKey
 from rhubarbwinch.httpapi import Refused, Request, Responder
+from rhubarbwinch.prefixes import (
+    BYTES_PER_TOKEN,
+    prefix_hashes,
+    prompt_bytes,
+)
 from rhubarbwinch.records import ServiceSpec
 from rhubarbwinch.relay import Relay
 from rhubarbwinch.repeatable import claim_key
 from rhubarbwinch.verdict import Reason, not_run
 
 DEFAULT_MAX_TOKENS = 4096
-BYTES_PER_TOKEN = 4
 
 
 @attrs.frozen
@@ -32,6 +36,7 @@
         stream: Whether the caller wants events.
         prompt_tokens: The estimated prompt length.
         max_tokens: The bound on the output.
+        prefix: Hashes of the prompt's leading blocks.
         claim_key: The key under which it runs at most once; None if it is
             repeatable.
     """
@@ -44,6 +49,7 @@
     stream: bool
     prompt_tokens: int
     max_tokens: int
+    prefix: list[int] = attrs.field(factory=list)
     claim_key: ClaimKey | None = None
 
     @property
@@ -88,6 +94,7 @@
         stream=stream,
         prompt_tokens=len(request.body) // BYTES_PER_TOKEN,
         max_tokens=max_tokens,
+        prefix=prefix_hashes(prompt_bytes(data)),
         claim_key=claim_key(account, name, service, request, request.path),
     )
 
--- a/rhubarbwinch/generate.py
+++ b/rhubarbwinch/generate.py
@@ -206,6 +206,7 @@
             interactive=call.service.interactive,
             prompt_tokens=call.prompt_tokens,
             max_tokens=call.max_tokens,
+            prefix=call.prefix,
             fingerprint=call.fingerprint,
             repeatable=call.claim_key is None,
             wait_ms=call.service.wait_ms,
@@ -213,7 +214,9 @@
         )
         answer = await self._permits.ask_any(
             request,
-            snapshot.pools_near(call.service.target, self._data_center),
+            snapshot.pools_near(
+                call.service.target, self._data_center, call.fingerprint
+            ),
             partial(self._ids.request_id, call.account),
         )
         if isinstance(answer, Err):
--- a/rhubarbwinch/plain.py
+++ b/rhubarbwinch/plain.py
@@ -221,7 +221,9 @@
         )
         answer = await self._permits.ask_any(
             request,
-            snapshot.pools_near(call.service.target, self._data_center),
+            snapshot.pools_near(
+                call.service.target, self._data_center, call.account
+            ),
             partial(self._ids.request_id, call.account),
         )
         if isinstance(answer, Err):
--- a/tests/test_accepted.py
+++ b/tests/test_accepted.py
@@ -25,3 +25,17 @@
         self.assertNotIn("a", snapshot.accounts)
         chunk = accepted.pack_chunks([newer])[accepted.slot_of(newer)]
         self.assertEqual(accepted.unpack_chunk(chunk), [newer])
+
+    def test_pools_of_one_data_centre_share_requests_and_come_first(self):
+        def pool(name, data_center):
+            spec = {"target": "vintner", "data_center": data_center}
+            return Record("pool", name, 2, spec)
+
+        pools = [pool("p1", "here"), pool("p2", "here"), pool("p3", "there")]
+        snapshot = accepted.make_snapshot(1, pools)
+        orders = [
+            snapshot.pools_near("vintner", "here", f"request-{i}")
+            for i in range(50)
+        ]
+        self.assertEqual({order[2] for order in orders}, {"p3"})
+        self.assertEqual({order[0] for order in orders}, {"p1", "p2"})
