Drain: HTTP/2 gets no forbidden header, plain calls get a verdict

While draining each answer carried 'connection: close', which HTTP/2 forbids; and a plain call still open at the limit was cut without a verdict. The header now goes to HTTP/1 only, and a plain call ends as may-have-run. Ruled out: waiting without a limit, which a hung service would make endless. docs/http.md says what a caller does with old addresses and event: resume.

--- a/lab/catalogue.py
+++ b/lab/catalogue.py
@@ -55,6 +55,13 @@
 `data: [DONE]`. A caller that lost its connection sends its request to any
 entry with `Last-Event-ID`: it gets what it has not seen, from the same
 generation. A stream that can't go on ends with `event: error` and a problem.
+A stream that is open when its entry must end gets `event: resume`, whose data
+names other entries: go on at one of them with `Last-Event-ID`.
+
+Keep the list of `GET /v1/entries` for its time to live and use the first. After
+a refused connection or the verdict `not-run` with status 503 go on with the
+next; after a whole round wait as `Retry-After` says. An answer that was cut
+off without a verdict is neither: the request may have run.
 """
 
 _PROBLEM_TEXT = """\
--- a/rhubarbwinch/drainlimit.py
+++ b/rhubarbwinch/drainlimit.py
@@ -28,7 +28,7 @@
     Raises:
         Refused: The limit came before the head of the answer was sent.
     """
-    failed: list[Refused] = []
+    failed: list[Exception] = []
     done = False
     async with anyio.create_task_group() as tasks:
 
@@ -40,8 +40,9 @@
         try:
             await work()
             done = True
-        except Refused as refused:
-            failed.append(refused)
+        except Exception as error:
+            # The task group would wrap it.
+            failed.append(error)
         tasks.cancel_scope.cancel()
     if failed:
         raise failed[0]
--- a/rhubarbwinch/entry.py
+++ b/rhubarbwinch/entry.py
@@ -215,6 +215,14 @@
             self._open -= 1
 
     async def _call_plain(self, request: Request, responder: Responder) -> None:
+        await run_until_limit(
+            self._daemon.drain.limit,
+            partial(self._forward, request, responder),
+            responder,
+            self._others,
+        )
+
+    async def _forward(self, request: Request, responder: Responder) -> None:
         account = self._account(request)
         snapshot = self._daemon.follower.snapshot
         self._open += 1
--- a/rhubarbwinch/httpapi.py
+++ b/rhubarbwinch/httpapi.py
@@ -158,7 +158,7 @@
             return
         if scope["type"] != "http":
             return
-        responder = Responder(send, self.is_closing())
+        responder = Responder(send, self._must_close(scope))
         try:
             request = await self._read_in_time(scope, receive)
             handle = self._find(request)
@@ -180,6 +180,10 @@
         detail = f"the body took over {self._body_timeout_ms} ms"
         raise Refused(not_run(Reason.TOO_SLOW, detail))
 
+    def _must_close(self, scope: Any) -> bool:
+        """Tells whether the connection ends; HTTP/2 has its own way."""
+        return self.is_closing() and scope["http_version"].startswith("1")
+
     async def _read(self, scope: Any, receive: ASGIReceiveCallable) -> Request:
         body = bytearray()
         more = True
