--- a/rhubarbwinch/admission.py
+++ b/rhubarbwinch/admission.py
@@ -5,11 +5,12 @@
 """
 
 import random
-from collections import OrderedDict
+from collections import OrderedDict, deque
 
 import attrs
 
 from rhubarbwinch.clock import Clock
+from rhubarbwinch.digests import DigestChecker
 from rhubarbwinch.enginestate import (
     FORECAST_MS,
     CacheReport,
@@ -21,6 +22,7 @@
 from rhubarbwinch.lengths import LearnedLengths, LengthEstimator
 from rhubarbwinch.limits import AccountLimits, Limits
 from rhubarbwinch.messages import (
+    DigestReport,
     PermitGrant,
     PermitRelease,
     PermitReply,
@@ -33,6 +35,7 @@
 from rhubarbwinch.queueing import Lane
 from rhubarbwinch.records import AccountSpec, PoolSpec
 from rhubarbwinch.steptime import StepTime
+from rhubarbwinch.streamindex import StreamIndex
 from rhubarbwinch.verdict import Failure, Reason, not_run
 
 MAX_QUEUED = 1000
@@ -40,6 +43,8 @@
 # Expected waits are uncertain; what would only just start is refused too.
 WAIT_MARGIN = 0.75
 REFRESH_MS = 500
+# Engines whose forecasts are made anew in one call, to keep calls short.
+REFRESHES = 2
 # A grant may cross its entry's report; only older ones must be in it.
 SETTLE_MS = 2000
 # Entries report every second; a silent one has lost its streams.
@@ -126,7 +131,9 @@
             self._step_time, rng
         )
         self._engines = {e.name: EngineState(e) for e in spec.endpoints}
-        self._streams: dict[str, Stream] = {}
+        self._turns = deque(self._engines.values())
+        self._streams = StreamIndex()
+        self._digests = DigestChecker()
         self._released: OrderedDict[str, None] = OrderedDict()
         self._entries_seen: dict[str, int] = {}
         self._interactive = Lane(clock, self._limits.weight)
@@ -136,6 +143,11 @@
         self._changes: list[EntryChange] = []
         self._refreshed_ms = clock.now()
 
+    @property
+    def streams(self) -> StreamIndex:
+        """The granted requests."""
+        return self._streams
+
     @property
     def queued(self) -> int:
         """The number of requests that wait."""
@@ -154,6 +166,7 @@
             engine = old.get(endpoint.name) or EngineState(endpoint)
             engine.spec = endpoint
             self._engines[endpoint.name] = engine
+        self._turns = deque(self._engines.values())
         self._unblock()
 
     def set_leaving(self, endpoints: set[str]) -> None:
@@ -196,18 +209,27 @@
             request_id = item.request.request_id
             known = self._streams.get(request_id)
             if known is not None:
+                if known.request.entry != report.entry:
+                    self._streams.move(known, item.request)
                 # An entry that reports no tokens leaves the estimate alone.
                 if item.tokens:
                     known.tokens, known.at_ms = item.tokens, now
             elif request_id not in self._released:
                 self._start(item.request, item.endpoint, item.tokens)
-        for stream in list(self._streams.values()):
+        for stream in self._streams.of_entry(report.entry):
             is_settled = now - stream.granted_ms >= SETTLE_MS
-            is_entrys = stream.request.entry == report.entry
-            missing = stream.request.request_id not in open_ids
-            if is_entrys and missing and is_settled:
+            if stream.request.request_id not in open_ids and is_settled:
                 self._forget(stream, stream.tokens)
 
+    def check_digest(self, report: DigestReport) -> bool:
+        """Takes an entry's digest; returns whether it must report in full."""
+        now = self._clock.now()
+        self._entries_seen[report.entry] = now
+        self._streams.grow(report.entry, report.grown, now)
+        known = self._streams.of_entry(report.entry)
+        ids = [stream.request.request_id for stream in known]
+        return self._digests.wants_all(report, ids)
+
     def report_load(self, report: LoadReport) -> None:
         """Takes an engine's load report."""
         engine = self._engines.get(report.endpoint)
@@ -233,8 +255,7 @@
     def decide(self) -> list[Decision]:
         """Grants and refuses what it can; call it also as time passes."""
         now = self._clock.now()
-        if now - self._refreshed_ms >= REFRESH_MS:
-            self._refresh(now)
+        self._refresh(now)
         decisions: list[Decision] = []
         lanes = [self._interactive, self._patient]
         if self._patient.is_overdue():
@@ -326,8 +347,8 @@
                 decisions.append(self._grant(stream, engine))
             elif not item.request.avoid:
                 # A later one must not pass by, or large ones would starve.
+                lane.is_blocked = True
                 break
-        lane.is_blocked = len(lane) > 0
 
     def _forecast(self, item: Queued) -> Stream:
         """Returns the stream that a request would be, made anew at times."""
@@ -349,11 +370,11 @@
             decisions.append(_refuse(item.request, failure))
 
     def _place(self, stream: Stream) -> EngineState | None:
-        now = self._clock.now()
+        now, limit = self._clock.now(), self._spec.max_running
         fit = [
             engine
             for name, engine in self._engines.items()
-            if engine.outstanding < self._spec.max_running
+            if len(engine.streams) < limit
             and name not in stream.request.avoid
             and name not in self._leaving
             and not engine.is_silent(now)
@@ -389,7 +410,7 @@
     def _add(self, stream: Stream, engine: EngineState | None) -> None:
         request = stream.request
         stream.at_ms = stream.granted_ms = self._clock.now()
-        self._streams[request.request_id] = stream
+        self._streams.add(stream)
         self._entries_seen.setdefault(request.entry, stream.at_ms)
         self._limits.of(request.account).add(stream.expected_tokens)
         self._shares.add(request.account, stream.expected_tokens)
@@ -399,12 +420,12 @@
         if engine is not None:
             stream.endpoint = engine.spec.name
             engine.add(stream)
-            engine.peak_tokens = engine.peak_with(None, MEMORY_DEVIATIONS)
+            engine.rank(self._step_time, MEMORY_DEVIATIONS)
             engine.expect_cached(request.prefix)
 
     def _forget(self, stream: Stream, tokens: int) -> None:
         request = stream.request
-        del self._streams[request.request_id]
+        self._streams.remove(stream)
         self._limits.of(request.account).remove(stream.expected_tokens)
         lane = self._lane(request)
         served = request.prompt_tokens + tokens
@@ -417,7 +438,7 @@
         engine = self._engines.get(stream.endpoint)
         if engine is not None:
             engine.remove(stream)
-            engine.peak_tokens = engine.peak_with(None, MEMORY_DEVIATIONS)
+            engine.rank(self._step_time, MEMORY_DEVIATIONS)
         self._unblock()
 
     def _note_released(self, request_id: str) -> None:
@@ -430,19 +451,36 @@
         self._patient.is_blocked = False
 
     def _refresh(self, now: int) -> None:
-        self._refreshed_ms = now
-        self._drop_silent(now)
-        for engine in self._engines.values():
+        """Brings some engines' forecasts up to date, the oldest first."""
+        due = 0
+        while due < REFRESHES and self._turns:
+            engine = self._turns[0]
+            if now - engine.refreshed_ms < REFRESH_MS:
+                break
+            due += 1
+            self._turns.rotate(-1)
             engine.refresh(now, self._lengths)
-            engine.peak_tokens = engine.peak_with(None, MEMORY_DEVIATIONS)
+            engine.rank(self._step_time, MEMORY_DEVIATIONS)
             if self._options.lowers_priority:
                 self._make_yield(engine)
-        steps = [e.step_ms for e in self._engines.values() if e.load]
+        if due:
+            self._unblock()
+        if now - self._refreshed_ms >= REFRESH_MS:
+            self._refreshed_ms = now
+            self._drop_silent(now)
+            self._learn_step(now)
+
+    def _learn_step(self, now: int) -> None:
+        """Takes the engines' mean step time for the expected waits."""
+        steps = [
+            e.step_ms
+            for e in self._engines.values()
+            if e.load and not e.is_silent(now)
+        ]
         if steps:
             mean = sum(steps) / len(steps)
             self._interactive.service.step_ms = mean
             self._patient.service.step_ms = mean
-        self._unblock()
 
     def _drop_silent(self, now: int) -> None:
         """Drops the streams of entries that report no more."""
@@ -453,10 +491,10 @@
         }
         if not silent:
             return
-        for stream in list(self._streams.values()):
-            if stream.request.entry in silent:
-                self._forget(stream, stream.tokens)
         for entry in silent:
+            for stream in self._streams.of_entry(entry):
+                self._forget(stream, stream.tokens)
+            self._digests.forget(entry)
             del self._entries_seen[entry]
 
     def _make_yield(self, engine: EngineState) -> None:
