--- a/lab/bench_links.py
+++ b/lab/bench_links.py
@@ -18,13 +18,17 @@
 import orjson
 
 from rhubarbwinch import codec
+from rhubarbwinch.digests import request_key
 from rhubarbwinch.links import Links, LinkServer
 from rhubarbwinch.messages import (
     Ack,
+    DigestReply,
+    DigestReport,
     PermitGrant,
     PermitReply,
     PermitRequest,
     ProgressReport,
+    StreamGrowth,
     StreamProgress,
 )
 
@@ -83,9 +87,16 @@
     )
 
 
+def digest_report() -> DigestReport:
+    """Returns a digest of open streams, one of which has grown."""
+    request = permit_request()
+    grown = [StreamGrowth(request_key(request.request_id), 512)]
+    return DigestReport(request.entry, request.pool, 20, 1 << 63, grown)
+
+
 async def measure(
-    request: PermitRequest | ProgressReport,
-    reply: PermitReply | Ack,
+    request: PermitRequest | ProgressReport | DigestReport,
+    reply: PermitReply | Ack | DigestReply,
     count: int,
 ) -> Cost:
     """Returns the cost of a call with the given messages."""
@@ -94,7 +105,7 @@
         address = f"127.0.0.1:{probe.getsockname()[1]}"
     server = LinkServer(address)
 
-    async def answer(_: object) -> PermitReply | Ack:
+    async def answer(_: object) -> PermitReply | Ack | DigestReply:
         return reply
 
     server.on(type(request), answer)
@@ -128,6 +139,7 @@
     for request, reply in (
         (permit_request(), permit_reply()),
         (progress_report(), Ack()),
+        (digest_report(), DigestReply()),
     ):
         cost = await measure(request, reply, count)
         sys.stdout.write(orjson.dumps(attrs.asdict(cost)).decode() + "\n")
