--- a/lab/demo.py
+++ b/lab/demo.py
@@ -139,10 +139,10 @@
         for role in ("control", "broker", "entry"):
             http = self.entries[index] if role == "entry" else free_address()
             name = f"{self.example.name}-{role}-{index}"
-            zone = f"{self.example.region}-{'abc'[index % 3]}"
+            data_center = f"{self.example.region}-{'abc'[index % 3]}"
             env = {
                 "RHUBARBWINCH_NAME": name,
-                "RHUBARBWINCH_DATA_CENTER": zone,
+                "RHUBARBWINCH_DATA_CENTER": data_center,
                 "RHUBARBWINCH_REGION": self.example.region,
                 "RHUBARBWINCH_LINK": free_address(),
                 "RHUBARBWINCH_HTTP": http,
@@ -303,6 +303,14 @@
 def main() -> None:
     """Runs the demo; exits with 0 if all went as it should."""
     signal.signal(signal.SIGTERM, _interrupt)
+    try:
+        _run()
+    except KeyboardInterrupt as error:
+        sys.exit(f"interrupted: {error}")
+    _say("done; every process has been ended")
+
+
+def _run() -> None:
     with (
         tempfile.TemporaryDirectory() as name,
         Processes(pathlib.Path(name)) as processes,
@@ -317,7 +325,6 @@
         _stream_through_a_loss(deployments[0], processes)
         _show_plain_call(deployments[1])
         _show_trace(directory)
-    _say("done; every process has been ended")
 
 
 if __name__ == "__main__":
--- a/rhubarbwinch/fairness.py
+++ b/rhubarbwinch/fairness.py
@@ -7,9 +7,14 @@
 
 import attrs
 
+from rhubarbwinch.clock import Clock
 from rhubarbwinch.enginestate import Stream
 from rhubarbwinch.messages import PermitRequest
 
+SHARE_HALF_LIFE_MS = 30_000
+# Accounts' demands differ; only a flood is this far over its share.
+OVER_SHARE = 1.5
+
 
 @attrs.define(eq=False)
 class Queued:
@@ -17,6 +22,7 @@
 
     Attributes:
         request: The request.
+        tokens: What it is expected to take.
         since_ms: When it came.
         until_ms: When its wait ends.
         is_gone: Whether it was granted or refused.
@@ -24,6 +30,7 @@
     """
 
     request: PermitRequest
+    tokens: int
     since_ms: int
     until_ms: int
     is_gone: bool = False
@@ -38,6 +45,7 @@
     weight: float
     virtual: float
     live: int = 0
+    tokens: float = 0.0
     is_listed: bool = False
     items: deque[Queued] = attrs.field(factory=deque)
 
@@ -66,6 +74,7 @@
         self._order = itertools.count()
         self._virtual = 0.0
         self._length = 0
+        self._tokens = 0
         self._active_weight = 0.0
 
     def __len__(self) -> int:
@@ -80,6 +89,8 @@
             self._enter(line)
         line.items.append(item)
         line.live += 1
+        line.tokens += item.tokens
+        self._tokens += item.tokens
         self._length += 1
 
     def remove(self, account: str, item: Queued) -> None:
@@ -87,23 +98,40 @@
         item.is_gone = True
         line = self._lines[account]
         line.live -= 1
+        line.tokens -= item.tokens
+        self._tokens -= item.tokens
         self._length -= 1
         if line.live == 0:
             self._active_weight -= line.weight
             line.items.clear()
 
+    def start(self, account: str, item: Queued) -> None:
+        """Takes out a request that starts, and charges its account."""
+        line = self._lines[account]
+        self._virtual = max(self._virtual, line.virtual)
+        self.charge(account, item.tokens)
+        self.remove(account, item)
+
     def charge(self, account: str, tokens: float) -> None:
         """Counts tokens served to an account; negative to correct."""
         line = self._line(account)
         line.virtual += tokens / line.weight
 
     def ahead(self, account: str) -> float:
-        """Returns about how many requests go before a new one."""
+        """Returns about how many tokens start before a new request.
+
+        Its turn comes when the queue's virtual time reaches the account's
+        own, behind its other requests. Until then each active account starts
+        tokens by its weight.
+        """
         line = self._lines.get(account)
-        own = line.live if line else 0
         weight = line.weight if line else self._weight_of(account)
-        others = self._active_weight - (weight if own else 0)
-        return min(self._length, own * (1 + others / weight) + others / weight)
+        lead, active = 0.0, self._active_weight
+        if line is None or line.live == 0:
+            active += weight
+        if line is not None:
+            lead = max(0.0, line.virtual - self._virtual) + line.tokens / weight
+        return min(self._tokens, lead * active)
 
     def heads(self, limit: int) -> Iterator[Queued]:
         """Yields the first request of up to `limit` accounts, in order.
@@ -124,7 +152,6 @@
                     passed.append(line)
                     yield item
                     if item.is_gone:
-                        self._virtual = max(self._virtual, virtual)
                         self._enter(passed.pop())
         finally:
             for line in passed:
@@ -148,3 +175,46 @@
             line = _Line(account, weight, self._virtual)
             self._lines[account] = line
         return line
+
+
+class ShareMeter:
+    """What accounts were granted lately, against their weights.
+
+    Args:
+        clock: The source of time.
+        weight_of: Returns an account's weight.
+    """
+
+    def __init__(self, clock: Clock, weight_of: Callable[[str], float]) -> None:
+        self._clock = clock
+        self._weight_of = weight_of
+        self._faded_ms = clock.now()
+        self._tokens: dict[str, float] = {}
+        self._total = 0.0
+        self._weight = 0.0
+
+    def add(self, account: str, tokens: float) -> None:
+        """Counts tokens granted to an account."""
+        self._fade()
+        if account not in self._tokens:
+            self._tokens[account] = 0.0
+            self._weight += self._weight_of(account)
+        self._tokens[account] += tokens
+        self._total += tokens
+
+    def is_over(self, account: str) -> bool:
+        """Tells whether an account has far more than its share."""
+        held = self._tokens.get(account, 0.0)
+        share = self._weight_of(account) / max(self._weight, 1e-9)
+        return held > OVER_SHARE * share * self._total
+
+    def _fade(self) -> None:
+        """Halves all counts now and then; forgets accounts that are away."""
+        now = self._clock.now()
+        if now - self._faded_ms < SHARE_HALF_LIFE_MS:
+            return
+        self._faded_ms = now
+        halved = {a: t / 2 for a, t in self._tokens.items() if t >= 2}
+        self._tokens = halved
+        self._total = sum(halved.values())
+        self._weight = sum(self._weight_of(a) for a in halved)
--- a/rhubarbwinch/generate.py
+++ b/rhubarbwinch/generate.py
@@ -206,6 +206,7 @@
             interactive=call.service.interactive,
             prompt_tokens=call.prompt_tokens,
             max_tokens=call.max_tokens,
+            prefix=call.prefix,
             fingerprint=call.fingerprint,
             repeatable=call.claim_key is None,
             wait_ms=call.service.wait_ms,
@@ -213,7 +214,9 @@
         )
         answer = await self._permits.ask_any(
             request,
-            snapshot.pools_near(call.service.target, self._data_center),
+            snapshot.pools_near(
+                call.service.target, self._data_center, call.fingerprint
+            ),
             partial(self._ids.request_id, call.account),
         )
         if isinstance(answer, Err):
@@ -260,8 +263,11 @@
             end = StreamEnd.FINISHED
         except EndpointError as error:
             end = StreamEnd.ENDPOINT_LOST if error.sent else StreamEnd.FAILED
+            endpoint = stream.permit.grant.endpoint
+            events.ENDPOINT_LOST.log(endpoint=endpoint, error=str(error))
             raise
         finally:
+            self._metrics.count(metrics.RESUMES, stream.position.resumes)
             with anyio.CancelScope(shield=True):
                 if end is StreamEnd.CANCELLED and keep:
                     await self._streams.leave(stream)
--- a/rhubarbwinch/placement.py
+++ b/rhubarbwinch/placement.py
@@ -1,5 +1,6 @@
 """Placement policies: which endpoint a request runs on, if any."""
 
+import heapq
 import random
 from collections.abc import Callable
 from typing import Protocol
@@ -13,6 +14,8 @@
 MEMORY_DEVIATIONS = 2.0
 HEADROOM_SHARE = 0.08
 PREFILL_MS_PER_TOKEN = 0.04
+# A prompt is read in one step, a stream is in all steps until its end.
+PREFILL_WEIGHT = 0.25
 CANDIDATES = 3
 
 
@@ -129,22 +132,24 @@
         self, stream: Stream, engines: list[EngineState]
     ) -> EngineState | None:
         """Returns the best endpoint on which the stream fits."""
-        ranked = sorted(engines, key=lambda e: self._cost_ms(stream, e))
-        for engine in ranked[:CANDIDATES]:
+        best = heapq.nsmallest(
+            CANDIDATES, engines, key=lambda e: self._cost_ms(stream, e)
+        )
+        for engine in best:
             if self._fits(stream, engine):
                 return engine
         return None
 
     def _cost_ms(self, stream: Stream, engine: EngineState) -> float:
         """Returns what the stream would wait and cost there, in ms."""
-        uncached = stream.request.prompt_tokens - engine.cached_tokens(
-            stream.request.prefix
-        )
-        if not engine.capacity_tokens:
+        if engine.load is None:
             return engine.outstanding * self._rng.uniform(1.0, 1.001)
-        filled = engine.peak_tokens / engine.capacity_tokens
-        prefill = uncached * PREFILL_MS_PER_TOKEN
-        return prefill + GAP_TARGET_MS * filled
+        step = engine.cost_ms
+        prefix = stream.request.prefix
+        if not prefix:
+            return step
+        saved = engine.cached_tokens(prefix) * PREFILL_MS_PER_TOKEN
+        return step - PREFILL_WEIGHT * saved
 
     def _fits(self, stream: Stream, engine: EngineState) -> bool:
         capacity = engine.capacity_tokens
--- a/rhubarbwinch/plain.py
+++ b/rhubarbwinch/plain.py
@@ -7,7 +7,7 @@
 import httpx
 from result import Err
 
-from rhubarbwinch import identity
+from rhubarbwinch import events, identity
 from rhubarbwinch.accepted import Snapshot
 from rhubarbwinch.claimkeys import ClaimKey
 from rhubarbwinch.claims import Claim, Claims, make_outcome
@@ -221,7 +221,9 @@
         )
         answer = await self._permits.ask_any(
             request,
-            snapshot.pools_near(call.service.target, self._data_center),
+            snapshot.pools_near(
+                call.service.target, self._data_center, call.account
+            ),
             partial(self._ids.request_id, call.account),
         )
         if isinstance(answer, Err):
@@ -247,6 +249,8 @@
             end = StreamEnd.FINISHED
         except EndpointError as error:
             end = StreamEnd.ENDPOINT_LOST if error.sent else StreamEnd.FAILED
+            endpoint = permit.grant.endpoint
+            events.ENDPOINT_LOST.log(endpoint=endpoint, error=str(error))
             raise
         finally:
             with anyio.CancelScope(shield=True):
