--- a/lab/bench_relay.py
+++ b/lab/bench_relay.py
@@ -152,19 +152,22 @@
     return (_cpu_s(pid) - before) * 1e6 / REQUESTS
 
 
-def _print(rows: list[Row]) -> None:
+def _print_head() -> None:
     print(
         f"{'load':26} {'relay':7} {'tokens':>7} {'err':>4} {'us/token':>8} "
         f"{'tokens/s':>9} {'p50 ms':>7} {'p95 ms':>7} {'first95':>8} "
         f"{'B/stream':>9}"
     )
-    for row in rows:
-        print(
-            f"{row.load:26} {row.relay:7} {row.tokens:7} {row.errors:4} "
-            f"{row.us_a_token:8} {row.tokens_a_core:9} {row.delay_p50_ms:7.2f} "
-            f"{row.delay_p95_ms:7.2f} {row.first_p95_ms:8.1f} "
-            f"{row.stream_bytes:9}"
-        )
+
+
+def _print_row(row: Row) -> None:
+    print(
+        f"{row.load:26} {row.relay:7} {row.tokens:7} {row.errors:4} "
+        f"{row.us_a_token:8} {row.tokens_a_core:9} {row.delay_p50_ms:7.2f} "
+        f"{row.delay_p95_ms:7.2f} {row.first_p95_ms:8.1f} "
+        f"{row.stream_bytes:9}",
+        flush=True,
+    )
 
 
 def _summarise(rows: list[Row], request_us: float) -> None:
@@ -206,13 +209,15 @@
             relays.append(("bare", fleet.pid("bare"), bare))
         for _, pid, address in relays:
             _measure("", pid, address, Load("", *WARM_UP))
+        _print_head()
         for load in loads:
+            targets: list[tuple[str, int | None, str]] = [*relays]
             if load.gap_ms and not found.no_bare:
-                rows.append(_measure("direct", None, source, load))
-            for name, pid, address in relays:
+                targets.insert(0, ("direct", None, source))
+            for name, pid, address in targets:
                 rows.append(_measure(name, pid, address, load))
+                _print_row(rows[-1])
         request_us = _request_us(entry_pid, entry)
-    _print(rows)
     _summarise(rows, request_us)
     (ROOT / ".work" / "bench_relay.json").write_bytes(
         orjson.dumps(
