--- a/rhubarbwinch/calls.py
+++ b/rhubarbwinch/calls.py
@@ -10,6 +10,7 @@
 from rhubarbwinch.callparams import check_parameters
 from rhubarbwinch.claimkeys import ClaimKey
 from rhubarbwinch.httpapi import Refused, Request, Responder
+from rhubarbwinch.prefixes import block_hashes
 from rhubarbwinch.records import ServiceSpec
 from rhubarbwinch.relay import Relay
 from rhubarbwinch.repeatable import claim_key
@@ -31,6 +32,7 @@
         body: The body for the engine.
         stream: Whether the caller wants events.
         prompt_tokens: The estimated prompt length.
+        prefix: Hashes of the leading blocks, longest last.
         max_tokens: The bound on the output.
         claim_key: The key under which it runs at most once; None if it is
             repeatable.
@@ -43,6 +45,7 @@
     body: bytes
     stream: bool
     prompt_tokens: int
+    prefix: list[int]
     max_tokens: int
     claim_key: ClaimKey | None = None
 
@@ -87,6 +90,7 @@
         body=body,
         stream=stream,
         prompt_tokens=len(request.body) // BYTES_PER_TOKEN,
+        prefix=block_hashes(request.body),
         max_tokens=max_tokens,
         claim_key=claim_key(account, name, service, request, request.path),
     )
--- a/rhubarbwinch/generate.py
+++ b/rhubarbwinch/generate.py
@@ -206,6 +206,7 @@
             interactive=call.service.interactive,
             prompt_tokens=call.prompt_tokens,
             max_tokens=call.max_tokens,
+            prefix=call.prefix,
             fingerprint=call.fingerprint,
             repeatable=call.claim_key is None,
             wait_ms=call.service.wait_ms,
