--- a/rhubarbwinch/calls.py
+++ b/rhubarbwinch/calls.py
@@ -10,14 +10,17 @@
 from rhubarbwinch.callparams import check_parameters
 from rhubarbwinch.claimkeys import ClaimKey
 from rhubarbwinch.httpapi import Refused, Request, Responder
-from rhubarbwinch.prefixes import block_hashes
+from rhubarbwinch.prefixes import (
+    BYTES_PER_TOKEN,
+    prefix_hashes,
+    prompt_bytes,
+)
 from rhubarbwinch.records import ServiceSpec
 from rhubarbwinch.relay import Relay
 from rhubarbwinch.repeatable import claim_key
 from rhubarbwinch.verdict import Reason, not_run
 
 DEFAULT_MAX_TOKENS = 4096
-BYTES_PER_TOKEN = 4
 
 
 @attrs.frozen
@@ -32,8 +35,8 @@
         body: The body for the engine.
         stream: Whether the caller wants events.
         prompt_tokens: The estimated prompt length.
-        prefix: Hashes of the leading blocks, longest last.
         max_tokens: The bound on the output.
+        prefix: Hashes of the prompt's leading blocks.
         claim_key: The key under which it runs at most once; None if it is
             repeatable.
     """
@@ -45,8 +48,8 @@
     body: bytes
     stream: bool
     prompt_tokens: int
-    prefix: list[int]
     max_tokens: int
+    prefix: list[int] = attrs.field(factory=list)
     claim_key: ClaimKey | None = None
 
     @property
@@ -90,8 +93,8 @@
         body=body,
         stream=stream,
         prompt_tokens=len(request.body) // BYTES_PER_TOKEN,
-        prefix=block_hashes(request.body),
         max_tokens=max_tokens,
+        prefix=prefix_hashes(prompt_bytes(data)),
         claim_key=claim_key(account, name, service, request, request.path),
     )
 
--- a/rhubarbwinch/generate.py
+++ b/rhubarbwinch/generate.py
@@ -214,7 +214,9 @@
         )
         answer = await self._permits.ask_any(
             request,
-            snapshot.pools_near(call.service.target, self._data_center),
+            snapshot.pools_near(
+                call.service.target, self._data_center, call.fingerprint
+            ),
             partial(self._ids.request_id, call.account),
         )
         if isinstance(answer, Err):
--- a/rhubarbwinch/prefixes.py
+++ b/rhubarbwinch/prefixes.py
@@ -1,22 +1,33 @@
-"""Hashes of a request's leading blocks, to find engines that cached them."""
+"""Hashes of a prompt's leading blocks, by which cached prefixes are found."""
 
+from typing import Any
+
+import orjson
 import xxhash
 
-# About 64 tokens; engines cache whole blocks of tokens.
-BLOCK_BYTES = 256
+from rhubarbwinch.enginestate import BLOCK_TOKENS
+
+BYTES_PER_TOKEN = 4
+BLOCK_BYTES = BLOCK_TOKENS * BYTES_PER_TOKEN
+# Longer prefixes are told apart by no more than this many blocks.
 MAX_BLOCKS = 32
 
 
-def block_hashes(body: bytes) -> list[int]:
-    """Returns a hash for each leading whole block and all before it.
+def prompt_bytes(data: dict[str, Any]) -> bytes:
+    """Returns the prompt or the messages of a request as bytes."""
+    return orjson.dumps(data.get("prompt", data.get("messages")))
+
+
+def prefix_hashes(prompt: bytes) -> list[int]:
+    """Returns a hash for each full leading block, longest prefix last.
 
-    The body stands for its prompt: callers of one application write the same
-    fields in the same order. A wrong guess costs a prompt that is read again.
+    Each hash covers all blocks before it, so two prompts share as many
+    hashes as they share blocks.
     """
-    digest = xxhash.xxh3_64()
-    hashes = []
-    end = min(len(body) // BLOCK_BYTES, MAX_BLOCKS) * BLOCK_BYTES
-    for start in range(0, end, BLOCK_BYTES):
-        digest.update(body[start : start + BLOCK_BYTES])
-        hashes.append(digest.intdigest())
+    hashes: list[int] = []
+    running = xxhash.xxh3_64()
+    end = min(len(prompt), MAX_BLOCKS * BLOCK_BYTES)
+    for start in range(0, end - BLOCK_BYTES + 1, BLOCK_BYTES):
+        running.update(prompt[start : start + BLOCK_BYTES])
+        hashes.append(running.intdigest())
     return hashes
