--- a/rhubarbwinch/admission.py
+++ b/rhubarbwinch/admission.py
@@ -5,7 +5,7 @@
 """
 
 import random
-from collections import OrderedDict
+from collections import OrderedDict, deque
 
 import attrs
 
@@ -17,9 +17,9 @@
     LoadReport,
     Stream,
 )
-from rhubarbwinch.fairness import Queued
+from rhubarbwinch.fairness import Queued, ShareMeter
 from rhubarbwinch.lengths import LearnedLengths, LengthEstimator
-from rhubarbwinch.limits import Limits
+from rhubarbwinch.limits import AccountLimits, Limits
 from rhubarbwinch.messages import (
     PermitGrant,
     PermitRelease,
@@ -37,7 +37,11 @@
 
 MAX_QUEUED = 1000
 RETRY_AFTER_MS = 1000
+# Expected waits are uncertain; what would only just start is refused too.
+WAIT_MARGIN = 0.75
 REFRESH_MS = 500
+# Engines whose forecasts are made anew in one call, to keep calls short.
+REFRESHES = 2
 # A grant may cross its entry's report; only older ones must be in it.
 SETTLE_MS = 2000
 # Entries report every second; a silent one has lost its streams.
@@ -124,11 +128,13 @@
             self._step_time, rng
         )
         self._engines = {e.name: EngineState(e) for e in spec.endpoints}
+        self._turns = deque(self._engines.values())
         self._streams: dict[str, Stream] = {}
         self._released: OrderedDict[str, None] = OrderedDict()
         self._entries_seen: dict[str, int] = {}
         self._interactive = Lane(clock, self._limits.weight)
         self._patient = Lane(clock, self._limits.weight)
+        self._shares = ShareMeter(clock, self._limits.weight)
         self._leaving: set[str] = set()
         self._changes: list[EntryChange] = []
         self._refreshed_ms = clock.now()
@@ -151,6 +157,7 @@
             engine = old.get(endpoint.name) or EngineState(endpoint)
             engine.spec = endpoint
             self._engines[endpoint.name] = engine
+        self._turns = deque(self._engines.values())
         self._unblock()
 
     def set_leaving(self, endpoints: set[str]) -> None:
@@ -160,11 +167,12 @@
 
     def submit(self, request: PermitRequest) -> list[Decision]:
         """Takes a request in; returns what can be decided now."""
-        failure = self._refusal(request)
+        expected = self._expected_tokens(request)
+        failure = self._refusal(request, expected)
         if failure is not None:
             return [_refuse(request, failure)]
         lane = self._lane(request)
-        lane.push(self._share_key(request), request)
+        lane.push(self._share_key(request), request, expected)
         return self.decide()
 
     def release(self, release: PermitRelease) -> list[Decision]:
@@ -229,8 +237,7 @@
     def decide(self) -> list[Decision]:
         """Grants and refuses what it can; call it also as time passes."""
         now = self._clock.now()
-        if now - self._refreshed_ms >= REFRESH_MS:
-            self._refresh(now)
+        self._refresh(now)
         decisions: list[Decision] = []
         lanes = [self._interactive, self._patient]
         if self._patient.is_overdue():
@@ -247,37 +254,58 @@
     def _share_key(self, request: PermitRequest) -> str:
         return request.account if self._options.is_fair else ""
 
-    def _refusal(self, request: PermitRequest) -> Failure | None:
+    def _refusal(self, request: PermitRequest, expected: int) -> Failure | None:
         """Returns why a request can't be taken in, or None."""
         limits = self._limits.of(request.account)
+        limited = self._rate_refusal(request, limits)
+        if limited is not None:
+            return limited
+        if not limits.can_ever_fit(expected):
+            detail = "the request is larger than the account's room"
+            return not_run(Reason.RATE_LIMITED, detail)
+        if self.queued >= MAX_QUEUED:
+            detail = "too many requests wait"
+            return not_run(Reason.QUEUE_FULL, detail, RETRY_AFTER_MS)
+        if self._options.is_fair and self._crowds_out(request):
+            detail = "over the account's share while others wait"
+            return not_run(Reason.RATE_LIMITED, detail, RETRY_AFTER_MS)
+        return self._late_refusal(request)
+
+    def _rate_refusal(
+        self, request: PermitRequest, limits: AccountLimits
+    ) -> Failure | None:
+        """Refuses what is over the account's rates."""
         if self._options.limits_retries:
             if not request.avoid:
                 limits.retries.add_attempt()
             elif not limits.retries.take():
                 detail = "the account's retry budget is used up"
                 return not_run(Reason.RATE_LIMITED, detail, RETRY_AFTER_MS)
-        if limits.rate is not None:
-            wait_ms = limits.rate.take()
-            if wait_ms:
-                detail = "the account's rate of requests is used up"
-                return not_run(Reason.RATE_LIMITED, detail, wait_ms)
-        if not limits.can_ever_fit(self._expected_tokens(request)):
-            detail = "the request is larger than the account's room"
-            return not_run(Reason.RATE_LIMITED, detail)
-        if self.queued >= MAX_QUEUED:
-            detail = "too many requests wait"
-            return not_run(Reason.QUEUE_FULL, detail, RETRY_AFTER_MS)
-        if self._options.refuses_early:
-            return self._late_refusal(request)
+        wait_ms = limits.rate.take() if limits.rate is not None else 0
+        if wait_ms:
+            detail = "the account's rate of requests is used up"
+            return not_run(Reason.RATE_LIMITED, detail, wait_ms)
         return None
 
+    def _crowds_out(self, request: PermitRequest) -> bool:
+        """Tells whether interactive work takes what others wait for."""
+        return (
+            request.interactive
+            and len(self._patient) > 0
+            and self._shares.is_over(request.account)
+        )
+
     def _late_refusal(self, request: PermitRequest) -> Failure | None:
         """Refuses what has no chance to start in time."""
+        if not self._options.refuses_early:
+            return None
         lane = self._lane(request)
         wait_ms = lane.wait_ms(self._share_key(request))
-        if wait_ms <= request.wait_ms:
+        if wait_ms <= WAIT_MARGIN * request.wait_ms:
             return None
-        after = int(max(RETRY_AFTER_MS, wait_ms - request.wait_ms))
+        after = max(
+            RETRY_AFTER_MS, int(wait_ms - WAIT_MARGIN * request.wait_ms)
+        )
         detail = f"no place within {request.wait_ms} ms"
         return not_run(Reason.DEADLINE, detail, after)
 
@@ -297,12 +325,12 @@
                 continue
             engine = self._place(stream)
             if engine is not None:
-                lane.start(self._share_key(item.request), item, expected)
+                lane.start(self._share_key(item.request), item)
                 decisions.append(self._grant(stream, engine))
             elif not item.request.avoid:
                 # A later one must not pass by, or large ones would starve.
+                lane.is_blocked = True
                 break
-        lane.is_blocked = len(lane) > 0
 
     def _forecast(self, item: Queued) -> Stream:
         """Returns the stream that a request would be, made anew at times."""
@@ -324,11 +352,11 @@
             decisions.append(_refuse(item.request, failure))
 
     def _place(self, stream: Stream) -> EngineState | None:
-        now = self._clock.now()
+        now, limit = self._clock.now(), self._spec.max_running
         fit = [
             engine
             for name, engine in self._engines.items()
-            if engine.outstanding < self._spec.max_running
+            if len(engine.streams) < limit
             and name not in stream.request.avoid
             and name not in self._leaving
             and not engine.is_silent(now)
@@ -359,7 +387,6 @@
             request, endpoint, now, self._expected_tokens(request), tokens
         )
         stream.forecast(tokens, self._lengths)
-        self._lane(request).note_running()
         self._add(stream, self._engines.get(endpoint))
 
     def _add(self, stream: Stream, engine: EngineState | None) -> None:
@@ -368,10 +395,14 @@
         self._streams[request.request_id] = stream
         self._entries_seen.setdefault(request.entry, stream.at_ms)
         self._limits.of(request.account).add(stream.expected_tokens)
+        self._shares.add(request.account, stream.expected_tokens)
+        self._lane(request).service.note_start(
+            stream.expected_tokens, stream.expected_steps
+        )
         if engine is not None:
             stream.endpoint = engine.spec.name
             engine.add(stream)
-            engine.peak_tokens = engine.peak_with(None, MEMORY_DEVIATIONS)
+            engine.rank(self._step_time, MEMORY_DEVIATIONS)
             engine.expect_cached(request.prefix)
 
     def _forget(self, stream: Stream, tokens: int) -> None:
@@ -380,15 +411,16 @@
         self._limits.of(request.account).remove(stream.expected_tokens)
         lane = self._lane(request)
         served = request.prompt_tokens + tokens
-        lane.end(
-            self._share_key(request),
-            served - stream.expected_tokens,
+        lane.correct(self._share_key(request), served - stream.expected_tokens)
+        lane.service.note_end(
+            stream.expected_tokens,
+            stream.expected_steps,
             self._clock.now() - stream.granted_ms,
         )
         engine = self._engines.get(stream.endpoint)
         if engine is not None:
             engine.remove(stream)
-            engine.peak_tokens = engine.peak_with(None, MEMORY_DEVIATIONS)
+            engine.rank(self._step_time, MEMORY_DEVIATIONS)
         self._unblock()
 
     def _note_released(self, request_id: str) -> None:
@@ -401,14 +433,36 @@
         self._patient.is_blocked = False
 
     def _refresh(self, now: int) -> None:
-        self._refreshed_ms = now
-        self._drop_silent(now)
-        for engine in self._engines.values():
+        """Brings some engines' forecasts up to date, the oldest first."""
+        due = 0
+        while due < REFRESHES and self._turns:
+            engine = self._turns[0]
+            if now - engine.refreshed_ms < REFRESH_MS:
+                break
+            due += 1
+            self._turns.rotate(-1)
             engine.refresh(now, self._lengths)
-            engine.peak_tokens = engine.peak_with(None, MEMORY_DEVIATIONS)
+            engine.rank(self._step_time, MEMORY_DEVIATIONS)
             if self._options.lowers_priority:
                 self._make_yield(engine)
-        self._unblock()
+        if due:
+            self._unblock()
+        if now - self._refreshed_ms >= REFRESH_MS:
+            self._refreshed_ms = now
+            self._drop_silent(now)
+            self._learn_step(now)
+
+    def _learn_step(self, now: int) -> None:
+        """Takes the engines' mean step time for the expected waits."""
+        steps = [
+            e.step_ms
+            for e in self._engines.values()
+            if e.load and not e.is_silent(now)
+        ]
+        if steps:
+            mean = sum(steps) / len(steps)
+            self._interactive.service.step_ms = mean
+            self._patient.service.step_ms = mean
 
     def _drop_silent(self, now: int) -> None:
         """Drops the streams of entries that report no more."""
--- a/rhubarbwinch/enginestate.py
+++ b/rhubarbwinch/enginestate.py
@@ -8,11 +8,13 @@
 from rhubarbwinch.lengths import HORIZONS, LengthEstimator
 from rhubarbwinch.messages import PermitRequest
 from rhubarbwinch.records import EndpointSpec
+from rhubarbwinch.steptime import StepTime
 
 BLOCK_TOKENS = 64
 MAX_HINTS = 4096
 SILENCE_MS = 2500
 FORECAST_MS = 1000
+SMALL_CHANCE = 0.02
 DEFAULT_STEP_MS = 30.0
 _COUNT = len(HORIZONS)
 
@@ -73,6 +75,7 @@
         forecast_ms: When its forecast was made.
         priority: The engine priority.
         left_tokens: The expected tokens still to come.
+        last_horizon: How many horizons it may well live to see.
         mean: What it adds to the expected memory at each horizon.
         variance: What it adds to the variance at each horizon.
     """
@@ -86,9 +89,15 @@
     forecast_ms: int = 0
     priority: int = 0
     left_tokens: float = 0.0
+    last_horizon: int = _COUNT
     mean: list[float] = attrs.field(factory=list)
     variance: list[float] = attrs.field(factory=list)
 
+    @property
+    def expected_steps(self) -> int:
+        """The output tokens that were expected of it at its start."""
+        return self.expected_tokens - self.request.prompt_tokens
+
     def tokens_at(self, now_ms: int, step_ms: float) -> int:
         """Returns the tokens that it should have by now."""
         return self.tokens + int(max(0, now_ms - self.at_ms) / step_ms)
@@ -102,6 +111,8 @@
             size * alive + growth
             for alive, growth in zip(outlook.alive, outlook.growth, strict=True)
         ]
+        alive = [a for a in outlook.alive if a >= SMALL_CHANCE]
+        self.last_horizon = max(1, len(alive))
         self.variance = [
             (size + horizon) ** 2 * spread
             for horizon, spread in zip(HORIZONS, outlook.spread, strict=True)
@@ -119,8 +130,9 @@
         self.spec = spec
         self.streams: dict[str, Stream] = {}
         self.load: LoadReport | None = None
-        self.peak_tokens = 0.0
+        self.cost_ms = 0.0
         self.excess_tokens = 0.0
+        self.refreshed_ms = 0
         self._heard_ms: int | None = None
         self._suspect_ms: int | None = None
         self._mean = [0.0] * _COUNT
@@ -160,6 +172,7 @@
 
     def refresh(self, now_ms: int, lengths: LengthEstimator) -> None:
         """Works out all forecasts anew."""
+        self.refreshed_ms = now_ms
         step_ms = self.step_ms
         for stream in self.streams.values():
             # Short answers end before a new forecast would tell more.
@@ -183,12 +196,20 @@
             variances = [
                 a + b for a, b in zip(variances, stream.variance, strict=True)
             ]
+            # A stream is not kept out by a peak after its own end.
+            last = stream.last_horizon
+            means, variances = means[:last], variances[:last]
         peak = max(
             mean + deviations * math.sqrt(variance)
             for mean, variance in zip(means, variances, strict=True)
         )
         return peak + self.excess_tokens
 
+    def rank(self, step_time: StepTime, deviations: float) -> None:
+        """Works out the step time by which placement ranks endpoints."""
+        peak = self.peak_with(None, deviations)
+        self.cost_ms = step_time.predict(len(self.streams), peak)
+
     def soon_tokens(self) -> float:
         """Returns the memory expected at the first horizon after now."""
         return self._mean[1] + self.excess_tokens
--- a/tests/test_httpapi.py
+++ b/tests/test_httpapi.py
@@ -5,6 +5,7 @@
 
 import httpx
 
+from rhubarbwinch import apicatalogue
 from tests import builders
 from tests.fleet import AUTHORIZATION, Fleet
 from tests.helpers import GoldTestCase, free_address, wait_until
@@ -198,11 +199,30 @@
         engine = self.fleet.engines[0]
         return httpx.get(f"http://{engine}/load").json()["running"]
 
+    def test_a_caller_that_does_not_read_holds_up_no_other(self):
+        body = self._call(prompt="len=4000", stream=True)
+        url = f"http://{self.address}{COMPLETIONS}"
+        with httpx.stream(
+            "POST", url, content=body, headers=AUTHORIZATION
+        ) as unread:
+            for _ in range(3):
+                answer = self._post(self._call(prompt="len=5"))
+                self.assertEqual(answer.status_code, 200)
+            self.assertEqual(unread.status_code, 200)
+
     def test_an_unknown_schema_changes_nothing_in_force(self):
         newer = builders.model(name="later")
         newer = builders.Record("model", "later", 99, newer.spec)
         self.assertEqual(self.fleet.apply([newer]), 3)
 
+    def test_each_request_of_the_catalogue_has_a_route(self):
+        for operation in apicatalogue.OPERATIONS:
+            method = operation.method.replace("ANY", "PUT")
+            path = operation.path.replace("<service>/<path>", "booking/slots")
+            url = f"http://{self.address}{path}"
+            answer = httpx.request(method, url, headers=AUTHORIZATION)
+            self.assertNotEqual(answer.status_code, 404, operation)
+
     def test_probes_answer(self):
         for path in ("/healthz", "/readyz"):
             answer = httpx.get(f"http://{self.address}{path}")
