An innocent request repeated during its own trial waits for it

It now waits up to 5 s for the trial to clear it. A suspect whose record is gone from the store has finished. Ruled out: clearing before the last byte, when the run can still fail.

--- a/rhubarbwinch/quarantine.py
+++ b/rhubarbwinch/quarantine.py
@@ -25,7 +25,7 @@
 MAX_RACES = 10
 LOCK_MS = 600_000
 LOCK_WAIT_MS = 5_000
-LOCK_POLL_MS = 500
+LOCK_POLL_MS = 200
 SPREAD_MS = 500
 
 
@@ -170,19 +170,43 @@
             # The record lapses by itself; until then it costs one trial.
             events.STORE_DOWN.log(error=str(error))
 
+    async def wait_trial(self, fingerprint: str, run: str) -> bool:
+        """Tells whether a run of a suspect may start, after a wait.
+
+        Another run of it may be about to clear it.
+
+        Raises:
+            StoreError: It can't be known, so the run must not start.
+        """
+        end = self._clock.now() + LOCK_WAIT_MS
+        while not await self.begin_trial(fingerprint, run):
+            suspect = self._suspects.get(fingerprint)
+            if suspect is not None and suspect.is_quarantined:
+                return False
+            if self._clock.now() >= end:
+                return False
+            await self._clock.sleep(LOCK_POLL_MS)
+        return True
+
     async def begin_trial(self, fingerprint: str, run: str) -> bool:
-        """Tells whether a run is the one that a suspect is allowed.
+        """Tells whether a run may start: cleared, or the one that is allowed.
 
         Raises:
             StoreError: It can't be known, so the run must not start.
         """
+        for struck in [r for r, f in self._unsaved.items() if f == fingerprint]:
+            await self._save_strike(fingerprint, struck)
 
         def claim(suspect: Suspect) -> Suspect:
-            if suspect.is_quarantined or suspect.trial:
+            if not suspect.strikes or suspect.is_quarantined or suspect.trial:
                 return suspect
             return attrs.evolve(suspect, trial=run)
 
         suspect = await self._update(fingerprint, claim)
+        if not suspect.strikes:
+            # It has finished meanwhile.
+            self._suspects.pop(fingerprint, None)
+            return True
         self._merge(suspect)
         return suspect.trial == run and not suspect.is_quarantined
 
--- a/rhubarbwinch/runguard.py
+++ b/rhubarbwinch/runguard.py
@@ -144,7 +144,7 @@
                 )
             began = False
             try:
-                began = await self._quarantine.begin_trial(
+                began = await self._quarantine.wait_trial(
                     self._fingerprint, run
                 )
             finally:
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -187,11 +187,12 @@
         async with anyio.create_task_group() as tasks:
             for member in (0, 1, 2, 3):
                 tasks.start_soon(send, member)
-            for _ in range(10):
+            for _ in range(14):
                 await room.clock.advance(500)
         room.poison_ms = 0
         for told in sorted(answers):
             room.note(told)
+        room.note(f"answers {len(answers)}")
         await room.spread()
         room.note(f"again: {await room.send(1, 'bad', poison=True)}")
         room.store.faults.down = True
@@ -236,6 +237,27 @@
             room.note(f"{name} is a suspect at {sum(map(bool, known))} members")
         self.assert_gold("quarantine-innocent", "\n".join(room.lines) + "\n")
 
+    @asynchronous
+    async def test_an_innocent_request_sent_again_in_its_trial_waits(self):
+        room = Room()
+        await room.load()
+        await room.members[0].quarantine.strike("good", "a-0-t~engine-0")
+        await room.spread()
+        room.trial_ms = 1_000
+        answers = []
+
+        async def send(member, first):
+            answers.append(await room.send(member, "good", first=first))
+
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(send, 0, "engine-1")
+            tasks.start_soon(send, 1, "engine-2")
+            for _ in range(6):
+                await room.clock.advance(500)
+                await room.spread()
+        room.note(f"both: {answers}")
+        self.assert_gold("quarantine-again", "\n".join(room.lines) + "\n")
+
     @asynchronous
     async def test_a_caller_that_hangs_up_does_not_hide_a_death(self):
         room = Room()
