Broker bench: an account at its limit is passed by before a forecast

Cause: the bench's large accounts reach their 256 requests in flight, and each decision forecast their first request again; and the memory of a waiting request was counted with the streams that the larger run holds besides.

--- a/lab/bench_broker.py
+++ b/lab/bench_broker.py
@@ -147,9 +147,10 @@
     base, streams = tracemalloc.get_traced_memory()[0], small.running
     large = BrokerBench(WAITING)
     grown = tracemalloc.get_traced_memory()[0] - base
-    queued = (grown - base) / (WAITING - 1)
+    stream = base / streams
+    queued = (grown - stream * large.running) / WAITING
     sys.stdout.write(
-        f"memory: {base / streams:.0f} bytes a stream with its request, "
+        f"memory: {stream:.0f} bytes a stream with its request, "
         f"{queued:.0f} bytes a waiting request "
         f"({streams} and {large.running} streams)\n"
     )
--- a/rhubarbwinch/admission.py
+++ b/rhubarbwinch/admission.py
@@ -337,6 +337,8 @@
             return
         for item in lane.heads():
             limits = self._limits.of(item.request.account)
+            if limits.is_full:
+                continue
             stream = self._forecast(item)
             expected = stream.expected_tokens
             if not limits.has_room(expected):
--- a/rhubarbwinch/limits.py
+++ b/rhubarbwinch/limits.py
@@ -100,6 +100,11 @@
     requests: int = 0
     tokens: int = 0
 
+    @property
+    def is_full(self) -> bool:
+        """Whether no request may start, however small."""
+        return self.requests >= self.spec.room.requests
+
     def has_room(self, tokens: int) -> bool:
         """Tells whether a request of `tokens` may start now."""
         room = self.spec.room
