--- a/lab/bench_links.py
+++ b/lab/bench_links.py
@@ -4,10 +4,6 @@
 the callee together. Prints a JSON line for each message.
 """
 
-import os
-
-os.environ["UV_USE_IO_URING"] = "0"
-
 import argparse
 import socket
 import sys
@@ -150,7 +146,7 @@
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--calls", type=int, default=10_000)
     count = parser.parse_args().calls
-    anyio.run(run, count, backend_options={"use_uvloop": True})
+    anyio.run(run, count)
 
 
 if __name__ == "__main__":
--- a/lab/control_traffic.py
+++ b/lab/control_traffic.py
@@ -7,15 +7,12 @@
 """
 
 import argparse
-import os
 import random
 import socket
 import time
 from typing import Any, TypeVar
 
 # libuv is told before it is loaded; io_uring is not allowed on our VMs.
-os.environ["UV_USE_IO_URING"] = "0"
-
 import anyio
 import attrs
 
@@ -180,7 +177,6 @@
             size,
             options.settle,
             options.seconds,
-            backend_options={"use_uvloop": True},
         )
         cells = [str(cell) for cell in attrs.astuple(found)]
         print("| " + " | ".join(cells) + " |", flush=True)
--- a/lab/standins/serve.py
+++ b/lab/standins/serve.py
@@ -1,9 +1,6 @@
 """Runs a stand-in's HTTP interface as a process."""
 
 import argparse
-import os
-
-os.environ["UV_USE_IO_URING"] = "0"
 
 import anyio
 import hypercorn.asyncio
