Admission in smaller modules: the gate, the decisions, who yields

Ruled out: any change of a decision; the code was moved, not rewritten.

Conclusion: refusals can be read on their own.

--- /dev/null
+++ b/lab/capacity_rows.py
@@ -0,0 +1,326 @@
+"""What each role costs at the target size, row by row."""
+
+from lab.capacity_model import DAY_S, Row, Slopes, Target
+from rhubarbwinch.digests import GROWTH_TOKENS
+from rhubarbwinch.reports import MAX_PERIOD_MS
+
+
+def config_rows(target: Target, slopes: Slopes) -> list[Row]:
+    """Returns what the configuration costs every daemon."""
+    changes_per_s = target.changes_per_day / DAY_S
+    core = changes_per_s * slopes["config_revise"] / 1000
+    rate = changes_per_s * slopes["config_chunk"]
+    memory = slopes["config_memory"]
+    return [
+        Row(
+            "every daemon",
+            "configuration: memory",
+            f"{memory / 1e6:.0f} MB",
+            f"{target.control_memory_bytes / 1e6:.0f} MB",
+            memory <= target.control_memory_bytes,
+            "one snapshot, replaced by revision",
+        ),
+        Row(
+            "every daemon",
+            "configuration: processor time of changes",
+            f"{core:.5%} of a core",
+            f"{target.control_core:.0%}",
+            core <= target.control_core,
+            "only the changed chunk is parsed",
+        ),
+        Row(
+            "every daemon",
+            "configuration: bytes of changed chunks",
+            f"{rate:.0f} B/s",
+            f"{target.control_bytes_per_s} B/s",
+            rate <= target.control_bytes_per_s,
+            "64 chunks by hash, fetched from a peer",
+        ),
+        Row(
+            "every daemon",
+            "configuration: longest hold-up of the event loop",
+            f"{slopes['config_revise']:.1f} ms",
+            f"{target.gap_ms} ms",
+            slopes["config_revise"] <= target.gap_ms,
+            "only the changed chunk is parsed",
+        ),
+    ]
+
+
+# Framing of a message on a link: transport, version, kind and numbers.
+FRAME_BYTES = 60
+MEMBER_LEASE_MS = 15_000
+RENEWALS_PER_LEASE = 3
+PROGRAMS_PER_VM = 3
+SEEDS_PER_DATA_CENTER = 2
+REPORT_PERIOD_S = MAX_PERIOD_MS / 1000
+METER_FLUSH_S = 30
+LOADS_PER_S = 4
+# Of the requests, those that run at most once; the letters give no share.
+ONCE_SHARE = 0.01
+
+
+def entry_rows(target: Target, slopes: Slopes) -> list[Row]:
+    """Returns what an entry carries."""
+    streams = target.open_streams / target.daemons
+    tokens = target.tokens_per_s / target.daemons
+    cores = tokens * slopes["relay_token"] / 1e6
+    requests = target.requests_per_s / target.daemons
+    request_core = requests * slopes["relay_request"] / 1e6
+    memory = streams * slopes["relay_stream"]
+    return [
+        Row(
+            "entry",
+            "relay: processor time",
+            f"{cores:.2f} cores for {tokens:,.0f} tokens/s",
+            "1 core",
+            cores <= 1,
+            "joined sends, own transport; the rest by more entry processes "
+            "on a VM, which share nothing",
+        ),
+        Row(
+            "entry",
+            "requests: processor time",
+            f"{request_core:.0%} of a core for {requests:.0f} requests/s",
+            "",
+            None,
+            "one permit call, one stream",
+        ),
+        Row(
+            "entry",
+            "open streams: memory",
+            f"{memory / 1e6:.0f} MB for {streams:,.0f} streams",
+            "",
+            None,
+            "no state but the position of a stream",
+        ),
+    ]
+
+
+def broker_rows(target: Target, slopes: Slopes) -> list[Row]:
+    """Returns what the owner of one shard carries."""
+    permits = target.requests_per_s / target.shards
+    cost = slopes["permit_decide"] + slopes["permit_call"] / 2
+    streams = target.open_streams / target.shards
+    memory = streams * slopes["broker_stream"]
+    engines = target.engines / target.shards
+    return [
+        Row(
+            "broker",
+            "permits: processor time",
+            f"{permits * cost / 1e6:.0%} of a core for {permits:.0f} permits/s",
+            "1 core",
+            permits * cost / 1e6 <= 1,
+            f"{target.shards} shards, owners by rendezvous hashing",
+        ),
+        Row(
+            "broker",
+            "a permit's decision",
+            f"{slopes['permit_decide']:.0f} us",
+            "300 us",
+            slopes["permit_decide"] <= 300,
+            "queues by account; forecasts made anew a few engines at a time",
+        ),
+        Row(
+            "broker",
+            "open streams: memory",
+            f"{memory / 1e6:.1f} MB for {streams:,.0f} streams",
+            f"{target.control_memory_bytes / 1e6:.0f} MB",
+            memory <= target.control_memory_bytes,
+            "a shard has at most 64 engines",
+        ),
+        Row(
+            "broker",
+            "reading of engines' load",
+            f"{engines * LOADS_PER_S:.0f} HTTP reads/s",
+            "",
+            None,
+            "only the pool's owner reads; their processor time is not measured",
+        ),
+    ]
+
+
+def traffic_rows(target: Target, slopes: Slopes) -> list[Row]:
+    """Returns a daemon's control traffic, line by line, and the sum."""
+    digest = slopes["digest_bytes"] + 2 * FRAME_BYTES
+    sent = target.shards / REPORT_PERIOD_S * digest
+    heard = target.daemons / REPORT_PERIOD_S * digest
+    grown = target.tokens_per_s / target.shards / GROWTH_TOKENS
+    growth = grown * slopes["growth_bytes"]
+    changes = target.changes_per_day / DAY_S * slopes["config_chunk"]
+    total = sent + heard + growth + changes + slopes["gossip_bytes"]
+    digests = (target.shards + target.daemons) / REPORT_PERIOD_S
+    core = digests * slopes["digest_call"] / 2 / 1e6
+    core += slopes["gossip_core"] / 100
+    core += target.changes_per_day / DAY_S * slopes["config_revise"] / 1000
+    parts = {
+        "heartbeats and news of members": slopes["gossip_bytes"],
+        "configuration": changes,
+        "digests sent by its entry": sent,
+        "digests heard by its broker, owner of a shard": heard,
+        "growth heard by its broker": growth,
+    }
+    rows = [
+        Row(
+            "every VM",
+            f"control traffic: {name}",
+            f"{rate:,.0f} B/s",
+            "",
+            None,
+            "digests" if "her" in name else "gossip",
+        )
+        for name, rate in parts.items()
+    ]
+    rows.append(
+        Row(
+            "every VM",
+            "control traffic: sum, owner of a shard",
+            f"{total:,.0f} B/s",
+            f"{target.control_bytes_per_s:,} B/s",
+            total <= target.control_bytes_per_s,
+            "report periods that grow with the number of entries",
+        )
+    )
+    rows.append(
+        Row(
+            "every VM",
+            "control: processor time, owner of a shard",
+            f"{core:.2%} of a core",
+            f"{target.control_core:.0%}",
+            core <= target.control_core,
+            "heartbeats to a fixed number of peers",
+        )
+    )
+    return rows
+
+
+def store_rows(target: Target, slopes: Slopes) -> list[Row]:
+    """Returns the store's calls a second, by kind."""
+    members = target.daemons * PROGRAMS_PER_VM
+    renewals = members * RENEWALS_PER_LEASE / (MEMBER_LEASE_MS / 1000)
+    changes = target.changes_per_day / DAY_S
+    claims = target.requests_per_s * ONCE_SHARE * slopes["claim_writes"]
+    meters = target.daemons / METER_FLUSH_S
+    events = target.vm_failures_per_day + target.vm_replacements_per_day
+    replaced = events * PROGRAMS_PER_VM / DAY_S
+    writes = claims + meters + changes * 3 + replaced * 2
+    reads = changes * slopes["change_calls"] + replaced * 3
+    watches = target.data_centers * SEEDS_PER_DATA_CENTER
+    return [
+        Row(
+            "store",
+            "renewals of leases",
+            f"{renewals:.0f} calls/s with --lease-ms {MEMBER_LEASE_MS}",
+            "",
+            None,
+            "heartbeats find deaths sooner, so leases can be long",
+        ),
+        Row(
+            "store",
+            "writes of claims",
+            f"{claims:.0f} writes/s if {ONCE_SHARE:.0%} of requests run at "
+            "most once",
+            "",
+            None,
+            "pages with one usual writer, many claims in a write",
+        ),
+        Row(
+            "store",
+            "all writes",
+            f"{writes:.0f} writes/s",
+            f"{target.store_writes_per_s} writes/s",
+            writes <= target.store_writes_per_s,
+            f"counters of tokens every {METER_FLUSH_S} s "
+            f"(--meter-flush-ms {METER_FLUSH_S * 1000})",
+        ),
+        Row(
+            "store",
+            "reads and renewals",
+            f"{reads + renewals:.0f} calls/s and {watches} waiting watches",
+            f"{target.store_reads_per_s} calls/s",
+            reads + renewals + watches <= target.store_reads_per_s,
+            "two seeds of each data centre watch; peers hand changes on",
+        ),
+        Row(
+            "store",
+            "a change in force everywhere",
+            f"{slopes['change_spread']:.0f} ms over links of 1 ms",
+            f"{target.spread_ms / 1000:.0f} s",
+            slopes["change_spread"] <= target.spread_ms,
+            "news of a generation by heartbeats, chunks from peers",
+        ),
+    ]
+
+
+def failure_rows(target: Target, slopes: Slopes) -> list[Row]:
+    """Returns what losses and replacements cost."""
+    streams = target.open_streams / target.daemons
+    moved = target.shards / target.daemons
+    rebuilt = target.open_streams / target.shards * slopes["report_bytes"]
+    rack = target.daemons / target.data_centers / 4
+    third = target.tokens_per_s / (target.data_centers - 1)
+    before = target.tokens_per_s / target.data_centers
+    events = target.vm_failures_per_day + target.vm_replacements_per_day
+    return [
+        Row(
+            "failures",
+            "a VM fails",
+            f"{streams:,.0f} streams are resumed by their callers; "
+            f"{moved:.2f} pools change owners",
+            "",
+            None,
+            "resume by event id; the new owner hears every entry",
+        ),
+        Row(
+            "failures",
+            "a pool's owner changes",
+            f"{rebuilt / 1e6:.1f} MB of full reports, once",
+            "",
+            None,
+            "announcements at the change of the owner",
+        ),
+        Row(
+            "failures",
+            f"{target.vm_failures_per_day} failures and "
+            f"{target.vm_replacements_per_day} replacements a day",
+            f"one each {DAY_S / events:.0f} s",
+            "",
+            None,
+            "drain for replacements; leases and heartbeats for failures",
+        ),
+        Row(
+            "failures",
+            "a rack of a quarter of a data centre",
+            f"{rack:.0f} VMs at once, {rack * streams:,.0f} streams",
+            "",
+            None,
+            "the same as VMs; not measured together",
+        ),
+        Row(
+            "failures",
+            "a data centre",
+            f"the others carry {third / before - 1:.1%} more",
+            "",
+            None,
+            "entries ask pools of other data centres; room must be kept free",
+        ),
+        Row(
+            "failures",
+            "an hour without another region",
+            "members of the other region count as lost; pools there are "
+            "asked by its own entries",
+            "",
+            None,
+            "owners by the members that are seen; not measured",
+        ),
+    ]
+
+
+PARTS = [
+    entry_rows,
+    broker_rows,
+    config_rows,
+    traffic_rows,
+    store_rows,
+    failure_rows,
+]
--- a/rhubarbwinch/admission.py
+++ b/rhubarbwinch/admission.py
@@ -7,9 +7,8 @@
 import random
 from collections import OrderedDict, deque
 
-import attrs
-
 from rhubarbwinch.clock import Clock
+from rhubarbwinch.decisions import Decision, EntryChange, Options
 from rhubarbwinch.digests import DigestChecker
 from rhubarbwinch.enginestate import (
     FORECAST_MS,
@@ -19,8 +18,9 @@
     Stream,
 )
 from rhubarbwinch.fairness import Queued, ShareMeter
+from rhubarbwinch.gate import RETRY_AFTER_MS, Gate
 from rhubarbwinch.lengths import LearnedLengths, LengthEstimator
-from rhubarbwinch.limits import AccountLimits, Limits
+from rhubarbwinch.limits import Limits
 from rhubarbwinch.messages import (
     DigestReport,
     PermitGrant,
@@ -37,22 +37,18 @@
 from rhubarbwinch.steptime import StepTime
 from rhubarbwinch.streamindex import StreamIndex
 from rhubarbwinch.verdict import Failure, Reason, not_run
+from rhubarbwinch.yielding import YIELDING_PRIORITY, choose_yielding
 
-MAX_QUEUED = 1000
-RETRY_AFTER_MS = 1000
-# Expected waits are uncertain; what would only just start is refused too.
-WAIT_MARGIN = 0.75
 REFRESH_MS = 500
 # Engines whose forecasts are made anew in one call, to keep calls short.
 REFRESHES = 2
 # A grant may cross its entry's report; only older ones must be in it.
 SETTLE_MS = 2000
-# Entries report every second; a silent one has lost its streams.
+# Three of the longest report periods; a silent entry has lost its streams.
 ENTRY_SILENCE_MS = 45_000
 RELEASED_KEPT = 4096
 INTERACTIVE_PRIORITY = 0
 PATIENT_PRIORITY = 1
-YIELDING_PRIORITY = 2
 
 __all__ = [
     "Admission",
@@ -64,42 +60,6 @@
 ]
 
 
-@attrs.frozen
-class Decision:
-    """The answer to a request that was submitted."""
-
-    request_id: str
-    reply: PermitReply
-
-
-@attrs.frozen
-class EntryChange:
-    """A message for the entry that relays a stream."""
-
-    entry: str
-    message: PriorityChange
-
-
-@attrs.frozen
-class Options:
-    """Which decisions are made; experiments turn them off.
-
-    Attributes:
-        placement: The placement policy's name.
-        is_fair: Whether accounts share by weight; otherwise first come.
-        refuses_early: Whether requests that can't start in time are refused
-            at once; otherwise they wait for their deadline.
-        limits_retries: Whether retries have a budget.
-        lowers_priority: Whether a stream yields when predictions fail.
-    """
-
-    placement: str = "quantile"
-    is_fair: bool = True
-    refuses_early: bool = True
-    limits_retries: bool = True
-    lowers_priority: bool = True
-
-
 class Admission:
     """Decides for the requests of one pool.
 
@@ -139,6 +99,13 @@
         self._interactive = Lane(clock, self._limits.weight)
         self._patient = Lane(clock, self._limits.weight)
         self._shares = ShareMeter(clock, self._limits.weight)
+        self._gate = Gate(
+            self._options,
+            self._limits,
+            self._shares,
+            self._interactive,
+            self._patient,
+        )
         self._leaving: set[str] = set()
         self._changes: list[EntryChange] = []
         self._refreshed_ms = clock.now()
@@ -177,11 +144,11 @@
     def submit(self, request: PermitRequest) -> list[Decision]:
         """Takes a request in; returns what can be decided now."""
         expected = self._expected_tokens(request)
-        failure = self._refusal(request, expected)
+        failure = self._gate.refusal(request, expected)
         if failure is not None:
             return [_refuse(request, failure)]
         lane = self._lane(request)
-        lane.push(self._share_key(request), request, expected)
+        lane.push(self._options.share_key(request), request, expected)
         return self.decide()
 
     def release(self, release: PermitRelease) -> list[Decision]:
@@ -269,64 +236,6 @@
     def _lane(self, request: PermitRequest) -> Lane:
         return self._interactive if request.interactive else self._patient
 
-    def _share_key(self, request: PermitRequest) -> str:
-        return request.account if self._options.is_fair else ""
-
-    def _refusal(self, request: PermitRequest, expected: int) -> Failure | None:
-        """Returns why a request can't be taken in, or None."""
-        limits = self._limits.of(request.account)
-        limited = self._rate_refusal(request, limits)
-        if limited is not None:
-            return limited
-        if not limits.can_ever_fit(expected):
-            detail = "the request is larger than the account's room"
-            return not_run(Reason.RATE_LIMITED, detail)
-        if self.queued >= MAX_QUEUED:
-            detail = "too many requests wait"
-            return not_run(Reason.QUEUE_FULL, detail, RETRY_AFTER_MS)
-        if self._options.is_fair and self._crowds_out(request):
-            detail = "over the account's share while others wait"
-            return not_run(Reason.RATE_LIMITED, detail, RETRY_AFTER_MS)
-        return self._late_refusal(request)
-
-    def _rate_refusal(
-        self, request: PermitRequest, limits: AccountLimits
-    ) -> Failure | None:
-        """Refuses what is over the account's rates."""
-        if self._options.limits_retries:
-            if not request.avoid:
-                limits.retries.add_attempt()
-            elif not limits.retries.take():
-                detail = "the account's retry budget is used up"
-                return not_run(Reason.RATE_LIMITED, detail, RETRY_AFTER_MS)
-        wait_ms = limits.rate.take() if limits.rate is not None else 0
-        if wait_ms:
-            detail = "the account's rate of requests is used up"
-            return not_run(Reason.RATE_LIMITED, detail, wait_ms)
-        return None
-
-    def _crowds_out(self, request: PermitRequest) -> bool:
-        """Tells whether interactive work takes what others wait for."""
-        return (
-            request.interactive
-            and len(self._patient) > 0
-            and self._shares.is_over(request.account)
-        )
-
-    def _late_refusal(self, request: PermitRequest) -> Failure | None:
-        """Refuses what has no chance to start in time."""
-        if not self._options.refuses_early:
-            return None
-        lane = self._lane(request)
-        wait_ms = lane.wait_ms(self._share_key(request))
-        if wait_ms <= WAIT_MARGIN * request.wait_ms:
-            return None
-        after = max(
-            RETRY_AFTER_MS, int(wait_ms - WAIT_MARGIN * request.wait_ms)
-        )
-        detail = f"no place within {request.wait_ms} ms"
-        return not_run(Reason.DEADLINE, detail, after)
-
     def _expected_tokens(self, request: PermitRequest) -> int:
         outlook = self._lengths.outlook(request, 0)
         return request.prompt_tokens + int(outlook.mean_tokens)
@@ -345,7 +254,7 @@
                 continue
             engine = self._place(stream)
             if engine is not None:
-                lane.start(self._share_key(item.request), item)
+                lane.start(self._options.share_key(item.request), item)
                 decisions.append(self._grant(stream, engine))
             elif not item.request.avoid:
                 # A later one must not pass by, or large ones would starve.
@@ -368,7 +277,7 @@
             failure = not_run(
                 Reason.DEADLINE, "no place became free", RETRY_AFTER_MS
             )
-            lane.remove(self._share_key(item.request), item)
+            lane.remove(self._options.share_key(item.request), item)
             decisions.append(_refuse(item.request, failure))
 
     def _place(self, stream: Stream) -> EngineState | None:
@@ -431,7 +340,9 @@
         self._limits.of(request.account).remove(stream.expected_tokens)
         lane = self._lane(request)
         served = request.prompt_tokens + tokens
-        lane.correct(self._share_key(request), served - stream.expected_tokens)
+        lane.correct(
+            self._options.share_key(request), served - stream.expected_tokens
+        )
         lane.service.note_end(
             stream.expected_tokens,
             stream.expected_steps,
@@ -501,16 +412,9 @@
 
     def _make_yield(self, engine: EngineState) -> None:
         """Lowers one stream's priority when memory is about to run out."""
-        capacity = engine.capacity_tokens
-        if not capacity or engine.soon_tokens() <= capacity:
-            return
-        streams = engine.streams.values()
-        if any(s.priority == YIELDING_PRIORITY for s in streams):
-            return
-        patient = [s for s in streams if not s.request.interactive]
-        if not patient:
+        stream = choose_yielding(engine)
+        if stream is None:
             return
-        stream = max(patient, key=lambda s: s.left_tokens)
         stream.priority = YIELDING_PRIORITY
         change = PriorityChange(
             stream.request.request_id, stream.endpoint, stream.priority
--- a/tests/lab/test_capacity.py
+++ b/tests/lab/test_capacity.py
@@ -3,6 +3,7 @@
 import unittest
 
 from lab import capacity
+from lab.capacity_model import Target, load_slopes
 
 
 class CapacityTest(unittest.TestCase):
@@ -10,5 +11,5 @@
 
     def test_the_page_is_what_the_slopes_give(self):
         page = capacity.PAGE.read_text()
-        slopes = capacity.load_slopes()
-        self.assertEqual(capacity.render(page, capacity.Target(), slopes), page)
+        slopes = load_slopes()
+        self.assertEqual(capacity.render(page, Target(), slopes), page)
