--- a/lab/seeded/callers.py
+++ b/lab/seeded/callers.py
@@ -40,6 +40,7 @@
         self._attempt = attempt
         self._scope: Any = {
             "type": "http",
+            "http_version": "1.1",
             "method": method,
             "path": path,
             "query_string": b"",
--- a/rhubarbwinch/entry.py
+++ b/rhubarbwinch/entry.py
@@ -113,6 +113,11 @@
             events.NO_STREAM_SECRET.log()
         self._app = App(settings.max_body_bytes, settings.body_timeout_ms)
 
+    @property
+    def daemon(self) -> Daemon:
+        """The shared parts, for a program that embeds this one."""
+        return self._daemon
+
     @property
     def app(self) -> App:
         """The ASGI application, for a program that serves it itself."""
