A request that waits for a pool that goes is refused at once

Cause: when a change of configuration took a pool away, the requests that waited there were never decided and their entries ran into the time limit. And refusals for want of a pool named no time to come back, as each refusal has to.

Ruled out: deciding them in the pool that is gone; it has no owner any more.

Conclusion: no request is held for a pool that is not there.

--- a/rhubarbwinch/broker.py
+++ b/rhubarbwinch/broker.py
@@ -42,12 +42,14 @@
 TICK_MS = 20
 LOAD_SILENCE_MS = 1000
 MAX_BODY_BYTES = 64 << 10
+RETRY_AFTER_MS = 1000
 
 
 @attrs.define
 class _Waiter:
     """A permit request whose decision is not made."""
 
+    pool: str
     done: anyio.Event = attrs.field(factory=anyio.Event)
     reply: PermitReply | None = None
 
@@ -110,21 +112,22 @@
                 )
         for name in self._pools.keys() - snapshot.pools.keys():
             del self._pools[name]
+            self._refuse_waiting(name)
         self.mark_leaving(self._find_leaving)
 
     async def answer(self, request: PermitRequest) -> PermitReply:
         """Returns the decision on a request, after its wait in the queue."""
         pool = self._pools.get(request.pool)
         if pool is None:
-            detail = f"no pool {request.pool}"
-            return PermitReply(failure=not_run(Reason.NO_ENDPOINT, detail))
-        waiter = _Waiter()
+            return _no_pool(request.pool)
+        waiter = _Waiter(request.pool)
         self._waiters[request.request_id] = waiter
         try:
             if self._ownership is not None:
                 wait_ms = self._ownership.wait_ms(request.pool)
                 await self._clock.sleep(wait_ms)
-            self._spread(pool.submit(request))
+            if waiter.reply is None:
+                self._spread(pool.submit(request))
             await waiter.done.wait()
         finally:
             self._waiters.pop(request.request_id, None)
@@ -132,6 +135,13 @@
             raise AssertionError("a waiter was woken without a decision")
         return waiter.reply
 
+    def _refuse_waiting(self, pool: str) -> None:
+        """Answers the requests that wait for a pool that is gone."""
+        for waiter in self._waiters.values():
+            if waiter.pool == pool:
+                waiter.reply = _no_pool(pool)
+                waiter.done.set()
+
     async def release(self, release: PermitRelease) -> None:
         """Takes a permit back; an unknown pool means any of them."""
         pools = [self._pools.get(release.pool)]
@@ -177,6 +187,12 @@
                 waiter.done.set()
 
 
+def _no_pool(name: str) -> PermitReply:
+    """Refuses a request; the pool may be back with the next change."""
+    failure = not_run(Reason.NO_ENDPOINT, f"no pool {name}", RETRY_AFTER_MS)
+    return PermitReply(failure=failure)
+
+
 class Broker:
     """The broker's program.
 
--- a/rhubarbwinch/permits.py
+++ b/rhubarbwinch/permits.py
@@ -130,7 +130,11 @@
         back without touching the permit that was taken instead.
         """
         answer: Result[Permit, Failure] = Err(
-            not_run(Reason.NO_ENDPOINT, f"no pool of {request.service}")
+            not_run(
+                Reason.NO_ENDPOINT,
+                f"no pool of {request.service}",
+                RETRY_AFTER_MS,
+            )
         )
         for pool in pools:
             owner = pool_owner(pool, self._members)
--- /dev/null
+++ b/tests/test_broker.py
@@ -0,0 +1,57 @@
+"""The broker's pools as the configuration changes under waiting requests."""
+
+import random
+import unittest
+
+import anyio
+
+from rhubarbwinch import accepted
+from rhubarbwinch.broker import PoolKeeper
+from rhubarbwinch.clock import ManualClock
+from rhubarbwinch.members import Role
+from rhubarbwinch.metrics import Metrics
+from rhubarbwinch.verdict import Reason, Verdict
+from tests import builders
+from tests.helpers import asynchronous
+
+
+class PoolKeeperTest(unittest.TestCase):
+    """Requests that wait at a broker."""
+
+    def setUp(self):
+        self.clock = ManualClock()
+        self.keeper = PoolKeeper(
+            self.clock, random.Random(1), Metrics("", Role.BROKER)
+        )
+        engines = [builders.endpoint("engine-1")]
+        self.pool = builders.pool("vintner", engines, max_running=1)
+        self._configure(1, self.pool)
+        self.replies = {}
+
+    def _configure(self, generation, *items):
+        self.keeper.configure(accepted.make_snapshot(generation, items))
+
+    async def _ask(self, request_id):
+        request = builders.permit_request(request_id, wait_ms=60_000)
+        self.replies[request_id] = await self.keeper.answer(request)
+
+    @asynchronous
+    async def test_a_request_that_waits_is_refused_when_its_pool_goes(self):
+        async with anyio.create_task_group() as tasks:
+            for request_id in ("r1", "r2"):
+                tasks.start_soon(self._ask, request_id)
+                await anyio.wait_all_tasks_blocked()
+            self.assertEqual(list(self.replies), ["r1"])
+            self._configure(2)
+            await anyio.wait_all_tasks_blocked()
+            tasks.cancel_scope.cancel()
+        failure = self.replies["r2"].failure
+        self.assertIs(failure.verdict, Verdict.NOT_RUN)
+        self.assertIs(failure.reason, Reason.NO_ENDPOINT)
+        self.assertGreater(failure.retry_after_ms, 0)
+
+    @asynchronous
+    async def test_an_unknown_pool_is_refused_with_a_time_to_come_back(self):
+        self._configure(2)
+        await self._ask("r1")
+        self.assertGreater(self.replies["r1"].failure.retry_after_ms, 0)
