Names of the field for what members tell each other

Cause: a newcomer had to learn hear, bury, goodbye and spread, where the field says merge, mark dead, announce the end and queue.

Ruled out: renaming the rumours of gossip, which is the usual word.

Conclusion: the names say what is done.

--- a/lab/bench_claims.py
+++ b/lab/bench_claims.py
@@ -149,7 +149,7 @@
             pages.append(page)
             members = Members(entry)
             for other in entries:
-                members.hear(MemberNews(other))
+                members.merge(MemberNews(other))
             routed = RoutedPages(page, peers, members, clock)
             peers.routed[entry.link] = routed
             claims.append(
--- a/rhubarbwinch/broker.py
+++ b/rhubarbwinch/broker.py
@@ -127,7 +127,7 @@
                 wait_ms = self._ownership.wait_ms(request.pool)
                 await self._clock.sleep(wait_ms)
             if waiter.reply is None:
-                self._spread(pool.submit(request))
+                self._hand_out(pool.submit(request))
             await waiter.done.wait()
         finally:
             self._waiters.pop(request.request_id, None)
@@ -148,7 +148,7 @@
         if not release.pool:
             pools = list(self._pools.values())
         for pool in filter(None, pools):
-            self._spread(pool.release(release))
+            self._hand_out(pool.release(release))
 
     async def report_progress(self, report: ProgressReport) -> None:
         """Takes an entry's open streams."""
@@ -169,14 +169,14 @@
         """Decides what time decides; returns changes to send to entries."""
         changes = []
         for pool in self._pools.values():
-            self._spread(pool.decide())
+            self._hand_out(pool.decide())
             changes += pool.take_priority_changes()
         queued = sum(pool.queued for pool in self._pools.values())
         self._metrics.gauge(metrics.QUEUED, queued)
         self._metrics.count(metrics.YIELDS, len(changes))
         return changes
 
-    def _spread(self, decisions: list[Decision]) -> None:
+    def _hand_out(self, decisions: list[Decision]) -> None:
         for decision in decisions:
             granted = decision.reply.grant is not None
             name = metrics.PERMITS if granted else metrics.REFUSALS
--- a/rhubarbwinch/daemon.py
+++ b/rhubarbwinch/daemon.py
@@ -28,7 +28,7 @@
 
 DRAIN_CHECK_MS = 20
 LEAVING_NOTICE_MS = 500
-LAST_WORDS_MS = 200
+FINAL_EVENTS_MS = 200
 MAX_CLOSE_S = 5.0
 MAX_HEADER_BYTES = 32 << 10
 
@@ -161,10 +161,10 @@
             raise group.exceptions[0] from None
         finally:
             with anyio.CancelScope(shield=True), anyio.move_on_after(2):
-                await self._say_goodbye()
+                await self._deregister()
         events.STOPPED.log(name=self.settings.name)
 
-    async def _say_goodbye(self) -> None:
+    async def _deregister(self) -> None:
         try:
             await self.registration.close()
         except StoreError as error:
@@ -194,9 +194,9 @@
         if self.drain.open_count():
             events.DRAIN_LIMIT.log(open=self.drain.open_count())
             self.drain.limit.set()
-            await self.clock.sleep(LAST_WORDS_MS)
+            await self.clock.sleep(FINAL_EVENTS_MS)
         self._shutdown.set()
-        await self.gossip.goodbye()
+        await self.gossip.announce_end()
         with anyio.move_on_after(MAX_CLOSE_S):
             await self._closed.wait()
 
--- a/rhubarbwinch/gossip.py
+++ b/rhubarbwinch/gossip.py
@@ -130,7 +130,7 @@
 
     def announce(self) -> None:
         """Tells every member of a change of this process."""
-        self._spread(self._members.my_news)
+        self._queue_news(self._members.my_news)
 
     def on_newer(self, handler: NewerHandler) -> None:
         """Sets what is told of peers with a newer configuration."""
@@ -150,10 +150,10 @@
                 self._round(tasks)
                 await self._clock.sleep(ROUND_MS)
 
-    async def goodbye(self) -> None:
+    async def announce_end(self) -> None:
         """Tells the neighbours that this process ends now."""
         self._ended = True
-        self._spread(MemberNews(self._members.me, Health.DEAD))
+        self._queue_news(MemberNews(self._members.me, Health.DEAD))
         async with anyio.create_task_group() as tasks:
             for peer in self.neighbours:
                 tasks.start_soon(self._exchange, peer)
@@ -211,10 +211,10 @@
         news = self._members.suspect(peer.name)
         if news is not None:
             events.MEMBER_SUSPECTED.log(member=peer.name)
-            self._spread(news)
-        await self._judge(peer.name)
+            self._queue_news(news)
+        await self._check_health(peer.name)
 
-    async def _judge(self, name: str) -> None:
+    async def _check_health(self, name: str) -> None:
         """Buries a suspect, unless it answers or holds its lease.
 
         Only the neighbours that found it silent ask the store, so that a loss
@@ -229,9 +229,9 @@
                 return
             if name not in self._missed or await self._holds_lease(name):
                 return
-            news = self._members.bury(name)
+            news = self._members.mark_dead(name)
             if news is not None:
-                self._spread(news)
+                self._queue_news(news)
         finally:
             self._judging.discard(name)
 
@@ -266,7 +266,7 @@
         except (LinkError, CodecError):
             return
         for news in reply.news:
-            self._hear(news)
+            self._merge(news)
 
     def _room(self) -> int:
         """Returns the room for news in the next message, in bytes."""
@@ -311,7 +311,7 @@
             except CodecError as error:
                 events.PEER_REFUSED.log(error=str(error))
                 return
-            self._hear(news)
+            self._merge(news)
             return
         if not self._rumours.take(rumour, self._clock.now()):
             return
@@ -320,14 +320,14 @@
         if handler is not None:
             await handler(rumour.key, rumour.data)
 
-    def _hear(self, news: MemberNews) -> None:
+    def _merge(self, news: MemberNews) -> None:
         if self._ended and news.member.name == self._members.me.name:
             return
-        told = self._members.hear(news)
+        told = self._members.merge(news)
         if told is not None:
-            self._spread(told)
+            self._queue_news(told)
 
-    def _spread(self, news: MemberNews) -> None:
+    def _queue_news(self, news: MemberNews) -> None:
         name = news.member.name
         if news.health is Health.DEAD:
             self._buried_at.setdefault(name, self._clock.now())
--- a/rhubarbwinch/leaving.py
+++ b/rhubarbwinch/leaving.py
@@ -39,7 +39,7 @@
         self._by_list: dict[str, int] = {}
         self._last: set[str] = set()
         self._listeners: list[Callable[[], None]] = []
-        gossip.on(RUMOUR, self._hear)
+        gossip.on(RUMOUR, self._take_news)
 
     @property
     def hosts(self) -> set[str]:
@@ -82,7 +82,7 @@
             await self._clock.sleep(REPEAT_MS)
             self.expire()
 
-    async def _hear(self, host: str, data: bytes) -> None:
+    async def _take_news(self, host: str, data: bytes) -> None:
         self._take(host, Notice(data.decode()))
 
     def _take(self, host: str, notice: Notice) -> None:
--- a/rhubarbwinch/members.py
+++ b/rhubarbwinch/members.py
@@ -155,16 +155,16 @@
         """Marks this process as leaving."""
         self.set_state(MemberState.LEAVING)
 
-    def hear(self, news: MemberNews) -> MemberNews | None:
+    def merge(self, news: MemberNews) -> MemberNews | None:
         """Takes news from a peer or from the store.
 
         Returns:
-            What the others should hear: the news if it was new, a denial if
+            What the others should be told: the news if it was new, a denial if
             it said that this process is suspected or dead, else None.
         """
         name = news.member.name
         if name == self._me.name:
-            return self._hear_of_me(news)
+            return self._merge_own(news)
         old = self._known.get(name)
         if old is not None and not news.is_newer_than(old):
             return None
@@ -178,11 +178,11 @@
 
     def suspect(self, name: str) -> MemberNews | None:
         """Notes that a member does not answer; returns the news of it."""
-        return self._judge(name, Health.SUSPECT)
+        return self._mark(name, Health.SUSPECT)
 
-    def bury(self, name: str) -> MemberNews | None:
+    def mark_dead(self, name: str) -> MemberNews | None:
         """Notes that a member is dead; returns the news of it."""
-        return self._judge(name, Health.DEAD)
+        return self._mark(name, Health.DEAD)
 
     def forget(self, name: str) -> None:
         """Drops a dead member for good."""
@@ -218,13 +218,13 @@
             if _bucket(name) in wanted
         ]
 
-    def _judge(self, name: str, health: Health) -> MemberNews | None:
+    def _mark(self, name: str, health: Health) -> MemberNews | None:
         known = self._known.get(name)
         if known is None or name == self._me.name:
             return None
-        return self.hear(MemberNews(known.member, health))
+        return self.merge(MemberNews(known.member, health))
 
-    def _hear_of_me(self, news: MemberNews) -> MemberNews | None:
+    def _merge_own(self, news: MemberNews) -> MemberNews | None:
         """Denies what is said of this process when it is not its own word."""
         own = news.member.incarnation == self._me.incarnation
         if own and news.health is Health.ALIVE:
--- a/rhubarbwinch/quarantine.py
+++ b/rhubarbwinch/quarantine.py
@@ -97,7 +97,7 @@
         self._suspects: dict[str, Suspect] = {}
         self._unsaved: dict[str, str] = {}
         self._is_loaded = False
-        sharer.on(KIND, self._hear)
+        sharer.on(KIND, self._take_news)
 
     async def run(self) -> None:
         """Reads the store's suspects now and then, until cancelled."""
@@ -269,7 +269,7 @@
             # The lock lapses by itself.
             events.STORE_DOWN.log(error=str(error))
 
-    async def _hear(self, _: str, data: bytes) -> None:
+    async def _take_news(self, _: str, data: bytes) -> None:
         try:
             suspect = codec.decode(data, Suspect)
         except CodecError as error:
--- a/rhubarbwinch/registration.py
+++ b/rhubarbwinch/registration.py
@@ -120,4 +120,4 @@
             except CodecError as error:
                 events.PEER_REFUSED.log(error=str(error))
                 continue
-            self._members.hear(MemberNews(found))
+            self._members.merge(MemberNews(found))
--- a/tests/test_gossip.py
+++ b/tests/test_gossip.py
@@ -79,7 +79,9 @@
             fleet.nodes["broker-1"].members.leave()
             fleet.nodes["broker-1"].gossip.announce()
             await watcher.wait(1000)
-            watcher.tasks.start_soon(fleet.nodes["broker-1"].gossip.goodbye)
+            watcher.tasks.start_soon(
+                fleet.nodes["broker-1"].gossip.announce_end
+            )
             await fleet.clock.advance(20)
             fleet.kill("broker-1")
             await watcher.wait(1000)
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -64,7 +64,7 @@
     member = Member("broker-1", Role.BROKER, "dc-a", "r", 2, address, "")
     me = Member("entry-1", Role.ENTRY, "dc-a", "r", 1, "127.0.0.1:1", "")
     members = Members(me)
-    members.hear(MemberNews(member))
+    members.merge(MemberNews(member))
     return members
 
 
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -74,7 +74,7 @@
     def takeover(self, other, answers=True):
         """Returns what takes streams over from the other entry."""
         members = Members(self.member)
-        members.hear(MemberNews(other.member))
+        members.merge(MemberNews(other.member))
         links = FakeLinks(other.streams if answers else None)
         return Takeover(self.streams, links, members, 100)
 
