--- a/tests/lab/test_seeded.py
+++ b/tests/lab/test_seeded.py
@@ -10,8 +10,8 @@
 from lab.seeded.run import run_seed
 from rhubarbwinch.sse import DONE
 
-# 31 left a request without an answer, for a wait by another clock; 10 had a pool
-# refuse all work, for a prediction that no engine could meet.
+# 31 left a request without an answer, for a wait by another clock; with 10 a
+# pool refused all work, for a prediction that no engine could meet.
 SEEDS = (1, 10, 31)
 
 
