--- a/rhubarbwinch/claimfloor.py
+++ b/rhubarbwinch/claimfloor.py
@@ -12,7 +12,7 @@
 from rhubarbwinch.claimkeys import WINDOW_MS
 from rhubarbwinch.clock import Clock
 from rhubarbwinch.exceptions import CodecError, StoreError, StoreUnavailable
-from rhubarbwinch.store import Store
+from rhubarbwinch.store import Store, delete_prefix
 
 REFRESH_MS = 60_000
 PASS_MS = 600_000
@@ -104,19 +104,15 @@
         cleaned = floor.cleaned or wanted
         count = 0
         for window in range(cleaned, floor.window):
-            count += await self._delete(window)
+            count += await delete_prefix(
+                self._store, keys.claims_window(window)
+            )
         raised = Floor(wanted, max(cleaned, floor.window), now)
         await self._store.swap(
             keys.CLAIMS_CURSOR, revision, codec.encode(raised)
         )
         events.CLAIMS_CLEANED.log(floor=wanted, pages=count)
 
-    async def _delete(self, window: int) -> int:
-        listing = await self._store.scan(keys.claims_window(window))
-        for entry in listing.entries:
-            await self._store.delete(entry.key, entry.revision)
-        return len(listing.entries)
-
 
 async def read_floor(store: Store) -> tuple[Floor, int]:
     """Returns the floor in the store and its revision.
--- a/rhubarbwinch/exceptions.py
+++ b/rhubarbwinch/exceptions.py
@@ -87,6 +87,10 @@
         super().__init__(message)
         self.sent = sent
 
+    def follow(self, earlier: "EndpointError | None") -> None:
+        """Notes the failure of the try before: what it sent stays sent."""
+        self.sent = self.sent or (earlier is not None and earlier.sent)
+
 
 class ForeignGenerationError(EndpointError):
     """An engine sent an event of another generation.
--- a/rhubarbwinch/generate.py
+++ b/rhubarbwinch/generate.py
@@ -106,7 +106,7 @@
                 return
             except EndpointError as error:
                 avoid.append(permit.grant.endpoint)
-                error.sent = error.sent or (failed is not None and failed.sent)
+                error.follow(failed)
                 failed = error
                 if not self._may_retry(call, len(avoid), responder):
                     raise Refused(_failure(error)) from error
--- a/rhubarbwinch/metering.py
+++ b/rhubarbwinch/metering.py
@@ -13,7 +13,7 @@
 from rhubarbwinch.clock import Clock
 from rhubarbwinch.exceptions import StoreError, StoreUncertain
 from rhubarbwinch.relay import Position
-from rhubarbwinch.store import Store
+from rhubarbwinch.store import Store, delete_prefix
 
 PERIOD_MS = 3_600_000
 MAX_MARKS = 5_000
@@ -242,6 +242,4 @@
         """Deletes the periods that ended before the time of keeping."""
         end = (self._clock.wall() - self._keep_ms) // PERIOD_MS
         for period in range(end - CLEANED_PERIODS, end):
-            listing = await self._store.scan(keys.meter_period(period))
-            for entry in listing.entries:
-                await self._store.delete(entry.key, entry.revision)
+            await delete_prefix(self._store, keys.meter_period(period))
--- a/rhubarbwinch/plain.py
+++ b/rhubarbwinch/plain.py
@@ -132,7 +132,7 @@
                 return await self._exchange(permit, call)
             except EndpointError as error:
                 avoid.append(permit.grant.endpoint)
-                error.sent = error.sent or (failed is not None and failed.sent)
+                error.follow(failed)
                 failed = error
                 if len(avoid) >= MAX_ATTEMPTS:
                     raise Refused(_failure(error)) from error
--- a/rhubarbwinch/store.py
+++ b/rhubarbwinch/store.py
@@ -101,6 +101,18 @@
         ...
 
 
+async def delete_prefix(store: Store, prefix: str) -> int:
+    """Deletes what is under a prefix; returns how many keys there were.
+
+    Raises:
+        StoreError: Some of it may be left.
+    """
+    listing = await store.scan(prefix)
+    for entry in listing.entries:
+        await store.delete(entry.key, entry.revision)
+    return len(listing.entries)
+
+
 # Builds a store from its address, `a.b.c.d:port`, and a timeout for each call
 # in milliseconds.
 StoreFactory = Callable[[str, int], Store]
