--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 
 .PHONY: docs demo test check format bench bench-relay capacity clean
 
-$(READY): requirements.txt
+$(READY): requirements.txt requirements-run.txt
 	$(PYTHON) -m venv $(VENV)
 	$(BIN)/pip install --quiet --disable-pip-version-check -r requirements.txt
 	touch $(READY)
--- a/rhubarbwinch/__main__.py
+++ b/rhubarbwinch/__main__.py
@@ -2,12 +2,13 @@
 
 import sys
 
-from rhubarbwinch import cmdline, ctlcommands
+from rhubarbwinch import cmdline, ctlcommands, gatewaymain
 
 PROGRAMS = {
     "entry": cmdline.entry_main,
     "broker": cmdline.broker_main,
     "control": cmdline.control_main,
+    "gateway": gatewaymain.main,
     "ctl": ctlcommands.main,
 }
 
--- a/rhubarbwinch/events.py
+++ b/rhubarbwinch/events.py
@@ -9,6 +9,8 @@
 import orjson
 from absl import flags, logging
 
+from rhubarbwinch.logoutput import LineOutput
+
 
 class LogFormat(enum.StrEnum):
     """How log lines are written."""
@@ -31,16 +33,30 @@
     def __init__(self) -> None:
         self.format = LogFormat.TEXT
         self.process = "-"
+        self.lines: LineOutput | None = None
 
 
 _output = _Output()
 _all: dict[int, "Event"] = {}
 
 
-def configure(log_format: LogFormat, level: str, process: str) -> None:
-    """Sets the format, the lowest level written and the process's name."""
+def configure(
+    log_format: LogFormat,
+    level: str,
+    process: str,
+    lines: LineOutput | None = None,
+) -> None:
+    """Sets the format, the lowest level written and the process's name.
+
+    Args:
+        log_format: How lines are written.
+        level: The lowest level that is written.
+        process: The process's name.
+        lines: Where JSON lines go; standard error without it.
+    """
     _output.format = log_format
     _output.process = process
+    _output.lines = lines
     # Our settings take the place of absl's own flags.
     flags.FLAGS.mark_as_parsed()
     logging.set_verbosity(level)
@@ -92,6 +108,9 @@
                 "fields": fields,
             }
             data = orjson.dumps(line, default=str)
+            if _output.lines is not None:
+                _output.lines.write(self.number, data + b"\n")
+                return
             sys.stderr.write(data.decode() + "\n")
             return
         text = " ".join(f"{key}={_plain(v)}" for key, v in fields.items())
@@ -252,3 +271,136 @@
     logging.WARNING,
     "A peer's message was dropped: too many are being handled.",
 )
+STORE_READ = Event(700, "store-read", logging.INFO, "The whole store was read.")
+WATCH_COMPACTED = Event(
+    701,
+    "watch-compacted",
+    logging.INFO,
+    "The store has dropped changes; it is read as a whole.",
+)
+FEED_GAP = Event(
+    702,
+    "feed-gap",
+    logging.WARNING,
+    "A peer told of changes, but some before them are missing.",
+)
+SNAPSHOT_MISSED = Event(
+    703, "snapshot-missed", logging.INFO, "A peer gave no snapshot."
+)
+REGISTRATION_FAILED = Event(
+    704,
+    "registration-failed",
+    logging.WARNING,
+    "The registration in the store was not renewed or ended.",
+)
+GATEWAY_CHANGED = Event(
+    705, "gateway-changed", logging.INFO, "A peer serves, or no longer does."
+)
+GATEWAY_LOST = Event(
+    706, "gateway-lost", logging.WARNING, "A peer can't be reached."
+)
+TABLE_IN_FORCE = Event(
+    710, "table-in-force", logging.INFO, "A version of routes is in force."
+)
+TABLE_UNREADABLE = Event(
+    711,
+    "table-unreadable",
+    logging.ERROR,
+    "A version of routes can't be read; the one before stays.",
+)
+TABLE_OLDER = Event(
+    712, "table-older", logging.WARNING, "An older version was ignored."
+)
+ENDPOINT_CHANGED = Event(
+    713,
+    "endpoint-changed",
+    logging.INFO,
+    "An endpoint appeared, began to leave or is gone.",
+)
+ENDPOINT_UNREADABLE = Event(
+    714,
+    "endpoint-unreadable",
+    logging.WARNING,
+    "An endpoint's registration can't be read and names none.",
+)
+ENDPOINT_AVOIDED = Event(
+    715,
+    "endpoint-avoided",
+    logging.WARNING,
+    "An endpoint fails too many calls and is avoided for a while.",
+)
+RELOADED = Event(716, "reloaded", logging.INFO, "The settings were read anew.")
+SETTINGS_UNREADABLE = Event(
+    717,
+    "settings-unreadable",
+    logging.ERROR,
+    "The settings can't be read; those before stay.",
+)
+READY_CHANGED = Event(
+    718, "ready-changed", logging.INFO, "The gateway is ready, or no longer."
+)
+REQUEST_UNREADABLE = Event(
+    730, "request-unreadable", logging.WARNING, "Bytes are not a request."
+)
+CONNECTION_FAILED = Event(
+    731,
+    "connection-failed",
+    logging.ERROR,
+    "A caller's connection ended by a fault of our own.",
+)
+NOT_ALLOWED = Event(
+    732,
+    "not-allowed",
+    logging.INFO,
+    "No route or no key of a request is known.",
+)
+PLACED = Event(
+    733, "placed", logging.INFO, "A generation was placed, by what runs where."
+)
+NO_ROOM = Event(
+    734, "no-room", logging.INFO, "A generation was refused for lack of room."
+)
+SENT = Event(735, "sent", logging.INFO, "A send to an endpoint has an outcome.")
+RETRY_REFUSED = Event(
+    736,
+    "retry-refused",
+    logging.INFO,
+    "A request was not sent again: the budget of the service is spent.",
+)
+ANSWERED = Event(737, "answered", logging.INFO, "A request has its answer.")
+NOT_SERVED = Event(
+    738, "not-served", logging.INFO, "A request ends by a failure of our own."
+)
+CALLER_LEFT = Event(
+    739, "caller-left", logging.INFO, "A caller left before its answer."
+)
+STREAM_CUT = Event(
+    740, "stream-cut", logging.INFO, "An engine's stream ended too early."
+)
+STREAM_BROKEN = Event(
+    741,
+    "stream-broken",
+    logging.WARNING,
+    "A caller's stream was broken off and is not complete.",
+)
+LATE_GAP = Event(
+    742, "late-gap", logging.INFO, "A pause between events was too long."
+)
+MOVED = Event(
+    743, "moved", logging.INFO, "A run's memory was copied, or could not be."
+)
+CARRIED_ON = Event(
+    744, "carried-on", logging.INFO, "A run goes on at another engine, or not."
+)
+MOVE_CALL_FAILED = Event(
+    745,
+    "move-call-failed",
+    logging.WARNING,
+    "An engine did not answer a call about a copy.",
+)
+LOG_LINES_LEFT_OUT = Event(
+    750,
+    "log-lines-left-out",
+    logging.WARNING,
+    "Lines over the budget, or that could not be written, were left out.",
+)
--- a/rhubarbwinch/exceptions.py
+++ b/rhubarbwinch/exceptions.py
@@ -134,3 +134,15 @@
 
 class RestartLimitError(RhubarbwinchError):
     """A supervised task failed more often than its limit allows."""
+
+
+class BadCallError(RhubarbwinchError):
+    """A caller's request can't be served as it stands."""
+
+
+class PlatformFormatError(RhubarbwinchError):
+    """What the platform or another of its writers wrote can't be read."""
+
+
+class StoreCompacted(StoreUnavailable):
+    """The store no longer has the changes that a watch asked for."""
--- /dev/null
+++ b/rhubarbwinch/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""The gateway: routes callers' requests to engines and plain services."""
--- /dev/null
+++ b/rhubarbwinch/gateway/answers.py
@@ -0,0 +1,55 @@
+"""Answers of the gateway's own: refusals and failures with their verdicts."""
+
+from rhubarbwinch import events
+from rhubarbwinch.gateway import statistics
+from rhubarbwinch.gateway.edge import EdgeResponder
+from rhubarbwinch.gateway.wire import Platform
+from rhubarbwinch.verdict import Failure, Reason, Verdict
+
+# Statuses by reason, where they differ from those of the verdict.
+_STATUS = {
+    Reason.BAD_REQUEST: 400,
+    Reason.UNAUTHENTICATED: 401,
+    Reason.NOT_FOUND: 404,
+}
+_STATUS_NOT_RUN = 503
+_STATUS_TIMEOUT = 504
+_STATUS_FAILED = 502
+
+
+def status_of(failure: Failure) -> int:
+    """Returns the HTTP status of a failure.
+
+    503 says that the request has not run and will not; so it is used only
+    where the verdict says so.
+    """
+    if failure.verdict is Verdict.NOT_RUN:
+        return _STATUS.get(failure.reason, _STATUS_NOT_RUN)
+    if failure.reason is Reason.DEADLINE:
+        return _STATUS_TIMEOUT
+    return _STATUS_FAILED
+
+
+async def send_failure(
+    platform: Platform,
+    responder: EdgeResponder,
+    request_id: str,
+    failure: Failure,
+) -> None:
+    """Answers by a failure and logs it."""
+    status = status_of(failure)
+    events.REQUEST_FAILED.log(
+        request=request_id,
+        verdict=failure.verdict,
+        reason=failure.reason,
+        detail=failure.detail,
+        status=status,
+        retry_after_ms=failure.retry_after_ms,
+    )
+    statistics.REQUESTS.labels("-", failure.reason).inc()
+    retry = failure.retry_after_ms if status == _STATUS_NOT_RUN else None
+    await responder.send(
+        status,
+        platform.refusal_headers(request_id, retry),
+        failure.detail.encode(),
+    )
--- /dev/null
+++ b/rhubarbwinch/gateway/context.py
@@ -0,0 +1,162 @@
+"""The parts that serving a request needs, gathered in one object."""
+
+import random
+
+import attrs
+
+from rhubarbwinch import events
+from rhubarbwinch.clock import Clock
+from rhubarbwinch.gateway import statistics
+from rhubarbwinch.gateway.edge import EdgeRequest
+from rhubarbwinch.gateway.fleet import Fleet, Known
+from rhubarbwinch.gateway.loads import LoadBook
+from rhubarbwinch.gateway.peers import Peers
+from rhubarbwinch.gateway.placing import Candidate
+from rhubarbwinch.gateway.retrybudget import RetryBudget
+from rhubarbwinch.gateway.routes import Route, RoutingTable
+from rhubarbwinch.gateway.suspicion import Outcome, Suspicion
+from rhubarbwinch.gateway.upstream import Upstream
+from rhubarbwinch.gateway.wire import CallHead, EngineCalls, Platform
+
+
+@attrs.define
+class Context:
+    """What is shared by all requests of a gateway.
+
+    Attributes:
+        name: The gateway's name.
+        data_center: Where the gateway is.
+        platform: Translates names and formats.
+        clock: The source of time.
+        rng: Breaks ties.
+        fleet: The endpoints.
+        loads: What runs where.
+        suspicion: Which endpoints are avoided.
+        budget: Bounds further sends.
+        peers: The other gateways.
+        upstream: Sends to endpoints.
+        engine_calls: Calls to engines beside the requests.
+        table: The configuration in force; None before the first.
+        is_draining: Whether the gateway was told to stop.
+    """
+
+    name: str
+    data_center: str
+    platform: Platform
+    clock: Clock
+    rng: random.Random
+    fleet: Fleet
+    loads: LoadBook
+    suspicion: Suspicion
+    budget: RetryBudget
+    peers: Peers
+    upstream: Upstream
+    engine_calls: EngineCalls
+    table: RoutingTable | None = None
+    is_draining: bool = False
+
+    def candidates(self, service: str, skip: set[str]) -> list[Candidate]:
+        """Returns the endpoints that a request may go to now.
+
+        Args:
+            service: The service that the request needs.
+            skip: Ids of endpoints that have failed it.
+        """
+        now = self.clock.now()
+        known = [
+            k
+            for k in self.fleet.of_service(service)
+            if k.endpoint.id not in skip
+        ]
+        usable = set(self.suspicion.usable([k.endpoint.id for k in known], now))
+        return [
+            self._candidate(k, now) for k in known if k.endpoint.id in usable
+        ]
+
+    def _candidate(self, known: Known, now: int) -> Candidate:
+        endpoint = known.endpoint
+        spec = self.table.services.get(endpoint.service) if self.table else None
+        engine = spec.engine if spec is not None else None
+        return Candidate(
+            endpoint,
+            self.loads.total(endpoint.id),
+            engine.kv_tokens if engine is not None else 0,
+            now >= known.warm_at_ms,
+            self.suspicion.failure_share(endpoint.id),
+        )
+
+    def note(
+        self, job: "Job", service: str, endpoint_id: str, outcome: Outcome
+    ) -> None:
+        """Notes how a send ended."""
+        now = self.clock.now()
+        statistics.SENDS.labels(outcome.name.lower()).inc()
+        if self.suspicion.note(service, endpoint_id, outcome, now):
+            events.ENDPOINT_AVOIDED.log(
+                request=job.call.request_id,
+                endpoint=endpoint_id,
+                outcome=outcome.name,
+                failure_share=round(
+                    self.suspicion.failure_share(endpoint_id), 2
+                ),
+            )
+
+    def may_send_again(self, service: str) -> bool:
+        """Takes a further send out of the budget."""
+        return self.budget.take(service, self.peers.count + 1, self.clock.now())
+
+
+@attrs.define
+class Job:
+    """One request while it is served.
+
+    Attributes:
+        call: The head of the request.
+        body: The body.
+        route: The route that it takes.
+        account: The caller's account, or None.
+        priority: The rank of the request, 0 first.
+        service: The service that it goes to.
+        received_ms: When its first byte was read.
+        deadline_ms: When its answer is due at the latest.
+        objective_ms: When its answer is on time.
+        sends: Sends to endpoints.
+        tried: Ids of endpoints that have failed it.
+    """
+
+    call: CallHead
+    body: bytes
+    route: Route
+    account: str | None
+    priority: int
+    service: str
+    received_ms: int
+    deadline_ms: int
+    objective_ms: int
+    sends: int = 0
+    tried: set[str] = attrs.field(factory=set)
+
+
+def make_job(
+    request: EdgeRequest,
+    call: CallHead,
+    route: Route,
+    account: str | None,
+    priority: int,
+    service: str,
+) -> Job:
+    """Returns the job of a request."""
+    allowed_ms = route.timeout_ms
+    if call.deadline_ms is not None:
+        allowed_ms = min(allowed_ms, call.deadline_ms)
+    return Job(
+        call=call,
+        body=request.body,
+        route=route,
+        account=account,
+        priority=priority,
+        service=service,
+        received_ms=request.received_ms,
+        deadline_ms=request.received_ms + allowed_ms,
+        objective_ms=request.received_ms + route.objective_ms,
+    )
--- /dev/null
+++ b/rhubarbwinch/gateway/feed.py
@@ -0,0 +1,210 @@
+"""Follows the store, and spreads its changes among the gateways.
+
+A few gateways watch the store, and tell the others; one that hears of no
+watcher with a fresh answer of the store watches by itself. So the number of
+calls does not grow with the number of gateways.
+"""
+
+from collections.abc import Callable
+
+from rhubarbwinch import events
+from rhubarbwinch.clock import Clock
+from rhubarbwinch.exceptions import StoreCompacted, StoreError
+from rhubarbwinch.gateway.messages import (
+    SharedBatch,
+    SharedChange,
+    Snapshot,
+    SnapshotCall,
+)
+from rhubarbwinch.gateway.replica import Replica
+from rhubarbwinch.store import Change, ChangeBatch, Entry, PollingStore
+
+# The store answers a watch without events after so long. An answer confirms
+# that nothing was missed, so the time bounds how late a cut is noticed.
+WATCH_WAIT_MS = 800
+# Events that come close together share a call of a watcher.
+COALESCE_MS = 60
+RETRY_MS = 150
+# A watcher that the store has not answered for so long is not relied on; half
+# of the time in which a configuration must be in force.
+FRESH_MS = 1_300
+FOLLOWER_POLL_MS = 100
+# Leases that lapsed while the store was away come back within two seconds of
+# its return; a deletion in that time may be one of them.
+LAPSE_GRACE_MS = 2_500
+
+ChangeHandler = Callable[[list[Change], bool], None]
+
+
+class Feed:
+    """Keeps a replica of the store and tells what changes in it.
+
+    Args:
+        store: The platform's store.
+        replica: What is known of it.
+        clock: The source of time.
+        should_watch: Tells whether this gateway watches the store itself.
+        share: Tells all peers of a batch.
+        on_change: Takes changes, and whether they came after an outage.
+        name: This gateway's name.
+    """
+
+    def __init__(
+        self,
+        store: PollingStore,
+        replica: Replica,
+        clock: Clock,
+        should_watch: Callable[[], bool],
+        share: Callable[[SharedBatch], None],
+        on_change: ChangeHandler,
+        name: str,
+    ) -> None:
+        self._store = store
+        self._replica = replica
+        self._clock = clock
+        self._should_watch = should_watch
+        self._share = share
+        self._on_change = on_change
+        self._name = name
+        self._confirmed_at: int | None = None
+        self._failing_since: int | None = None
+        self._recovered_at: int | None = None
+        self._was_scanned = False
+
+    @property
+    def confirmed_ms(self) -> int:
+        """How long ago the store last confirmed what is known here."""
+        if self._confirmed_at is None:
+            return 1 << 40
+        return self._clock.now() - self._confirmed_at
+
+    @property
+    def is_after_outage(self) -> bool:
+        """Whether the store was away until shortly before."""
+        if self._failing_since is not None:
+            return True
+        if self._recovered_at is None:
+            return False
+        return self._clock.now() - self._recovered_at < LAPSE_GRACE_MS
+
+    async def run(self) -> None:
+        """Follows the store until cancelled."""
+        while True:
+            if self._was_scanned and not self._should_watch():
+                await self._clock.sleep(FOLLOWER_POLL_MS)
+                continue
+            try:
+                if not self._was_scanned or not self._replica.revision:
+                    await self._scan()
+                else:
+                    await self._poll()
+            except StoreCompacted as error:
+                events.WATCH_COMPACTED.log(error=str(error))
+                self._was_scanned = False
+            except StoreError as error:
+                self._note_failure(error)
+                await self._clock.sleep(RETRY_MS)
+
+    async def _scan(self) -> None:
+        """Reads everything; after a gap in the history, or at the start."""
+        listing = await self._store.scan("")
+        self._note_answer()
+        before = self._replica.revision
+        changes = self._replica.merge_listing(listing)
+        self._was_scanned = True
+        events.STORE_READ.log(
+            revision=listing.revision,
+            keys=len(listing.entries),
+            changes=len(changes),
+        )
+        self._tell(changes, ChangeBatch(before, listing.revision, changes))
+
+    async def _poll(self) -> None:
+        batch = await self._store.poll(
+            "", self._replica.revision, WATCH_WAIT_MS
+        )
+        self._note_answer()
+        changes = self._replica.merge_batch(batch)
+        if changes:
+            self._tell(changes, batch)
+        if batch.changes:
+            await self._clock.sleep(COALESCE_MS)
+
+    def _tell(self, changes: list[Change], batch: ChangeBatch) -> None:
+        if not changes:
+            return
+        self._on_change(changes, self.is_after_outage)
+        self._share(
+            SharedBatch(
+                self._name,
+                batch.after,
+                batch.revision,
+                [_shared(change) for change in changes],
+                self.is_after_outage,
+            )
+        )
+
+    async def take_batch(self, batch: SharedBatch) -> None:
+        """Takes a batch that a peer tells."""
+        changes = [_change(shared) for shared in batch.changes]
+        taken = self._replica.merge_batch(
+            ChangeBatch(batch.after, batch.revision, changes)
+        )
+        if taken is None:
+            # What lies between is not known; the changes themselves are.
+            events.FEED_GAP.log(
+                sender=batch.sender,
+                known=self._replica.revision,
+                after=batch.after,
+            )
+            self._was_scanned = False
+            taken = self._replica.merge_batch(
+                ChangeBatch(0, self._replica.revision, changes)
+            )
+        if taken:
+            self._on_change(taken, batch.after_outage)
+
+    def take_snapshot(self, snapshot: Snapshot) -> None:
+        """Takes all that a peer knows; for a gateway without the store."""
+        changes = [_change(shared) for shared in snapshot.changes]
+        taken = self._replica.merge_batch(
+            ChangeBatch(0, snapshot.revision, changes)
+        )
+        if taken:
+            self._on_change(taken, False)
+
+    async def answer_snapshot(self, call: SnapshotCall) -> Snapshot:
+        """Tells a peer everything that is known."""
+        entries = self._replica.entries()
+        return Snapshot(
+            self._replica.revision,
+            [SharedChange(e.key, e.revision, e.value) for e in entries],
+        )
+
+    def _note_answer(self) -> None:
+        self._confirmed_at = self._clock.now()
+        if self._failing_since is not None:
+            events.STORE_UP.log(
+                down_ms=self._confirmed_at - self._failing_since
+            )
+            self._failing_since = None
+            self._recovered_at = self._confirmed_at
+
+    def _note_failure(self, error: StoreError) -> None:
+        if self._failing_since is None:
+            self._failing_since = self._clock.now()
+            events.STORE_DOWN.log(
+                error=str(error), revision=self._replica.revision
+            )
+
+
+def _shared(change: Change) -> SharedChange:
+    value = change.entry.value if change.entry is not None else None
+    return SharedChange(change.key, change.revision, value)
+
+
+def _change(shared: SharedChange) -> Change:
+    if shared.value is None:
+        return Change(shared.key, shared.revision, None)
+    entry = Entry(shared.key, shared.value, shared.revision)
+    return Change(shared.key, shared.revision, entry)
--- /dev/null
+++ b/rhubarbwinch/gateway/loads.py
@@ -0,0 +1,143 @@
+"""What all gateways together have running at each endpoint.
+
+Every gateway tells the others what it has placed as soon as it places it, so
+all decide from nearly the same count without asking anyone. It answers bursts
+at several gateways: without a common count they choose the same endpoints.
+"""
+
+import attrs
+
+from rhubarbwinch.gateway.messages import EndpointLoad
+
+# Without news of a gateway for so long, its requests are taken as ended: it
+# has died, or sends no more than those it has.
+PEER_SILENCE_MS = 4_000
+
+
+@attrs.define
+class Load:
+    """A sum of requests at one endpoint.
+
+    Attributes:
+        runs: Requests, copies of their memory included.
+        tokens: Memory that they are expected to need, in tokens.
+        prefill: Prompt tokens that are still to be read.
+    """
+
+    runs: int = 0
+    tokens: int = 0
+    prefill: int = 0
+
+    def add(self, runs: int, tokens: int, prefill: int) -> None:
+        """Adds requests, or takes them off."""
+        self.runs += runs
+        self.tokens += tokens
+        self.prefill += prefill
+
+
+@attrs.define
+class _Told:
+    """What a peer has told last."""
+
+    sequence: tuple[int, int]
+    at_ms: int
+    loads: list[EndpointLoad]
+
+
+class LoadBook:
+    """Counts what runs where."""
+
+    def __init__(self) -> None:
+        self.version = 0
+        self._own: dict[str, Load] = {}
+        self._told: dict[str, _Told] = {}
+        self._peers: dict[str, Load] = {}
+
+    def add(
+        self, endpoint: str, tokens: int, prefill: int = 0, runs: int = 1
+    ) -> None:
+        """Notes a request that this gateway places.
+
+        Args:
+            endpoint: The endpoint's id.
+            tokens: Memory that the request is expected to need, in tokens.
+            prefill: Prompt tokens that are to be read.
+            runs: 0 for a copy that occupies memory only.
+        """
+        self._own.setdefault(endpoint, Load()).add(runs, tokens, prefill)
+        self.version += 1
+
+    def end_prefill(self, endpoint: str, prefill: int) -> None:
+        """Notes that a request's prompt has been read."""
+        load = self._own.get(endpoint)
+        if load is not None and prefill:
+            load.prefill -= prefill
+            self.version += 1
+
+    def remove(
+        self, endpoint: str, tokens: int, prefill: int = 0, runs: int = 1
+    ) -> None:
+        """Notes the end of a request that `add` noted."""
+        load = self._own.get(endpoint)
+        if load is None:
+            return
+        load.add(-runs, -tokens, -prefill)
+        if load.runs <= 0 and load.tokens <= 0:
+            del self._own[endpoint]
+        self.version += 1
+
+    def own(self) -> list[EndpointLoad]:
+        """Returns what this gateway has running, for its peers."""
+        return [
+            EndpointLoad(name, load.runs, load.tokens, load.prefill)
+            for name, load in self._own.items()
+        ]
+
+    def own_runs(self, endpoint: str) -> int:
+        """Returns how many requests this gateway has at an endpoint."""
+        load = self._own.get(endpoint)
+        return load.runs if load is not None else 0
+
+    def take(
+        self,
+        peer: str,
+        sequence: tuple[int, int],
+        loads: list[EndpointLoad],
+        now_ms: int,
+    ) -> None:
+        """Takes what a peer tells; an older message than before is ignored."""
+        told = self._told.get(peer)
+        if told is not None and told.sequence >= sequence:
+            return
+        is_same = told is not None and told.loads == loads
+        self._told[peer] = _Told(sequence, now_ms, loads)
+        if not is_same:
+            self._sum_peers()
+
+    def forget_silent(self, now_ms: int) -> None:
+        """Drops what gateways have told that are silent since."""
+        silent = [
+            peer
+            for peer, told in self._told.items()
+            if now_ms - told.at_ms > PEER_SILENCE_MS
+        ]
+        for peer in silent:
+            del self._told[peer]
+        if silent:
+            self._sum_peers()
+
+    def total(self, endpoint: str) -> Load:
+        """Returns what all gateways have running at an endpoint."""
+        found = Load()
+        for load in (self._own.get(endpoint), self._peers.get(endpoint)):
+            if load is not None:
+                found.add(load.runs, load.tokens, load.prefill)
+        return found
+
+    def _sum_peers(self) -> None:
+        self._peers.clear()
+        for told in self._told.values():
+            for load in told.loads:
+                here = self._peers.setdefault(load.endpoint, Load())
+                here.add(load.runs, load.tokens, load.prefill)
+        self.version += 1
--- /dev/null
+++ b/rhubarbwinch/gateway/messages.py
@@ -0,0 +1,95 @@
+"""Messages between gateways."""
+
+import attrs
+
+
+@attrs.frozen
+class EndpointLoad:
+    """What one gateway has running at one endpoint.
+
+    Attributes:
+        endpoint: The endpoint's id.
+        runs: Requests, copies of their memory included.
+        tokens: Memory that they are expected to need, in tokens.
+        prefill: Prompt tokens that are still to be read.
+    """
+
+    endpoint: str
+    runs: int
+    tokens: int
+    prefill: int = 0
+
+
+@attrs.frozen
+class Heartbeat:
+    """Sent to every peer a few times a second and after each change.
+
+    Attributes:
+        name: The sender's name.
+        incarnation: The sender's number, new at each start.
+        sequence: Counts the sender's heartbeats; a lower one is older.
+        link: The sender's link address.
+        front: Where callers connect to the sender.
+        data_center: Where the sender is.
+        is_serving: Whether it takes new work.
+        is_leaving: Whether it was told to stop.
+        revision: Up to here it knows the store's changes.
+        confirmed_ms: How long ago the store confirmed that to it.
+        loads: What it has running.
+    """
+
+    name: str
+    incarnation: int
+    sequence: int
+    link: str
+    front: str
+    data_center: str
+    is_serving: bool = False
+    is_leaving: bool = False
+    revision: int = 0
+    confirmed_ms: int = 1 << 40
+    loads: list[EndpointLoad] = attrs.field(factory=list)
+
+
+@attrs.frozen
+class SharedChange:
+    """A change of the store; no value means a deletion."""
+
+    key: str
+    revision: int
+    value: bytes | None = None
+
+
+@attrs.frozen
+class SharedBatch:
+    """Changes of the store that one gateway tells another.
+
+    Attributes:
+        sender: The sender's name.
+        after: The revision before the first change.
+        revision: Up to here the changes are complete.
+        changes: In the order of their revisions.
+        after_outage: Whether the sender had lost the store shortly before, so
+            that deletions may be of leases that could not be renewed.
+    """
+
+    sender: str
+    after: int
+    revision: int
+    changes: list[SharedChange] = attrs.field(factory=list)
+    after_outage: bool = False
+
+
+@attrs.frozen
+class SnapshotCall:
+    """Asks for everything that a gateway knows of the store."""
+
+    sender: str
+
+
+@attrs.frozen
+class Snapshot:
+    """Everything that a gateway knows of the store."""
+
+    revision: int
+    changes: list[SharedChange] = attrs.field(factory=list)
--- /dev/null
+++ b/rhubarbwinch/gateway/plaincalls.py
@@ -0,0 +1,230 @@
+"""Plain calls: one whole answer, tried again where that is safe."""
+
+import anyio
+import attrs
+
+from rhubarbwinch import events
+from rhubarbwinch.exceptions import EndpointError
+from rhubarbwinch.gateway import answers, placing, statistics
+from rhubarbwinch.gateway.context import Context, Job
+from rhubarbwinch.gateway.edge import EdgeResponder
+from rhubarbwinch.gateway.endpoints import Endpoint
+from rhubarbwinch.gateway.suspicion import Outcome
+from rhubarbwinch.gateway.wire import AnswerHead, SendOptions
+from rhubarbwinch.verdict import Failure, Reason, Verdict, not_run
+
+# An endpoint that stops at the deadline answers so a moment later.
+ANSWER_GRACE_MS = 60
+# A first try of a call that may run again gets this part of the time, so that
+# one that hangs leaves enough for a second.
+FIRST_TRY_SHARE = 0.5
+# Sends of one call, refused ones included.
+MAX_SENDS = 3
+# Less is not enough for an answer.
+MIN_SEND_MS = 10
+RETRY_AFTER_MS = 200
+_SERVER_ERROR = 500
+# Statuses by which callers take a request as not run.
+PROMISES = frozenset({408, 421, 429, 503})
+
+
+@attrs.frozen
+class WholeAnswer:
+    """An endpoint's answer with its body."""
+
+    head: AnswerHead
+    body: bytes
+
+    @property
+    def is_good(self) -> bool:
+        """Whether the call succeeded."""
+        return self.head.status < _SERVER_ERROR
+
+
+class PlainCalls:
+    """Serves the calls of plain services.
+
+    Args:
+        context: What all requests share.
+    """
+
+    def __init__(self, context: Context) -> None:
+        self._context = context
+
+    async def serve(self, job: Job, responder: EdgeResponder) -> None:
+        """Answers a call."""
+        result = await self._run(job)
+        if isinstance(result, Failure):
+            await answer_failure(self._context, job, responder, result)
+            return
+        await relay_whole(self._context, job, responder, result)
+
+    async def _run(self, job: Job) -> WholeAnswer | Failure:
+        """Sends a call until an answer or a verdict is final."""
+        context = self._context
+        failure = not_run(
+            Reason.NO_ENDPOINT, "no endpoint takes work", RETRY_AFTER_MS
+        )
+        may_have_run = 0
+        poor: WholeAnswer | None = None
+        while job.sends < MAX_SENDS:
+            left = job.deadline_ms - context.clock.now()
+            if left < MIN_SEND_MS:
+                break
+            chosen = placing.choose_endpoint(
+                context.candidates(job.service, job.tried),
+                context.data_center,
+                context.rng,
+            )
+            if chosen is None:
+                break
+            if job.sends and not context.may_send_again(job.service):
+                events.RETRY_REFUSED.log(
+                    request=job.call.request_id, service=job.service
+                )
+                break
+            job.sends += 1
+            job.tried.add(chosen.endpoint.id)
+            result = await self._send(job, chosen.endpoint, left, may_have_run)
+            if isinstance(result, WholeAnswer):
+                if result.is_good or not self._may_repeat(job, may_have_run):
+                    return result
+                poor = result
+                may_have_run += 1
+                continue
+            failure = result
+            if failure.verdict is not Verdict.NOT_RUN:
+                may_have_run += 1
+                if not self._may_repeat(job, may_have_run - 1):
+                    break
+        if poor is not None:
+            return poor
+        if may_have_run and failure.verdict is Verdict.NOT_RUN:
+            return Failure(Verdict.MAY_HAVE_RUN, failure.reason, failure.detail)
+        return failure
+
+    def _may_repeat(self, job: Job, runs_before: int) -> bool:
+        """Tells whether a call may run once more."""
+        return job.route.may_repeat and runs_before + 1 < job.route.max_attempts
+
+    async def _send(
+        self, job: Job, endpoint: Endpoint, left_ms: int, runs_before: int
+    ) -> WholeAnswer | Failure:
+        """Sends a call to one endpoint."""
+        context = self._context
+        limit_ms = left_ms + ANSWER_GRACE_MS
+        if self._may_repeat(job, runs_before) and not job.tried - {endpoint.id}:
+            limit_ms = int(left_ms * FIRST_TRY_SHARE)
+        started = context.clock.now()
+        context.loads.add(endpoint.id, 0)
+        try:
+            with anyio.move_on_after(limit_ms / 1000):
+                return await self._exchange(job, endpoint, left_ms)
+        except EndpointError as error:
+            return self._failed(job, endpoint, started, error)
+        finally:
+            context.loads.remove(endpoint.id, 0)
+        context.note(job, job.service, endpoint.id, Outcome.BROKEN)
+        self._log(job, endpoint, started, f"no answer in {limit_ms} ms")
+        return Failure(
+            Verdict.MAY_HAVE_RUN, Reason.DEADLINE, "the endpoint gave no answer"
+        )
+
+    async def _exchange(
+        self, job: Job, endpoint: Endpoint, left_ms: int
+    ) -> WholeAnswer | Failure:
+        """Sends a call and reads the whole answer.
+
+        Raises:
+            EndpointError: No whole answer came.
+        """
+        context = self._context
+        started = context.clock.now()
+        options = SendOptions(endpoint.id, job.account, left_ms)
+        answer = await context.upstream.send(
+            endpoint, job.call, job.body, options, job.route.may_repeat
+        )
+        try:
+            body = await answer.read()
+        finally:
+            await answer.close()
+        head = answer.head
+        if head.is_refusal:
+            context.note(job, job.service, endpoint.id, Outcome.REFUSED)
+            self._log(job, endpoint, started, f"refused by {head.status}")
+            return not_run(
+                Reason.QUEUE_FULL, "the endpoint refused", RETRY_AFTER_MS
+            )
+        if not head.is_signed and head.status < _SERVER_ERROR:
+            raise EndpointError("an answer without signature", sent=True)
+        if head.status in PROMISES or not head.is_signed:
+            # It does not say that nothing ran, but its status would.
+            raise EndpointError(f"status {head.status}", sent=True)
+        whole = WholeAnswer(head, body)
+        outcome = Outcome.GOOD if whole.is_good else Outcome.ERROR
+        context.note(job, job.service, endpoint.id, outcome)
+        self._log(job, endpoint, started, str(head.status))
+        return whole
+
+    def _failed(
+        self, job: Job, endpoint: Endpoint, started: int, error: EndpointError
+    ) -> Failure:
+        outcome = Outcome.BROKEN if error.sent else Outcome.UNREACHABLE
+        self._context.note(job, job.service, endpoint.id, outcome)
+        self._log(job, endpoint, started, str(error))
+        if error.sent:
+            return Failure(
+                Verdict.MAY_HAVE_RUN, Reason.ENDPOINT_FAILED, str(error)
+            )
+        return not_run(Reason.NO_ENDPOINT, str(error), RETRY_AFTER_MS)
+
+    def _log(
+        self, job: Job, endpoint: Endpoint, started: int, outcome: str
+    ) -> None:
+        now = self._context.clock.now()
+        events.SENT.log(
+            request=job.call.request_id,
+            endpoint=endpoint.id,
+            send=job.sends,
+            took_ms=now - started,
+            left_ms=job.deadline_ms - now,
+            outcome=outcome,
+        )
+
+
+async def relay_whole(
+    context: Context, job: Job, responder: EdgeResponder, answer: WholeAnswer
+) -> None:
+    """Passes an endpoint's whole answer on, unchanged."""
+    now = context.clock.now()
+    events.ANSWERED.log(
+        request=job.call.request_id,
+        route=job.route.name,
+        status=answer.head.status,
+        took_ms=now - job.received_ms,
+        sends=job.sends,
+    )
+    statistics.REQUESTS.labels(job.route.name, str(answer.head.status)).inc()
+    statistics.LATENCY.labels(job.route.name).observe(
+        (now - job.received_ms) / 1000
+    )
+    await responder.send(answer.head.status, answer.head.headers, answer.body)
+
+
+async def answer_failure(
+    context: Context, job: Job, responder: EdgeResponder, failure: Failure
+) -> None:
+    """Answers a call by a failure of our own."""
+    now = context.clock.now()
+    events.NOT_SERVED.log(
+        request=job.call.request_id,
+        route=job.route.name,
+        service=job.service,
+        took_ms=now - job.received_ms,
+        sends=job.sends,
+        tried=sorted(job.tried),
+        revision=context.table.version if context.table else 0,
+    )
+    await answers.send_failure(
+        context.platform, responder, job.call.request_id, failure
+    )
--- /dev/null
+++ b/rhubarbwinch/gateway/program.py
@@ -0,0 +1,403 @@
+"""The gateway's program: builds the parts and runs them."""
+
+import random
+import signal
+from collections.abc import Callable
+
+import anyio
+import anyio.abc
+import attrs
+
+from rhubarbwinch import events, identity
+from rhubarbwinch.clock import Clock, SystemClock
+from rhubarbwinch.exceptions import PlatformFormatError, SettingError
+from rhubarbwinch.gateway import statistics
+from rhubarbwinch.gateway.context import Context
+from rhubarbwinch.gateway.edge import EdgeRequest, EdgeResponder, EdgeServer
+from rhubarbwinch.gateway.feed import Feed
+from rhubarbwinch.gateway.fleet import Fleet
+from rhubarbwinch.gateway.loads import LoadBook
+from rhubarbwinch.gateway.messages import (
+    Heartbeat,
+    SharedBatch,
+    SnapshotCall,
+)
+from rhubarbwinch.gateway.peers import Peers
+from rhubarbwinch.gateway.plaincalls import PlainCalls
+from rhubarbwinch.gateway.registration import GatewayRegistration
+from rhubarbwinch.gateway.replica import Replica
+from rhubarbwinch.gateway.retrybudget import RetryBudget
+from rhubarbwinch.gateway.router import Router
+from rhubarbwinch.gateway.settings import GatewaySettings
+from rhubarbwinch.gateway.streams import StreamCalls
+from rhubarbwinch.gateway.suspicion import Suspicion
+from rhubarbwinch.gateway.upstream import Upstream
+from rhubarbwinch.gateway.wire import EngineCalls, Platform
+from rhubarbwinch.links import Links, LinkServer
+from rhubarbwinch.logoutput import LineOutput
+from rhubarbwinch.store import Change, PollingStore
+from rhubarbwinch.supervisor import Supervisor
+from rhubarbwinch.transport import Transport, TransportOptions
+
+# An engine whose machine acknowledges nothing for so long is unreachable.
+DEAD_ENDPOINT_MS = 2_000
+# Callers keep an answer of the directory for so long; shorter costs them
+# lookups, longer keeps them at VMs that have left.
+DIRECTORY_TTL_MS = 2_000
+TICK_MS = 100
+SETTINGS_CHECK_MS = 5_000
+# How long a gateway that leaves still takes connections of callers who know
+# its address from before.
+LINGER_MS = 3_000
+# The process ends so long before it would be killed.
+GRACE_MARGIN_MS = 500
+DRAIN_CHECK_MS = 50
+
+
+@attrs.frozen
+class Outside:
+    """What a gateway reaches the outside by.
+
+    Attributes:
+        platform: Translates names and formats.
+        store: The platform's store.
+        transport: Keeps the connections to endpoints.
+        engine_calls: Calls to engines beside the requests.
+        load_settings: Reads the settings anew.
+        clock: The source of time.
+        lines: Where log lines go.
+    """
+
+    platform: Platform
+    store: PollingStore
+    transport: Transport
+    engine_calls: EngineCalls
+    load_settings: Callable[[], GatewaySettings]
+    lines: LineOutput | None = None
+    clock: Clock = attrs.field(factory=SystemClock)
+
+
+def make_transport() -> Transport:
+    """Returns the transport to endpoints."""
+    return Transport(TransportOptions(dead_peer_ms=DEAD_ENDPOINT_MS))
+
+
+class Gateway:
+    """The gateway's program.
+
+    Args:
+        settings: What it was told.
+        outside: What it reaches the outside by.
+    """
+
+    def __init__(self, settings: GatewaySettings, outside: Outside) -> None:
+        self._settings = settings
+        self._outside = outside
+        clock = self._clock = outside.clock
+        incarnation = identity.new_incarnation()
+        rng = random.Random(incarnation)
+        self._links = Links(incarnation)
+        self._server = LinkServer(settings.link)
+        loads = LoadBook()
+        me = Heartbeat(
+            settings.name,
+            incarnation,
+            0,
+            settings.link,
+            settings.front,
+            settings.data_center,
+        )
+        self._peers = Peers(me, self._links, clock, loads, self._describe)
+        self._context = Context(
+            name=settings.name,
+            data_center=settings.data_center,
+            platform=outside.platform,
+            clock=clock,
+            rng=rng,
+            fleet=Fleet(),
+            loads=loads,
+            suspicion=Suspicion(),
+            budget=RetryBudget(
+                settings.retry_ratio,
+                settings.retry_window_ms,
+                settings.retry_extra,
+            ),
+            peers=self._peers,
+            upstream=Upstream(outside.platform, outside.transport),
+            engine_calls=outside.engine_calls,
+        )
+        self._replica = Replica()
+        self._feed = Feed(
+            outside.store,
+            self._replica,
+            clock,
+            self._peers.should_watch,
+            self._peers.share,
+            self._apply,
+            settings.name,
+        )
+        key = outside.platform.member_prefix + settings.name
+        self._registration = GatewayRegistration(
+            outside.store, clock, key, settings.link
+        )
+        self._streams = StreamCalls(self._context)
+        router = Router(self._context, PlainCalls(self._context), self._streams)
+        self._front = EdgeServer(settings.front, router.handle, clock)
+        self._was_ready = False
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether new callers are welcome."""
+        return self._context.table is not None and not self._context.is_draining
+
+    async def run(self) -> None:
+        """Runs until SIGTERM, then drains and returns.
+
+        Raises:
+            RestartLimitError: A task failed too often.
+        """
+        settings = self._settings
+        for seed in settings.seeds:
+            self._peers.add(seed)
+        self._server.on(Heartbeat, self._peers.take)
+        self._server.on(SharedBatch, self._feed.take_batch)
+        self._server.on(SnapshotCall, self._feed.answer_snapshot)
+        tree = Supervisor(settings.name, self._clock)
+        tree.add("links", self._links.run)
+        tree.add("link-server", self._server.run)
+        tree.add("peers", self._peers.run)
+        tree.add("feed", self._feed.run)
+        tree.add("bootstrap", self._bootstrap)
+        tree.add("registration", self._registration.run)
+        tree.add("front", self._front.run)
+        for name, address in (
+            ("ready", settings.ready),
+            ("directory", settings.directory),
+            ("metrics", settings.metrics),
+        ):
+            server = EdgeServer(address, self._answer_service, self._clock)
+            tree.add(name, server.run)
+        tree.add("tick", self._tick)
+        tree.add("settings", self._watch_settings)
+        events.STARTED.log(name=settings.name, settings=attrs.asdict(settings))
+        try:
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(self._watch_signals, tasks)
+                await tree.run()
+        except* Exception as group:
+            # The task group wraps what the tree raised.
+            raise group.exceptions[0] from None
+        finally:
+            with anyio.CancelScope(shield=True), anyio.move_on_after(0.3):
+                await self._registration.close()
+        events.STOPPED.log(name=settings.name)
+
+    def _describe(self, heartbeat: Heartbeat) -> Heartbeat:
+        """Completes a heartbeat by what changes."""
+        return attrs.evolve(
+            heartbeat,
+            is_serving=self.is_ready,
+            is_leaving=self._context.is_draining,
+            revision=self._replica.revision,
+            confirmed_ms=self._feed.confirmed_ms,
+        )
+
+    async def _bootstrap(self) -> None:
+        """Asks peers for the configuration while the store gives none."""
+        while self._context.table is None:
+            snapshot = await self._peers.fetch_snapshot()
+            if snapshot is not None and self._context.table is None:
+                self._feed.take_snapshot(snapshot)
+            await self._clock.sleep(TICK_MS)
+
+    def _apply(self, changes: list[Change], after_outage: bool) -> None:
+        """Takes changes of the store."""
+        platform = self._outside.platform
+        for change in changes:
+            if change.key == platform.config_key:
+                self._apply_config(change)
+            elif change.key.startswith(platform.endpoint_prefix):
+                self._apply_endpoint(change, after_outage)
+            elif change.key.startswith(platform.member_prefix):
+                if change.entry is not None:
+                    self._peers.add(
+                        change.entry.value.decode("ascii", "replace")
+                    )
+        self._streams.note_change()
+
+    def _apply_config(self, change: Change) -> None:
+        if change.entry is None:
+            events.TABLE_UNREADABLE.log(
+                revision=change.revision, error="it was deleted"
+            )
+            return
+        context = self._context
+        try:
+            table = context.platform.decode_config(change.entry.value)
+        except PlatformFormatError as error:
+            events.TABLE_UNREADABLE.log(
+                revision=change.revision, error=str(error)
+            )
+            return
+        if context.table is not None and table.version < context.table.version:
+            events.TABLE_OLDER.log(
+                version=table.version, in_force=context.table.version
+            )
+            return
+        context.table = table
+        self._front.status.limits = table.limits
+        statistics.CONFIG_VERSION.set(table.version)
+        events.TABLE_IN_FORCE.log(
+            version=table.version,
+            revision=change.revision,
+            routes=sum(map(len, table.routes.values())),
+            keys=len(table.accounts),
+        )
+
+    def _apply_endpoint(self, change: Change, after_outage: bool) -> None:
+        context = self._context
+        now = self._clock.now()
+        endpoint_id = change.key.removeprefix(context.platform.endpoint_prefix)
+        if change.entry is None:
+            leaves = context.fleet.remove(endpoint_id, now, after_outage)
+            self._note_endpoint(
+                endpoint_id, "removed", change.revision, after_outage
+            )
+        else:
+            try:
+                endpoint = context.platform.decode_endpoint(
+                    endpoint_id, change.entry.value
+                )
+            except PlatformFormatError as error:
+                events.ENDPOINT_UNREADABLE.log(
+                    endpoint=endpoint_id,
+                    revision=change.revision,
+                    error=str(error),
+                )
+                context.fleet.note_unreadable(endpoint_id)
+                return
+            known = context.fleet.get(endpoint_id)
+            if known is None or known.endpoint.state is not endpoint.state:
+                self._note_endpoint(
+                    endpoint_id, endpoint.state, change.revision, after_outage
+                )
+            leaves = context.fleet.put(endpoint, now)
+        if leaves:
+            self._note_leaving(endpoint_id)
+
+    def _note_endpoint(
+        self, endpoint_id: str, state: str, revision: int, after_outage: bool
+    ) -> None:
+        events.ENDPOINT_CHANGED.log(
+            endpoint=endpoint_id,
+            state=state,
+            revision=revision,
+            after_outage=after_outage,
+        )
+
+    def _note_leaving(self, endpoint_id: str) -> None:
+        known = self._context.fleet.get(endpoint_id)
+        if known is None:
+            return
+        self._outside.transport.close_idle(known.endpoint.address)
+        self._context.suspicion.forget(endpoint_id)
+        self._streams.note_leaving(known.endpoint)
+
+    async def _tick(self) -> None:
+        """Does what is due at a time, not on an event."""
+        while True:
+            await self._clock.sleep(TICK_MS)
+            for known in self._context.fleet.expire(self._clock.now()):
+                self._note_endpoint(known.endpoint.id, "lapsed", 0, True)
+                self._note_leaving(known.endpoint.id)
+            statistics.OPEN.set(self._front.status.open_requests)
+            self._streams.note_change()
+            if self.is_ready != self._was_ready:
+                self._was_ready = self.is_ready
+                events.READY_CHANGED.log(ready=self.is_ready)
+                self._peers.tell()
+            lines = self._outside.lines
+            dropped = lines.take_dropped() if lines is not None else 0
+            if dropped:
+                events.LOG_LINES_LEFT_OUT.log(lines=dropped)
+
+    async def _answer_service(
+        self, request: EdgeRequest, responder: EdgeResponder
+    ) -> None:
+        """Answers the directory, the readiness check and the metrics."""
+        platform = self._outside.platform
+        if platform.is_readiness(request.target):
+            await responder.send(200 if self.is_ready else 503, [], b"")
+            return
+        if platform.directory_name(request.target) is not None:
+            await self._answer_lookup(responder)
+            return
+        if request.target.startswith(b"/metrics"):
+            kind = (b"Content-Type", b"text/plain; version=0.0.4")
+            await responder.send(200, [kind], statistics.render())
+            return
+        await responder.send(404, [], b"")
+
+    async def _answer_lookup(self, responder: EdgeResponder) -> None:
+        addresses = self._peers.fronts()
+        if self.is_ready:
+            addresses.append(self._settings.front)
+        if not addresses:
+            await responder.send(503, [], b"no gateway serves")
+            return
+        ttl = min(DIRECTORY_TTL_MS, self._settings.directory_ttl_max_ms)
+        body = self._outside.platform.directory_answer(addresses, ttl)
+        kind = (b"Content-Type", b"application/json")
+        await responder.send(200, [kind], body)
+
+    async def _watch_settings(self) -> None:
+        """Reads the settings anew from time to time: they may change."""
+        while True:
+            await self._clock.sleep(SETTINGS_CHECK_MS)
+            self._reload()
+
+    def _reload(self) -> None:
+        try:
+            settings = self._outside.load_settings()
+        except SettingError as error:
+            events.SETTINGS_UNREADABLE.log(error=str(error))
+            return
+        if settings == self._settings:
+            return
+        self._settings = settings
+        for seed in settings.seeds:
+            self._peers.add(seed)
+        self._context.budget.change(
+            settings.retry_ratio,
+            settings.retry_window_ms,
+            settings.retry_extra,
+        )
+        events.RELOADED.log(settings=attrs.asdict(settings))
+
+    async def _watch_signals(self, tasks: anyio.abc.TaskGroup) -> None:
+        with anyio.open_signal_receiver(
+            signal.SIGTERM, signal.SIGINT, signal.SIGHUP
+        ) as signals:
+            async for number in signals:
+                if number != signal.SIGHUP:
+                    break
+                self._reload()
+                events.RELOADED.log(signal="SIGHUP")
+        await self._drain()
+        tasks.cancel_scope.cancel()
+
+    async def _drain(self) -> None:
+        """Takes no new callers and waits for what is open."""
+        started = self._clock.now()
+        status = self._front.status
+        events.DRAINING.log(name=self._settings.name, open=status.open_requests)
+        self._context.is_draining = True
+        status.is_closing = True
+        self._peers.tell()
+        end = started + self._settings.grace_ms - GRACE_MARGIN_MS
+        linger = started + min(LINGER_MS, self._settings.grace_ms // 2)
+        while self._clock.now() < end:
+            if self._clock.now() >= linger and not status.open_requests:
+                return
+            await self._clock.sleep(DRAIN_CHECK_MS)
+        events.DRAIN_LIMIT.log(open=status.open_requests)
--- /dev/null
+++ b/rhubarbwinch/gateway/registration.py
@@ -0,0 +1,66 @@
+"""A gateway's registration in the store, by which others find its link."""
+
+from rhubarbwinch import events
+from rhubarbwinch.clock import Clock
+from rhubarbwinch.exceptions import StoreError
+from rhubarbwinch.store import Store
+
+# Peers judge by heartbeats whether a gateway lives, so the lease may be long;
+# it only bounds how long the address of one that is gone is called.
+LEASE_MS = 9_000
+RENEW_MS = 3_000
+RETRY_MS = 500
+
+
+class GatewayRegistration:
+    """Keeps the key of this gateway under a lease.
+
+    Args:
+        store: The platform's store.
+        clock: The source of time.
+        key: The key of this gateway.
+        link: Its link address, the key's value.
+    """
+
+    def __init__(self, store: Store, clock: Clock, key: str, link: str) -> None:
+        self._store = store
+        self._clock = clock
+        self._key = key
+        self._link = link
+        self._lease = 0
+        self._is_failing = False
+
+    async def run(self) -> None:
+        """Renews the registration until cancelled."""
+        while True:
+            try:
+                await self._renew()
+                self._is_failing = False
+                await self._clock.sleep(RENEW_MS)
+            except StoreError as error:
+                if not self._is_failing:
+                    events.REGISTRATION_FAILED.log(error=str(error))
+                self._is_failing = True
+                await self._clock.sleep(RETRY_MS)
+
+    async def close(self) -> None:
+        """Ends the registration; a store that is away ends it by itself."""
+        if not self._lease:
+            return
+        try:
+            await self._store.revoke_lease(self._lease)
+        except StoreError as error:
+            events.REGISTRATION_FAILED.log(error=str(error))
+
+    async def _renew(self) -> None:
+        if self._lease and await self._store.keep_lease(self._lease):
+            return
+        self._lease = await self._store.grant_lease(LEASE_MS)
+        found = await self._store.get(self._key)
+        expected = found.revision if found is not None else 0
+        value = self._link.encode()
+        swap = await self._store.swap(self._key, expected, value, self._lease)
+        if not swap.won:
+            # The lease of the start before has just ended; the next round
+            # writes the key anew.
+            self._lease = 0
--- /dev/null
+++ b/rhubarbwinch/gateway/router.py
@@ -0,0 +1,114 @@
+"""Takes callers' requests: configuration, route, account, and who serves."""
+
+from rhubarbwinch import events
+from rhubarbwinch.exceptions import BadCallError
+from rhubarbwinch.gateway.answers import send_failure
+from rhubarbwinch.gateway.context import Context, make_job
+from rhubarbwinch.gateway.edge import EdgeRequest, EdgeResponder
+from rhubarbwinch.gateway.plaincalls import PlainCalls
+from rhubarbwinch.gateway.routes import CallKind, Route, RoutingTable
+from rhubarbwinch.gateway.streams import StreamCalls
+from rhubarbwinch.gateway.wire import CallHead
+from rhubarbwinch.verdict import Failure, Reason, not_run
+
+RETRY_AFTER_MS = 300
+# A generation may run longer than what is left until the process ends, so
+# callers go elsewhere with it.
+DRAIN_RETRY_AFTER_MS = 50
+
+
+class Router:
+    """Answers callers' requests.
+
+    Args:
+        context: What all requests share.
+        plain: Serves plain calls.
+        streams: Serves generations.
+    """
+
+    def __init__(
+        self, context: Context, plain: PlainCalls, streams: StreamCalls
+    ) -> None:
+        self._context = context
+        self._plain = plain
+        self._streams = streams
+
+    async def handle(
+        self, request: EdgeRequest, responder: EdgeResponder
+    ) -> None:
+        """Answers one request."""
+        context = self._context
+        try:
+            call = context.platform.decode_call(
+                request.method, request.target, request.headers
+            )
+        except BadCallError as error:
+            failure = not_run(Reason.BAD_REQUEST, str(error))
+            await send_failure(context.platform, responder, "", failure)
+            return
+        found = self._admit(call)
+        if isinstance(found, Failure):
+            await send_failure(
+                context.platform, responder, call.request_id, found
+            )
+            return
+        route, account, priority = found
+        job = make_job(
+            request, call, route, account, priority, self._target(route)
+        )
+        context.budget.add_request(job.service, context.clock.now())
+        if route.kind is CallKind.STREAM:
+            await self._streams.serve(job, responder)
+        else:
+            await self._plain.serve(job, responder)
+
+    def _admit(self, call: CallHead) -> tuple[Route, str | None, int] | Failure:
+        """Returns the route, the account and the priority of a request."""
+        table = self._context.table
+        if table is None:
+            return not_run(
+                Reason.STORE_UNAVAILABLE, "no configuration yet", RETRY_AFTER_MS
+            )
+        route = table.find(call.host, call.path)
+        if route is None:
+            self._log_unknown(call, table, "route")
+            return not_run(Reason.NOT_FOUND, "no such route")
+        if not table.needs_key or route.is_public:
+            return self._check_drain(route, None, route.priority)
+        account = table.accounts.get(call.api_key or "")
+        if account is None:
+            self._log_unknown(call, table, "key")
+            return not_run(Reason.UNAUTHENTICATED, "unknown API key")
+        priority = (
+            route.priority if account.priority is None else account.priority
+        )
+        return self._check_drain(route, account.name, priority)
+
+    def _check_drain(
+        self, route: Route, account: str | None, priority: int
+    ) -> tuple[Route, str | None, int] | Failure:
+        if self._context.is_draining and route.kind is CallKind.STREAM:
+            return not_run(
+                Reason.DRAINING, "this gateway leaves", DRAIN_RETRY_AFTER_MS
+            )
+        return route, account, priority
+
+    def _target(self, route: Route) -> str:
+        """Returns one of a route's services, by their weights."""
+        if len(route.targets) == 1:
+            return route.targets[0].service
+        return self._context.rng.choices(
+            [target.service for target in route.targets],
+            [max(0.0, target.weight) for target in route.targets],
+        )[0]
+
+    def _log_unknown(
+        self, call: CallHead, table: RoutingTable, what: str
+    ) -> None:
+        events.NOT_ALLOWED.log(
+            request=call.request_id,
+            missing=what,
+            host=call.host,
+            path=call.path,
+            version=table.version,
+        )
--- /dev/null
+++ b/rhubarbwinch/gateway/runs.py
@@ -0,0 +1,119 @@
+"""Generations that are being relayed, and the room that they hold."""
+
+import anyio
+import anyio.abc
+import attrs
+
+from rhubarbwinch.gateway.context import Job
+from rhubarbwinch.gateway.edge import EdgeResponder
+from rhubarbwinch.gateway.endpoints import Endpoint
+from rhubarbwinch.gateway.loads import LoadBook
+from rhubarbwinch.gateway.wire import MemoryCopy
+
+
+@attrs.define(eq=False)
+class Room:
+    """Room at an engine, counted for all gateways until it is released.
+
+    Attributes:
+        endpoint: The engine.
+        tokens: The memory that is expected to be needed, in tokens.
+        prefill: Prompt tokens that are still to be read.
+        runs: 0 for a copy that occupies memory only.
+    """
+
+    endpoint: Endpoint
+    tokens: int
+    prefill: int
+    runs: int
+    _loads: LoadBook
+    _is_held: bool = False
+
+    def hold(self) -> "Room":
+        """Counts the room."""
+        self._loads.add(self.endpoint.id, self.tokens, self.prefill, self.runs)
+        self._is_held = True
+        return self
+
+    def end_prefill(self) -> None:
+        """Notes that the prompt has been read."""
+        if self._is_held and self.prefill:
+            self._loads.end_prefill(self.endpoint.id, self.prefill)
+            self.prefill = 0
+
+    def release(self) -> None:
+        """Counts the room no more."""
+        if self._is_held:
+            self._is_held = False
+            self._loads.remove(
+                self.endpoint.id, self.tokens, self.prefill, self.runs
+            )
+
+
+@attrs.define(eq=False)
+class NewHome:
+    """Where a run goes on after it was copied.
+
+    Attributes:
+        room: The room at the new engine.
+        copy: The copy of its memory.
+        source: The engine that it left.
+    """
+
+    room: Room
+    copy: MemoryCopy
+    source: Endpoint
+
+
+@attrs.define(eq=False)
+class Run:
+    """One generation.
+
+    Attributes:
+        job: The request.
+        responder: Sends the events to the caller.
+        tasks: Tasks that end with the run.
+        room: The room at the engine that runs it; None before it is placed.
+        backup: The room at the engine that follows it, or None.
+        last_event_id: The last event that the caller has, or None.
+        events: Events that the caller has.
+        head_sent: Whether the head of the answer was sent.
+        last_event_ms: When the last event came.
+        home: Where it goes on, once it was copied.
+        moving: Set when a move has ended; None without one.
+        sends: Engines that have begun it anew, moves aside.
+    """
+
+    job: Job
+    responder: EdgeResponder
+    tasks: anyio.abc.TaskGroup
+    room: Room | None = None
+    backup: Room | None = None
+    last_event_id: str | None = None
+    events: int = 0
+    head_sent: bool = False
+    last_event_ms: int = 0
+    home: NewHome | None = None
+    moving: anyio.Event | None = None
+
+    @property
+    def id(self) -> str:
+        """The caller's id of the request."""
+        return self.job.call.request_id
+
+    @property
+    def expected_tokens(self) -> int:
+        """The memory that the whole run is expected to need, in tokens."""
+        call = self.job.call
+        likely = call.likely_output_tokens or call.max_output_tokens
+        if call.max_output_tokens:
+            likely = min(likely, call.max_output_tokens)
+        return call.prompt_tokens + likely
+
+    def release(self) -> None:
+        """Gives all room back."""
+        for room in (self.room, self.backup):
+            if room is not None:
+                room.release()
+        if self.home is not None:
+            self.home.room.release()
--- /dev/null
+++ b/rhubarbwinch/gateway/statistics.py
@@ -0,0 +1,69 @@
+"""Counters and histograms of a gateway, for its metrics address."""
+
+from prometheus_client import (
+    CollectorRegistry,
+    Counter,
+    Gauge,
+    Histogram,
+    generate_latest,
+)
+
+REGISTRY = CollectorRegistry()
+_SECONDS = (0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3, 6, 12, 24, 48)
+
+REQUESTS = Counter(
+    "rhubarbwinch_requests",
+    "Requests by route and by how they ended.",
+    ["route", "outcome"],
+    registry=REGISTRY,
+)
+LATENCY = Histogram(
+    "rhubarbwinch_latency_seconds",
+    "Time to the whole answer; of streams, to the first event.",
+    ["route"],
+    buckets=_SECONDS,
+    registry=REGISTRY,
+)
+SENDS = Counter(
+    "rhubarbwinch_sends",
+    "Sends to endpoints by how they ended.",
+    ["outcome"],
+    registry=REGISTRY,
+)
+MOVES = Counter(
+    "rhubarbwinch_moves",
+    "Generations that went on at another engine, by how and how it ended.",
+    ["how", "outcome"],
+    registry=REGISTRY,
+)
+GAPS = Counter(
+    "rhubarbwinch_late_gaps",
+    "Pauses between events of a stream over the route's bound.",
+    ["route"],
+    registry=REGISTRY,
+)
+WAITING = Gauge(
+    "rhubarbwinch_waiting",
+    "Generations that wait for an engine.",
+    registry=REGISTRY,
+)
+OPEN = Gauge(
+    "rhubarbwinch_open_requests",
+    "Requests that are being served.",
+    registry=REGISTRY,
+)
+CONFIG_VERSION = Gauge(
+    "rhubarbwinch_config_version",
+    "The version of the configuration in force.",
+    registry=REGISTRY,
+)
+LOG_LINES_DROPPED = Counter(
+    "rhubarbwinch_log_lines_dropped",
+    "Log lines that were not written, over the budget or to a slow reader.",
+    registry=REGISTRY,
+)
+
+
+def render() -> bytes:
+    """Returns all metrics as text."""
+    return generate_latest(REGISTRY)
--- /dev/null
+++ b/rhubarbwinch/gateway/suspicion.py
@@ -0,0 +1,140 @@
+"""Which endpoints are avoided, judged from the outcomes of calls.
+
+Pure code. It answers endpoints that fail a part of their requests while their
+health answers are good, that hang, or that fail the callers of one data centre
+only: each gateway judges by what it has seen itself.
+"""
+
+import enum
+
+import attrs
+
+# Outcomes lose half of their weight in this time.
+HALF_LIFE_MS = 4_000
+# So much weight of failures is needed before an endpoint is avoided.
+MIN_FAILURES = 2.0
+# An endpoint that fails a larger share than this, and twice the share of its
+# service, is avoided.
+MIN_SHARE = 0.3
+FIRST_PAUSE_MS = 1_000
+MAX_PAUSE_MS = 8_000
+# After this time without a failure the pauses are short again.
+FORGIVE_MS = 15_000
+
+
+class Outcome(enum.Enum):
+    """How a call to an endpoint ended, with its weight as a failure."""
+
+    GOOD = 0.0
+    # The endpoint answered by an error of its own, as requests at times do.
+    ERROR = 0.7
+    # It refused as full.
+    REFUSED = 0.3
+    # No whole answer came, or one that is not the endpoint's.
+    BROKEN = 1.0
+    # No connection was made.
+    UNREACHABLE = 2.0
+
+
+@attrs.define
+class _Record:
+    """The outcomes of one endpoint."""
+
+    service: str
+    failures: float = 0.0
+    calls: float = 0.0
+    at_ms: int = 0
+    avoided_until_ms: int = 0
+    pause_ms: int = FIRST_PAUSE_MS
+    is_on_trial: bool = False
+
+    def fade(self, now_ms: int) -> None:
+        """Lowers the weight of what is old."""
+        share = 0.5 ** ((now_ms - self.at_ms) / HALF_LIFE_MS)
+        self.failures *= share
+        self.calls *= share
+        self.at_ms = now_ms
+
+
+class Suspicion:
+    """Judges the endpoints that this gateway calls."""
+
+    def __init__(self) -> None:
+        self._records: dict[str, _Record] = {}
+
+    def note(
+        self, service: str, endpoint: str, outcome: Outcome, now_ms: int
+    ) -> bool:
+        """Notes an outcome; returns whether the endpoint is avoided anew."""
+        record = self._records.get(endpoint)
+        if record is None:
+            record = self._records[endpoint] = _Record(service, at_ms=now_ms)
+        record.fade(now_ms)
+        record.calls += 1
+        record.failures += outcome.value
+        if outcome is Outcome.GOOD and record.is_on_trial:
+            # The trial passed: what it did before counts no more.
+            record.is_on_trial = False
+            record.failures = 0.0
+            return False
+        if now_ms - record.avoided_until_ms > FORGIVE_MS:
+            record.pause_ms = FIRST_PAUSE_MS
+        if not self._is_bad(record, outcome, now_ms):
+            return False
+        record.avoided_until_ms = now_ms + record.pause_ms
+        record.pause_ms = min(MAX_PAUSE_MS, record.pause_ms * 2)
+        record.is_on_trial = True
+        return True
+
+    def is_avoided(self, endpoint: str, now_ms: int) -> bool:
+        """Tells whether an endpoint gets no new requests for now."""
+        record = self._records.get(endpoint)
+        return record is not None and now_ms < record.avoided_until_ms
+
+    def failure_share(self, endpoint: str) -> float:
+        """Returns the share of calls that failed lately, 0 to about 1."""
+        record = self._records.get(endpoint)
+        if record is None or record.calls < 1:
+            return 0.0
+        return record.failures / (record.calls + 1)
+
+    def forget(self, endpoint: str) -> None:
+        """Drops an endpoint that is gone."""
+        self._records.pop(endpoint, None)
+
+    def usable(self, endpoints: list[str], now_ms: int) -> list[str]:
+        """Returns the endpoints that are not avoided.
+
+        When most of a service would be avoided the fault is likely not
+        theirs, and avoiding them would end the service: then those whose
+        pause ends first are used too, up to half of all.
+        """
+        good = [e for e in endpoints if not self.is_avoided(e, now_ms)]
+        least = (len(endpoints) + 1) // 2
+        if len(good) >= least:
+            return good
+        avoided = [e for e in endpoints if self.is_avoided(e, now_ms)]
+        avoided.sort(key=lambda e: self._records[e].avoided_until_ms)
+        return good + avoided[: least - len(good)]
+
+    def _is_bad(self, record: _Record, outcome: Outcome, now_ms: int) -> bool:
+        if outcome is Outcome.GOOD or now_ms < record.avoided_until_ms:
+            return False
+        if record.is_on_trial:
+            return outcome.value >= Outcome.ERROR.value
+        if record.failures < MIN_FAILURES:
+            return False
+        share = record.failures / max(1.0, record.calls)
+        return share > MIN_SHARE and share > 2 * self._usual(record)
+
+    def _usual(self, record: _Record) -> float:
+        """Returns the share that fails at the other endpoints."""
+        others = [
+            r
+            for r in self._records.values()
+            if r.service == record.service and r is not record
+        ]
+        calls = sum(r.calls for r in others)
+        if calls < 1:
+            return 0.0
+        return sum(r.failures for r in others) / calls
--- /dev/null
+++ b/rhubarbwinch/gateway/upstream.py
@@ -0,0 +1,124 @@
+"""Sends requests to endpoints and tells whether they may have run."""
+
+from collections.abc import AsyncIterator
+
+import attrs
+import httpx
+
+from rhubarbwinch.exceptions import EndpointError
+from rhubarbwinch.gateway.endpoints import Endpoint
+from rhubarbwinch.gateway.wire import (
+    AnswerHead,
+    CallHead,
+    Platform,
+    SendOptions,
+)
+from rhubarbwinch.transport import Transport
+
+# Round trips are a few milliseconds, and a lost packet is sent again after
+# 200 ms; a longer wait takes time from a second try.
+CONNECT_S = 0.25
+# An endpoint closes idle connections as it likes. A request that may not be
+# repeated and crosses such a close is lost, so it gets a fresh connection.
+FRESH_IDLE_S = 0.3
+MAX_ANSWER_BYTES = 8 << 20
+
+
+@attrs.define
+class Answer:
+    """An endpoint's answer whose body is still to be read.
+
+    Attributes:
+        head: What its head says.
+    """
+
+    head: AnswerHead
+    _response: httpx.Response
+
+    async def read(self) -> bytes:
+        """Returns the whole body.
+
+        Raises:
+            EndpointError: It was cut, garbled, altered or too long.
+        """
+        parts: list[bytes] = []
+        size = 0
+        async for data in self.chunks():
+            parts.append(data)
+            size += len(data)
+            if size > MAX_ANSWER_BYTES:
+                raise EndpointError("the answer is too long", sent=True)
+        if self.head.is_altered:
+            raise EndpointError("the answer has an encoding", sent=True)
+        return b"".join(parts)
+
+    async def chunks(self) -> AsyncIterator[bytes]:
+        """Yields the body as it comes.
+
+        Raises:
+            EndpointError: It was cut or garbled.
+        """
+        # The stream itself is read: httpx's own layers add to each event.
+        assert isinstance(self._response.stream, httpx.AsyncByteStream)
+        try:
+            async for data in self._response.stream:
+                yield data
+        except httpx.HTTPError as error:
+            raise EndpointError(repr(error), sent=True) from error
+
+    async def close(self) -> None:
+        """Returns the connection, or closes it when the body is not whole."""
+        await self._response.aclose()
+
+
+class Upstream:
+    """Sends requests to endpoints.
+
+    Args:
+        platform: Translates heads.
+        transport: Keeps the connections.
+    """
+
+    def __init__(self, platform: Platform, transport: Transport) -> None:
+        self._platform = platform
+        self._transport = transport
+
+    async def send(
+        self,
+        endpoint: Endpoint,
+        call: CallHead,
+        body: bytes,
+        options: SendOptions,
+        may_repeat: bool,
+    ) -> Answer:
+        """Sends a request; returns the answer when its head has come.
+
+        Raises:
+            EndpointError: No head came; it tells whether a byte was sent.
+        """
+        headers = self._platform.endpoint_headers(call, options, len(body))
+        request = httpx.Request(
+            call.method,
+            f"http://{endpoint.address}/",
+            headers=headers,
+            stream=httpx.ByteStream(body),
+            extensions={
+                "target": call.target,
+                "timeout": {"connect": CONNECT_S},
+                "is_answer": lambda head: self._platform.is_answer_to(
+                    call.request_id, list(head.headers.raw_items())
+                ),
+            },
+        )
+        if not may_repeat:
+            request.extensions["max_idle_s"] = FRESH_IDLE_S
+        try:
+            response = await self._transport.handle_async_request(request)
+        except (httpx.ConnectError, httpx.ConnectTimeout) as error:
+            raise EndpointError(repr(error), sent=False) from error
+        except httpx.HTTPError as error:
+            raise EndpointError(repr(error), sent=True) from error
+        head = self._platform.decode_answer(
+            response.status_code, response.headers.raw
+        )
+        return Answer(head, response)
--- /dev/null
+++ b/rhubarbwinch/gateway/waiting.py
@@ -0,0 +1,106 @@
+"""Generations that wait until an engine has room for them.
+
+It answers bursts and the loss of engines: for some seconds more is asked for
+than fits. More urgent requests go first; among equals those that are due
+first. A request whose turn is not expected in time is refused at once.
+"""
+
+import anyio
+import attrs
+
+from rhubarbwinch.clock import Clock
+from rhubarbwinch.gateway import statistics
+
+# The part of the time to the objective that may be spent waiting: the prompt
+# has to be read too.
+WAIT_SHARE = 0.6
+# Weight of the newest gap in the average of gaps between admissions.
+GAP_WEIGHT = 0.1
+FIRST_GAP_MS = 50.0
+# An expected wait is refused only when it is clearly beyond the bound.
+HOPELESS_FACTOR = 2.0
+MIN_RETRY_AFTER_MS = 200
+
+
+@attrs.define(eq=False)
+class Waiter:
+    """A request that waits.
+
+    Attributes:
+        rank: Its priority, 0 first.
+        due_ms: When its objective ends.
+        turn: Set when it may try to be placed.
+    """
+
+    rank: int
+    due_ms: int
+    turn: anyio.Event = attrs.field(factory=anyio.Event)
+
+    @property
+    def order(self) -> tuple[int, int]:
+        """What goes first."""
+        return (self.rank, self.due_ms)
+
+
+class WaitQueue:
+    """The requests of one service that wait.
+
+    Args:
+        clock: The source of time.
+    """
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._waiters: list[Waiter] = []
+        self._gap_ms = FIRST_GAP_MS
+        self._admitted_ms = 0
+
+    def __len__(self) -> int:
+        return len(self._waiters)
+
+    def expected_wait_ms(self, rank: int, due_ms: int) -> int:
+        """Returns how long a request would wait behind those before it."""
+        ahead = sum(w.order <= (rank, due_ms) for w in self._waiters)
+        return int((ahead + 1) * self._gap_ms)
+
+    def is_hopeless(self, rank: int, due_ms: int, limit_ms: int) -> bool:
+        """Tells whether a request that waited would do so in vain."""
+        if not self._waiters:
+            return False
+        wait_ms = self.expected_wait_ms(rank, due_ms)
+        return wait_ms > HOPELESS_FACTOR * limit_ms
+
+    def retry_after_ms(self, rank: int, due_ms: int) -> int:
+        """Returns when a refused request may come back."""
+        return max(MIN_RETRY_AFTER_MS, self.expected_wait_ms(rank, due_ms))
+
+    def note_admission(self) -> None:
+        """Learns the pace at which room becomes free while others wait."""
+        now = self._clock.now()
+        if self._waiters and self._admitted_ms:
+            gap = min(2_000, now - self._admitted_ms)
+            self._gap_ms += GAP_WEIGHT * (gap - self._gap_ms)
+        self._admitted_ms = now
+
+    def is_first(self, rank: int, due_ms: int) -> bool:
+        """Tells whether nothing more urgent waits."""
+        return all(w.order > (rank, due_ms) for w in self._waiters)
+
+    def join(self, rank: int, due_ms: int) -> Waiter:
+        """Adds a request."""
+        waiter = Waiter(rank, due_ms)
+        self._waiters.append(waiter)
+        self._waiters.sort(key=lambda w: w.order)
+        statistics.WAITING.set(len(self._waiters))
+        return waiter
+
+    def leave(self, waiter: Waiter) -> None:
+        """Removes a request that was placed, refused or given up."""
+        self._waiters.remove(waiter)
+        statistics.WAITING.set(len(self._waiters))
+        self.wake()
+
+    def wake(self) -> None:
+        """Lets the first request try to be placed."""
+        if self._waiters:
+            self._waiters[0].turn.set()
--- /dev/null
+++ b/rhubarbwinch/platform/__init__.py
@@ -0,0 +1,5 @@
+"""The adapter to the users' platform: names, formats and calls."""
+
+from rhubarbwinch.platform import adapter, kvstore
+
+__all__ = ["adapter", "kvstore"]
--- /dev/null
+++ b/rhubarbwinch/platform/bootfile.py
@@ -0,0 +1,109 @@
+"""The platform's settings file, to the gateway's settings."""
+
+import pathlib
+
+from rhubarbwinch import misc
+from rhubarbwinch.exceptions import SettingError
+from rhubarbwinch.gateway.settings import GatewaySettings
+
+
+def load(path: str, metrics_port: int) -> GatewaySettings:
+    """Reads a settings file.
+
+    Args:
+        path: The file.
+        metrics_port: Where the process shows its metrics.
+
+    Raises:
+        SettingError: It can't be read, or a field is missing or wrong.
+    """
+    try:
+        text = pathlib.Path(path).read_text(encoding="utf-8")
+    except OSError as error:
+        raise SettingError("settings", path, f"a file ({error})") from error
+    return parse(text, metrics_port)
+
+
+def parse(text: str, metrics_port: int) -> GatewaySettings:
+    """Returns the settings of a file's text; unknown fields are ignored.
+
+    Raises:
+        SettingError: A field is missing or wrong.
+    """
+    fields = {}
+    for line in text.splitlines():
+        name, equals, value = line.strip().partition("=")
+        if equals:
+            fields[name.strip()] = value.strip()
+    return _Reader(fields).settings(metrics_port)
+
+
+class _Reader:
+    """Checks and converts fields.
+
+    Args:
+        fields: Texts by name.
+    """
+
+    def __init__(self, fields: dict[str, str]) -> None:
+        self._fields = fields
+
+    def settings(self, metrics_port: int) -> GatewaySettings:
+        """Returns the settings.
+
+        Raises:
+            SettingError: A field is missing or wrong.
+        """
+        ip = self._text("ip")
+        ports = self._list("internal_ports")
+        if len(ports) < 2:
+            raise SettingError("internal_ports", ports, "two ports")
+        link_port = int(ports[0])
+        seeds = [misc.split_address(seed)[0] for seed in self._list("seeds")]
+        return GatewaySettings(
+            name=self._text("node"),
+            data_center=self._text("zone"),
+            front=self._address("listen.front"),
+            ready=self._address("listen.ready"),
+            directory=self._address("listen.directory"),
+            link=f"{ip}:{link_port}",
+            metrics=f"{ip}:{metrics_port}",
+            # All VMs use the same ports.
+            seeds=tuple(f"{seed}:{link_port}" for seed in seeds if seed != ip),
+            store=self._address("platform.address"),
+            grace_ms=self._ms("bounds.grace_s"),
+            directory_ttl_max_ms=self._ms("bounds.ttl_max_s"),
+            retry_ratio=self._number("bounds.retry_budget_ratio"),
+            retry_window_ms=self._ms("bounds.budget_window_s"),
+            retry_extra=int(self._number("bounds.budget_extra")),
+            max_descriptors=int(self._number("limits.max_fds")),
+            memory_mb=int(self._number("limits.memory_mb")),
+        )
+
+    def _text(self, name: str) -> str:
+        value = self._fields.get(name, "")
+        if not value:
+            raise SettingError(name, "missing", "any text")
+        return value
+
+    def _list(self, name: str) -> list[str]:
+        return [p for p in self._fields.get(name, "").split(",") if p]
+
+    def _address(self, name: str) -> str:
+        value = self._text(name)
+        try:
+            misc.split_address(value)
+        except ValueError as error:
+            raise SettingError(name, value, "IP number:port") from error
+        return value
+
+    def _number(self, name: str) -> float:
+        value = self._text(name)
+        try:
+            return float(value)
+        except ValueError as error:
+            raise SettingError(name, value, "a number") from error
+
+    def _ms(self, name: str) -> int:
+        """Returns milliseconds of a field in seconds."""
+        return int(self._number(name) * 1000)
--- /dev/null
+++ b/rhubarbwinch/platform/documents.py
@@ -0,0 +1,209 @@
+"""Documents of the platform's store, to the gateway's types."""
+
+from collections.abc import Callable
+from typing import Any
+
+import orjson
+
+from rhubarbwinch import misc
+from rhubarbwinch.exceptions import PlatformFormatError
+from rhubarbwinch.gateway.endpoints import Endpoint, EndpointState
+from rhubarbwinch.gateway.routes import (
+    Account,
+    CallKind,
+    EngineSpec,
+    HttpLimits,
+    Route,
+    RoutingTable,
+    ServiceSpec,
+    Target,
+)
+from rhubarbwinch.gateway.wire import EngineReport
+
+JSON = dict[str, Any]
+
+KINDS = {
+    "idempotent": CallKind.IDEMPOTENT,
+    "non_idempotent": CallKind.NON_IDEMPOTENT,
+    "stream": CallKind.STREAM,
+}
+STATES = {"ready": EndpointState.READY, "draining": EndpointState.DRAINING}
+DEFAULT_TIMEOUT_MS = 60_000
+
+
+def _load(data: bytes) -> JSON:
+    try:
+        found = orjson.loads(data)
+    except orjson.JSONDecodeError as error:
+        raise PlatformFormatError(f"not JSON: {error}") from error
+    if not isinstance(found, dict):
+        raise PlatformFormatError("not an object")
+    return found
+
+
+def _read(build: Callable[[JSON], Any], data: bytes) -> Any:
+    """Returns what `build` makes of a document.
+
+    Raises:
+        PlatformFormatError: A field is missing or has another type.
+    """
+    found = _load(data)
+    try:
+        return build(found)
+    except (KeyError, TypeError, ValueError, AttributeError) as error:
+        raise PlatformFormatError(f"{type(error).__name__}: {error}") from error
+
+
+def _whole(value: Any) -> int:
+    """Returns a whole number that is not negative.
+
+    Raises:
+        ValueError: It is something else.
+    """
+    if isinstance(value, bool) or not isinstance(value, int) or value < 0:
+        raise ValueError(f"{value!r} is not a whole number")
+    return value
+
+
+def _text(value: Any) -> str:
+    """Returns a text that is not empty.
+
+    Raises:
+        ValueError: It is something else.
+    """
+    if not isinstance(value, str) or not value:
+        raise ValueError(f"{value!r} is not a text")
+    return value
+
+
+def decode_config(data: bytes) -> RoutingTable:
+    """Reads a version of the configuration.
+
+    Raises:
+        PlatformFormatError: It can't be read.
+    """
+    return _read(_table, data)
+
+
+def _table(found: JSON) -> RoutingTable:
+    routes: dict[str, dict[str, Route]] = {}
+    for item in found["routes"]:
+        route = _route(item)
+        routes.setdefault(route.host, {})[route.prefix] = route
+    services = [_service(item) for item in found["services"]]
+    accounts = {
+        key: Account(_text(item["name"]), item.get("priority"))
+        for item in found.get("tenants", [])
+        for key in item["api_keys"]
+    }
+    return RoutingTable(
+        version=int(found["version"]),
+        routes=routes,
+        services={service.name: service for service in services},
+        accounts=accounts,
+        needs_key="tenants" in found,
+        limits=_limits(found.get("limits", {})),
+    )
+
+
+def _route(item: JSON) -> Route:
+    if item.get("traffic_split"):
+        targets = tuple(
+            Target(_text(part["service"]), float(part["weight"]))
+            for part in item["traffic_split"]
+        )
+    else:
+        targets = (Target(_text(item["service"]), 1.0),)
+    timeout_ms = int(item.get("timeout_ms") or DEFAULT_TIMEOUT_MS)
+    return Route(
+        name=str(item.get("name", "")),
+        host=_text(item["host"]).lower(),
+        prefix=_text(item["prefix"]),
+        # What is not known to be repeatable is not repeated.
+        kind=KINDS.get(item["kind"], CallKind.NON_IDEMPOTENT),
+        timeout_ms=timeout_ms,
+        objective_ms=int(item.get("target_latency_ms") or timeout_ms),
+        gap_ms=int(item.get("target_gap_ms") or 0),
+        max_attempts=max(1, int(item.get("max_attempts") or 1)),
+        priority=int(item.get("priority") or 0),
+        is_public=bool(item.get("public")),
+        is_generation=bool(item.get("sticky")),
+        is_resumable=bool(item.get("resumable")),
+        targets=targets,
+    )
+
+
+def _service(item: JSON) -> ServiceSpec:
+    engine = item.get("engine")
+    return ServiceSpec(
+        name=_text(item["name"]),
+        max_connections=int(item.get("max_connections") or 0),
+        engine=_engine(engine) if engine else None,
+    )
+
+
+def _engine(item: JSON) -> EngineSpec:
+    return EngineSpec(
+        slots=int(item["slots"]),
+        kv_tokens=int(item["kv_tokens"]),
+        kv_token_bytes=float(item.get("kv_bytes") or 0),
+        link_mbps=float(item.get("link_mbps") or 0),
+        can_move=bool(item.get("moves")),
+        can_back_up=bool(item.get("backups")),
+        # The page's word for it is the step between two events' ids.
+        tokens_per_event=int(item.get("stride") or 1),
+    )
+
+
+def _limits(item: JSON) -> HttpLimits:
+    usual = HttpLimits()
+    return HttpLimits(
+        head_bytes=int(item.get("max_header_bytes") or usual.head_bytes),
+        body_bytes=int(item.get("max_body_bytes") or usual.body_bytes),
+        head_ms=int(item.get("header_timeout_ms") or usual.head_ms),
+        idle_ms=int(item.get("idle_timeout_ms") or usual.idle_ms),
+    )
+
+
+def decode_endpoint(endpoint_id: str, data: bytes) -> Endpoint:
+    """Reads an endpoint's registration.
+
+    Raises:
+        PlatformFormatError: It can't be read, or was written by another.
+    """
+
+    def build(found: JSON) -> Endpoint:
+        address = _text(found["address"])
+        misc.split_address(address)
+        return Endpoint(
+            id=endpoint_id,
+            service=_text(found["service"]),
+            address=address,
+            data_center=_text(found["zone"]),
+            slots=_whole(found["slots"]),
+            state=STATES[found["state"]],
+            warmup_ms=_whole(found.get("cold_remaining_ms", 0)),
+            started_ms=_whole(found.get("born", 0)),
+        )
+
+    return _read(build, data)
+
+
+def decode_report(data: bytes) -> EngineReport:
+    """Reads what an engine says of itself.
+
+    Raises:
+        PlatformFormatError: It can't be read.
+    """
+
+    def build(found: JSON) -> EngineReport:
+        leaves = found.get("leaves_ms")
+        return EngineReport(
+            active=_whole(found["active_requests"]),
+            queued=_whole(found["queue_depth"]),
+            tokens_used=_whole(found["kv_used"]),
+            leaves_ms=None if leaves is None else int(leaves),
+            is_leaving=found.get("state") == "draining",
+        )
+
+    return _read(build, data)
--- /dev/null
+++ b/rhubarbwinch/platform/enginecalls.py
@@ -0,0 +1,90 @@
+"""Calls to the platform's engines beside the requests of callers."""
+
+import httpx
+import orjson
+
+from rhubarbwinch import events
+from rhubarbwinch.exceptions import EndpointError, PlatformFormatError
+from rhubarbwinch.gateway.wire import EngineReport, MoveResult, MoveState
+from rhubarbwinch.platform import documents
+
+# A copy of a large run takes some hundred milliseconds, and others may stand
+# before it in the queue of the link.
+MOVE_TIMEOUT_S = 3.0
+CONNECT_S = 0.3
+REPORT_TIMEOUT_S = 1.0
+
+_STATES = {
+    httpx.codes.OK: MoveState.COPIED,
+    httpx.codes.NOT_FOUND: MoveState.NO_RUN,
+    httpx.codes.CONFLICT: MoveState.BUSY,
+    httpx.codes.SERVICE_UNAVAILABLE: MoveState.NO_ROOM,
+}
+
+
+class PlatformEngineCalls:
+    """Speaks to engines over HTTP.
+
+    Args:
+        transport: Carries the calls.
+    """
+
+    def __init__(self, transport: httpx.AsyncBaseTransport) -> None:
+        self._client = httpx.AsyncClient(transport=transport)
+
+    async def move(
+        self, address: str, request_id: str, to: str, is_last: bool
+    ) -> MoveResult:
+        """Copies a run's memory to the engine at `to`."""
+        body: dict[str, object] = {"id": request_id, "to": to}
+        if is_last:
+            body["last"] = True
+        try:
+            response = await self._client.post(
+                f"http://{address}/kv-move",
+                content=orjson.dumps(body),
+                headers={"Content-Type": "application/json"},
+                timeout=httpx.Timeout(MOVE_TIMEOUT_S, connect=CONNECT_S),
+            )
+            found = orjson.loads(response.content or b"{}")
+        except (httpx.HTTPError, orjson.JSONDecodeError) as error:
+            events.MOVE_CALL_FAILED.log(
+                request=request_id, endpoint=address, error=repr(error)
+            )
+            return MoveResult(MoveState.FAILED)
+        state = _STATES.get(response.status_code, MoveState.FAILED)
+        if not isinstance(found, dict):
+            found = {}
+        return MoveResult(
+            state,
+            str(found.get("handle") or ""),
+            int(found.get("created") or 0),
+        )
+
+    async def drop_copy(self, address: str, handle: str) -> None:
+        """Frees a copy at both engines."""
+        try:
+            await self._client.delete(
+                f"http://{address}/kv-handle/{handle}",
+                timeout=httpx.Timeout(REPORT_TIMEOUT_S, connect=CONNECT_S),
+            )
+        except httpx.HTTPError as error:
+            # The engine drops copies by itself after a while.
+            events.MOVE_CALL_FAILED.log(
+                request=handle, endpoint=address, error=repr(error)
+            )
+
+    async def report(self, address: str) -> EngineReport:
+        """Returns what an engine says of itself.
+
+        Raises:
+            EndpointError: It gave no answer that can be read.
+        """
+        try:
+            response = await self._client.get(
+                f"http://{address}/report",
+                timeout=httpx.Timeout(REPORT_TIMEOUT_S, connect=CONNECT_S),
+            )
+            return documents.decode_report(response.content)
+        except (httpx.HTTPError, PlatformFormatError) as error:
+            raise EndpointError(f"{address}: {error!r}", sent=True) from error
--- /dev/null
+++ b/rhubarbwinch/platform/headers.py
@@ -0,0 +1,193 @@
+"""Heads of requests and answers on the wire, to the gateway's types."""
+
+import re
+
+from rhubarbwinch.exceptions import BadCallError
+from rhubarbwinch.gateway.wire import (
+    AnswerHead,
+    CallHead,
+    Headers,
+    SendOptions,
+)
+
+# One attempt of a caller: its retries have ids of their own.
+REQUEST_ID = b"attempt-id"
+# A duration from the sending, not a point in time.
+DEADLINE = b"deadline-ms"
+ACCOUNT = b"tenant"
+EXPECTED_ENDPOINT = b"expect-instance"
+# Sizes that the caller announces: prompt tokens, most output tokens.
+SIZES = b"token-usage"
+LENGTH_ESTIMATE = b"length-hint"
+LAST_EVENT = b"last-event-id"
+SIGNATURE = b"server-signature"
+REFUSED = b"not-executed"
+BACKUP = b"kv-backup"
+RESUME_FROM = b"kv-from"
+PRIORITY = b"request-priority"
+AUTHORIZATION = b"authorization"
+BEARER = "bearer "
+
+# They concern one connection only.
+HOP_HEADERS = frozenset(
+    {
+        b"connection",
+        b"keep-alive",
+        b"proxy-connection",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+        b"content-length",
+        b"expect",
+    }
+)
+# The gateway sets them itself, or keeps them from endpoints.
+OWN_HEADERS = frozenset(
+    {
+        DEADLINE,
+        ACCOUNT,
+        EXPECTED_ENDPOINT,
+        BACKUP,
+        RESUME_FROM,
+        PRIORITY,
+        AUTHORIZATION,
+        LAST_EVENT,
+        b"kv-hold",
+        b"kv-fetch",
+        b"pin-ms",
+        b"expect-version",
+    }
+)
+_DIGITS = re.compile(r"\d{1,12}")
+MISDIRECTED = 421
+
+
+def _values(headers: Headers, name: bytes) -> list[str]:
+    return [
+        v.decode("latin-1").strip() for n, v in headers if n.lower() == name
+    ]
+
+
+def _value(headers: Headers, name: bytes) -> str | None:
+    found = _values(headers, name)
+    return found[0] if found else None
+
+
+def _number(text: str | None) -> int | None:
+    """Returns a whole number; None if there is none or it is no number."""
+    if text is None or not _DIGITS.fullmatch(text):
+        return None
+    return int(text)
+
+
+def _hop_names(headers: Headers) -> set[bytes]:
+    """Returns the headers of this connection, those it names included."""
+    found = set(HOP_HEADERS)
+    for value in _values(headers, b"connection"):
+        found |= {part.strip().lower().encode() for part in value.split(",")}
+    return found
+
+
+def decode_call(method: str, target: bytes, headers: Headers) -> CallHead:
+    """Reads the head of a caller's request.
+
+    Raises:
+        BadCallError: It has no id or no host, or one of them twice.
+    """
+    ids = _values(headers, REQUEST_ID)
+    if len(ids) != 1 or not ids[0]:
+        raise BadCallError("a request needs one id")
+    hosts = _values(headers, b"host")
+    if len(hosts) != 1:
+        raise BadCallError("a request needs one host")
+    deadline = _value(headers, DEADLINE)
+    if deadline is not None and _number(deadline) is None:
+        raise BadCallError("the deadline is not a whole number")
+    sizes = (_value(headers, SIZES) or "0,0").split(",")
+    skipped = _hop_names(headers) | OWN_HEADERS
+    return CallHead(
+        method=method,
+        target=target,
+        host=hosts[0].rpartition(":")[0].lower()
+        if re.search(r":\d*$", hosts[0])
+        else hosts[0].lower(),
+        request_id=ids[0],
+        api_key=_api_key(headers),
+        deadline_ms=_number(deadline),
+        prompt_tokens=_number(sizes[0].strip()) or 0,
+        max_output_tokens=_number(sizes[-1].strip()) or 0,
+        likely_output_tokens=_number(_value(headers, LENGTH_ESTIMATE)) or 0,
+        last_event_id=_value(headers, LAST_EVENT),
+        headers=[(n, v) for n, v in headers if n.lower() not in skipped],
+    )
+
+
+def _api_key(headers: Headers) -> str | None:
+    value = _value(headers, AUTHORIZATION)
+    if value is None or not value.lower().startswith(BEARER):
+        return None
+    return value[len(BEARER) :].strip()
+
+
+def endpoint_headers(
+    call: CallHead, options: SendOptions, body_bytes: int
+) -> Headers:
+    """Returns the headers of a send to an endpoint."""
+    found = list(call.headers)
+    found.append((b"Deadline-Ms", str(options.time_left_ms).encode()))
+    found.append((b"Expect-Instance", options.endpoint_id.encode()))
+    if options.account is not None:
+        found.append((b"Tenant", options.account.encode()))
+    if options.last_event_id is not None:
+        found.append((b"Last-Event-Id", options.last_event_id.encode()))
+    if options.resume_from is not None:
+        copy = options.resume_from
+        found.append((b"Kv-From", f"{copy.address}/{copy.handle}".encode()))
+    if options.backup_address is not None:
+        found.append((b"Kv-Backup", options.backup_address.encode()))
+    if options.priority is not None:
+        found.append((b"Request-Priority", str(options.priority).encode()))
+    if body_bytes or call.method not in ("GET", "HEAD", "DELETE"):
+        found.append((b"Content-Length", str(body_bytes).encode()))
+    return found
+
+
+def decode_answer(status: int, headers: Headers) -> AnswerHead:
+    """Reads the head of an endpoint's answer."""
+    hop = _hop_names(headers)
+    encodings = _values(headers, b"content-encoding")
+    return AnswerHead(
+        status=status,
+        is_refusal=status == MISDIRECTED or bool(_values(headers, REFUSED)),
+        is_signed=bool(_value(headers, SIGNATURE)),
+        is_altered=any(e.lower() != "identity" for e in encodings),
+        headers=[(n, v) for n, v in headers if n.lower() not in hop],
+    )
+
+
+def is_answer_to(request_id: str, headers: Headers) -> bool:
+    """Tells whether an answer belongs to a request; one without id does."""
+    found = _value(headers, REQUEST_ID)
+    return found is None or found == request_id
+
+
+def refusal_headers(request_id: str, retry_after_ms: int | None) -> Headers:
+    """Returns the headers of an answer of our own."""
+    found: Headers = []
+    if request_id:
+        found.append((b"Attempt-Id", request_id.encode("latin-1")))
+    if retry_after_ms is not None:
+        seconds = f"{retry_after_ms / 1000:.3f}"
+        found.append((b"Retry-After", seconds.encode()))
+    return found
+
+
+def event_id(event: bytes) -> str | None:
+    """Returns the id of an event, which may stand on any of its lines."""
+    for line in event.split(b"\n"):
+        if line.startswith(b"id:"):
+            return line[3:].strip().decode("latin-1")
+    return None
--- /dev/null
+++ b/rhubarbwinch/platform/kvstore.py
@@ -0,0 +1,269 @@
+"""The platform's key-value store, behind the interface `store.Store`."""
+
+import base64
+import binascii
+from collections.abc import AsyncIterator
+from typing import Any
+
+import httpx
+import orjson
+
+from rhubarbwinch.exceptions import (
+    StoreCompacted,
+    StoreError,
+    StoreUnavailable,
+    StoreUncertain,
+)
+from rhubarbwinch.store import (
+    STORES,
+    Change,
+    ChangeBatch,
+    Entry,
+    Listing,
+    Swap,
+)
+from rhubarbwinch.transport import Transport, TransportOptions
+
+JSON = dict[str, Any]
+
+# The server waits so long for an event before it answers a watch with none.
+WATCH_WAIT_MS = 1_000
+# A connection to the store that acknowledges nothing for so long is closed.
+DEAD_PEER_MS = 2_000
+_PRECONDITION_FAILED = httpx.codes.PRECONDITION_FAILED
+# Answers which say that nothing was done.
+_REFUSED = (httpx.codes.TOO_MANY_REQUESTS, httpx.codes.SERVICE_UNAVAILABLE)
+
+
+def _entry(item: JSON) -> Entry:
+    """Reads an item.
+
+    Raises:
+        ValueError: The value is not base64.
+    """
+    value = base64.b64decode(item["value"], validate=True)
+    return Entry(item["key"], value, int(item["revision"]))
+
+
+def _change(event: JSON) -> Change:
+    key, revision = event["key"], int(event["revision"])
+    if event.get("tombstone"):
+        return Change(key, revision, None)
+    return Change(key, revision, _entry(event))
+
+
+@STORES.register("platform")
+class PlatformStore:
+    """A store spoken to over HTTP/1.1 and JSON.
+
+    Args:
+        address: `a.b.c.d:port`.
+        timeout_ms: The longest wait for an answer.
+    """
+
+    def __init__(self, address: str, timeout_ms: int) -> None:
+        self._timeout = timeout_ms / 1000
+        self._client = httpx.AsyncClient(
+            base_url=f"http://{address}",
+            timeout=self._timeout,
+            transport=Transport(TransportOptions(dead_peer_ms=DEAD_PEER_MS)),
+        )
+
+    async def get(self, key: str) -> Entry | None:
+        """Returns the entry of `key`, or None."""
+        response = await self._send("GET", "/kv-key", params={"key": key})
+        if response.status_code == httpx.codes.NOT_FOUND:
+            return None
+        return _parse(response, _entry)
+
+    async def scan(self, prefix: str) -> Listing:
+        """Returns all entries whose keys start with `prefix`, by key.
+
+        The pages are of several moments; the revision is that of the first,
+        so a watch from there misses nothing.
+        """
+        entries: list[Entry] = []
+        revision = 0
+        params = {"prefix": prefix}
+        while True:
+            response = await self._send("GET", "/kv-range", params=params)
+            page = _parse(response, dict)
+            entries += _parse_all(page["items"])
+            revision = revision or int(page["at"])
+            if not page.get("has_more") or not page["items"]:
+                return Listing(entries, revision)
+            params = {"prefix": prefix, "after": page["items"][-1]["key"]}
+
+    async def swap(
+        self, key: str, expected: int, value: bytes, lease: int = 0
+    ) -> Swap:
+        """Writes `value` if the key's revision is `expected`; 0 is absent."""
+        write = {
+            "key": key,
+            "value": base64.b64encode(value).decode(),
+            "lease": lease,
+        }
+        return await self._transact(key, expected, [write], [])
+
+    async def delete(self, key: str, expected: int) -> Swap:
+        """Deletes the key if its revision is `expected`."""
+        return await self._transact(key, expected, [], [key])
+
+    async def grant_lease(self, ttl_ms: int) -> int:
+        """Returns the id of a new lease."""
+        body = {"ttl_ms": ttl_ms}
+        response = await self._send("POST", "/kv-lease", content=body)
+        return _parse(response, lambda found: int(found["lease"]))
+
+    async def keep_lease(self, lease: int) -> int:
+        """Renews a lease; returns the milliseconds it has left, 0 if gone."""
+        response = await self._send("POST", f"/kv-keep/{lease}", content={})
+        if response.status_code == httpx.codes.NOT_FOUND:
+            return 0
+        return _parse(response, lambda found: int(found["ttl_ms"]))
+
+    async def revoke_lease(self, lease: int) -> None:
+        """Ends a lease; the keys under it are deleted."""
+        await self._send("DELETE", f"/kv-lease-end/{lease}")
+
+    async def poll(self, prefix: str, after: int, wait_ms: int) -> ChangeBatch:
+        """Returns the changes under `prefix` after a revision.
+
+        Args:
+            prefix: The keys to watch.
+            after: The revision after which changes are told.
+            wait_ms: How long the store waits for the first change.
+
+        Raises:
+            StoreCompacted: The changes are no longer known.
+            StoreUnavailable: The store did not answer.
+        """
+        params = {
+            "prefix": prefix,
+            "after": str(after),
+            "wait_ms": str(wait_ms),
+        }
+        response = await self._send(
+            "GET",
+            "/kv-watch",
+            params=params,
+            timeout_s=self._timeout + wait_ms / 1000,
+        )
+        if response.status_code == httpx.codes.GONE:
+            raise StoreCompacted(f"nothing is known after revision {after}")
+        found = _parse(response, dict)
+        changes = [
+            change
+            for change in map(_change_or_none, found["events"])
+            if change is not None
+        ]
+        return ChangeBatch(after, int(found["at"]), changes)
+
+    async def watch(self, prefix: str, after: int) -> AsyncIterator[Change]:
+        """Yields every change under `prefix` after the revision `after`."""
+        while True:
+            batch = await self.poll(prefix, after, WATCH_WAIT_MS)
+            for change in batch.changes:
+                yield change
+            after = batch.revision
+
+    async def close(self) -> None:
+        """Closes the connections."""
+        await self._client.aclose()
+
+    async def _transact(
+        self, key: str, expected: int, writes: list[JSON], deletes: list[str]
+    ) -> Swap:
+        body = {
+            "expected_rev": [{"key": key, "revision": expected}],
+            "writes": writes,
+            "deletes": deletes,
+        }
+        response = await self._send(
+            "POST", "/kv-txn", content=body, is_write=True
+        )
+        found = _parse(response, dict, also=_PRECONDITION_FAILED)
+        if response.status_code == httpx.codes.OK:
+            return Swap(True, int(found["revision"]))
+        # Its revision is 0 while the key is absent.
+        rows = [row for row in found.get("items", []) if row.get("revision")]
+        current = _entry(rows[0]) if rows else None
+        return Swap(False, current.revision if current else 0, current)
+
+    async def _send(
+        self,
+        method: str,
+        path: str,
+        params: dict[str, str] | None = None,
+        content: JSON | None = None,
+        timeout_s: float | None = None,
+        is_write: bool = False,
+    ) -> httpx.Response:
+        """Calls the store.
+
+        Raises:
+            StoreUnavailable: Nothing was done, or nothing was to be written.
+            StoreUncertain: A write may have taken effect.
+        """
+        uncertain = StoreUncertain if is_write else StoreUnavailable
+        timeout = httpx.Timeout(
+            timeout_s or self._timeout, connect=self._timeout
+        )
+        try:
+            response = await self._client.request(
+                method,
+                path,
+                params=params,
+                content=None if content is None else orjson.dumps(content),
+                headers={"Content-Type": "application/json"},
+                timeout=timeout,
+            )
+        except (httpx.ConnectError, httpx.ConnectTimeout) as error:
+            raise StoreUnavailable(f"{path}: {error!r}") from error
+        except httpx.HTTPError as error:
+            raise uncertain(f"{path}: {error!r}") from error
+        if response.status_code in _REFUSED:
+            raise StoreUnavailable(f"{path}: status {response.status_code}")
+        return response
+
+
+def _parse(
+    response: httpx.Response, build: Any, also: int = httpx.codes.OK
+) -> Any:
+    """Returns what `build` makes of an answer's JSON.
+
+    Raises:
+        StoreError: The answer has another status or form.
+    """
+    path = response.request.url.path
+    if response.status_code not in (httpx.codes.OK, also):
+        raise StoreUnavailable(f"{path}: status {response.status_code}")
+    try:
+        return build(orjson.loads(response.content))
+    except (KeyError, TypeError, ValueError) as error:
+        raise StoreError(f"{path}: not an answer: {error!r}") from error
+
+
+def _parse_all(items: list[JSON]) -> list[Entry]:
+    """Returns the entries among items; others can't be read."""
+    found = [_change_or_none(item) for item in items]
+    return [c.entry for c in found if c is not None and c.entry is not None]
+
+
+def _change_or_none(event: JSON) -> Change | None:
+    """Reads an event; one that can't be read is a key without a value.
+
+    Other writers may leave anything in the store; the key still says which
+    entry it was.
+    """
+    try:
+        return _change(event)
+    except (KeyError, TypeError, ValueError, binascii.Error):
+        if not isinstance(event, dict) or not isinstance(event.get("key"), str):
+            return None
+        revision = event.get("revision")
+        if not isinstance(revision, int):
+            return None
+        return Change(
+            event["key"], revision, Entry(event["key"], b"", revision)
+        )
--- a/rhubarbwinch/sse.py
+++ b/rhubarbwinch/sse.py
@@ -95,6 +95,11 @@
     def __init__(self) -> None:
         self._rest = b""
 
+    @property
+    def rest(self) -> bytes:
+        """What has come of an event that is not complete."""
+        return self._rest
+
     def feed(self, data: bytes) -> list[StreamEvent]:
         """Returns the events that `data` completes.
 
--- a/rhubarbwinch/store.py
+++ b/rhubarbwinch/store.py
@@ -55,6 +55,21 @@
     entry: Entry | None
 
 
+@attrs.frozen
+class ChangeBatch:
+    """All changes under a watched prefix between two revisions.
+
+    Attributes:
+        after: The revision before the first change.
+        revision: The revision up to which all changes are known.
+        changes: In the order of their revisions.
+    """
+
+    after: int
+    revision: int
+    changes: list[Change]
+
+
 class Store(Protocol):
     """A key-value store with compare-and-swap, leases and watches.
 
@@ -101,6 +116,19 @@
         ...
 
 
+class PollingStore(Store, Protocol):
+    """A store whose watches are answered by batches of changes."""
+
+    async def poll(self, prefix: str, after: int, wait_ms: int) -> ChangeBatch:
+        """Returns the changes after a revision, or waits for the first.
+
+        Raises:
+            StoreCompacted: The changes are no longer known.
+            StoreUnavailable: The store did not answer.
+        """
+        ...
+
+
 async def delete_prefix(store: Store, prefix: str) -> int:
     """Deletes what is under a prefix; returns how many keys there were.
 
--- a/rhubarbwinch/transport.py
+++ b/rhubarbwinch/transport.py
@@ -6,9 +6,12 @@
 """
 
 import asyncio
+import re
+import socket
 from collections import deque
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 
+import attrs
 import h11
 import httpx
 
@@ -19,6 +22,30 @@
 MAX_WAITING_BYTES = 256 << 10
 MAX_IDLE_CONNECTIONS = 1024
 IDLE_S = 20.0
+# An endpoint closes an idle connection at the time that it announces; a
+# request sent shortly before could cross the close.
+KEEP_ALIVE_MARGIN_S = 0.5
+# Answers to earlier requests that may stand before the expected one.
+MAX_STALE_ANSWERS = 4
+_KEEP_ALIVE = re.compile(rb"timeout=(\d{1,6})")
+
+# Tells whether the head of an answer belongs to the request that was sent.
+AnswerCheck = Callable[[h11.Response], bool]
+
+
+@attrs.frozen
+class TransportOptions:
+    """How connections are kept.
+
+    Attributes:
+        idle_s: How long an idle connection is kept when the endpoint does not
+            announce a time.
+        dead_peer_ms: A connection whose peer acknowledges nothing for so
+            long, sent bytes or probes, is closed; 0 leaves it to the system.
+    """
+
+    idle_s: float = IDLE_S
+    dead_peer_ms: int = 0
 
 
 class _Timer:
@@ -82,9 +109,18 @@
         self._wakeup: asyncio.Future[None] | None = None
         self._can_write: asyncio.Future[None] | None = None
         self._timer = _Timer(self)
+        self._check: AnswerCheck | None = None
+        self._stale_answers = 0
         self.is_open = False
         self.is_used = False
+        self.has_sent = False
         self.idle_since = 0.0
+        self.keep_alive_s: float | None = None
+
+    @property
+    def socket(self) -> socket.socket:
+        """The connection's socket."""
+        return self._transport.get_extra_info("socket")
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Keeps the transport."""
@@ -95,7 +131,12 @@
         """Ends a body that has no length; fails what is waited for."""
         self.is_open = False
         self._timer.close()
-        if self._body is not None and self._body.ends_with_connection:
+        has_no_length = self._body is not None and (
+            self._body.ends_with_connection
+        )
+        if has_no_length and exc is None and self._error is None:
+            # After a reset the rest of such a body is missing.
+            assert self._body is not None
             self._body.is_complete = True
             self._wake()
         else:
@@ -116,13 +157,14 @@
     def data_received(self, data: bytes) -> None:
         """Takes bytes of the answer."""
         try:
+            if not self.is_used:
+                # An endpoint has nothing to say before it is asked.
+                self.abort()
+                return
             if self._head is None:
                 data = self._read_head(data)
             if self._body is not None and data:
                 self._take(self._body.feed(data))
-            elif data and not self.is_used:
-                # An endpoint has nothing to say before it is asked.
-                self.abort()
         except (h11.RemoteProtocolError, ValueError) as error:
             self.fail(httpx.RemoteProtocolError(str(error)))
         self._wake()
@@ -145,22 +187,31 @@
     ) -> h11.Response:
         """Sends a request and returns the head of its answer.
 
+        The extension `target` of the request replaces the path of its URL, and
+        `is_answer` passes over answers to earlier requests.
+
         Raises:
             httpx.TransportError: It failed; bytes may have been sent.
         """
         self.is_used = True
         self._error = None
-        target = request.url.raw_path
+        self._check = request.extensions.get("is_answer")
+        self._stale_answers = 0
+        target = request.extensions.get("target", request.url.raw_path)
         method = self._method = request.method.encode()
         head = h11.Request(
             method=method, target=target, headers=request.headers.raw
         )
-        await self._send(self._http.send(head))
+        # The first bytes go out with the head, in one packet.
+        data = self._http.send(head) or b""
         assert isinstance(request.stream, httpx.AsyncByteStream)
-        async for data in request.stream:
-            if data:
-                await self._send(self._http.send(h11.Data(data)))
-        await self._send(self._http.send(h11.EndOfMessage()))
+        async for part in request.stream:
+            if part:
+                await self._send(
+                    data + (self._http.send(h11.Data(part)) or b"")
+                )
+                data = b""
+        await self._send(data + (self._http.send(h11.EndOfMessage()) or b""))
         while self._head is None:
             await self._wait(timeout_s)
         return self._head
@@ -190,6 +241,9 @@
             return False
         if body is not None and (body.rest or body.ends_with_connection):
             return False
+        if self._transport.get_write_buffer_size():
+            # The endpoint answered before it had read the whole request.
+            return False
         options = dict(head.headers).get(b"connection", b"").lower()
         if b"close" in options or head.http_version < b"1.1":
             return False
@@ -198,12 +252,15 @@
         )
         self._timer.stop()
         self.is_used = False
+        match = _KEEP_ALIVE.search(dict(head.headers).get(b"keep-alive", b""))
+        self.keep_alive_s = float(match[1]) if match else None
         self.idle_since = self._loop.time()
         return True
 
     async def _send(self, data: bytes | None) -> None:
         if not data:
             return
+        self.has_sent = True
         self._transport.write(data)
         if self._can_write is not None:
             await self._can_write
@@ -212,15 +269,42 @@
 
     def _read_head(self, data: bytes) -> bytes:
         """Reads the answer's head; returns the bytes of the body."""
-        self._http.receive_data(data)
-        event = self._http.next_event()
-        while isinstance(event, h11.InformationalResponse):
+        while True:
+            self._http.receive_data(data)
             event = self._http.next_event()
-        if not isinstance(event, h11.Response):
-            return b""
-        self._head = event
-        self._body = make_body(self._method, event)
-        return self._http.trailing_data[0]
+            while isinstance(event, h11.InformationalResponse):
+                event = self._http.next_event()
+            if not isinstance(event, h11.Response):
+                return b""
+            data = self._http.trailing_data[0]
+            body = make_body(self._method, event)
+            if self._check is None or self._check(event):
+                self._head, self._body = event, body
+                return data
+            data = self._pass_over(body, data)
+
+    def _pass_over(self, body: Body, data: bytes) -> bytes:
+        """Skips an answer to an earlier request; returns what follows it.
+
+        Raises:
+            ValueError: Its end can't be known, or there are too many.
+        """
+        self._stale_answers += 1
+        body.feed(data)
+        too_many = self._stale_answers > MAX_STALE_ANSWERS
+        if body.ends_with_connection or not body.is_complete or too_many:
+            raise ValueError("an answer to another request")
+        self._http = h11.Connection(
+            h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES
+        )
+        # An answer is read only by a connection that has sent a request.
+        self._http.send(
+            h11.Request(
+                method=self._method, target=b"/", headers=[(b"host", b"-")]
+            )
+        )
+        self._http.send(h11.EndOfMessage())
+        return body.rest
 
     def _take(self, data: bytes) -> None:
         if not data:
@@ -282,17 +366,26 @@
 
 
 class Transport(httpx.AsyncBaseTransport):
-    """Keeps connections to endpoints and sends requests over them."""
+    """Keeps connections to endpoints and sends requests over them.
 
-    def __init__(self) -> None:
+    Args:
+        options: How connections are kept.
+    """
+
+    def __init__(self, options: TransportOptions | None = None) -> None:
+        self._options = options or TransportOptions()
         self._idle: dict[str, deque[Connection]] = {}
         self._idle_count = 0
+        self.new_connections = 0
 
     async def handle_async_request(
         self, request: httpx.Request
     ) -> httpx.Response:
         """Sends a request; the body of the answer is read as it comes.
 
+        The extension `max_idle_s` of the request bounds how long the
+        connection may have been idle; 0 asks for a new one.
+
         Raises:
             httpx.ConnectError: There is no connection; nothing was sent.
             httpx.ConnectTimeout: None came in time; nothing was sent.
@@ -304,9 +397,13 @@
         read_s = timeouts.get("read")
         host, port = request.url.host, request.url.port or 80
         key = f"{host}:{port}"
-        connection = self._take_idle(key)
+        idle_s = request.extensions.get("max_idle_s", self._options.idle_s)
+        connection = self._take_idle(key, idle_s)
         if connection is None:
-            connection = await _connect(host, port, timeouts.get("connect"))
+            self.new_connections += 1
+            connection = await _connect(
+                host, port, timeouts.get("connect"), self._options
+            )
         try:
             head = await connection.exchange(request, read_s)
         except BaseException:
@@ -334,20 +431,36 @@
         self._idle.setdefault(key, deque()).append(connection)
         self._idle_count += 1
 
-    def _take_idle(self, key: str) -> Connection | None:
+    def close_idle(self, key: str) -> None:
+        """Closes the idle connections to an endpoint that is gone."""
+        for connection in self._idle.pop(key, ()):
+            self._idle_count -= 1
+            connection.abort()
+
+    def _take_idle(self, key: str, max_idle_s: float) -> Connection | None:
         """Returns the connection used last that is still good."""
-        connections = self._idle.get(key, ())
+        connections = self._idle.get(key)
         now = asyncio.get_running_loop().time()
         while connections:
-            connection = connections.pop()  # type: ignore[union-attr]
+            connection = connections[-1]
+            idle_s = now - connection.idle_since
+            limit_s = self._options.idle_s
+            if connection.keep_alive_s is not None:
+                limit_s = connection.keep_alive_s - KEEP_ALIVE_MARGIN_S
+            if connection.is_open and max_idle_s <= idle_s < limit_s:
+                # It is good for a request that may be repeated.
+                return None
+            connections.pop()
             self._idle_count -= 1
-            if connection.is_open and now - connection.idle_since < IDLE_S:
+            if connection.is_open and idle_s < limit_s:
                 return connection
             connection.abort()
         return None
 
 
-async def _connect(host: str, port: int, timeout_s: float | None) -> Connection:
+async def _connect(
+    host: str, port: int, timeout_s: float | None, options: TransportOptions
+) -> Connection:
     """Returns a new connection.
 
     Raises:
@@ -362,4 +475,22 @@
         raise httpx.ConnectTimeout(f"{host}:{port}") from error
     except OSError as error:
         raise httpx.ConnectError(f"{host}:{port}: {error}") from error
+    if options.dead_peer_ms:
+        probe_dead_peer(connection.socket, options.dead_peer_ms)
     return connection
+
+
+def probe_dead_peer(link: socket.socket, limit_ms: int) -> None:
+    """Makes the system close a connection whose peer is silent.
+
+    Args:
+        link: The connection's socket.
+        limit_ms: How long sent bytes or probes may stay unacknowledged.
+    """
+    link.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, limit_ms)
+    link.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    # The system counts in whole seconds.
+    seconds = max(1, limit_ms // 2000)
+    link.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, seconds)
+    link.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, seconds)
+    link.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 2)
