Runs go on from copies made at the notice, and are not stopped for it

Cause: a call that stops a run and copies its rest waits behind the first copies of other runs on the same link, 200 to 450 ms, so the pause of the stream passed the route's bound; and the streams of backups took the link at the same time.

Change: the copy is made at the notice and made again each 400 ms while the engine lives; when the stream ends, the run goes on from the copy and the few tokens after it are read again.

--- a/rhubarbwinch/gateway/carrying.py
+++ b/rhubarbwinch/gateway/carrying.py
@@ -1,24 +1,21 @@
-"""Moves generations off engines that leave."""
+"""Keeps copies of generations whose engines leave."""
 
 import anyio
 
 from rhubarbwinch import events
-from rhubarbwinch.gateway import moving, placing, statistics
+from rhubarbwinch.gateway import moving, statistics
 from rhubarbwinch.gateway.context import Context
 from rhubarbwinch.gateway.endpoints import Endpoint
-from rhubarbwinch.gateway.routes import EngineSpec
 from rhubarbwinch.gateway.runs import NewHome, Room, Run
 from rhubarbwinch.gateway.wire import MemoryCopy, MoveResult, MoveState
 
 # A run that waits or whose prompt is being read can't be copied yet.
 RETRY_MS = 40
-# Moves may fill an engine further than new work: the run has been paid for.
-MOVE_MEMORY_SHARE = 1.0
-# Tries to find an engine that takes the copy.
-MAX_TRIES = 12
-# An engine that does not answer in this time is taken as dead; two engines may
-# not be at work on a run for more than 400 ms.
-STOP_MS = 250
+# How often it is checked whether the engine with the copy leaves too.
+CHECK_MS = 40
+# An engine that is gone refuses the call in a round trip. One that lives stops
+# the run before it answers, so no more than that is waited for.
+STOP_MS = 40
 
 
 class Carrier:
@@ -31,98 +28,95 @@
     def __init__(self, context: Context) -> None:
         self._context = context
 
-    async def move(self, run: Run) -> None:
-        """Copies a run to another engine and stops it where it was.
+    async def keep_copy(self, run: Run) -> None:
+        """Keeps a copy of a run at another engine until cancelled.
 
-        Sets `run.home` if that succeeds, and `run.moving` in any case.
+        Sets `run.home` while there is a copy, and `run.has_copy` with the
+        first one; without any to be had it returns.
         """
         assert run.room is not None
-        assert run.moving is not None
-        done = run.moving
+        source = run.room.endpoint
+        refused = {source.id}
         try:
-            await self._move(run, run.room.endpoint, self._context.clock.now())
+            while True:
+                room = self._reserve(run, source, refused)
+                if room is None:
+                    refused = {source.id}
+                    await self._context.clock.sleep(RETRY_MS)
+                    continue
+                state = await self._copy_to(run, source, room)
+                if state is MoveState.FAILED:
+                    return
+                if state is MoveState.NO_RUN and run.events:
+                    return
+                if state is MoveState.NO_ROOM:
+                    refused.add(room.endpoint.id)
+                await self._context.clock.sleep(RETRY_MS)
         finally:
-            done.set()
+            run.has_copy.set()
 
-    async def _move(self, run: Run, source: Endpoint, notice_ms: int) -> None:
-        context = self._context
-        spec = self._spec(run)
-        if spec is None:
-            return
-        refused: set[str] = {source.id}
-        for _ in range(MAX_TRIES):
-            room = self._reserve(run, refused)
-            if room is None:
-                await context.clock.sleep(RETRY_MS)
-                continue
-            is_kept = False
-            try:
-                result = await self._first_copy(run, source, room)
-                if result.state is MoveState.COPIED:
-                    result = await self._last_copy(
-                        run, source, room, notice_ms, spec
-                    )
-                if result.handle and result.state is not MoveState.FAILED:
-                    copy = MemoryCopy(source.address, result.handle)
-                    run.home = NewHome(room, copy, source)
-                    is_kept = True
-                    return
-            finally:
-                if not is_kept:
-                    room.release()
-            if result.state is MoveState.FAILED:
-                return
-            if result.state is MoveState.NO_ROOM:
-                refused.add(room.endpoint.id)
-            if result.state is MoveState.NO_RUN and run.events:
-                return
-            await context.clock.sleep(RETRY_MS)
-
-    def _spec(self, run: Run) -> EngineSpec | None:
-        table = self._context.table
-        spec = table.services.get(run.job.service) if table else None
-        return spec.engine if spec is not None else None
-
-    def _reserve(self, run: Run, refused: set[str]) -> Room | None:
-        """Returns room at the engine that the run moves to, or None."""
+    def _reserve(
+        self, run: Run, source: Endpoint, refused: set[str]
+    ) -> Room | None:
+        """Returns room at the engine that takes the run over, or None."""
         context = self._context
         tokens = run.expected_tokens
-        chosen = placing.choose_engine(
+        chosen = moving.choose_home(
             context.candidates(run.job.service, refused),
+            source,
             tokens,
-            context.data_center,
             context.rng,
-            MOVE_MEMORY_SHARE,
         )
         if chosen is None:
             return None
-        return Room(chosen.endpoint, tokens, 0, 1, context.loads).hold()
+        room = Room(chosen.endpoint, tokens, 0, 1, context.loads).hold()
+        context.peers.tell_loads()
+        return room
 
-    async def _first_copy(
+    async def _copy_to(
         self, run: Run, source: Endpoint, room: Room
-    ) -> MoveResult:
-        """Copies what there is while the run goes on."""
-        return await self._call(run, source, room.endpoint, False)
-
-    async def _last_copy(
-        self,
-        run: Run,
-        source: Endpoint,
-        room: Room,
-        notice_ms: int,
-        spec: EngineSpec,
-    ) -> MoveResult:
-        """Stops the run and copies what is new."""
-        context = self._context
-        tokens = context.loads.total(source.id).tokens
-        plan = moving.plan_move(tokens, spec)
-        wait = notice_ms + plan.last_at_ms - context.clock.now()
-        if wait > 0:
-            await context.clock.sleep(wait)
-        known = context.fleet.get(room.endpoint.id)
-        if known is not None and known.is_leaving:
-            return MoveResult(MoveState.NO_ROOM)
-        return await self._call(run, source, room.endpoint, True)
+    ) -> MoveState:
+        """Keeps a copy at one engine until that engine leaves.
+
+        Returns:
+            Why there is no copy, or none any more.
+        """
+        try:
+            while True:
+                result = await self._call(run, source, room.endpoint, False)
+                if result.state is not MoveState.COPIED:
+                    return result.state
+                copy = MemoryCopy(source.address, result.handle)
+                run.home = NewHome(room, copy, source)
+                run.has_copy.set()
+                if await self._leaves(room.endpoint, moving.REFRESH_MS):
+                    return MoveState.NO_ROOM
+        finally:
+            if run.home is not None and run.home.room is room:
+                run.home = None
+            # The run that goes on from the copy holds the room by then.
+            if run.room is not room:
+                room.release()
+
+    async def _leaves(self, endpoint: Endpoint, limit_ms: int) -> bool:
+        """Waits until an endpoint leaves; False if it does not in time."""
+        clock = self._context.clock
+        end = clock.now() + limit_ms
+        while clock.now() < end:
+            await clock.sleep(CHECK_MS)
+            known = self._context.fleet.get(endpoint.id)
+            if known is None or known.is_leaving:
+                return True
+        return False
+
+    async def stop(self, run: Run, source: Endpoint, to: Endpoint) -> None:
+        """Stops a run whose stream broke, so that it can go on elsewhere.
+
+        Its engine may live and still be at work on it; of a run that is not
+        repeatable only one engine may make events.
+        """
+        with anyio.move_on_after(STOP_MS / 1000):
+            await self._call(run, source, to, True)
 
     async def _call(
         self, run: Run, source: Endpoint, to: Endpoint, is_last: bool
@@ -133,7 +127,7 @@
             source.address, run.id, to.address, is_last
         )
         statistics.MOVES.labels(
-            "last" if is_last else "copy", result.state
+            "stop" if is_last else "copy", result.state
         ).inc()
         events.MOVED.log(
             request=run.id,
@@ -146,14 +140,3 @@
             relayed=run.events,
         )
         return result
-
-    async def stop(
-        self, run: Run, source: Endpoint, to: Endpoint
-    ) -> MoveResult:
-        """Stops a run whose connection broke, so that it can go on elsewhere.
-
-        The engine may still be at work on it; only a stopped run may go on.
-        """
-        with anyio.move_on_after(STOP_MS / 1000):
-            return await self._call(run, source, to, True)
-        return MoveResult(MoveState.FAILED)
--- a/rhubarbwinch/gateway/edge.py
+++ b/rhubarbwinch/gateway/edge.py
@@ -62,7 +62,7 @@
         connections: Connections that are open.
     """
 
-    limits: HttpLimits = HttpLimits()
+    limits: HttpLimits = attrs.field(factory=HttpLimits)
     is_closing: bool = False
     open_requests: int = 0
     connections: int = 0
--- a/rhubarbwinch/gateway/fleet.py
+++ b/rhubarbwinch/gateway/fleet.py
@@ -58,7 +58,7 @@
         ]
 
     def put(self, endpoint: Endpoint, now_ms: int) -> bool:
-        """Takes a registration; returns whether the endpoint begins to leave."""
+        """Takes a registration; returns whether its endpoint now leaves."""
         known = self._known.get(endpoint.id)
         is_new = (
             known is None
--- a/rhubarbwinch/gateway/placing.py
+++ b/rhubarbwinch/gateway/placing.py
@@ -15,8 +15,6 @@
 # Shares of an engine's memory that new generations may fill. The rest is for
 # answers that become longer than expected.
 MEMORY_SHARE = 0.92
-# A backup yields to work, so it may not crowd an engine.
-BACKUP_MEMORY_SHARE = 0.8
 # How many of an engine's slots are used: at more the events come too slowly.
 SLOT_SHARE = 1.0
 # A prompt that is being read delays the others' events by so much of a run.
--- a/rhubarbwinch/gateway/runs.py
+++ b/rhubarbwinch/gateway/runs.py
@@ -74,27 +74,26 @@
         responder: Sends the events to the caller.
         tasks: Tasks that end with the run.
         room: The room at the engine that runs it; None before it is placed.
-        backup: The room at the engine that follows it, or None.
         last_event_id: The last event that the caller has, or None.
         events: Events that the caller has.
         head_sent: Whether the head of the answer was sent.
         last_event_ms: When the last event came.
-        home: Where it goes on, once it was copied.
-        moving: Set when a move has ended; None without one.
-        sends: Engines that have begun it anew, moves aside.
+        home: Where it goes on when its engine ends; None without a copy.
+        copying: Ends the task that keeps the copy; None without one.
+        has_copy: Set when the first copy is there, or none is to be had.
     """
 
     job: Job
     responder: EdgeResponder
     tasks: anyio.abc.TaskGroup
     room: Room | None = None
-    backup: Room | None = None
     last_event_id: str | None = None
     events: int = 0
     head_sent: bool = False
     last_event_ms: int = 0
     home: NewHome | None = None
-    moving: anyio.Event | None = None
+    copying: anyio.CancelScope | None = None
+    has_copy: anyio.Event = attrs.field(factory=anyio.Event)
 
     @property
     def id(self) -> str:
@@ -111,9 +110,6 @@
         return call.prompt_tokens + likely
 
     def release(self) -> None:
-        """Gives all room back."""
-        for room in (self.room, self.backup):
-            if room is not None:
-                room.release()
-        if self.home is not None:
-            self.home.room.release()
+        """Gives the room back."""
+        if self.room is not None:
+            self.room.release()
--- a/rhubarbwinch/gateway/streams.py
+++ b/rhubarbwinch/gateway/streams.py
@@ -1,6 +1,6 @@
 """Generations: placed, relayed event by event, and carried on elsewhere."""
 
-from collections.abc import AsyncIterator
+from collections.abc import AsyncGenerator
 from contextlib import aclosing
 
 import anyio
@@ -19,7 +19,7 @@
     relay_whole,
 )
 from rhubarbwinch.gateway.routes import EngineSpec
-from rhubarbwinch.gateway.runs import Room, Run
+from rhubarbwinch.gateway.runs import NewHome, Room, Run
 from rhubarbwinch.gateway.suspicion import Outcome
 from rhubarbwinch.gateway.upstream import Answer
 from rhubarbwinch.gateway.waiting import WAIT_SHARE, Waiter, WaitQueue
@@ -31,9 +31,8 @@
 # after this silence; events come every 30 ms, and the caller's bound on a
 # pause is over by then anyway.
 STALL_MS = 1_000
-# A copy that is on its way when the stream breaks is worth this wait: the
-# caller waits for seconds.
-MOVE_WAIT_MS = 2_500
+# A copy that is on its way when the stream breaks is worth this wait.
+COPY_WAIT_MS = 600
 # Sends of one generation that were refused as not run.
 MAX_REFUSED_SENDS = 4
 MIN_SEND_MS = 50
@@ -83,20 +82,25 @@
         self._context.peers.tell_loads()
 
     def note_leaving(self, endpoint: Endpoint) -> None:
-        """Moves the runs off an engine that leaves."""
+        """Copies the runs of an engine that leaves."""
         for run in list(self._runs):
             if run.room is not None and run.room.endpoint.id == endpoint.id:
-                self._start_move(run)
+                self._start_copying(run)
 
-    def _start_move(self, run: Run) -> None:
+    def _start_copying(self, run: Run) -> None:
         spec = self._engine_spec(run.job.service)
-        if spec is None or not spec.can_move or run.moving is not None:
+        if spec is None or not spec.can_move or run.copying is not None:
             return
         if run.job.route.is_resumable:
             # It is short, and may begin anew elsewhere.
             return
-        run.moving = anyio.Event()
-        run.tasks.start_soon(self._carrier.move, run)
+        run.copying = anyio.CancelScope()
+        run.has_copy = anyio.Event()
+        run.tasks.start_soon(self._keep_copy, run, run.copying)
+
+    async def _keep_copy(self, run: Run, scope: anyio.CancelScope) -> None:
+        with scope:
+            await self._carrier.keep_copy(run)
 
     def _engine_spec(self, service: str) -> EngineSpec | None:
         table = self._context.table
@@ -195,7 +199,7 @@
     def _hold(
         self, run: Run, memory_share: float = placing.MEMORY_SHARE
     ) -> bool:
-        """Holds room at an engine, and at a second one that follows it."""
+        """Holds room at an engine."""
         context, job = self._context, run.job
         tokens = run.expected_tokens
         candidates = context.candidates(job.service, job.tried)
@@ -215,32 +219,9 @@
             needed=tokens,
             engines=len(candidates),
         )
-        self._hold_backup(run)
         context.peers.tell_loads()
         return True
 
-    def _hold_backup(self, run: Run) -> None:
-        """Holds room at an engine that follows the run, if that pays."""
-        context, job = self._context, run.job
-        spec = self._engine_spec(job.service)
-        if run.room is None or spec is None or not spec.can_back_up:
-            return
-        if job.route.is_resumable:
-            # It is short, and may begin anew elsewhere.
-            return
-        tokens = run.expected_tokens
-        chosen = placing.choose_engine(
-            context.candidates(job.service, {run.room.endpoint.id}),
-            tokens,
-            run.room.endpoint.data_center,
-            context.rng,
-            placing.BACKUP_MEMORY_SHARE,
-        )
-        if chosen is not None:
-            run.backup = Room(
-                chosen.endpoint, tokens, 0, 0, context.loads
-            ).hold()
-
     async def _open(
         self, run: Run, endpoint: Endpoint, copy: MemoryCopy | None
     ) -> Answer | Failure | None:
@@ -263,7 +244,6 @@
             left,
             last_event_id=last,
             resume_from=copy,
-            backup_address=run.backup.endpoint.address if run.backup else None,
         )
         try:
             with anyio.move_on_after(left / 1000):
@@ -357,7 +337,7 @@
                 request=run.id,
                 endpoint=run.room.endpoint.id if run.room else "",
                 events=run.events,
-                moving=run.moving is not None,
+                copied=run.home is not None,
                 error=str(error),
             )
             return False
@@ -368,7 +348,7 @@
         await self._finish(run, answer)
         return True
 
-    async def _paced(self, run: Run, answer: Answer) -> AsyncIterator[bytes]:
+    async def _paced(self, run: Run, answer: Answer) -> AsyncGenerator[bytes]:
         """Yields parts of a stream.
 
         Raises:
@@ -378,8 +358,9 @@
         parts = answer.chunks()
         async with aclosing(parts):
             while True:
-                can_leave = run.backup is not None and run.events > 0
+                can_leave = run.home is not None and run.events > 0
                 limit = STALL_MS / 1000 if can_leave else None
+                data = b""
                 with anyio.move_on_after(limit) as scope:
                     try:
                         data = await anext(parts)
@@ -449,7 +430,7 @@
             self.note_change()
             known = self._context.fleet.get(run.room.endpoint.id)
             if known is not None and known.is_leaving:
-                self._start_move(run)
+                self._start_copying(run)
 
     async def _send_head(self, run: Run, answer: Answer) -> None:
         run.head_sent = True
@@ -475,31 +456,27 @@
     async def _go_on(self, run: Run, source: Endpoint) -> Answer | None:
         """Starts a generation where its memory lies, or anew if it may."""
         self._context.note(
-            run.job, run.job.service, source.id, self._blame(run, source)
+            run.job, run.job.service, source.id, self._blame(source)
         )
-        if run.moving is not None:
-            with anyio.move_on_after(MOVE_WAIT_MS / 1000):
-                await run.moving.wait()
+        if run.copying is not None:
+            with anyio.move_on_after(COPY_WAIT_MS / 1000):
+                await run.has_copy.wait()
         if run.home is not None:
-            return await self._go_home(run)
-        if run.backup is not None:
-            return await self._go_to_backup(run, source)
+            return await self._go_home(run, run.home)
         if run.job.route.is_resumable:
             return await self._begin_anew(run, source)
         return None
 
-    def _blame(self, run: Run, source: Endpoint) -> Outcome:
+    def _blame(self, source: Endpoint) -> Outcome:
         """Returns what a broken stream says of its engine."""
         known = self._context.fleet.get(source.id)
-        if known is None or known.is_leaving or run.home is not None:
+        if known is None or known.is_leaving:
             return Outcome.GOOD
         return Outcome.BROKEN
 
-    async def _go_home(self, run: Run) -> Answer | None:
+    async def _go_home(self, run: Run, home: NewHome) -> Answer | None:
         """Goes on at the engine that has the copy, or at its source."""
-        home = run.home
-        assert home is not None
-        run.home, run.moving = None, None
+        await self._carrier.stop(run, home.source, home.room.endpoint)
         self._settle(run, home.room)
         answer = await self._resume(run, home.room.endpoint, home.copy, "move")
         if answer is None:
@@ -509,25 +486,6 @@
             self._note_settled(run)
         return answer
 
-    async def _go_to_backup(self, run: Run, source: Endpoint) -> Answer | None:
-        """Goes on at the engine that has followed the run."""
-        backup = run.backup
-        assert backup is not None
-        run.backup, run.moving = None, None
-        stopped = await self._carrier.stop(run, source, backup.endpoint)
-        copy = MemoryCopy(backup.endpoint.address, run.id)
-        if stopped.handle:
-            copy = MemoryCopy(source.address, stopped.handle)
-        room = Room(
-            backup.endpoint, backup.tokens, 0, 1, self._context.loads
-        ).hold()
-        backup.release()
-        self._settle(run, room)
-        answer = await self._resume(run, room.endpoint, copy, "backup")
-        if answer is not None:
-            self._note_settled(run)
-        return answer
-
     async def _begin_anew(self, run: Run, source: Endpoint) -> Answer | None:
         """Starts a resumable generation after the last event elsewhere."""
         job = run.job
@@ -544,13 +502,11 @@
 
     def _settle(self, run: Run, room: Room) -> None:
         """Gives the old room back, and protects the run at its new engine."""
-        if run.room is not None:
-            run.room.release()
-        if run.backup is not None:
-            run.backup.release()
-            run.backup = None
+        run.release()
         run.room = room
-        self._hold_backup(run)
+        if run.copying is not None:
+            run.copying.cancel()
+            run.copying = None
         self.note_change()
 
     def _note_settled(self, run: Run) -> None:
@@ -558,7 +514,7 @@
         assert run.room is not None
         known = self._context.fleet.get(run.room.endpoint.id)
         if known is not None and known.is_leaving:
-            self._start_move(run)
+            self._start_copying(run)
 
     async def _resume(
         self, run: Run, endpoint: Endpoint, copy: MemoryCopy, how: str
--- a/rhubarbwinch/gateway/upstream.py
+++ b/rhubarbwinch/gateway/upstream.py
@@ -1,6 +1,6 @@
 """Sends requests to endpoints and tells whether they may have run."""
 
-from collections.abc import AsyncIterator
+from collections.abc import AsyncGenerator
 
 import attrs
 import httpx
@@ -52,7 +52,7 @@
             raise EndpointError("the answer has an encoding", sent=True)
         return b"".join(parts)
 
-    async def chunks(self) -> AsyncIterator[bytes]:
+    async def chunks(self) -> AsyncGenerator[bytes]:
         """Yields the body as it comes.
 
         Raises:
--- a/rhubarbwinch/platform/enginecalls.py
+++ b/rhubarbwinch/platform/enginecalls.py
@@ -14,7 +14,7 @@
 CONNECT_S = 0.3
 REPORT_TIMEOUT_S = 1.0
 
-_STATES = {
+_STATES: dict[int, MoveState] = {
     httpx.codes.OK: MoveState.COPIED,
     httpx.codes.NOT_FOUND: MoveState.NO_RUN,
     httpx.codes.CONFLICT: MoveState.BUSY,
