--- a/rhubarbwinch/__main__.py
+++ b/rhubarbwinch/__main__.py
@@ -1,15 +1,16 @@
 """Runs a program by its name: `python -m rhubarbwinch entry ...`."""
 
+import importlib
 import sys
 
-from rhubarbwinch import cmdline, ctlcommands, gatewaymain
-
+# The module and the function of each program. Only the one that runs is
+# imported: the start of a process is time in which nobody is served.
 PROGRAMS = {
-    "entry": cmdline.entry_main,
-    "broker": cmdline.broker_main,
-    "control": cmdline.control_main,
-    "gateway": gatewaymain.main,
-    "ctl": ctlcommands.main,
+    "entry": ("rhubarbwinch.cmdline", "entry_main"),
+    "broker": ("rhubarbwinch.cmdline", "broker_main"),
+    "control": ("rhubarbwinch.cmdline", "control_main"),
+    "ctl": ("rhubarbwinch.ctlcommands", "main"),
+    "gateway": ("rhubarbwinch.gatewaymain", "main"),
 }
 
 
@@ -18,7 +19,8 @@
     names = ", ".join(PROGRAMS)
     if len(sys.argv) < 2 or sys.argv[1] not in PROGRAMS:
         sys.exit(f"usage: python -m rhubarbwinch {{{names}}} ...")
-    PROGRAMS[sys.argv.pop(1)]()
+    module, function = PROGRAMS[sys.argv.pop(1)]
+    getattr(importlib.import_module(module), function)()
 
 
 if __name__ == "__main__":
--- a/rhubarbwinch/cmdline.py
+++ b/rhubarbwinch/cmdline.py
@@ -15,10 +15,10 @@
     Settings,
 )
 from rhubarbwinch.control import Control
-from rhubarbwinch.ctl import ExitStatus
 from rhubarbwinch.entry import Entry
 from rhubarbwinch.eventloop import check_no_io_uring
 from rhubarbwinch.exceptions import RestartLimitError
+from rhubarbwinch.exitstatus import ExitStatus
 
 _SETTINGS_HELP = (
     " Each setting is a flag and an environment variable; the flag wins. Give "
--- a/rhubarbwinch/ctl.py
+++ b/rhubarbwinch/ctl.py
@@ -17,17 +17,6 @@
 DEFAULT_STORE = "127.0.0.1:2379"
 
 
-class ExitStatus(enum.IntEnum):
-    """Exit statuses of the command line."""
-
-    OK = 0
-    FAILED = 1
-    USAGE = 2
-    INVALID = 3
-    CONFLICT = 4
-    STORE = 5
-
-
 class Output(enum.StrEnum):
     """How results are printed."""
 
--- a/rhubarbwinch/ctlcommands.py
+++ b/rhubarbwinch/ctlcommands.py
@@ -10,13 +10,14 @@
 
 from rhubarbwinch import audit, ctl, etcdstore, fleetstatus, options, secretkeys
 from rhubarbwinch import settingtypes as types
-from rhubarbwinch.ctl import ExitStatus, Output
+from rhubarbwinch.ctl import Output
 from rhubarbwinch.exceptions import (
     ConflictError,
     RecordError,
     SettingError,
     StoreError,
 )
+from rhubarbwinch.exitstatus import ExitStatus
 from rhubarbwinch.fleetstatus import FleetStatus, RecordState
 from rhubarbwinch.records import Record
 from rhubarbwinch.secretkeys import ApiKey
--- /dev/null
+++ b/rhubarbwinch/exitstatus.py
@@ -0,0 +1,14 @@
+"""Exit statuses of the programs."""
+
+import enum
+
+
+class ExitStatus(enum.IntEnum):
+    """How a program ended."""
+
+    OK = 0
+    FAILED = 1
+    USAGE = 2
+    INVALID = 3
+    CONFLICT = 4
+    STORE = 5
--- /dev/null
+++ b/tests/gateway/test_fleet.py
@@ -0,0 +1,67 @@
+"""Which endpoints are believed in: leaving, lapsed, back and used again."""
+
+import unittest
+
+from rhubarbwinch.gateway.endpoints import EndpointState
+from rhubarbwinch.gateway.fleet import KEEP_GONE_MS, LAPSE_MS, Fleet
+from tests.gatewaybuilders import endpoint
+
+
+class FleetTest(unittest.TestCase):
+    """Registrations in, endpoints to use out."""
+
+    def setUp(self):
+        self.fleet = Fleet()
+        self.fleet.put(endpoint("e1"), 0)
+        self.fleet.put(endpoint("e2"), 0)
+
+    def _names(self):
+        return [k.endpoint.id for k in self.fleet.of_service("svc")]
+
+    def test_a_draining_endpoint_gets_no_new_work(self):
+        draining = endpoint("e1", state=EndpointState.DRAINING)
+        self.assertTrue(self.fleet.put(draining, 5))
+        self.assertEqual(self._names(), ["e2"])
+        self.assertFalse(self.fleet.put(draining, 6))
+
+    def test_an_entry_that_goes_while_the_store_is_up_ends_the_endpoint(self):
+        self.assertTrue(self.fleet.remove("e1", 5, after_outage=False))
+        self.assertEqual(self._names(), ["e2"])
+        self.assertFalse(self.fleet.remove("e1", 6, after_outage=False))
+
+    def test_an_entry_that_lapsed_in_an_outage_has_time_to_come_back(self):
+        self.assertFalse(self.fleet.remove("e1", 100, after_outage=True))
+        self.assertEqual(self.fleet.expire(100 + LAPSE_MS - 1), [])
+        self.assertEqual(self._names(), ["e1", "e2"])
+        self.fleet.put(endpoint("e1"), 100 + LAPSE_MS - 1)
+        self.assertEqual(self.fleet.expire(100 + LAPSE_MS + 1), [])
+        self.assertEqual(self._names(), ["e1", "e2"])
+
+    def test_an_entry_that_does_not_come_back_ends_the_endpoint(self):
+        self.fleet.remove("e1", 100, after_outage=True)
+        due = self.fleet.expire(100 + LAPSE_MS)
+        self.assertEqual([k.endpoint.id for k in due], ["e1"])
+        self.assertEqual(self._names(), ["e2"])
+
+    def test_an_endpoint_that_was_draining_when_its_entry_lapsed_stays_out(
+        self,
+    ):
+        self.fleet.put(endpoint("e1", state=EndpointState.DRAINING), 50)
+        self.fleet.remove("e1", 100, after_outage=True)
+        self.assertEqual(self._names(), ["e2"])
+
+    def test_an_id_that_starts_anew_takes_work_again(self):
+        self.fleet.put(endpoint("e1", state=EndpointState.DRAINING), 50)
+        self.fleet.put(endpoint("e1", started_ms=2), 60)
+        self.assertEqual(self._names(), ["e1", "e2"])
+
+    def test_an_entry_that_cannot_be_read_names_no_endpoint(self):
+        self.fleet.note_unreadable("e1")
+        self.assertEqual(self._names(), ["e2"])
+        self.fleet.put(endpoint("e1"), 60)
+        self.assertEqual(self._names(), ["e1", "e2"])
+
+    def test_endpoints_that_are_gone_are_forgotten(self):
+        self.fleet.remove("e1", 0, after_outage=False)
+        self.fleet.expire(KEEP_GONE_MS + 1)
+        self.assertIsNone(self.fleet.get("e1"))
--- /dev/null
+++ b/tests/gateway/test_loads.py
@@ -0,0 +1,59 @@
+"""The common count of what runs where."""
+
+import unittest
+
+from rhubarbwinch.gateway.loads import PEER_SILENCE_MS, LoadBook
+from rhubarbwinch.gateway.messages import EndpointLoad
+
+
+class LoadBookTest(unittest.TestCase):
+    """Counts of several gateways."""
+
+    def test_a_burst_at_two_gateways_is_seen_by_both(self):
+        first, second = LoadBook(), LoadBook()
+        for _ in range(3):
+            first.add("e1", 4_000, 3_000)
+        second.add("e1", 4_000)
+        second.take("first", (1, 1), first.own(), 0)
+        total = second.total("e1")
+        self.assertEqual(
+            (total.runs, total.tokens, total.prefill), (4, 16_000, 9_000)
+        )
+
+    def test_an_older_heartbeat_does_not_undo_a_newer_one(self):
+        book = LoadBook()
+        book.take("p", (1, 5), [EndpointLoad("e1", 2, 10)], 0)
+        book.take("p", (1, 4), [], 0)
+        self.assertEqual(book.total("e1").runs, 2)
+
+    def test_a_peer_that_starts_again_counts_anew(self):
+        book = LoadBook()
+        book.take("p", (1, 500), [EndpointLoad("e1", 2, 10)], 0)
+        book.take("p", (2, 1), [], 0)
+        self.assertEqual(book.total("e1").runs, 0)
+
+    def test_what_a_silent_peer_has_running_is_counted_for_a_while(self):
+        book = LoadBook()
+        book.take("p", (1, 1), [EndpointLoad("e1", 2, 10)], 0)
+        book.forget_silent(PEER_SILENCE_MS)
+        self.assertEqual(book.total("e1").runs, 2)
+        book.forget_silent(PEER_SILENCE_MS + 1)
+        self.assertEqual(book.total("e1").runs, 0)
+
+    def test_what_ends_is_counted_no_more(self):
+        book = LoadBook()
+        book.add("e1", 100, 50)
+        book.end_prefill("e1", 50)
+        book.remove("e1", 100)
+        self.assertEqual(book.own(), [])
+
+    def test_the_version_changes_with_every_change_of_what_runs_here(self):
+        book = LoadBook()
+        seen = {book.version}
+        book.add("e1", 100, 50)
+        seen.add(book.version)
+        book.end_prefill("e1", 50)
+        seen.add(book.version)
+        book.remove("e1", 100)
+        seen.add(book.version)
+        self.assertEqual(len(seen), 4)
--- /dev/null
+++ b/tests/gateway/test_retrybudget.py
@@ -0,0 +1,40 @@
+"""The budget of further sends, shared by all gateways without agreement."""
+
+import unittest
+
+from rhubarbwinch.gateway.retrybudget import RetryBudget
+
+RATIO, WINDOW_MS, EXTRA = 0.2, 10_000, 56
+
+
+class RetryBudgetTest(unittest.TestCase):
+    """Further sends within any window."""
+
+    def test_all_gateways_together_stay_within_the_allowance(self):
+        gateways = 4
+        budgets = [RetryBudget(RATIO, WINDOW_MS, EXTRA) for _ in range(4)]
+        sends, requests = [], []
+        for now in range(0, 40_000, 25):
+            budget = budgets[now // 25 % gateways]
+            budget.add_request("svc", now)
+            requests.append(now)
+            while budget.take("svc", gateways, now):
+                sends.append(now)
+        for start in range(0, 30_000, 500):
+            end = start + WINDOW_MS
+            used = sum(start <= t < end for t in sends)
+            asked = sum(start <= t < end for t in requests)
+            self.assertLessEqual(used, RATIO * asked + EXTRA)
+
+    def test_a_service_does_not_use_the_budget_of_another(self):
+        budget = RetryBudget(0.0, WINDOW_MS, 10)
+        while budget.take("a", 1, 0):
+            pass
+        self.assertTrue(budget.take("b", 1, 0))
+
+    def test_what_is_older_than_the_window_is_free_again(self):
+        budget = RetryBudget(0.0, WINDOW_MS, 10)
+        while budget.take("a", 1, 0):
+            pass
+        self.assertFalse(budget.take("a", 1, WINDOW_MS))
+        self.assertTrue(budget.take("a", 1, WINDOW_MS + 1))
--- /dev/null
+++ b/tests/gateway/test_suspicion.py
@@ -0,0 +1,71 @@
+"""Which endpoints are avoided: replays of the faults that it answers."""
+
+import random
+import unittest
+
+from rhubarbwinch.gateway.suspicion import (
+    FIRST_PAUSE_MS,
+    MAX_PAUSE_MS,
+    Outcome,
+    Suspicion,
+)
+
+NAMES = ["e1", "e2", "e3"]
+
+
+class SuspicionTest(unittest.TestCase):
+    """Outcomes in, avoided endpoints out."""
+
+    def _play(self, suspicion, calls, shares, seed=1):
+        """Spreads calls over the usable endpoints; returns those of each."""
+        rng = random.Random(seed)
+        counts = dict.fromkeys(NAMES, 0)
+        for i in range(calls):
+            now = i * 20
+            name = rng.choice(suspicion.usable(NAMES, now))
+            counts[name] += 1
+            bad = rng.random() < shares[name]
+            outcome = Outcome.BROKEN if bad else Outcome.GOOD
+            suspicion.note("svc", name, outcome, now)
+        return counts
+
+    def test_an_endpoint_that_fails_half_of_its_calls_gets_few(self):
+        for seed in range(5):
+            counts = self._play(
+                Suspicion(), 600, {"e1": 0.5, "e2": 0.0, "e3": 0.0}, seed
+            )
+            self.assertLess(counts["e1"], 60)
+
+    def test_errors_that_all_endpoints_make_suspect_none(self):
+        counts = self._play(Suspicion(), 600, dict.fromkeys(NAMES, 0.14))
+        self.assertGreater(min(counts.values()), 100)
+
+    def test_never_are_most_of_a_service_avoided(self):
+        suspicion = Suspicion()
+        for name in NAMES:
+            for _ in range(5):
+                suspicion.note("svc", name, Outcome.UNREACHABLE, 0)
+        self.assertEqual(len(suspicion.usable(NAMES, 1)), 2)
+
+    def test_after_its_pause_one_good_call_clears_an_endpoint(self):
+        suspicion = Suspicion()
+        suspicion.note("svc", "e1", Outcome.UNREACHABLE, 0)
+        self.assertTrue(suspicion.is_avoided("e1", FIRST_PAUSE_MS - 1))
+        later = FIRST_PAUSE_MS + 1
+        self.assertFalse(suspicion.is_avoided("e1", later))
+        suspicion.note("svc", "e1", Outcome.GOOD, later)
+        suspicion.note("svc", "e1", Outcome.BROKEN, later)
+        self.assertFalse(suspicion.is_avoided("e1", later))
+
+    def test_a_trial_that_fails_doubles_the_pause_up_to_a_bound(self):
+        suspicion = Suspicion()
+        now = 0
+        pauses = []
+        for _ in range(6):
+            suspicion.note("svc", "e1", Outcome.UNREACHABLE, now)
+            start = now
+            while suspicion.is_avoided("e1", now):
+                now += 100
+            pauses.append(now - start)
+        self.assertEqual(pauses[:3], [1_000, 2_000, 4_000])
+        self.assertEqual(pauses[-1], MAX_PAUSE_MS)
--- /dev/null
+++ b/tests/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the adapter to the users' platform."""
--- /dev/null
+++ b/tests/platform/test_bootfile.py
@@ -0,0 +1,56 @@
+"""The platform's settings file."""
+
+import unittest
+
+from rhubarbwinch.exceptions import SettingError
+from rhubarbwinch.platform import bootfile
+
+TEXT = """\
+node=front-1
+zone=z1
+ip=10.1.0.19
+listen.front=10.1.0.19:8740
+listen.ready=10.1.0.19:8749
+listen.directory=10.1.0.19:8746
+internal_ports=7200,7215
+seeds=10.1.0.19:8748,10.2.0.13:8748
+limits.memory_mb=205
+limits.max_fds=6150
+bounds.grace_s=8
+bounds.ttl_max_s=5
+bounds.retry_budget_ratio=0.2
+bounds.budget_window_s=10
+bounds.budget_extra=56
+platform.address=10.200.1.7:8742
+a.new.field=of no interest
+"""
+
+
+class BootFileTest(unittest.TestCase):
+    """Texts in, settings out."""
+
+    def test_the_settings_are_read(self):
+        found = bootfile.parse(TEXT, 9464)
+        self.assertEqual(found.link, "10.1.0.19:7200")
+        self.assertEqual(found.seeds, ("10.2.0.13:7200",))
+        self.assertEqual(found.metrics, "10.1.0.19:9464")
+        self.assertEqual(found.grace_ms, 8_000)
+        self.assertEqual(found.retry_extra, 56)
+
+    def test_a_missing_or_wrong_field_is_named(self):
+        for line, name in (
+            ("zone=z1\n", "zone"),
+            ("platform.address=10.200.1.7:8742\n", "platform.address"),
+            ("internal_ports=7200,7215\n", "internal_ports"),
+        ):
+            with self.assertRaises(SettingError) as caught:
+                bootfile.parse(TEXT.replace(line, ""), 9464)
+            self.assertEqual(caught.exception.name, name)
+        wrong = TEXT.replace("grace_s=8", "grace_s=long")
+        with self.assertRaises(SettingError) as caught:
+            bootfile.parse(wrong, 9464)
+        self.assertEqual(caught.exception.name, "bounds.grace_s")
+
+    def test_a_file_that_is_not_there_is_an_error_of_the_setting(self):
+        with self.assertRaises(SettingError):
+            bootfile.load("/no/such/file", 9464)
--- /dev/null
+++ b/tests/platform/test_headers.py
@@ -0,0 +1,146 @@
+"""Heads of requests and answers on the platform's wire."""
+
+import unittest
+
+from rhubarbwinch.exceptions import BadCallError
+from rhubarbwinch.gateway.wire import MemoryCopy, SendOptions
+from rhubarbwinch.platform import headers
+
+HEAD = [
+    (b"Host", b"H.example:8080"),
+    (b"Attempt-Id", b"a1"),
+    (b"Model", b"m"),
+    (b"Token-Usage", b"1460,80"),
+    (b"Prefix-Hash", b"aa:800,bb:660"),
+    (b"Deadline-Ms", b"39000"),
+    (b"Authorization", b"Bearer k1"),
+    (b"X-Own", b"kept"),
+]
+
+
+def _decode(*more, without=()):
+    found = [(n, v) for n, v in HEAD if n not in without]
+    return headers.decode_call("POST", b"/a/b?c=%20d", [*found, *more])
+
+
+def _sent(call, **options):
+    base = {"endpoint_id": "i-1", "account": "t1", "time_left_ms": 777}
+    found = headers.endpoint_headers(call, SendOptions(**(base | options)), 5)
+    return {n.lower(): v for n, v in found}
+
+
+class CallTest(unittest.TestCase):
+    """Requests of callers."""
+
+    def test_a_head_is_read(self):
+        call = _decode((b"Length-Hint", b"40"), (b"Last-Event-Id", b"9"))
+        self.assertEqual(call.host, "h.example")
+        self.assertEqual(call.path, "/a/b")
+        self.assertEqual(call.request_id, "a1")
+        self.assertEqual(call.api_key, "k1")
+        self.assertEqual(call.deadline_ms, 39_000)
+        self.assertEqual(
+            (call.prompt_tokens, call.max_output_tokens), (1_460, 80)
+        )
+        self.assertEqual(call.likely_output_tokens, 40)
+        self.assertEqual(call.last_event_id, "9")
+
+    def test_a_head_without_one_id_and_one_host_is_refused(self):
+        for change in (
+            {"without": (b"Attempt-Id",)},
+            {"without": (b"Host",)},
+        ):
+            with self.assertRaises(BadCallError):
+                _decode(**change)
+        for more in ((b"Attempt-Id", b"a2"), (b"Host", b"x")):
+            with self.assertRaises(BadCallError):
+                _decode(more)
+        with self.assertRaises(BadCallError):
+            _decode((b"Deadline-Ms", b"soon"), without=(b"Deadline-Ms",))
+
+    def test_what_the_gateway_sets_is_not_taken_from_the_caller(self):
+        forged = [
+            (b"Tenant", b"rich"),
+            (b"Expect-Instance", b"i-9"),
+            (b"Expect-Version", b"4"),
+            (b"Kv-Hold", b"h"),
+            (b"Pin-Ms", b"9"),
+            (b"Kv-Backup", b"1.2.3.4:5"),
+            (b"Kv-From", b"1.2.3.4:5/x"),
+            (b"Kv-Fetch", b"1.2.3.4:5"),
+            (b"Request-Priority", b"0"),
+            (b"Connection", b"close, X-Hop"),
+            (b"X-Hop", b"1"),
+            (b"Transfer-Encoding", b"chunked"),
+        ]
+        sent = _sent(_decode(*forged))
+        self.assertEqual(sent[b"tenant"], b"t1")
+        self.assertEqual(sent[b"expect-instance"], b"i-1")
+        self.assertEqual(sent[b"deadline-ms"], b"777")
+        for name in (
+            b"authorization",
+            b"kv-hold",
+            b"pin-ms",
+            b"kv-backup",
+            b"kv-from",
+            b"kv-fetch",
+            b"request-priority",
+            b"expect-version",
+            b"x-hop",
+            b"connection",
+            b"transfer-encoding",
+        ):
+            self.assertNotIn(name, sent)
+
+    def test_the_rest_is_passed_on_unchanged(self):
+        sent = _sent(_decode())
+        for name, value in HEAD[:5]:
+            self.assertEqual(sent[name.lower()], value)
+        self.assertEqual(sent[b"x-own"], b"kept")
+        self.assertEqual(sent[b"content-length"], b"5")
+
+    def test_a_run_that_goes_on_names_the_copy_and_the_last_event(self):
+        sent = _sent(
+            _decode(),
+            last_event_id="12",
+            resume_from=MemoryCopy("10.0.0.1:80", "h7"),
+        )
+        self.assertEqual(sent[b"kv-from"], b"10.0.0.1:80/h7")
+        self.assertEqual(sent[b"last-event-id"], b"12")
+
+
+class AnswerTest(unittest.TestCase):
+    """Answers of endpoints."""
+
+    def test_only_the_endpoint_itself_says_that_nothing_ran(self):
+        for status, more, expected in (
+            (503, [(b"Not-Executed", b"1")], True),
+            (400, [(b"Not-Executed", b"1")], True),
+            (421, [], True),
+            (503, [], False),
+            (429, [], False),
+            (200, [], False),
+        ):
+            found = headers.decode_answer(status, more)
+            self.assertEqual(found.is_refusal, expected, (status, more))
+
+    def test_an_answer_with_an_encoding_is_not_the_endpoints(self):
+        found = headers.decode_answer(200, [(b"Content-Encoding", b"gzip")])
+        self.assertTrue(found.is_altered)
+
+    def test_an_answer_to_another_request_is_recognised(self):
+        self.assertTrue(headers.is_answer_to("a", [(b"Attempt-Id", b"a")]))
+        self.assertTrue(headers.is_answer_to("a", []))
+        self.assertFalse(headers.is_answer_to("a", [(b"Attempt-Id", b"b")]))
+
+    def test_the_id_of_an_event_may_stand_on_any_line(self):
+        event = b"weight-versions: 2\nid: 17\ndata: x\n\n"
+        self.assertEqual(headers.event_id(event), "17")
+        self.assertIsNone(headers.event_id(b"data: id\n\n"))
+
+    def test_a_refusal_tells_when_to_come_back(self):
+        found = dict(headers.refusal_headers("a1", 250))
+        self.assertEqual(found[b"Retry-After"], b"0.250")
+        self.assertNotIn(
+            b"Retry-After", dict(headers.refusal_headers("", None))
+        )
--- a/tests/test_ctl.py
+++ b/tests/test_ctl.py
@@ -14,8 +14,9 @@
 from rhubarbwinch import ctl, ctlcommands, keys, secretkeys
 from rhubarbwinch.apikeys import matches
 from rhubarbwinch.clock import ManualClock
-from rhubarbwinch.ctl import ExitStatus, Output
+from rhubarbwinch.ctl import Output
 from rhubarbwinch.exceptions import ConflictError, RecordError
+from rhubarbwinch.exitstatus import ExitStatus
 from rhubarbwinch.memstore import MemoryStore
 from rhubarbwinch.records import Record, check
 from tests import builders
