--- /dev/null
+++ b/lab/standins/platformengine.py
@@ -0,0 +1,139 @@
+"""A stand-in for the users' engines and plain services.
+
+It answers by a script: what each arriving request gets is decided by a
+function, so that a test brings about just the fault that it is about. Streams
+make events one by one as the test allows.
+"""
+
+from collections.abc import Awaitable, Callable
+
+import anyio
+import attrs
+import orjson
+
+from rhubarbwinch.clock import SystemClock
+from rhubarbwinch.gateway.edge import EdgeRequest, EdgeResponder, EdgeServer
+from rhubarbwinch.gateway.wire import Headers
+
+SIGNATURE = (b"Server-Signature", b"sig")
+
+
+@attrs.define
+class Arrival:
+    """A request that reached the engine.
+
+    Attributes:
+        request: The request.
+        headers: Its headers by their names in lower case.
+    """
+
+    request: EdgeRequest
+    headers: dict[str, str]
+
+    @property
+    def id(self) -> str:
+        """The id of the request."""
+        return self.headers.get("attempt-id", "")
+
+
+Behaviour = Callable[[Arrival, EdgeResponder], Awaitable[None]]
+
+
+def head_of(arrival: Arrival) -> Headers:
+    """Returns the headers of an engine's own answer."""
+    return [(b"Attempt-Id", arrival.id.encode()), SIGNATURE]
+
+
+async def answer_ok(arrival: Arrival, responder: EdgeResponder) -> None:
+    """Answers by the id of the request."""
+    await responder.send(200, head_of(arrival), arrival.id.encode())
+
+
+async def refuse(arrival: Arrival, responder: EdgeResponder) -> None:
+    """Says that the request did not run."""
+    refusal = (b"Not-Executed", b"1")
+    await responder.send(
+        503, [(b"Attempt-Id", arrival.id.encode()), refusal], b""
+    )
+
+
+def event(number: int) -> bytes:
+    """Returns an event of a stream."""
+    return b"id: %d\ndata: piece %d\n\n" % (number, number)
+
+
+class ScriptedEngine:
+    """An engine whose behaviour a test sets.
+
+    Args:
+        name: The engine's id in the store.
+        address: `a.b.c.d:port` to listen on.
+        service: The service that it runs.
+    """
+
+    def __init__(self, name: str, address: str, service: str) -> None:
+        self.name = name
+        self.address = address
+        self.service = service
+        self.behaviour: Behaviour = answer_ok
+        self.arrivals: list[Arrival] = []
+        self.left = 0
+        self.moves: list[dict[str, object]] = []
+        self.move_status = 200
+        self._server = EdgeServer(address, self._handle, SystemClock())
+
+    @property
+    def entry(self) -> bytes:
+        """What it registers while it is ready."""
+        return self.registration("ready")
+
+    def registration(self, state: str) -> bytes:
+        """Returns what it registers in a state."""
+        return orjson.dumps(
+            {
+                "service": self.service,
+                "address": self.address,
+                "zone": "z1",
+                "version": "v1",
+                "slots": 24,
+                "state": state,
+                "cold_remaining_ms": 0,
+                "sequence": 1,
+                "born": 1_786_000_000_000,
+            }
+        )
+
+    async def run(self) -> None:
+        """Serves until cancelled."""
+        await self._server.run()
+
+    async def _handle(
+        self, request: EdgeRequest, responder: EdgeResponder
+    ) -> None:
+        names = {
+            n.decode().lower(): v.decode("latin-1") for n, v in request.headers
+        }
+        arrival = Arrival(request, names)
+        if request.target == b"/kv-move":
+            await self._move(request, responder)
+            return
+        expected = names.get("expect-instance")
+        if expected != self.name:
+            await responder.send(421, [], b"")
+            return
+        self.arrivals.append(arrival)
+        try:
+            await self.behaviour(arrival, responder)
+        except anyio.get_cancelled_exc_class():
+            self.left += 1
+            raise
+
+    async def _move(
+        self, request: EdgeRequest, responder: EdgeResponder
+    ) -> None:
+        body = orjson.loads(request.body)
+        self.moves.append(body)
+        answer = {"handle": f"h-{body['id']}", "created": 0}
+        if self.move_status != 200:
+            answer = {}
+        await responder.send(self.move_status, [], orjson.dumps(answer))
--- /dev/null
+++ b/lab/standins/platformstore.py
@@ -0,0 +1,180 @@
+"""A stand-in for the users' platform store, over the store in memory.
+
+It speaks the published HTTP interface. `Faults` sets what goes wrong.
+"""
+
+import base64
+from typing import Any
+from urllib.parse import parse_qs
+
+import anyio
+import attrs
+import orjson
+
+from rhubarbwinch.clock import Clock, SystemClock
+from rhubarbwinch.exceptions import StoreUncertain
+from rhubarbwinch.gateway.edge import EdgeRequest, EdgeResponder, EdgeServer
+from rhubarbwinch.memstore import MemoryStore
+from rhubarbwinch.store import Change, Entry, Swap
+
+JSON = dict[str, Any]
+
+
+@attrs.define
+class Faults:
+    """What goes wrong.
+
+    Attributes:
+        status: Each call gets this status; 0 for none.
+        is_silent: No call is answered.
+        lose_answers: So many of the next writes are done and not answered.
+        forgotten: Changes up to this revision are no longer known.
+        page: The most items of a page.
+    """
+
+    status: int = 0
+    is_silent: bool = False
+    lose_answers: int = 0
+    forgotten: int = 0
+    page: int = 500
+
+
+def _row(entry: Entry) -> JSON:
+    return {
+        "key": entry.key,
+        "value": base64.b64encode(entry.value).decode(),
+        "revision": entry.revision,
+        "created": entry.revision,
+        "lease": 0,
+    }
+
+
+def _event(change: Change) -> JSON:
+    if change.entry is None:
+        row = {"key": change.key, "revision": change.revision}
+        return row | {"tombstone": True}
+    return _row(change.entry)
+
+
+class PlatformStoreServer:
+    """The store's HTTP interface.
+
+    Args:
+        address: `a.b.c.d:port` to listen on.
+        clock: The time by which leases lapse.
+    """
+
+    def __init__(self, address: str, clock: Clock | None = None) -> None:
+        self.memory = MemoryStore(clock or SystemClock())
+        self.faults = Faults()
+        self.calls: list[str] = []
+        self._server = EdgeServer(address, self._handle, SystemClock())
+
+    async def run(self) -> None:
+        """Serves until cancelled."""
+        await self._server.run()
+
+    async def put(self, key: str, value: bytes) -> None:
+        """Writes as the operator or an engine does."""
+        current = await self.memory.get(key)
+        expected = current.revision if current else 0
+        await self.memory.swap(key, expected, value)
+
+    async def remove(self, key: str) -> None:
+        """Deletes as a lapsed lease does."""
+        current = await self.memory.get(key)
+        if current is not None:
+            await self.memory.delete(key, current.revision)
+
+    async def _handle(
+        self, request: EdgeRequest, responder: EdgeResponder
+    ) -> None:
+        path, _, query = request.target.decode().partition("?")
+        self.calls.append(path)
+        if self.faults.is_silent:
+            await anyio.sleep_forever()
+        if self.faults.status:
+            await responder.send(self.faults.status, [], b"")
+            return
+        params = {k: v[0] for k, v in parse_qs(query).items()}
+        body = orjson.loads(request.body or b"{}")
+        status, answer = await self._answer(path, params, body)
+        await responder.send(status, [], orjson.dumps(answer))
+
+    async def _answer(
+        self, path: str, params: dict[str, str], body: JSON
+    ) -> tuple[int, JSON]:
+        name, _, rest = path.lstrip("/").partition("/")
+        if name == "kv-key":
+            entry = await self.memory.get(params["key"])
+            return (200, _row(entry)) if entry else (404, {})
+        if name == "kv-range":
+            return await self._range(params)
+        if name == "kv-watch":
+            return await self._watch(params)
+        if name == "kv-txn":
+            return await self._transact(body)
+        return await self._answer_lease(name, rest, body)
+
+    async def _answer_lease(
+        self, name: str, rest: str, body: JSON
+    ) -> tuple[int, JSON]:
+        if name == "kv-lease":
+            lease = await self.memory.grant_lease(body["ttl_ms"])
+            return 200, {"lease": lease, "ttl_ms": body["ttl_ms"]}
+        if name == "kv-keep":
+            left = await self.memory.keep_lease(int(rest))
+            return (200, {"ttl_ms": left}) if left else (404, {})
+        if name != "kv-lease-end":
+            return 404, {}
+        await self.memory.revoke_lease(int(rest))
+        return 200, {}
+
+    async def _range(self, params: dict[str, str]) -> tuple[int, JSON]:
+        listing = await self.memory.scan(params.get("prefix", ""))
+        after = params.get("after", "")
+        entries = [e for e in listing.entries if e.key > after]
+        page = entries[: self.faults.page]
+        return 200, {
+            "items": [_row(entry) for entry in page],
+            "has_more": len(entries) > len(page),
+            "at": self.memory.revision,
+        }
+
+    async def _watch(self, params: dict[str, str]) -> tuple[int, JSON]:
+        prefix, after = params.get("prefix", ""), int(params["after"])
+        if after < self.faults.forgotten:
+            return 410, {}
+        with anyio.move_on_after(int(params["wait_ms"]) / 1000):
+            async for _ in self.memory.watch(prefix, after):
+                break
+        changes = [
+            change
+            for change in self.memory.changes
+            if change.revision > after and change.key.startswith(prefix)
+        ]
+        answer = [_event(change) for change in changes]
+        return 200, {"events": answer, "at": self.memory.revision}
+
+    async def _transact(self, body: JSON) -> tuple[int, JSON]:
+        """Does a transaction of one key, which is all that the gateway asks."""
+        row = body["expected_rev"][0]
+        key, expected = row["key"], row["revision"]
+        if body["deletes"]:
+            swap = await self.memory.delete(key, expected)
+        else:
+            write = body["writes"][0]
+            value = base64.b64decode(write["value"])
+            swap = await self.memory.swap(
+                key, expected, value, write.get("lease", 0)
+            )
+        if self.faults.lose_answers:
+            self.faults.lose_answers -= 1
+            raise StoreUncertain("the answer is lost")
+        return self._swap_answer(key, swap)
+
+    def _swap_answer(self, key: str, swap: Swap) -> tuple[int, JSON]:
+        if swap.won:
+            return 200, {"revision": swap.revision}
+        current = _row(swap.current) if swap.current else {"key": key}
+        return 412, {"items": [{"revision": 0} | current]}
--- a/rhubarbwinch/gateway/streams.py
+++ b/rhubarbwinch/gateway/streams.py
@@ -1,5 +1,6 @@
 """Generations: placed, relayed event by event, and carried on elsewhere."""
 
+import enum
 from collections.abc import AsyncGenerator
 from contextlib import aclosing
 
@@ -43,6 +44,14 @@
 _OK = 200
 
 
+class EventPlace(enum.Enum):
+    """Where an event stands in its stream."""
+
+    NEXT = enum.auto()
+    REPEATED = enum.auto()
+    AFTER_GAP = enum.auto()
+
+
 class StreamCalls:
     """Serves generations.
 
@@ -378,34 +387,40 @@
         Raises:
             EndpointError: An event is out of order.
         """
-        fresh = []
+        fresh: list[bytes] = []
+        missing = ""
         for event in splitter.feed(data):
             found = self._context.platform.event_id(event.raw)
-            if found is not None and not self._is_next(run, found):
+            place = self._place_of(run, found)
+            if place is EventPlace.REPEATED:
                 continue
+            if place is EventPlace.AFTER_GAP:
+                missing = f"event {found} after {run.last_event_id}"
+                break
             run.last_event_id = found or run.last_event_id
             run.events += 1
             fresh.append(event.raw)
-        if not fresh:
-            return
-        self._note_events(run)
-        if not run.head_sent:
-            await self._send_head(run, answer)
-        await run.responder.write(b"".join(fresh))
-
-    def _is_next(self, run: Run, event_id: str) -> bool:
-        """Tells whether an event is new; one that came before is dropped.
-
-        Raises:
-            EndpointError: Events are missing before it.
-        """
+        # What came in order before a gap has to go out: the run goes on after
+        # the last event that counts as the caller's.
+        if fresh:
+            self._note_events(run)
+            if not run.head_sent:
+                await self._send_head(run, answer)
+            await run.responder.write(b"".join(fresh))
+        if missing:
+            raise EndpointError(missing, sent=True)
+
+    def _place_of(self, run: Run, event_id: str | None) -> EventPlace:
+        """Tells whether an event is the next one."""
         last = run.last_event_id or run.job.call.last_event_id
-        if last is None or not (event_id.isdigit() and last.isdigit()):
-            return True
+        if event_id is None or last is None:
+            return EventPlace.NEXT
+        if not (event_id.isdigit() and last.isdigit()):
+            return EventPlace.NEXT
         step = int(event_id) - int(last)
         if step > 1:
-            raise EndpointError(f"event {event_id} after {last}", sent=True)
-        return step == 1
+            return EventPlace.AFTER_GAP
+        return EventPlace.NEXT if step == 1 else EventPlace.REPEATED
 
     def _note_events(self, run: Run) -> None:
         now = self._context.clock.now()
--- /dev/null
+++ b/tests/gateway/test_edge.py
@@ -0,0 +1,235 @@
+"""Connections of callers: what is read, what is refused, what is seen."""
+
+import asyncio
+import random
+import unittest
+from contextlib import asynccontextmanager
+
+import anyio
+
+from rhubarbwinch.clock import SystemClock
+from rhubarbwinch.gateway.edge import EdgeServer
+from rhubarbwinch.gateway.routes import HttpLimits
+from tests.helpers import asynchronous, free_address
+
+GET = b"GET /a HTTP/1.1\r\nHost: h\r\n\r\n"
+
+
+class Edge:
+    """An edge whose handler echoes, and what it saw."""
+
+    def __init__(self):
+        self.address = free_address()
+        self.seen = []
+        self.cancelled = anyio.Event()
+        self.handler = self.echo
+        self.server = EdgeServer(self.address, self._handle, SystemClock())
+
+    async def _handle(self, request, responder):
+        self.seen.append(request)
+        await self.handler(request, responder)
+
+    async def echo(self, request, responder):
+        body = request.method.encode() + b" " + request.target + request.body
+        await responder.send(200, [], body)
+
+    async def hang(self, request, responder):
+        try:
+            await anyio.sleep_forever()
+        finally:
+            self.cancelled.set()
+
+    async def connect(self):
+        host, port = self.address.split(":")
+        return await asyncio.open_connection(host, int(port))
+
+    async def talk(self, data):
+        """Sends bytes; returns all that comes until the connection ends."""
+        reader, writer = await self.connect()
+        writer.write(data)
+        writer.write_eof() if not data else None
+        try:
+            return await reader.read()
+        finally:
+            writer.close()
+
+
+@asynccontextmanager
+async def edge(limits=None):
+    """Runs an edge; yields it with what it saw."""
+    found = Edge()
+    if limits is not None:
+        found.server.status.limits = limits
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(found.server.run)
+        await anyio.wait_all_tasks_blocked()
+        try:
+            yield found
+        finally:
+            tasks.cancel_scope.cancel()
+
+
+async def _read_answer(reader):
+    head = await reader.readuntil(b"\r\n\r\n")
+    size = int(head.lower().split(b"content-length:")[1].split(b"\r\n")[0])
+    return head, await reader.readexactly(size)
+
+
+class EdgeTest(unittest.TestCase):
+    """One server on a real socket."""
+
+    @asynchronous
+    async def test_requests_on_one_connection_get_their_own_answers(self):
+        async with edge() as server:
+            reader, writer = await server.connect()
+            for data in (
+                GET + b"GET /b HTTP/1.1\r\nHost: h\r\n\r\n",
+                b"POST /c HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nxyz",
+                b"POST /d HTTP/1.1\r\nHost: h\r\n"
+                b"Transfer-Encoding: chunked\r\n\r\n"
+                b"2\r\nab\r\n1\r\nc\r\n0\r\n\r\n",
+            ):
+                writer.write(data)
+            found = [(await _read_answer(reader))[1] for _ in range(4)]
+            writer.close()
+        self.assertEqual(
+            found, [b"GET /a", b"GET /b", b"POST /cxyz", b"POST /dabc"]
+        )
+
+    @asynchronous
+    async def test_requests_that_could_be_read_in_two_ways_are_refused(self):
+        smuggled = b"GET /evil HTTP/1.1\r\nHost: h\r\n\r\n"
+        cases = [
+            b"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n"
+            b"Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n" + smuggled,
+            b"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n"
+            b"Content-Length: 5\r\n\r\nabcde" + smuggled,
+            b"POST /a HTTP/1.1\r\nHost: h\r\n"
+            b"Transfer-Encoding: xchunked\r\n\r\n" + smuggled,
+            b"POST /a HTTP/1.1\r\nHost : h\r\n\r\n" + smuggled,
+            b"\x16\x03\x01\x02\x00\x01\x00" + smuggled,
+            b"POST /a HTTP/1.1\r\nHost: h\r\n"
+            b"Transfer-Encoding: chunked\r\n\r\n-1\r\n" + smuggled,
+        ]
+        async with edge() as server:
+            for data in cases:
+                answer = await server.talk(data)
+                self.assertIn(answer[9:10], (b"4", b"5", b""), data)
+            paths = {request.target for request in server.seen}
+        self.assertNotIn(b"/evil", paths)
+
+    @asynchronous
+    async def test_a_body_that_holds_a_request_is_a_body(self):
+        inner = b"GET /evil HTTP/1.1\r\nHost: h\r\n\r\n"
+        head = b"POST /a HTTP/1.1\r\nHost: h\r\nConnection: close\r\n"
+        data = head + b"Content-Length: %d\r\n\r\n" % len(inner) + inner
+        async with edge() as server:
+            answer = await server.talk(data)
+            self.assertTrue(answer.endswith(b"POST /a" + inner))
+            self.assertEqual(len(server.seen), 1)
+
+    @asynchronous
+    async def test_what_is_over_the_limits_is_refused(self):
+        limits = HttpLimits(head_bytes=500, body_bytes=10)
+        long_head = b"GET /a HTTP/1.1\r\nHost: h\r\nX: " + b"x" * 900
+        post = b"POST /a HTTP/1.1\r\nHost: h\r\n"
+        async with edge(limits) as server:
+            self.assertIn(b" 431 ", await server.talk(long_head))
+            announced = post + b"Content-Length: 11\r\n\r\n"
+            self.assertIn(b" 413 ", await server.talk(announced))
+            chunked = post + b"Transfer-Encoding: chunked\r\n\r\nb\r\n"
+            answer = await server.talk(chunked + b"x" * 11 + b"\r\n")
+            self.assertIn(b" 413 ", answer)
+            self.assertEqual(server.seen, [])
+
+    @asynchronous
+    async def test_a_head_that_comes_too_slowly_is_refused(self):
+        async with edge(HttpLimits(head_ms=50)) as server:
+            answer = await server.talk(b"GET /a HTTP/1.1\r\n")
+            self.assertIn(b" 408 ", answer)
+
+    @asynchronous
+    async def test_an_idle_connection_is_closed_without_a_word(self):
+        async with edge(HttpLimits(idle_ms=50)) as server:
+            reader, writer = await server.connect()
+            self.assertEqual(await reader.read(), b"")
+            writer.close()
+
+    @asynchronous
+    async def test_the_work_ends_when_the_caller_leaves(self):
+        async with edge() as server:
+            server.handler = server.hang
+            _, writer = await server.connect()
+            writer.write(GET)
+            while not server.seen:
+                await anyio.lowlevel.checkpoint()
+            writer.close()
+            await server.cancelled.wait()
+            await anyio.wait_all_tasks_blocked()
+            self.assertEqual(server.server.status.open_requests, 0)
+
+    @asynchronous
+    async def test_a_stream_that_ends_early_does_not_look_complete(self):
+        async def broken(request, responder):
+            await responder.start_stream(200, [])
+            await responder.write(b"id: 1\n\n")
+
+        async with edge() as server:
+            server.handler = broken
+            reader, writer = await server.connect()
+            writer.write(GET)
+            with self.assertRaises(ConnectionError):
+                data = await reader.read()
+                if not data.endswith(b"0\r\n\r\n"):
+                    raise ConnectionResetError
+            writer.close()
+
+    @asynchronous
+    async def test_a_handler_that_fails_ends_its_connection_only(self):
+        async def fail(request, responder):
+            raise RuntimeError("a fault")
+
+        async with edge() as server:
+            server.handler = fail
+            reader, writer = await server.connect()
+            writer.write(GET)
+            with self.assertRaises(ConnectionError):
+                if not await reader.read():
+                    raise ConnectionResetError
+            writer.close()
+            server.handler = server.echo
+            closing = GET.replace(b"\r\n\r\n", b"\r\nConnection: close\r\n\r\n")
+            self.assertIn(b"GET /a", await server.talk(closing))
+
+    @asynchronous
+    async def test_a_connection_ends_after_its_answer_while_draining(self):
+        async with edge() as server:
+            server.server.status.is_closing = True
+            answer = await server.talk(GET)
+            self.assertIn(b"Connection: close", answer)
+
+    @asynchronous
+    async def test_random_bytes_never_reach_the_handler_as_another_request(
+        self,
+    ):
+        whole = b"POST /ok HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nGET "
+        async with edge(HttpLimits(head_ms=30, idle_ms=30)) as server:
+            for seed in range(120):
+                rng = random.Random(seed)
+                data = bytearray(whole * 2)
+                for _ in range(rng.randrange(1, 4)):
+                    place = rng.randrange(len(data))
+                    action = rng.randrange(3)
+                    if action == 0:
+                        data[place] = rng.randrange(256)
+                    elif action == 1:
+                        del data[place]
+                    else:
+                        data[place:place] = rng.choice(
+                            [b"\r\n", b"\n", b"\x00", b": ", b"0", b" "]
+                        )
+                await server.talk(bytes(data))
+            for request in server.seen:
+                # A changed byte may give another path, never a request whose
+                # first line is the body of another one.
+                self.assertNotEqual(request.method, "GET")
--- /dev/null
+++ b/tests/gateway/test_plaincalls.py
@@ -0,0 +1,195 @@
+"""Plain calls before endpoints that fail in every way that they can."""
+
+import unittest
+
+import anyio
+
+from lab.standins.platformengine import answer_ok, head_of, refuse
+from rhubarbwinch.gateway.routes import CallKind
+from tests import gatewaybuilders as build
+from tests.gatewayworld import world
+from tests.helpers import asynchronous
+
+UNSAFE = build.table(build.route(CallKind.NON_IDEMPOTENT))
+
+
+async def cut(arrival, responder):
+    """Closes the connection without an answer."""
+
+
+async def cut_midway(arrival, responder):
+    """Announces more than it sends."""
+    headers = [*head_of(arrival), (b"Content-Length", b"100")]
+    await responder._connection.write(
+        b"HTTP/1.1 200 OK\r\n"
+        + b"".join(n + b": " + v + b"\r\n" for n, v in headers)
+        + b"\r\nhalf"
+    )
+
+
+async def fail(arrival, responder):
+    """An error of the endpoint's own."""
+    await responder.send(500, head_of(arrival), b"no")
+
+
+async def unsigned(arrival, responder):
+    """An answer that is not the endpoint's."""
+    head = [(b"Attempt-Id", arrival.id.encode())]
+    await responder.send(200, head, b"not the endpoint's")
+
+
+async def encoded(arrival, responder):
+    """A body that something on the way has changed."""
+    head = [*head_of(arrival), (b"Content-Encoding", b"gzip")]
+    await responder.send(200, head, b"zzz")
+
+
+async def busy(arrival, responder):
+    """Says 503 without saying that nothing ran."""
+    await responder.send(503, head_of(arrival), b"")
+
+
+async def nonsense(arrival, responder):
+    """Bytes that are no answer."""
+    await responder._connection.write(b"\x00\x01 what?\r\n\r\n")
+
+
+async def stale_first(arrival, responder):
+    """An answer to another request stands before the right one."""
+    await responder._connection.write(
+        b"HTTP/1.1 200 OK\r\nAttempt-Id: other\r\nServer-Signature: s\r\n"
+        b"Content-Length: 5\r\n\r\nother"
+    )
+    await answer_ok(arrival, responder)
+
+
+def _once(behaviour):
+    """Returns a behaviour that is good from the second request on."""
+    seen = []
+
+    async def run(arrival, responder):
+        seen.append(1)
+        chosen = behaviour if len(seen) == 1 else answer_ok
+        await chosen(arrival, responder)
+
+    return run
+
+
+BAD = (cut, cut_midway, unsigned, encoded, busy, nonsense)
+
+
+class PlainCallsTest(unittest.TestCase):
+    """One caller, two endpoints."""
+
+    @asynchronous
+    async def test_a_whole_answer_is_passed_on(self):
+        async with world() as w:
+            found = await w.call()
+        self.assertEqual((found.status, found.body), (200, b"q1"))
+        self.assertEqual(found.headers["server-signature"], "sig")
+        self.assertEqual(len(w.arrivals), 1)
+
+    @asynchronous
+    async def test_a_repeatable_call_is_served_by_the_other_endpoint(self):
+        for behaviour in (*BAD, refuse, fail):
+            async with world() as w:
+                once = _once(behaviour)
+                for engine in w.engines:
+                    engine.behaviour = once
+                found = await w.call()
+                self.assertEqual(found.status, 200, behaviour)
+                self.assertEqual(sorted(w.arrivals), ["e1", "e2"])
+
+    @asynchronous
+    async def test_a_call_that_may_have_run_once_is_never_sent_again(self):
+        for behaviour in BAD:
+            async with world(table=UNSAFE) as w:
+                for engine in w.engines:
+                    engine.behaviour = behaviour
+                found = await w.call()
+                self.assertEqual(found.status, 502, behaviour)
+                self.assertEqual(len(w.arrivals), 1, behaviour)
+                self.assertNotIn("server-signature", found.headers)
+
+    @asynchronous
+    async def test_a_refused_call_goes_elsewhere_and_is_not_run_twice(self):
+        async with world(table=UNSAFE) as w:
+            w.engines[0].behaviour = w.engines[1].behaviour = refuse
+            found = await w.call()
+            self.assertEqual(found.status, 503)
+            self.assertIn("retry-after", found.headers)
+            self.assertEqual(sorted(w.arrivals), ["e1", "e2"])
+
+    @asynchronous
+    async def test_an_endpoint_that_is_gone_is_passed_by(self):
+        async with world(table=UNSAFE) as w:
+            known = w.context.fleet.get("e1")
+            gone = build.endpoint("e1", address="127.0.0.1:1")
+            known.endpoint = gone
+            for i in range(6):
+                found = await w.call(f"q{i}")
+                self.assertEqual(found.status, 200)
+
+    @asynchronous
+    async def test_an_address_used_by_another_endpoint_runs_nothing(self):
+        async with world(engines=1, table=UNSAFE) as w:
+            w.engines[0].name = "e9"
+            found = await w.call()
+            self.assertEqual(found.status, 503)
+            self.assertEqual(w.arrivals, [])
+
+    @asynchronous
+    async def test_an_answer_to_another_request_is_passed_over(self):
+        async with world(engines=1) as w:
+            w.engines[0].behaviour = stale_first
+            found = await w.call()
+            self.assertEqual((found.status, found.body), (200, b"q1"))
+
+    @asynchronous
+    async def test_an_endpoints_own_failure_is_passed_on_as_it_is(self):
+        async with world(table=UNSAFE) as w:
+            w.engines[0].behaviour = w.engines[1].behaviour = fail
+            found = await w.call()
+            self.assertEqual((found.status, found.body), (500, b"no"))
+            self.assertEqual(found.headers["server-signature"], "sig")
+            self.assertEqual(len(w.arrivals), 1)
+
+    @asynchronous
+    async def test_the_endpoints_work_ends_when_the_caller_leaves(self):
+        async def hang(arrival, responder):
+            await anyio.sleep_forever()
+
+        async with world(engines=1) as w:
+            w.engines[0].behaviour = hang
+            _, writer = await w.open()
+            while not w.arrivals:
+                await anyio.sleep(0)
+            writer.close()
+            while not w.engines[0].left:
+                await anyio.sleep(0)
+            self.assertEqual(w.context.loads.own(), [])
+
+    @asynchronous
+    async def test_the_deadline_is_what_is_left(self):
+        async with world(engines=1) as w:
+            await w.call()
+            headers = w.engines[0].arrivals[0].headers
+            # The route's limit of 5 s goes before the caller's 20 s.
+            self.assertLessEqual(int(headers["deadline-ms"]), 5_000)
+            self.assertEqual(headers["tenant"], "acme")
+            self.assertNotIn("authorization", headers)
+
+    @asynchronous
+    async def test_unknown_keys_routes_and_missing_ids_are_refused(self):
+        async with world() as w:
+            for more, status in (
+                ({"Authorization": "Bearer other"}, 401),
+                ({"Authorization": ""}, 401),
+                ({"path": "/unknown/"}, 404),
+                ({"Attempt_Id": ""}, 400),
+            ):
+                found = await w.call(**more)
+                self.assertEqual(found.status, status, more)
+            w.context.table = None
+            self.assertEqual((await w.call()).status, 503)
+            self.assertEqual(w.arrivals, [])
--- /dev/null
+++ b/tests/gateway/test_streams.py
@@ -0,0 +1,231 @@
+"""Generations before engines that leave, crash, refuse and break off."""
+
+import unittest
+
+import anyio
+
+from lab.standins.platformengine import event, head_of, refuse
+from rhubarbwinch.gateway.routes import CallKind
+from tests import gatewaybuilders as build
+from tests.gatewayworld import read_answer, world
+from tests.helpers import asynchronous
+
+ONCE = build.table(build.route(CallKind.STREAM, timeout_ms=20_000))
+RESUMABLE = build.table(
+    build.route(
+        CallKind.STREAM, timeout_ms=20_000, is_resumable=True, max_attempts=2
+    )
+)
+ALL = b"".join(event(i) for i in range(1, 7))
+
+
+class Generation:
+    """Makes six events; a test decides when, and where it breaks."""
+
+    def __init__(self):
+        self.break_after = None
+        self.tail = b""
+        self.reached = anyio.Event()
+        self.go_on = anyio.Event()
+        self.go_on.set()
+
+    async def run(self, arrival, responder):
+        """Behaves as an engine."""
+        start = int(arrival.headers.get("last-event-id", 0))
+        await responder.start_stream(200, head_of(arrival))
+        for number in range(start + 1, 7):
+            await responder.write(event(number))
+            if number == self.break_after:
+                self.break_after = None
+                await responder.write(self.tail) if self.tail else None
+                self.reached.set()
+                await self.go_on.wait()
+                return
+        await responder.end_stream()
+
+
+async def _start(w, *args, **more):
+    reader, writer = await w.open(*args, **more)
+    return reader, writer
+
+
+class StreamCallsTest(unittest.TestCase):
+    """One caller, some engines."""
+
+    def _script(self, w, generation):
+        for engine in w.engines:
+            engine.behaviour = generation.run
+
+    @asynchronous
+    async def test_a_stream_is_passed_on_whole(self):
+        async with world(table=ONCE) as w:
+            self._script(w, Generation())
+            found = await w.call()
+        self.assertEqual(found.body, ALL)
+        self.assertTrue(found.is_complete)
+        self.assertEqual(w.context.loads.own(), [])
+
+    @asynchronous
+    async def test_a_run_goes_on_from_its_copy_when_its_engine_ends(self):
+        async with world(table=ONCE) as w:
+            generation = Generation()
+            generation.break_after = 3
+            generation.go_on = anyio.Event()
+            self._script(w, generation)
+            reader, writer = await _start(w)
+            await generation.reached.wait()
+            source = next(e for e in w.engines if e.arrivals)
+            other = next(e for e in w.engines if e is not source)
+            w.announce_leaving(source)
+            while not source.moves:
+                await anyio.sleep(0)
+            self.assertEqual(source.moves[0]["to"], other.address)
+            # The first copy is answered before its engine ends.
+            while not next(iter(w.streams._runs)).home:
+                await anyio.sleep(0)
+            generation.go_on.set()
+            found = await read_answer(reader)
+            writer.close()
+        self.assertEqual(found.body, ALL)
+        self.assertTrue(found.is_complete)
+        resumed = other.arrivals[0].headers
+        self.assertEqual(resumed["kv-from"], f"{source.address}/h-q1")
+        self.assertEqual(resumed["last-event-id"], "3")
+
+    @asynchronous
+    async def test_a_run_without_a_copy_is_never_run_again(self):
+        async with world(table=ONCE) as w:
+            generation = Generation()
+            generation.break_after = 3
+            self._script(w, generation)
+            found = await w.call()
+            self.assertEqual(len(w.arrivals), 1)
+        self.assertEqual(found.body, b"".join(event(i) for i in (1, 2, 3)))
+        self.assertFalse(found.is_complete)
+
+    @asynchronous
+    async def test_a_run_that_broke_before_its_first_event_is_not_refused(
+        self,
+    ):
+        async def cut(arrival, responder):
+            """Closes the connection without an answer."""
+
+        async with world(table=ONCE) as w:
+            for engine in w.engines:
+                engine.behaviour = cut
+            found = await w.call()
+            self.assertEqual(found.status, 502)
+            self.assertEqual(len(w.arrivals), 1)
+
+    @asynchronous
+    async def test_a_refused_run_is_placed_elsewhere(self):
+        async with world(table=ONCE) as w:
+            generation = Generation()
+            seen = []
+
+            async def refuse_first(arrival, responder):
+                seen.append(1)
+                if len(seen) == 1:
+                    await refuse(arrival, responder)
+                else:
+                    await generation.run(arrival, responder)
+
+            for engine in w.engines:
+                engine.behaviour = refuse_first
+            found = await w.call()
+        self.assertEqual(found.body, ALL)
+        self.assertEqual(sorted(w.arrivals), ["e1", "e2"])
+
+    @asynchronous
+    async def test_a_resumable_run_begins_anew_after_its_last_event(self):
+        async with world(table=RESUMABLE) as w:
+            generation = Generation()
+            generation.break_after = 2
+            self._script(w, generation)
+            found = await w.call()
+            self.assertEqual(found.body, ALL)
+            self.assertTrue(found.is_complete)
+            self.assertEqual(sorted(w.arrivals), ["e1", "e2"])
+
+    @asynchronous
+    async def test_a_resumable_run_is_sent_no_more_than_the_route_allows(self):
+        async def break_always(arrival, responder):
+            start = int(arrival.headers.get("last-event-id", 0))
+            await responder.start_stream(200, head_of(arrival))
+            await responder.write(event(start + 1))
+
+        async with world(engines=4, table=RESUMABLE) as w:
+            for engine in w.engines:
+                engine.behaviour = break_always
+            found = await w.call()
+            self.assertEqual(len(w.arrivals), 2)
+        self.assertFalse(found.is_complete)
+        self.assertEqual(found.body, event(1) + event(2))
+
+    @asynchronous
+    async def test_a_part_of_an_event_is_not_passed_on(self):
+        async with world(table=RESUMABLE) as w:
+            generation = Generation()
+            generation.break_after = 2
+            generation.tail = b"id: 3\ndata: pie"
+            self._script(w, generation)
+            found = await w.call()
+        self.assertEqual(found.body, ALL)
+
+    @asynchronous
+    async def test_events_that_came_before_are_dropped(self):
+        async def repeat(arrival, responder):
+            await responder.start_stream(200, head_of(arrival))
+            for number in (1, 2, 2, 1, 3):
+                await responder.write(event(number))
+            await responder.end_stream()
+
+        async with world(engines=1, table=ONCE) as w:
+            w.engines[0].behaviour = repeat
+            found = await w.call()
+        self.assertEqual(found.body, event(1) + event(2) + event(3))
+
+    @asynchronous
+    async def test_a_stream_with_a_missing_event_does_not_look_complete(self):
+        async def skip(arrival, responder):
+            await responder.start_stream(200, head_of(arrival))
+            for number in (1, 3):
+                await responder.write(event(number))
+            await responder.end_stream()
+
+        async with world(engines=1, table=ONCE) as w:
+            w.engines[0].behaviour = skip
+            found = await w.call()
+        self.assertFalse(found.is_complete)
+        self.assertEqual(found.body, event(1))
+
+    @asynchronous
+    async def test_without_an_engine_a_run_is_refused_as_not_run(self):
+        table = build.table(
+            build.route(CallKind.STREAM, objective_ms=50, timeout_ms=500)
+        )
+        async with world(engines=0, table=table) as w:
+            found = await w.call()
+        self.assertEqual(found.status, 503)
+        self.assertIn("retry-after", found.headers)
+
+    @asynchronous
+    async def test_a_caller_that_leaves_ends_its_run(self):
+        async with world(engines=1, table=ONCE) as w:
+            generation = Generation()
+            generation.break_after = 2
+            generation.go_on = anyio.Event()
+            self._script(w, generation)
+            _, writer = await _start(w)
+            await generation.reached.wait()
+            writer.close()
+            while not w.engines[0].left:
+                await anyio.sleep(0)
+            self.assertEqual(w.context.loads.own(), [])
+
+    @asynchronous
+    async def test_a_gateway_that_leaves_takes_no_generation(self):
+        async with world(table=ONCE) as w:
+            w.context.is_draining = True
+            found = await w.call()
+            self.assertEqual((found.status, w.arrivals), (503, []))
--- /dev/null
+++ b/tests/gatewayworld.py
@@ -0,0 +1,172 @@
+"""A gateway's request path on loopback, before engines that tests script."""
+
+import asyncio
+from contextlib import asynccontextmanager
+
+import anyio
+import attrs
+
+from lab.standins.platformengine import ScriptedEngine
+from rhubarbwinch.clock import SystemClock
+from rhubarbwinch.gateway.context import Context
+from rhubarbwinch.gateway.edge import EdgeServer
+from rhubarbwinch.gateway.fleet import Fleet
+from rhubarbwinch.gateway.loads import LoadBook
+from rhubarbwinch.gateway.plaincalls import PlainCalls
+from rhubarbwinch.gateway.retrybudget import RetryBudget
+from rhubarbwinch.gateway.router import Router
+from rhubarbwinch.gateway.streams import StreamCalls
+from rhubarbwinch.gateway.suspicion import Suspicion
+from rhubarbwinch.gateway.upstream import Upstream
+from rhubarbwinch.platform.adapter import KielichowaPlatform
+from rhubarbwinch.platform.enginecalls import PlatformEngineCalls
+from rhubarbwinch.transport import Transport
+from tests import gatewaybuilders as build
+from tests.helpers import free_address
+
+
+class NoPeers:
+    """Stands for the other gateways where there are none."""
+
+    count = 0
+
+    def tell_loads(self):
+        """Tells nobody."""
+
+
+@attrs.define
+class Answer:
+    """What a caller got."""
+
+    status: int
+    headers: dict
+    body: bytes
+    is_complete: bool
+
+
+class World:
+    """A router before scripted engines."""
+
+    def __init__(self, engines, table):
+        self.engines = [
+            ScriptedEngine(f"e{i}", free_address(), "svc")
+            for i in range(1, engines + 1)
+        ]
+        self.platform = KielichowaPlatform()
+        self.transport = Transport()
+        self.context = Context(
+            name="g1",
+            data_center="dc-a",
+            platform=self.platform,
+            clock=SystemClock(),
+            rng=build.rng(),
+            fleet=Fleet(),
+            loads=LoadBook(),
+            suspicion=Suspicion(),
+            budget=RetryBudget(0.2, 10_000, 100),
+            peers=NoPeers(),
+            upstream=Upstream(self.platform, self.transport),
+            engine_calls=PlatformEngineCalls(self.transport),
+            table=table,
+        )
+        for engine in self.engines:
+            self.put(engine)
+        self.streams = StreamCalls(self.context)
+        router = Router(self.context, PlainCalls(self.context), self.streams)
+        self.address = free_address()
+        self.edge = EdgeServer(self.address, router.handle, SystemClock())
+
+    def put(self, engine, state="ready"):
+        """Registers an engine."""
+        endpoint = self.platform.decode_endpoint(
+            engine.name, engine.registration(state)
+        )
+        return self.context.fleet.put(endpoint, self.context.clock.now())
+
+    def announce_leaving(self, engine):
+        """Lets an engine's notice arrive."""
+        assert self.put(engine, "draining")
+        known = self.context.fleet.get(engine.name)
+        self.streams.note_leaving(known.endpoint)
+
+    @property
+    def arrivals(self):
+        """The engines that requests reached, in order of the engines."""
+        return [e.name for e in self.engines for _ in e.arrivals]
+
+    async def open(self, request_id="q1", method="POST", path="/r/x", **more):
+        """Sends a request; returns the connection's reader and writer."""
+        host, port = self.address.split(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        headers = {
+            "Host": "h.example",
+            "Attempt-Id": request_id,
+            "Authorization": "Bearer k1",
+            "Token-Usage": "3000,2000",
+            "Deadline-Ms": "20000",
+            "Connection": "close",
+        } | {name.replace("_", "-"): value for name, value in more.items()}
+        head = "".join(f"{n}: {v}\r\n" for n, v in headers.items() if v)
+        writer.write(f"{method} {path} HTTP/1.1\r\n{head}\r\n".encode())
+        return reader, writer
+
+    async def call(self, *args, **more):
+        """Sends a request and returns the whole answer."""
+        reader, writer = await self.open(*args, **more)
+        try:
+            return await read_answer(reader)
+        finally:
+            writer.close()
+
+
+async def read_answer(reader):
+    """Reads an answer to its end, complete or not."""
+    data = b""
+    try:
+        while True:
+            part = await reader.read(65_536)
+            if not part:
+                break
+            data += part
+    except ConnectionError:
+        # What came before the reset counts as an incomplete answer.
+        data += b""
+    head, _, body = data.partition(b"\r\n\r\n")
+    lines = head.decode("latin-1").split("\r\n")
+    headers = {}
+    for line in lines[1:]:
+        name, _, value = line.partition(":")
+        headers[name.lower()] = value.strip()
+    status = int(lines[0].split()[1]) if lines[0] else 0
+    if headers.get("transfer-encoding") == "chunked":
+        return Answer(status, headers, *_unchunk(body))
+    size = int(headers.get("content-length", -1))
+    return Answer(status, headers, body, len(body) == size)
+
+
+def _unchunk(data):
+    """Returns the content of chunks and whether the last one came."""
+    found = b""
+    while data:
+        size, _, rest = data.partition(b"\r\n")
+        if int(size, 16) == 0:
+            return found, True
+        found += rest[: int(size, 16)]
+        data = rest[int(size, 16) + 2 :]
+    return found, False
+
+
+@asynccontextmanager
+async def world(engines=2, table=None):
+    """Runs a world."""
+    found = World(engines, table or build.table(build.route()))
+    async with anyio.create_task_group() as tasks:
+        for engine in found.engines:
+            tasks.start_soon(engine.run)
+        tasks.start_soon(found.edge.run)
+        await anyio.wait_all_tasks_blocked()
+        try:
+            yield found
+        finally:
+            await found.transport.aclose()
+            tasks.cancel_scope.cancel()
--- /dev/null
+++ b/tests/platform/test_kvstore.py
@@ -0,0 +1,118 @@
+"""The store's adapter against the stand-in of the platform's store."""
+
+import unittest
+from contextlib import asynccontextmanager
+
+import anyio
+
+from lab.standins.platformstore import PlatformStoreServer
+from rhubarbwinch.exceptions import (
+    StoreCompacted,
+    StoreUnavailable,
+    StoreUncertain,
+)
+from rhubarbwinch.platform.kvstore import PlatformStore
+from tests.helpers import asynchronous, free_address
+
+TIMEOUT_MS = 3_000
+
+
+@asynccontextmanager
+async def platform(timeout_ms=TIMEOUT_MS):
+    """Runs a stand-in; yields it with a store that speaks to it."""
+    server = PlatformStoreServer(free_address())
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(server.run)
+        await anyio.wait_all_tasks_blocked()
+        store = PlatformStore(server._server._address, timeout_ms)
+        try:
+            yield server, store
+        finally:
+            await store.close()
+            tasks.cancel_scope.cancel()
+
+
+class PlatformStoreTest(unittest.TestCase):
+    """What the rest of the program expects of a store."""
+
+    @asynchronous
+    async def test_values_are_written_under_a_condition(self):
+        async with platform() as (_, store):
+            self.assertIsNone(await store.get("a"))
+            first = await store.swap("a", 0, b"\x00\xff")
+            self.assertTrue(first.won)
+            lost = await store.swap("a", 0, b"2")
+            self.assertFalse(lost.won)
+            self.assertEqual(lost.current.value, b"\x00\xff")
+            self.assertEqual((await store.get("a")).revision, first.revision)
+            self.assertTrue((await store.delete("a", first.revision)).won)
+            self.assertIsNone(await store.get("a"))
+
+    @asynchronous
+    async def test_a_listing_of_many_pages_is_whole(self):
+        async with platform() as (server, store):
+            server.faults.page = 3
+            for i in range(8):
+                await server.put(f"k{i}", b"v")
+            listing = await store.scan("k")
+            self.assertEqual(
+                [e.key for e in listing.entries], [f"k{i}" for i in range(8)]
+            )
+
+    @asynchronous
+    async def test_a_poll_tells_changes_and_how_far_they_go(self):
+        async with platform() as (server, store):
+            await server.put("a", b"1")
+            await server.remove("a")
+            batch = await store.poll("", 0, 1_000)
+            self.assertEqual(
+                [(c.key, c.entry is None) for c in batch.changes],
+                [("a", False), ("a", True)],
+            )
+            empty = await store.poll("", batch.revision, 1)
+            self.assertEqual(empty.changes, [])
+            server.faults.forgotten = batch.revision
+            with self.assertRaises(StoreCompacted):
+                await store.poll("", 0, 1_000)
+
+    @asynchronous
+    async def test_leases_are_renewed_until_they_end(self):
+        async with platform() as (_server, store):
+            lease = await store.grant_lease(5_000)
+            await store.swap("a", 0, b"1", lease)
+            self.assertEqual(await store.keep_lease(lease), 5_000)
+            await store.revoke_lease(lease)
+            self.assertIsNone(await store.get("a"))
+            self.assertEqual(await store.keep_lease(lease), 0)
+
+    @asynchronous
+    async def test_a_refusal_says_that_nothing_was_done(self):
+        async with platform() as (server, store):
+            for status in (429, 503):
+                server.faults.status = status
+                with self.assertRaises(StoreUnavailable):
+                    await store.swap("a", 0, b"1")
+
+    @asynchronous
+    async def test_a_lost_answer_to_a_write_is_uncertain(self):
+        async with platform(timeout_ms=200) as (server, store):
+            server.faults.is_silent = True
+            with self.assertRaises(StoreUncertain):
+                await store.swap("a", 0, b"1")
+            with self.assertRaises(StoreUnavailable):
+                await store.get("a")
+
+    @asynchronous
+    async def test_a_value_of_another_writer_is_an_entry_that_is_empty(self):
+        async with platform() as (server, store):
+            await server.put("a", b"1")
+            original = server._range
+
+            async def spoilt(params):
+                status, answer = await original(params)
+                answer["items"][0]["value"] = "*not base64*"
+                return status, answer
+
+            server._range = spoilt
+            listing = await store.scan("")
+            self.assertEqual([e.value for e in listing.entries], [b""])
