Heartbeats by publish and subscribe; plain calls are counted at home

Each gateway encoded and sent a heartbeat for each peer, 4 a second and one more at each tick in which a plain call began, and each arrived in a task.

--- a/rhubarbwinch/gateway/feed.py
+++ b/rhubarbwinch/gateway/feed.py
@@ -144,7 +144,7 @@
             )
         )
 
-    async def take_batch(self, batch: SharedBatch) -> None:
+    def take_batch(self, batch: SharedBatch) -> None:
         """Takes a batch that a peer tells."""
         changes = [_change(shared) for shared in batch.changes]
         taken = self._replica.merge_batch(
--- a/rhubarbwinch/gateway/loads.py
+++ b/rhubarbwinch/gateway/loads.py
@@ -50,6 +50,7 @@
     def __init__(self) -> None:
         self.version = 0
         self._own: dict[str, Load] = {}
+        self._local: dict[str, int] = {}
         self._told: dict[str, _Told] = {}
         self._peers: dict[str, Load] = {}
 
@@ -67,6 +68,14 @@
         self._own.setdefault(endpoint, Load()).add(runs, tokens, prefill)
         self.version += 1
 
+    def add_local(self, endpoint: str, runs: int) -> None:
+        """Notes plain calls, or their end; peers are not told of them.
+
+        A plain call ends in about the time in which peers could take it into
+        account.
+        """
+        self._local[endpoint] = self._local.get(endpoint, 0) + runs
+
     def end_prefill(self, endpoint: str, prefill: int) -> None:
         """Notes that a request's prompt has been read."""
         load = self._own.get(endpoint)
@@ -128,7 +137,7 @@
 
     def total(self, endpoint: str) -> Load:
         """Returns what all gateways have running at an endpoint."""
-        found = Load()
+        found = Load(self._local.get(endpoint, 0))
         for load in (self._own.get(endpoint), self._peers.get(endpoint)):
             if load is not None:
                 found.add(load.runs, load.tokens, load.prefill)
--- a/rhubarbwinch/gateway/messages.py
+++ b/rhubarbwinch/gateway/messages.py
@@ -20,6 +20,19 @@
     prefill: int = 0
 
 
+@attrs.frozen
+class PeerAddress:
+    """Where a gateway is reached by others.
+
+    Attributes:
+        link: Where it answers calls.
+        broadcast: Where its broadcasts are heard.
+    """
+
+    link: str
+    broadcast: str
+
+
 @attrs.frozen
 class Heartbeat:
     """Sent to every peer a few times a second and after each change.
@@ -28,7 +41,8 @@
         name: The sender's name.
         incarnation: The sender's number, new at each start.
         sequence: Counts the sender's heartbeats; a lower one is older.
-        link: The sender's link address.
+        link: Where the sender answers calls.
+        broadcast: Where the sender's broadcasts are heard.
         front: Where callers connect to the sender.
         data_center: Where the sender is.
         is_serving: Whether it takes new work.
@@ -42,6 +56,7 @@
     incarnation: int
     sequence: int
     link: str
+    broadcast: str
     front: str
     data_center: str
     is_serving: bool = False
@@ -50,6 +65,11 @@
     confirmed_ms: int = 1 << 40
     loads: list[EndpointLoad] = attrs.field(factory=list)
 
+    @property
+    def address(self) -> PeerAddress:
+        """Where the sender is reached."""
+        return PeerAddress(self.link, self.broadcast)
+
 
 @attrs.frozen
 class SharedChange:
--- a/rhubarbwinch/gateway/plaincalls.py
+++ b/rhubarbwinch/gateway/plaincalls.py
@@ -116,14 +116,14 @@
         if self._may_repeat(job, runs_before) and not job.tried - {endpoint.id}:
             limit_ms = int(left_ms * FIRST_TRY_SHARE)
         started = context.clock.now()
-        context.loads.add(endpoint.id, 0)
+        context.loads.add_local(endpoint.id, 1)
         try:
             with anyio.move_on_after(limit_ms / 1000):
                 return await self._exchange(job, endpoint, left_ms)
         except EndpointError as error:
             return self._failed(job, endpoint, started, error)
         finally:
-            context.loads.remove(endpoint.id, 0)
+            context.loads.add_local(endpoint.id, -1)
         context.note(job, job.service, endpoint.id, Outcome.BROKEN)
         self._log(job, endpoint, started, f"no answer in {limit_ms} ms")
         return Failure(
--- a/rhubarbwinch/gateway/program.py
+++ b/rhubarbwinch/gateway/program.py
@@ -8,9 +8,14 @@
 import anyio.abc
 import attrs
 
-from rhubarbwinch import events, identity
+from rhubarbwinch import codec, events, identity
+from rhubarbwinch.broadcast import Broadcast
 from rhubarbwinch.clock import Clock, SystemClock
-from rhubarbwinch.exceptions import PlatformFormatError, SettingError
+from rhubarbwinch.exceptions import (
+    CodecError,
+    PlatformFormatError,
+    SettingError,
+)
 from rhubarbwinch.gateway import statistics
 from rhubarbwinch.gateway.context import Context
 from rhubarbwinch.gateway.edge import EdgeRequest, EdgeResponder, EdgeServer
@@ -19,6 +24,7 @@
 from rhubarbwinch.gateway.loads import LoadBook
 from rhubarbwinch.gateway.messages import (
     Heartbeat,
+    PeerAddress,
     SharedBatch,
     SnapshotCall,
 )
@@ -97,17 +103,21 @@
         incarnation = identity.new_incarnation()
         rng = random.Random(incarnation)
         self._links = Links(incarnation)
-        self._server = LinkServer(settings.link)
+        self._server = LinkServer(settings.address.link)
+        self._broadcast = Broadcast(settings.address.broadcast)
         loads = LoadBook()
         me = Heartbeat(
             settings.name,
             incarnation,
             0,
-            settings.link,
+            settings.address.link,
+            settings.address.broadcast,
             settings.front,
             settings.data_center,
         )
-        self._peers = Peers(me, self._links, clock, loads, self._describe)
+        self._peers = Peers(
+            me, self._broadcast, self._links, clock, loads, self._describe
+        )
         self._context = Context(
             name=settings.name,
             data_center=settings.data_center,
@@ -138,7 +148,7 @@
         )
         key = outside.platform.member_prefix + settings.name
         self._registration = GatewayRegistration(
-            outside.store, clock, key, settings.link
+            outside.store, clock, key, settings.address
         )
         self._streams = StreamCalls(self._context)
         router = Router(self._context, PlainCalls(self._context), self._streams)
@@ -159,12 +169,12 @@
         settings = self._settings
         for seed in settings.seeds:
             self._peers.add(seed)
-        self._server.on(Heartbeat, self._peers.take)
-        self._server.on(SharedBatch, self._feed.take_batch)
+        self._broadcast.on(SharedBatch, self._feed.take_batch)
         self._server.on(SnapshotCall, self._feed.answer_snapshot)
         tree = Supervisor(settings.name, self._clock)
         tree.add("links", self._links.run)
         tree.add("link-server", self._server.run)
+        tree.add("broadcast", self._broadcast.run)
         tree.add("peers", self._peers.run)
         tree.add("feed", self._feed.run)
         tree.add("bootstrap", self._bootstrap)
@@ -219,12 +229,20 @@
             elif change.key.startswith(platform.endpoint_prefix):
                 self._apply_endpoint(change, after_outage)
             elif change.key.startswith(platform.member_prefix):
-                if change.entry is not None:
-                    self._peers.add(
-                        change.entry.value.decode("ascii", "replace")
-                    )
+                self._apply_member(change)
         self._streams.note_change()
 
+    def _apply_member(self, change: Change) -> None:
+        """Takes another gateway's registration."""
+        if change.entry is None:
+            return
+        try:
+            address = codec.decode(change.entry.value, PeerAddress)
+        except CodecError as error:
+            events.PEER_REFUSED.log(key=change.key, error=str(error))
+            return
+        self._peers.add(address)
+
     def _apply_config(self, change: Change) -> None:
         if change.entry is None:
             events.TABLE_UNREADABLE.log(
--- a/rhubarbwinch/gateway/registration.py
+++ b/rhubarbwinch/gateway/registration.py
@@ -1,8 +1,9 @@
 """A gateway's registration in the store, by which others find its link."""
 
-from rhubarbwinch import events
+from rhubarbwinch import codec, events
 from rhubarbwinch.clock import Clock
 from rhubarbwinch.exceptions import StoreError
+from rhubarbwinch.gateway.messages import PeerAddress
 from rhubarbwinch.store import Store
 
 # Peers judge by heartbeats whether a gateway lives, so the lease may be long;
@@ -19,14 +20,16 @@
         store: The platform's store.
         clock: The source of time.
         key: The key of this gateway.
-        link: Its link address, the key's value.
+        address: Where others reach it, the key's value.
     """
 
-    def __init__(self, store: Store, clock: Clock, key: str, link: str) -> None:
+    def __init__(
+        self, store: Store, clock: Clock, key: str, address: PeerAddress
+    ) -> None:
         self._store = store
         self._clock = clock
         self._key = key
-        self._link = link
+        self._address = address
         self._lease = 0
         self._is_failing = False
 
@@ -58,7 +61,7 @@
         self._lease = await self._store.grant_lease(LEASE_MS)
         found = await self._store.get(self._key)
         expected = found.revision if found is not None else 0
-        value = self._link.encode()
+        value = codec.encode(self._address)
         swap = await self._store.swap(self._key, expected, value, self._lease)
         if not swap.won:
             # The lease of the start before has just ended; the next round
--- a/rhubarbwinch/gateway/settings.py
+++ b/rhubarbwinch/gateway/settings.py
@@ -2,6 +2,8 @@
 
 import attrs
 
+from rhubarbwinch.gateway.messages import PeerAddress
+
 
 @attrs.frozen
 class GatewaySettings:
@@ -13,9 +15,9 @@
         front: Where callers connect, `a.b.c.d:port`.
         ready: Where the platform asks whether the process is ready.
         directory: Where callers ask which addresses to use.
-        link: Where peers connect.
+        address: Where peers reach it.
         metrics: Where metrics are read.
-        seeds: Link addresses of some peers; they may be gone.
+        seeds: Addresses of some peers; they may be gone.
         store: The platform's store.
         grace_ms: Time from SIGTERM to SIGKILL.
         directory_ttl_max_ms: The longest that callers keep an answer.
@@ -32,9 +34,9 @@
     front: str
     ready: str
     directory: str
-    link: str
+    address: PeerAddress
     metrics: str
-    seeds: tuple[str, ...]
+    seeds: tuple[PeerAddress, ...]
     store: str
     grace_ms: int
     directory_ttl_max_ms: int
--- a/rhubarbwinch/platform/bootfile.py
+++ b/rhubarbwinch/platform/bootfile.py
@@ -4,6 +4,7 @@
 
 from rhubarbwinch import misc
 from rhubarbwinch.exceptions import SettingError
+from rhubarbwinch.gateway.messages import PeerAddress
 from rhubarbwinch.gateway.settings import GatewaySettings
 
 
@@ -38,6 +39,10 @@
     return _Reader(fields).settings(metrics_port)
 
 
+def _peer_address(ip: str, link_port: int) -> PeerAddress:
+    return PeerAddress(f"{ip}:{link_port}", f"{ip}:{link_port + 1}")
+
+
 class _Reader:
     """Checks and converts fields.
 
@@ -66,10 +71,12 @@
             front=self._address("listen.front"),
             ready=self._address("listen.ready"),
             directory=self._address("listen.directory"),
-            link=f"{ip}:{link_port}",
+            address=_peer_address(ip, link_port),
             metrics=f"{ip}:{metrics_port}",
             # All VMs use the same ports.
-            seeds=tuple(f"{seed}:{link_port}" for seed in seeds if seed != ip),
+            seeds=tuple(
+                _peer_address(seed, link_port) for seed in seeds if seed != ip
+            ),
             store=self._address("platform.address"),
             grace_ms=self._ms("bounds.grace_s"),
             directory_ttl_max_ms=self._ms("bounds.ttl_max_s"),
--- a/tests/platform/test_bootfile.py
+++ b/tests/platform/test_bootfile.py
@@ -3,6 +3,7 @@
 import unittest
 
 from rhubarbwinch.exceptions import SettingError
+from rhubarbwinch.gateway.messages import PeerAddress
 from rhubarbwinch.platform import bootfile
 
 TEXT = """\
@@ -31,8 +32,12 @@
 
     def test_the_settings_are_read(self):
         found = bootfile.parse(TEXT, 9464)
-        self.assertEqual(found.link, "10.1.0.19:7200")
-        self.assertEqual(found.seeds, ("10.2.0.13:7200",))
+        self.assertEqual(
+            found.address, PeerAddress("10.1.0.19:7200", "10.1.0.19:7201")
+        )
+        self.assertEqual(
+            found.seeds, (PeerAddress("10.2.0.13:7200", "10.2.0.13:7201"),)
+        )
         self.assertEqual(found.metrics, "10.1.0.19:9464")
         self.assertEqual(found.grace_ms, 8_000)
         self.assertEqual(found.retry_extra, 56)
