Heartbeats and changes by datagrams

Ruled out: fewer gateways that hear of loads (each decides from the common count); a longer heartbeat alone (probes and loads remain).

Change: Broadcast sends one datagram to each peer. Changes are split to fit; values that do not fit are fetched over the links. A lost datagram shows as a gap and is read from the store.

--- a/rhubarbwinch/broadcast.py
+++ b/rhubarbwinch/broadcast.py
@@ -1,112 +1,90 @@
-"""Typed messages to all peers at once, over ZeroMQ's publish and subscribe.
+"""Small typed messages to all peers at once, by UDP.
 
-A message is encoded and handed over once, however many peers there are; one
-that can't be delivered is dropped, so it must be one that is sent again.
+A message is encoded once, and costs each peer one datagram and no connection.
+Datagrams get lost at times, so a message must be one that is sent again, or
+whose loss its receiver notices.
 """
 
+import asyncio
 from collections.abc import Callable
 from typing import Any, TypeVar
 
-import zmq
-import zmq.asyncio
+import anyio
 
-from rhubarbwinch import codec, events
+from rhubarbwinch import codec, events, misc
 from rhubarbwinch.exceptions import CodecError
 
 T = TypeVar("T")
 
-_MAX_QUEUED = 1_000
-_MAX_MESSAGE_BYTES = 4 << 20
-# A stalled connection is given up after the timeout, and made anew.
-_PROBE_MS = 1_000
-_PROBE_TIMEOUT_MS = 2_500
-_RECONNECT_MS = 100
-_MAX_RECONNECT_MS = 1_000
+# What fits a packet of the usual network, with room for the name of the
+# message; larger ones would be lost with any one of their fragments.
+MAX_MESSAGE_BYTES = 1_350
+_SEPARATOR = b"\0"
 
 
-class Broadcast:
-    """Sends to all peers that listen, and listens to peers.
+class Broadcast(asyncio.DatagramProtocol):
+    """Sends to all known peers, and takes what peers send.
 
     Args:
-        address: `a.b.c.d:port` to which peers connect.
+        address: `a.b.c.d:port` at which peers reach this process.
     """
 
     def __init__(self, address: str) -> None:
         self._address = address
         self._handlers: dict[bytes, tuple[type, Callable[[Any], None]]] = {}
-        self._peers: set[str] = set()
-        self._publisher: zmq.Socket[bytes] | None = None
-        self._subscriber: zmq.asyncio.Socket | None = None
+        self._peers: dict[str, tuple[str, int]] = {}
+        self._transport: asyncio.DatagramTransport | None = None
 
     def on(self, kind: type[T], handle: Callable[[T], None]) -> None:
         """Sets the function that takes messages of a class."""
         self._handlers[kind.__name__.encode()] = (kind, handle)
 
     def add(self, address: str) -> None:
-        """Listens to a peer."""
-        if address in self._peers:
-            return
-        self._peers.add(address)
-        if self._subscriber is not None:
-            self._subscriber.connect(f"tcp://{address}")
+        """Sends to a peer from now on."""
+        self._peers[address] = misc.split_address(address)
 
     def forget(self, address: str) -> None:
-        """Listens no more to a peer that is gone."""
-        if address not in self._peers:
-            return
-        self._peers.remove(address)
-        if self._subscriber is not None:
-            self._subscriber.disconnect(f"tcp://{address}")
+        """Sends no more to a peer that is gone."""
+        self._peers.pop(address, None)
 
     def send(self, message: Any) -> None:
-        """Sends a message to all peers that listen; it never waits."""
-        if self._publisher is None:
+        """Sends a message to all peers; it never waits."""
+        if self._transport is None:
             return
         kind = type(message).__name__.encode()
-        self._publisher.send_multipart(
-            [kind, codec.encode(message)], zmq.NOBLOCK
-        )
+        data = kind + _SEPARATOR + codec.encode(message)
+        for address in self._peers.values():
+            self._transport.sendto(data, address)
 
     async def run(self) -> None:
-        """Listens until cancelled."""
-        publisher: zmq.Socket[bytes] = zmq.Context.instance().socket(zmq.PUB)
-        subscriber = zmq.asyncio.Context.instance().socket(zmq.SUB)
+        """Takes messages until cancelled."""
+        loop = asyncio.get_running_loop()
+        transport, _ = await loop.create_datagram_endpoint(
+            lambda: self, local_addr=misc.split_address(self._address)
+        )
+        self._transport = transport
         try:
-            for socket in (publisher, subscriber):
-                self._configure(socket)
-            subscriber.subscribe(b"")
-            publisher.bind(f"tcp://{self._address}")
-            for address in self._peers:
-                subscriber.connect(f"tcp://{address}")
-            self._publisher, self._subscriber = publisher, subscriber
-            while True:
-                self._take(await subscriber.recv_multipart())
+            await anyio.sleep_forever()
         finally:
-            self._publisher = self._subscriber = None
-            publisher.close()
-            subscriber.close()
-
-    def _configure(self, socket: Any) -> None:
-        socket.setsockopt(zmq.LINGER, 0)
-        socket.setsockopt(zmq.SNDHWM, _MAX_QUEUED)
-        socket.setsockopt(zmq.MAXMSGSIZE, _MAX_MESSAGE_BYTES)
-        socket.setsockopt(zmq.HEARTBEAT_IVL, _PROBE_MS)
-        socket.setsockopt(zmq.HEARTBEAT_TIMEOUT, _PROBE_TIMEOUT_MS)
-        socket.setsockopt(zmq.RECONNECT_IVL, _RECONNECT_MS)
-        socket.setsockopt(zmq.RECONNECT_IVL_MAX, _MAX_RECONNECT_MS)
-
-    def _take(self, frames: list[bytes]) -> None:
+            self._transport = None
+            transport.close()
+
+    def datagram_received(self, data: bytes, addr: Any) -> None:
         """Hands a message to its function; a bad one is logged."""
+        kind, _, body = data.partition(_SEPARATOR)
+        known = self._handlers.get(kind)
         try:
-            kind, body = frames
-            known = self._handlers.get(kind)
             if known is None:
-                raise CodecError(f"unknown message {kind!r}")
+                raise CodecError(f"unknown message {kind[:40]!r}")
             known[1](codec.decode(body, known[0]))
-        except (ValueError, CodecError) as error:
-            events.PEER_REFUSED.log(error=str(error))
+        except CodecError as error:
+            events.PEER_REFUSED.log(sender=str(addr), error=str(error))
         except Exception as error:
             # One message that can't be handled must not end the others.
             events.HANDLER_FAILED.log(
-                message=str(frames[:1]), error=repr(error)
+                message=kind[:40].decode("latin-1"), error=repr(error)
             )
+
+    def error_received(self, exc: Exception) -> None:
+        """Logs what the system says of a datagram, such as a closed port."""
+        events.DATAGRAM_FAILED.log(error=repr(exc))
--- a/rhubarbwinch/events.py
+++ b/rhubarbwinch/events.py
@@ -299,6 +299,18 @@
 GATEWAY_LOST = Event(
     706, "gateway-lost", logging.WARNING, "A peer can't be reached."
 )
+DATAGRAM_FAILED = Event(
+    707,
+    "datagram-failed",
+    logging.DEBUG,
+    "A datagram to a peer was refused; it is sent again with the next one.",
+)
+VALUE_MISSED = Event(
+    708,
+    "value-missed",
+    logging.INFO,
+    "A peer did not hand over a value; the store is asked.",
+)
 TABLE_IN_FORCE = Event(
     710, "table-in-force", logging.INFO, "A version of routes is in force."
 )
--- a/rhubarbwinch/gateway/feed.py
+++ b/rhubarbwinch/gateway/feed.py
@@ -7,16 +7,25 @@
 
 from collections.abc import Callable
 
+import anyio
+
 from rhubarbwinch import events
 from rhubarbwinch.clock import Clock
-from rhubarbwinch.exceptions import StoreCompacted, StoreError
+from rhubarbwinch.exceptions import (
+    CodecError,
+    LinkError,
+    StoreCompacted,
+    StoreError,
+)
 from rhubarbwinch.gateway.messages import (
     SharedBatch,
     SharedChange,
     Snapshot,
     SnapshotCall,
+    ValueCall,
 )
 from rhubarbwinch.gateway.replica import Replica
+from rhubarbwinch.linktypes import Caller
 from rhubarbwinch.store import Change, ChangeBatch, Entry, PollingStore
 
 # The store answers a watch without events after so long. An answer confirms
@@ -33,6 +42,12 @@
 # its return; a deletion in that time may be one of them.
 LAPSE_GRACE_MS = 2_500
 
+FETCH_TIMEOUT_MS = 500
+# A batch fits a datagram; what a change takes beside its key and value.
+MAX_BATCH_BYTES = 1_150
+MAX_VALUE_BYTES = 900
+CHANGE_BYTES = 40
+
 ChangeHandler = Callable[[list[Change], bool], None]
 
 
@@ -46,7 +61,8 @@
         should_watch: Tells whether this gateway watches the store itself.
         share: Tells all peers of a batch.
         on_change: Takes changes, and whether they came after an outage.
-        name: This gateway's name.
+        links: Calls peers.
+        link: The link address of this gateway.
     """
 
     def __init__(
@@ -57,7 +73,8 @@
         should_watch: Callable[[], bool],
         share: Callable[[SharedBatch], None],
         on_change: ChangeHandler,
-        name: str,
+        links: Caller,
+        link: str,
     ) -> None:
         self._store = store
         self._replica = replica
@@ -65,7 +82,10 @@
         self._should_watch = should_watch
         self._share = share
         self._on_change = on_change
-        self._name = name
+        self._links = links
+        self._link = link
+        self._missing: list[tuple[SharedBatch, list[SharedChange]]] = []
+        self._has_missing = anyio.Event()
         self._confirmed_at: int | None = None
         self._failing_since: int | None = None
         self._recovered_at: int | None = None
@@ -134,19 +154,27 @@
         if not changes:
             return
         self._on_change(changes, self.is_after_outage)
-        self._share(
-            SharedBatch(
-                self._name,
-                batch.after,
-                batch.revision,
-                [_shared(change) for change in changes],
-                self.is_after_outage,
+        for part in split_batch(batch, changes):
+            self._share(
+                SharedBatch(
+                    self._link,
+                    part.after,
+                    part.revision,
+                    [_shared(change) for change in part.changes],
+                    self.is_after_outage,
+                )
             )
-        )
 
     def take_batch(self, batch: SharedBatch) -> None:
         """Takes a batch that a peer tells."""
-        changes = [_change(shared) for shared in batch.changes]
+        left_out = [c for c in batch.changes if c.bytes_left_out]
+        if left_out:
+            self._missing.append((batch, left_out))
+            self._has_missing.set()
+            return
+        self._take(batch, [_change(shared) for shared in batch.changes])
+
+    def _take(self, batch: SharedBatch, changes: list[Change]) -> None:
         taken = self._replica.merge_batch(
             ChangeBatch(batch.after, batch.revision, changes)
         )
@@ -164,6 +192,54 @@
         if taken:
             self._on_change(taken, batch.after_outage)
 
+    async def run_fetches(self) -> None:
+        """Fetches values that were too large for a batch, until cancelled."""
+        while True:
+            await self._has_missing.wait()
+            self._has_missing = anyio.Event()
+            while self._missing:
+                batch, left_out = self._missing.pop(0)
+                await self._fetch(batch, left_out)
+
+    async def _fetch(
+        self, batch: SharedBatch, left_out: list[SharedChange]
+    ) -> None:
+        """Completes a batch by the values that its sender hands over."""
+        changes = {c.key: _change(c) for c in batch.changes}
+        for shared in left_out:
+            known = self._replica.get(shared.key)
+            if known is not None and known.revision >= shared.revision:
+                del changes[shared.key]
+                continue
+            found = await self._fetch_value(batch.sender, shared)
+            if found is None:
+                # The next round of this gateway reads the store itself.
+                self._was_scanned = False
+                return
+            changes[shared.key] = _change(found)
+        self._take(batch, list(changes.values()))
+
+    async def _fetch_value(
+        self, sender: str, shared: SharedChange
+    ) -> SharedChange | None:
+        try:
+            found = await self._links.call(
+                sender, ValueCall(shared.key), SharedChange, FETCH_TIMEOUT_MS
+            )
+        except (LinkError, CodecError) as error:
+            events.VALUE_MISSED.log(
+                sender=sender, key=shared.key, error=str(error)
+            )
+            return None
+        return found if found.revision >= shared.revision else None
+
+    async def answer_value(self, call: ValueCall) -> SharedChange:
+        """Hands a peer the newest value of a key."""
+        entry = self._replica.get(call.key)
+        if entry is None:
+            return SharedChange(call.key, 0)
+        return SharedChange(entry.key, entry.revision, entry.value)
+
     def take_snapshot(self, snapshot: Snapshot) -> None:
         """Takes all that a peer knows; for a gateway without the store."""
         changes = [_change(shared) for shared in snapshot.changes]
@@ -198,8 +274,50 @@
             )
 
 
+def split_batch(batch: ChangeBatch, changes: list[Change]) -> list[ChangeBatch]:
+    """Returns a batch in parts that fit a message, each after the one before.
+
+    Args:
+        batch: Tells the revisions.
+        changes: What is told of it.
+    """
+    ordered = sorted(changes, key=lambda change: change.revision)
+    parts: list[list[Change]] = [[]]
+    size = 0
+    for change in ordered:
+        bytes_here = _size(change)
+        # Changes of one transaction have one revision and stay together.
+        is_same = parts[-1] and parts[-1][-1].revision == change.revision
+        if parts[-1] and size + bytes_here > MAX_BATCH_BYTES and not is_same:
+            parts.append([])
+            size = 0
+        parts[-1].append(change)
+        size += bytes_here
+    found = []
+    after = batch.after
+    for part in parts:
+        is_last = part is parts[-1]
+        revision = batch.revision if is_last else part[-1].revision
+        found.append(ChangeBatch(after, revision, part))
+        after = revision
+    return found
+
+
+def _size(change: Change) -> int:
+    """Returns about how many bytes a change takes in a message."""
+    value = change.entry.value if change.entry is not None else b""
+    told = len(value) if len(value) <= MAX_VALUE_BYTES else 0
+    return CHANGE_BYTES + len(change.key) + told
+
+
 def _shared(change: Change) -> SharedChange:
-    value = change.entry.value if change.entry is not None else None
+    if change.entry is None:
+        return SharedChange(change.key, change.revision)
+    value = change.entry.value
+    if len(value) > MAX_VALUE_BYTES:
+        return SharedChange(
+            change.key, change.revision, bytes_left_out=len(value)
+        )
     return SharedChange(change.key, change.revision, value)
 
 
--- a/rhubarbwinch/gateway/loads.py
+++ b/rhubarbwinch/gateway/loads.py
@@ -79,9 +79,10 @@
     def end_prefill(self, endpoint: str, prefill: int) -> None:
         """Notes that a request's prompt has been read."""
         load = self._own.get(endpoint)
-        if load is not None and prefill:
+        if load is not None:
+            # Peers hear of it with the next heartbeat: prompts are read
+            # faster than a message is worth.
             load.prefill -= prefill
-            self.version += 1
 
     def remove(
         self, endpoint: str, tokens: int, prefill: int = 0, runs: int = 1
--- a/rhubarbwinch/gateway/messages.py
+++ b/rhubarbwinch/gateway/messages.py
@@ -73,19 +73,27 @@
 
 @attrs.frozen
 class SharedChange:
-    """A change of the store; no value means a deletion."""
+    """A change of the store; neither value nor size means a deletion.
+
+    Attributes:
+        key: The key.
+        revision: The revision of the change.
+        value: The value, if it fits the message.
+        bytes_left_out: The size of a value that does not fit.
+    """
 
     key: str
     revision: int
     value: bytes | None = None
+    bytes_left_out: int = 0
 
 
 @attrs.frozen
 class SharedBatch:
-    """Changes of the store that one gateway tells another.
+    """Changes of the store that one gateway tells all others.
 
     Attributes:
-        sender: The sender's name.
+        sender: The sender's link address.
         after: The revision before the first change.
         revision: Up to here the changes are complete.
         changes: In the order of their revisions.
@@ -100,6 +108,13 @@
     after_outage: bool = False
 
 
+@attrs.frozen
+class ValueCall:
+    """Asks for the newest value of a key."""
+
+    key: str
+
+
 @attrs.frozen
 class SnapshotCall:
     """Asks for everything that a gateway knows of the store."""
--- a/rhubarbwinch/gateway/peers.py
+++ b/rhubarbwinch/gateway/peers.py
@@ -21,10 +21,10 @@
 from rhubarbwinch.linktypes import Caller
 
 # All gateways hear all heartbeats, so their number grows with the square of
-# the fleet; a change of load or of state is told at once.
-HEARTBEAT_MS = 500
-# Three heartbeats: a stall of the sender for less than a second is common.
-ALIVE_MS = 1_600
+# the fleet. A change of load or of state is told at once, by a heartbeat.
+HEARTBEAT_MS = 700
+# Three heartbeats, of which one may be lost.
+ALIVE_MS = 2_200
 # A peer that is silent for so long is no longer called; its registration in
 # the store or a heartbeat of it brings it back.
 FORGET_MS = 30_000
@@ -92,7 +92,7 @@
         while True:
             with anyio.move_on_after(HEARTBEAT_MS / 1000):
                 await self._wakeup.wait()
-                await self._clock.sleep(COALESCE_MS)
+            await self._clock.sleep(COALESCE_MS)
             self._wakeup = anyio.Event()
             self._told_version = self._loads.version
             self._sequence += 1
--- a/rhubarbwinch/gateway/program.py
+++ b/rhubarbwinch/gateway/program.py
@@ -27,6 +27,7 @@
     PeerAddress,
     SharedBatch,
     SnapshotCall,
+    ValueCall,
 )
 from rhubarbwinch.gateway.peers import Peers
 from rhubarbwinch.gateway.plaincalls import PlainCalls
@@ -144,7 +145,8 @@
             self._peers.should_watch,
             self._peers.share,
             self._apply,
-            settings.name,
+            self._links,
+            settings.address.link,
         )
         key = outside.platform.member_prefix + settings.name
         self._registration = GatewayRegistration(
@@ -171,12 +173,14 @@
             self._peers.add(seed)
         self._broadcast.on(SharedBatch, self._feed.take_batch)
         self._server.on(SnapshotCall, self._feed.answer_snapshot)
+        self._server.on(ValueCall, self._feed.answer_value)
         tree = Supervisor(settings.name, self._clock)
         tree.add("links", self._links.run)
         tree.add("link-server", self._server.run)
         tree.add("broadcast", self._broadcast.run)
         tree.add("peers", self._peers.run)
         tree.add("feed", self._feed.run)
+        tree.add("fetches", self._feed.run_fetches)
         tree.add("bootstrap", self._bootstrap)
         tree.add("registration", self._registration.run)
         tree.add("front", self._front.run)
