A second engine follows each run while memory allows

Cause: a run whose engine crashes, or leaves while the store is away and can't tell, has no copy.

Change: runs that can't begin anew get a backup on an engine that keeps 30% of its memory free; such a run needs no copy at the notice.

--- a/rhubarbwinch/gateway/moving.py
+++ b/rhubarbwinch/gateway/moving.py
@@ -14,6 +14,9 @@
 
 # Moves may fill an engine further than new work: the run has been paid for.
 MOVE_MEMORY_SHARE = 1.0
+# An engine that follows runs of others keeps room for work of its own: a copy
+# is a precaution.
+BACKUP_MEMORY_SHARE = 0.7
 # A copy to another data centre takes twice as long, and every run on the
 # leaving engine waits for it, so it has to be much emptier there.
 CROSS_RUNS = 4.0
@@ -28,9 +31,10 @@
     source: Endpoint,
     tokens: int,
     rng: random.Random,
+    memory_share: float = MOVE_MEMORY_SHARE,
 ) -> Candidate | None:
     """Returns the engine that takes over a run, or None without room."""
-    fitting = [c for c in candidates if c.fits(tokens, MOVE_MEMORY_SHARE)]
+    fitting = [c for c in candidates if c.fits(tokens, memory_share)]
     if not fitting:
         return None
     return min(fitting, key=lambda c: (_cost(c, source), rng.random()))
--- a/rhubarbwinch/gateway/runs.py
+++ b/rhubarbwinch/gateway/runs.py
@@ -74,6 +74,7 @@
         responder: Sends the events to the caller.
         tasks: Tasks that end with the run.
         room: The room at the engine that runs it; None before it is placed.
+        backup: The room at the engine that follows it, or None.
         last_event_id: The last event that the caller has, or None.
         events: Events that the caller has.
         head_sent: Whether the head of the answer was sent.
@@ -87,6 +88,7 @@
     responder: EdgeResponder
     tasks: anyio.abc.TaskGroup
     room: Room | None = None
+    backup: Room | None = None
     last_event_id: str | None = None
     events: int = 0
     head_sent: bool = False
@@ -110,6 +112,7 @@
         return call.prompt_tokens + likely
 
     def release(self) -> None:
-        """Gives the room back."""
-        if self.room is not None:
-            self.room.release()
+        """Gives all room back."""
+        for room in (self.room, self.backup):
+            if room is not None:
+                room.release()
--- a/rhubarbwinch/gateway/streams.py
+++ b/rhubarbwinch/gateway/streams.py
@@ -8,7 +8,7 @@
 
 from rhubarbwinch import events
 from rhubarbwinch.exceptions import EndpointError
-from rhubarbwinch.gateway import placing, statistics
+from rhubarbwinch.gateway import moving, placing, statistics
 from rhubarbwinch.gateway.carrying import Carrier
 from rhubarbwinch.gateway.context import Context, Job
 from rhubarbwinch.gateway.edge import EdgeResponder
@@ -93,20 +93,41 @@
     def note_leaving(self, endpoint: Endpoint) -> None:
         """Copies the runs of an engine that leaves."""
         for run in list(self._runs):
-            if run.room is not None and run.room.endpoint.id == endpoint.id:
+            if run.room is None:
+                continue
+            if run.room.endpoint.id == endpoint.id:
                 self._start_copying(run)
+            elif run.backup and run.backup.endpoint.id == endpoint.id:
+                self._lose_backup(run)
 
     def _start_copying(self, run: Run) -> None:
         spec = self._engine_spec(run.job.service)
         if spec is None or not spec.can_move or run.copying is not None:
             return
-        if run.job.route.is_resumable:
-            # It is short, and may begin anew elsewhere.
+        if run.job.route.is_resumable or self._has_backup(run):
+            # It may begin anew elsewhere, or there is a copy already.
             return
         run.copying = anyio.CancelScope()
         run.has_copy = anyio.Event()
         run.tasks.start_soon(self._keep_copy, run, run.copying)
 
+    def _lose_backup(self, run: Run) -> None:
+        """Gives up a backup whose engine leaves."""
+        assert run.room is not None
+        if run.backup is not None:
+            run.backup.release()
+            run.backup = None
+        known = self._context.fleet.get(run.room.endpoint.id)
+        if known is not None and known.is_leaving:
+            self._start_copying(run)
+
+    def _has_backup(self, run: Run) -> bool:
+        """Tells whether an engine that stays follows a run."""
+        if run.backup is None:
+            return False
+        known = self._context.fleet.get(run.backup.endpoint.id)
+        return known is not None and known.takes_work
+
     async def _keep_copy(self, run: Run, scope: anyio.CancelScope) -> None:
         with scope:
             await self._carrier.keep_copy(run)
@@ -228,9 +249,32 @@
             needed=tokens,
             engines=len(candidates),
         )
+        self._hold_backup(run)
         context.peers.tell_loads()
         return True
 
+    def _hold_backup(self, run: Run) -> None:
+        """Holds room at a second engine that follows the run, if it fits."""
+        context, job = self._context, run.job
+        spec = self._engine_spec(job.service)
+        if run.room is None or spec is None or not spec.can_back_up:
+            return
+        if job.route.is_resumable:
+            # It is short, and may begin anew elsewhere.
+            return
+        tokens = run.expected_tokens
+        chosen = moving.choose_home(
+            context.candidates(job.service, {run.room.endpoint.id}),
+            run.room.endpoint,
+            tokens,
+            context.rng,
+            moving.BACKUP_MEMORY_SHARE,
+        )
+        if chosen is not None:
+            run.backup = Room(
+                chosen.endpoint, tokens, 0, 0, context.loads
+            ).hold()
+
     async def _open(
         self, run: Run, endpoint: Endpoint, copy: MemoryCopy | None
     ) -> Answer | Failure | None:
@@ -253,6 +297,7 @@
             left,
             last_event_id=last,
             resume_from=copy,
+            backup_address=run.backup.endpoint.address if run.backup else None,
         )
         try:
             with anyio.move_on_after(left / 1000):
@@ -367,7 +412,9 @@
         parts = answer.chunks()
         async with aclosing(parts):
             while True:
-                can_leave = run.home is not None and run.events > 0
+                can_leave = run.events > 0 and (
+                    run.home is not None or self._has_backup(run)
+                )
                 limit = STALL_MS / 1000 if can_leave else None
                 data = b""
                 with anyio.move_on_after(limit) as scope:
@@ -477,7 +524,9 @@
             with anyio.move_on_after(COPY_WAIT_MS / 1000):
                 await run.has_copy.wait()
         if run.home is not None:
-            return await self._go_home(run, run.home)
+            return await self._go_home(run, run.home, "move")
+        if self._has_backup(run):
+            return await self._go_home(run, self._backup_home(run), "backup")
         if run.job.route.is_resumable:
             return await self._begin_anew(run, source)
         return None
@@ -489,12 +538,23 @@
             return Outcome.GOOD
         return Outcome.BROKEN
 
-    async def _go_home(self, run: Run, home: NewHome) -> Answer | None:
+    def _backup_home(self, run: Run) -> NewHome:
+        """Returns the engine that has followed a run as its new home."""
+        assert run.backup is not None
+        assert run.room is not None
+        backup = run.backup
+        room = Room(backup.endpoint, backup.tokens, 0, 1, self._context.loads)
+        copy = MemoryCopy(backup.endpoint.address, run.id)
+        return NewHome(room.hold(), copy, run.room.endpoint)
+
+    async def _go_home(
+        self, run: Run, home: NewHome, how: str
+    ) -> Answer | None:
         """Goes on at the engine that has the copy, or at its source."""
         await self._carrier.stop(run, home.source, home.room.endpoint)
         self._settle(run, home.room)
-        answer = await self._resume(run, home.room.endpoint, home.copy, "move")
-        if answer is None:
+        answer = await self._resume(run, home.room.endpoint, home.copy, how)
+        if answer is None and how == "move":
             # An engine that stopped a run can begin it again itself.
             answer = await self._resume(run, home.source, home.copy, "return")
         if answer is not None:
@@ -518,10 +578,11 @@
     def _settle(self, run: Run, room: Room) -> None:
         """Gives the old room back, and protects the run at its new engine."""
         run.release()
-        run.room = room
+        run.room, run.backup = room, None
         if run.copying is not None:
             run.copying.cancel()
             run.copying = None
+        self._hold_backup(run)
         self.note_change()
 
     def _note_settled(self, run: Run) -> None:
