A copy stays good when it can't be made again; outages of the store

Cause 1: an engine that ends fails the call that renews a copy some milliseconds before the stream's end is read.

Kept: each engine is asked for its report by one gateway, which tells all.

--- a/rhubarbwinch/events.py
+++ b/rhubarbwinch/events.py
@@ -351,6 +351,15 @@
 READY_CHANGED = Event(
     718, "ready-changed", logging.INFO, "The gateway is ready, or no longer."
 )
+OUTAGE_CHANGED = Event(
+    719,
+    "outage-changed",
+    logging.WARNING,
+    "No gateway has a fresh answer of the store, or one has again.",
+)
+REPORT_MISSED = Event(
+    720, "report-missed", logging.INFO, "An engine gave no report of itself."
+)
 REQUEST_UNREADABLE = Event(
     730, "request-unreadable", logging.WARNING, "Bytes are not a request."
 )
--- a/rhubarbwinch/gateway/carrying.py
+++ b/rhubarbwinch/gateway/carrying.py
@@ -84,11 +84,14 @@
         try:
             while True:
                 result = await self._call(run, source, room.endpoint, False)
-                if result.state is not MoveState.COPIED:
+                if result.state is MoveState.COPIED:
+                    copy = MemoryCopy(source.address, result.handle)
+                    run.home = NewHome(room, copy, source)
+                    run.has_copy.set()
+                elif run.home is None:
                     return result.state
-                copy = MemoryCopy(source.address, result.handle)
-                run.home = NewHome(room, copy, source)
-                run.has_copy.set()
+                # A copy that could not be made again is still good: the engine
+                # that left it may just be ending.
                 if await self._leaves(room.endpoint, moving.REFRESH_MS):
                     return MoveState.NO_ROOM
         finally:
--- a/rhubarbwinch/gateway/feed.py
+++ b/rhubarbwinch/gateway/feed.py
@@ -30,13 +30,14 @@
 
 # The store answers a watch without events after so long. An answer confirms
 # that nothing was missed, so the time bounds how late a cut is noticed.
-WATCH_WAIT_MS = 800
+WATCH_WAIT_MS = 700
 # Events that come close together share a call of a watcher.
 COALESCE_MS = 60
 RETRY_MS = 150
-# A watcher that the store has not answered for so long is not relied on; half
-# of the time in which a configuration must be in force.
-FRESH_MS = 1_300
+# A watcher that the store has not answered for so long is not relied on: the
+# wait of a watch and the time between two heartbeats, with a little more. A
+# configuration must be in force after two seconds.
+FRESH_MS = 1_500
 FOLLOWER_POLL_MS = 100
 # Leases that lapsed while the store was away come back within two seconds of
 # its return; a deletion in that time may be one of them.
--- a/rhubarbwinch/gateway/fleet.py
+++ b/rhubarbwinch/gateway/fleet.py
@@ -95,6 +95,19 @@
             return False
         return self._leave(known, now_ms)
 
+    def mark_leaving(
+        self, endpoint_id: str, started_ms: int, now_ms: int
+    ) -> bool:
+        """Takes an engine's own word; returns whether it begins to leave."""
+        known = self._known.get(endpoint_id)
+        if known is None or known.endpoint.started_ms != started_ms:
+            return False
+        return self._leave(known, now_ms)
+
+    def all_taking_work(self) -> list[Known]:
+        """Returns the endpoints of all services that take new requests."""
+        return [known for known in self._known.values() if known.takes_work]
+
     def expire(self, now_ms: int) -> list[Known]:
         """Returns the endpoints whose lapsed entries did not come back."""
         due = [
--- a/rhubarbwinch/gateway/messages.py
+++ b/rhubarbwinch/gateway/messages.py
@@ -128,3 +128,16 @@
 
     revision: int
     changes: list[SharedChange] = attrs.field(factory=list)
+
+
+@attrs.frozen
+class LeavingNotice:
+    """Tells that an engine has said by itself that it leaves.
+
+    Attributes:
+        endpoint: The engine's id.
+        started_ms: Unix time of the start that is meant.
+    """
+
+    endpoint: str
+    started_ms: int
--- a/rhubarbwinch/gateway/moving.py
+++ b/rhubarbwinch/gateway/moving.py
@@ -14,9 +14,13 @@
 
 # Moves may fill an engine further than new work: the run has been paid for.
 MOVE_MEMORY_SHARE = 1.0
+# An engine that has failed more often lately is no place for a copy.
+MAX_FAILURE_SHARE = 0.25
 # An engine that follows runs of others keeps room for work of its own: a copy
-# is a precaution.
+# is a precaution. The same holds for all engines together: a burst, or the
+# loss of some, needs the memory for work.
 BACKUP_MEMORY_SHARE = 0.7
+BACKUP_POOL_SHARE = 0.5
 # A copy to another data centre takes twice as long, and every run on the
 # leaving engine waits for it, so it has to be much emptier there.
 CROSS_RUNS = 4.0
@@ -34,12 +38,37 @@
     memory_share: float = MOVE_MEMORY_SHARE,
 ) -> Candidate | None:
     """Returns the engine that takes over a run, or None without room."""
-    fitting = [c for c in candidates if c.fits(tokens, memory_share)]
+    fitting = [
+        c
+        for c in candidates
+        if c.fits(tokens, memory_share) and c.failure_share < MAX_FAILURE_SHARE
+    ]
     if not fitting:
         return None
     return min(fitting, key=lambda c: (_cost(c, source), rng.random()))
 
 
+def choose_backup(
+    candidates: list[Candidate],
+    source: Endpoint,
+    tokens: int,
+    rng: random.Random,
+) -> Candidate | None:
+    """Returns the engine that follows a run, or None when memory is scarce.
+
+    Args:
+        candidates: The engines that take new work, the run's own left out.
+        source: The engine that runs it.
+        tokens: The memory that the run is expected to need, in tokens.
+        rng: Breaks ties.
+    """
+    used = sum(c.load.tokens for c in candidates) + tokens
+    there_is = sum(c.capacity_tokens for c in candidates)
+    if used > there_is * BACKUP_POOL_SHARE:
+        return None
+    return choose_home(candidates, source, tokens, rng, BACKUP_MEMORY_SHARE)
+
+
 def _cost(candidate: Candidate, source: Endpoint) -> float:
     cost = candidate.load.runs + 10.0 * candidate.failure_share
     if candidate.endpoint.data_center != source.data_center:
--- /dev/null
+++ b/rhubarbwinch/gateway/outage.py
@@ -0,0 +1,74 @@
+"""What a gateway does while no gateway has a fresh answer of the store.
+
+It answers outages in which engines go on leaving: their notices do not reach
+the store. Each engine is asked by one gateway, which tells the others.
+"""
+
+from collections.abc import Callable
+
+import anyio
+
+from rhubarbwinch import events
+from rhubarbwinch.clock import Clock
+from rhubarbwinch.exceptions import EndpointError
+from rhubarbwinch.gateway.endpoints import Endpoint
+from rhubarbwinch.gateway.wire import EngineCalls
+
+# Longer than the usual time between two answers of the store.
+STALE_MS = 1_700
+# Engines report with a lag of some hundred milliseconds and leave two seconds
+# after they know; asking costs the engine a little.
+ASK_MS = 300
+CHECK_MS = 200
+
+
+class OutageWatch:
+    """Asks engines whether they leave while the store can't tell.
+
+    Args:
+        clock: The source of time.
+        calls: Calls engines.
+        stale_ms: Returns how old the newest answer of the store is.
+        engines: Returns the engines that this gateway asks.
+        on_leaving: Takes an engine that leaves.
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        calls: EngineCalls,
+        stale_ms: Callable[[], int],
+        engines: Callable[[], list[Endpoint]],
+        on_leaving: Callable[[Endpoint], None],
+    ) -> None:
+        self._clock = clock
+        self._calls = calls
+        self._stale_ms = stale_ms
+        self._engines = engines
+        self._on_leaving = on_leaving
+        self._is_outage = False
+
+    async def run(self) -> None:
+        """Watches until cancelled."""
+        while True:
+            stale_ms = self._stale_ms()
+            is_outage = stale_ms > STALE_MS
+            if is_outage != self._is_outage:
+                self._is_outage = is_outage
+                events.OUTAGE_CHANGED.log(outage=is_outage, stale_ms=stale_ms)
+            if not is_outage:
+                await self._clock.sleep(CHECK_MS)
+                continue
+            async with anyio.create_task_group() as tasks:
+                for endpoint in self._engines():
+                    tasks.start_soon(self._ask, endpoint)
+            await self._clock.sleep(ASK_MS)
+
+    async def _ask(self, endpoint: Endpoint) -> None:
+        try:
+            report = await self._calls.report(endpoint.address)
+        except EndpointError as error:
+            events.REPORT_MISSED.log(endpoint=endpoint.id, error=str(error))
+            return
+        if report.is_leaving or report.leaves_ms is not None:
+            self._on_leaving(endpoint)
--- a/rhubarbwinch/gateway/peers.py
+++ b/rhubarbwinch/gateway/peers.py
@@ -33,6 +33,8 @@
 # Gateways that watch the store for the others; one more than is needed.
 WATCHERS = 2
 SNAPSHOT_TIMEOUT_MS = 1_000
+# Longer than any process lives, in milliseconds.
+NEVER_MS = 1 << 40
 
 
 @attrs.define
@@ -173,13 +175,25 @@
         first = rendezvous.ranking("feed", [*names, self._me.name])[:WATCHERS]
         if self._me.name in first:
             return True
+        return self.confirmed_ms > FRESH_MS
+
+    @property
+    def confirmed_ms(self) -> int:
+        """How long ago the store confirmed what any peer knows of it."""
         now = self._clock.now()
-        ages = [
-            now - p.heard_ms + p.last.confirmed_ms
-            for p in self._peers.values()
-            if p.last is not None and p.last.name in first
-        ]
-        return not ages or min(ages) > FRESH_MS
+        return min(
+            (
+                now - peer.heard_ms + peer.last.confirmed_ms
+                for peer in self._peers.values()
+                if peer.last is not None
+            ),
+            default=NEVER_MS,
+        )
+
+    def owns(self, key: str) -> bool:
+        """Tells whether a task that one gateway does for all falls to this."""
+        names = [h.name for h in self._alive() if not h.is_leaving]
+        return rendezvous.owner(key, [*names, self._me.name]) == self._me.name
 
     async def fetch_snapshot(self) -> Snapshot | None:
         """Asks each peer in turn for all that it knows of the store."""
--- a/rhubarbwinch/gateway/program.py
+++ b/rhubarbwinch/gateway/program.py
@@ -19,16 +19,19 @@
 from rhubarbwinch.gateway import statistics
 from rhubarbwinch.gateway.context import Context
 from rhubarbwinch.gateway.edge import EdgeRequest, EdgeResponder, EdgeServer
+from rhubarbwinch.gateway.endpoints import Endpoint
 from rhubarbwinch.gateway.feed import Feed
 from rhubarbwinch.gateway.fleet import Fleet
 from rhubarbwinch.gateway.loads import LoadBook
 from rhubarbwinch.gateway.messages import (
     Heartbeat,
+    LeavingNotice,
     PeerAddress,
     SharedBatch,
     SnapshotCall,
     ValueCall,
 )
+from rhubarbwinch.gateway.outage import OutageWatch
 from rhubarbwinch.gateway.peers import Peers
 from rhubarbwinch.gateway.plaincalls import PlainCalls
 from rhubarbwinch.gateway.registration import GatewayRegistration
@@ -154,6 +157,13 @@
         )
         self._streams = StreamCalls(self._context)
         router = Router(self._context, PlainCalls(self._context), self._streams)
+        self._outage = OutageWatch(
+            clock,
+            outside.engine_calls,
+            lambda: min(self._feed.confirmed_ms, self._peers.confirmed_ms),
+            self._own_engines,
+            self._tell_leaving,
+        )
         self._front = EdgeServer(settings.front, router.handle, clock)
         self._was_ready = False
 
@@ -172,6 +182,7 @@
         for seed in settings.seeds:
             self._peers.add(seed)
         self._broadcast.on(SharedBatch, self._feed.take_batch)
+        self._broadcast.on(LeavingNotice, self._take_leaving)
         self._server.on(SnapshotCall, self._feed.answer_snapshot)
         self._server.on(ValueCall, self._feed.answer_value)
         tree = Supervisor(settings.name, self._clock)
@@ -192,6 +203,7 @@
             server = EdgeServer(address, self._answer_service, self._clock)
             tree.add(name, server.run)
         tree.add("tick", self._tick)
+        tree.add("outage", self._outage.run)
         tree.add("settings", self._watch_settings)
         events.STARTED.log(name=settings.name, settings=attrs.asdict(settings))
         try:
@@ -325,6 +337,31 @@
         self._context.suspicion.forget(endpoint_id)
         self._streams.note_leaving(known.endpoint)
 
+    def _own_engines(self) -> list[Endpoint]:
+        """Returns the engines that this gateway asks for all."""
+        table = self._context.table
+        services = table.services if table is not None else {}
+        return [
+            known.endpoint
+            for known in self._context.fleet.all_taking_work()
+            if (spec := services.get(known.endpoint.service)) is not None
+            and spec.engine is not None
+            and self._peers.owns(known.endpoint.id)
+        ]
+
+    def _tell_leaving(self, endpoint: Endpoint) -> None:
+        notice = LeavingNotice(endpoint.id, endpoint.started_ms)
+        self._broadcast.send(notice)
+        self._take_leaving(notice)
+
+    def _take_leaving(self, notice: LeavingNotice) -> None:
+        """Takes an engine's own word that it leaves."""
+        if self._context.fleet.mark_leaving(
+            notice.endpoint, notice.started_ms, self._clock.now()
+        ):
+            self._note_endpoint(notice.endpoint, "says it leaves", 0, True)
+            self._note_leaving(notice.endpoint)
+
     async def _tick(self) -> None:
         """Does what is due at a time, not on an event."""
         while True:
--- a/rhubarbwinch/gateway/runs.py
+++ b/rhubarbwinch/gateway/runs.py
@@ -116,3 +116,4 @@
         for room in (self.room, self.backup):
             if room is not None:
                 room.release()
+        self.backup = None
--- a/rhubarbwinch/gateway/streams.py
+++ b/rhubarbwinch/gateway/streams.py
@@ -263,12 +263,11 @@
             # It is short, and may begin anew elsewhere.
             return
         tokens = run.expected_tokens
-        chosen = moving.choose_home(
+        chosen = moving.choose_backup(
             context.candidates(job.service, {run.room.endpoint.id}),
             run.room.endpoint,
             tokens,
             context.rng,
-            moving.BACKUP_MEMORY_SHARE,
         )
         if chosen is not None:
             run.backup = Room(
@@ -578,7 +577,7 @@
     def _settle(self, run: Run, room: Room) -> None:
         """Gives the old room back, and protects the run at its new engine."""
         run.release()
-        run.room, run.backup = room, None
+        run.room = room
         if run.copying is not None:
             run.copying.cancel()
             run.copying = None
--- a/rhubarbwinch/gateway/wire.py
+++ b/rhubarbwinch/gateway/wire.py
@@ -159,6 +159,14 @@
         """
         ...
 
+    async def report(self, address: str) -> EngineReport:
+        """Returns what an engine says of itself.
+
+        Raises:
+            EndpointError: It gave no answer that can be read.
+        """
+        ...
+
     async def drop_copy(self, address: str, handle: str) -> None:
         """Frees a copy at both engines."""
         ...
--- /dev/null
+++ b/tests/gateway/test_outage.py
@@ -0,0 +1,67 @@
+"""Engines that leave while the store is away."""
+
+import unittest
+
+import anyio
+
+from rhubarbwinch.clock import ManualClock
+from rhubarbwinch.exceptions import EndpointError
+from rhubarbwinch.gateway.outage import ASK_MS, STALE_MS, OutageWatch
+from rhubarbwinch.gateway.wire import EngineReport
+from tests.gatewaybuilders import endpoint
+from tests.helpers import asynchronous
+
+
+class Reports:
+    """Answers for engines by their addresses."""
+
+    def __init__(self, **reports):
+        self.reports = reports
+        self.asked = []
+
+    async def report(self, address):
+        self.asked.append(address)
+        found = self.reports.get(address)
+        if found is None:
+            raise EndpointError("no answer", sent=True)
+        return found
+
+
+def _report(leaves_ms=None, is_leaving=False):
+    return EngineReport(1, 0, 100, leaves_ms, is_leaving)
+
+
+class OutageWatchTest(unittest.TestCase):
+    """A watch on a manual clock."""
+
+    async def _run(self, stale_ms, ms):
+        self.left = []
+        engines = [endpoint(f"e{i}") for i in (1, 2, 3)]
+        self.calls = Reports()
+        self.calls.reports = {
+            engines[0].address: _report(),
+            engines[1].address: _report(leaves_ms=900),
+        }
+        clock = ManualClock()
+        watch = OutageWatch(
+            clock,
+            self.calls,
+            lambda: stale_ms,
+            lambda: engines,
+            lambda found: self.left.append(found.id),
+        )
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(watch.run)
+            await clock.advance(ms)
+            tasks.cancel_scope.cancel()
+
+    @asynchronous
+    async def test_no_engine_is_asked_while_the_store_answers(self):
+        await self._run(STALE_MS, 5_000)
+        self.assertEqual(self.calls.asked, [])
+
+    @asynchronous
+    async def test_an_engine_that_says_it_leaves_is_noticed(self):
+        await self._run(STALE_MS + 1, ASK_MS - 1)
+        self.assertEqual(self.left, ["e2"])
+        self.assertEqual(len(self.calls.asked), 3)
--- a/tests/gateway/test_placing.py
+++ b/tests/gateway/test_placing.py
@@ -97,3 +97,27 @@
 
     def test_without_room_anywhere_there_is_no_home(self):
         self.assertIsNone(self._choose(candidate("e1", 8, 32_000)))
+
+    def test_an_engine_that_fails_is_no_home(self):
+        self.assertIsNone(self._choose(candidate("e1", failure_share=0.4)))
+
+
+class ChooseBackupTest(unittest.TestCase):
+    """Engines that follow a run."""
+
+    def _choose(self, *candidates):
+        return _name(
+            moving.choose_backup(list(candidates), endpoint("e9"), 4_000, rng())
+        )
+
+    def test_a_run_is_followed_while_memory_is_ample(self):
+        self.assertEqual(self._choose(candidate("e1", 3, 12_000)), "e1")
+
+    def test_a_crowded_engine_follows_nothing(self):
+        crowded = candidate("e1", 5, 21_000)
+        idle = [candidate(f"e{i}", data_center="dc-b") for i in (2, 3)]
+        self.assertNotEqual(self._choose(crowded, *idle), "e1")
+
+    def test_after_the_loss_of_engines_memory_is_left_to_work(self):
+        left = [candidate(f"e{i}", 4, 16_000) for i in (1, 2)]
+        self.assertIsNone(self._choose(*left))
--- a/tests/gateway/test_streams.py
+++ b/tests/gateway/test_streams.py
@@ -3,6 +3,7 @@
 import unittest
 
 import anyio
+import attrs
 
 from lab.standins.platformengine import event, head_of, refuse
 from rhubarbwinch.gateway.routes import CallKind
@@ -10,7 +11,11 @@
 from tests.gatewayworld import read_answer, world
 from tests.helpers import asynchronous
 
-ONCE = build.table(build.route(CallKind.STREAM, timeout_ms=20_000))
+NO_BACKUPS = attrs.evolve(build.ENGINE, can_back_up=False)
+ONCE = build.table(
+    build.route(CallKind.STREAM, timeout_ms=20_000), engine=NO_BACKUPS
+)
+FOLLOWED = build.table(build.route(CallKind.STREAM, timeout_ms=20_000))
 RESUMABLE = build.table(
     build.route(
         CallKind.STREAM, timeout_ms=20_000, is_resumable=True, max_attempts=2
@@ -92,6 +97,30 @@
         self.assertEqual(resumed["kv-from"], f"{source.address}/h-q1")
         self.assertEqual(resumed["last-event-id"], "3")
 
+    @asynchronous
+    async def test_a_copy_is_good_though_copying_again_fails(self):
+        async with world(table=ONCE) as w:
+            generation = Generation()
+            generation.break_after = 3
+            generation.go_on = anyio.Event()
+            self._script(w, generation)
+            reader, writer = await _start(w)
+            await generation.reached.wait()
+            source = next(e for e in w.engines if e.arrivals)
+            w.announce_leaving(source)
+            while not next(iter(w.streams._runs)).home:
+                await anyio.sleep(0)
+            # The engine is about to end: it answers no call any more.
+            source.move_status = 500
+            copies = len(source.moves)
+            while len(source.moves) < copies + 2:
+                await anyio.sleep(0.01)
+            generation.go_on.set()
+            found = await read_answer(reader)
+            writer.close()
+        self.assertEqual(found.body, ALL)
+        self.assertTrue(found.is_complete)
+
     @asynchronous
     async def test_a_run_without_a_copy_is_never_run_again(self):
         async with world(table=ONCE) as w:
@@ -103,6 +132,25 @@
         self.assertEqual(found.body, b"".join(event(i) for i in (1, 2, 3)))
         self.assertFalse(found.is_complete)
 
+    @asynchronous
+    async def test_a_followed_run_goes_on_where_it_is_followed(self):
+        async with world(table=FOLLOWED) as w:
+            generation = Generation()
+            generation.break_after = 3
+            self._script(w, generation)
+            found = await w.call()
+            first = next(
+                e for e in w.engines if "kv-backup" in e.arrivals[0].headers
+            )
+            other = next(e for e in w.engines if e is not first)
+        self.assertEqual(found.body, ALL)
+        self.assertTrue(found.is_complete)
+        resumed = other.arrivals[0].headers
+        self.assertEqual(resumed["kv-from"], f"{other.address}/q1")
+        self.assertEqual(resumed["last-event-id"], "3")
+        # The first engine may live: it was told to stop the run.
+        self.assertTrue(first.moves[0]["last"])
+
     @asynchronous
     async def test_a_run_that_broke_before_its_first_event_is_not_refused(
         self,
