A failed call makes the watch for leaving engines quicker; a tool that tells a request's way

Change: a gateway tells its peers that the store fails its calls; with that, 0.75 s without an answer are enough. rhubarbwinch explain ID prints a request's way out of the logs of all gateways. Callers that leave are logged.

--- a/lab/catalogue.py
+++ b/lab/catalogue.py
@@ -14,6 +14,7 @@
 from rhubarbwinch import (
     apicatalogue,
     events,
+    gatewaymain,
     metrics,
     problems,
     settingtypes,
@@ -25,6 +26,7 @@
     EntrySettings,
     Settings,
 )
+from rhubarbwinch.gateway import statistics
 
 _NOTE = "This page is made from the code by `make docs`.\n"
 _ATTRIBUTE = re.compile(r"^    (\w+): (.*)$")
@@ -47,6 +49,12 @@
 why), 2 a bad setting.
 """
 
+_GATEWAY_SETTINGS_TEXT = """\
+The rest is in the platform's settings file, which is read again on SIGHUP and
+every five seconds. A file that can't be read at the start ends the program
+with status 2; later the settings before stay, with an event.
+"""
+
 _HTTP_TEXT = """\
 An entry speaks HTTP/1.1 and HTTP/2, with TLS if `--certfile` and `--keyfile`
 are set. Brokers and controls answer `/healthz` and `/readyz` only.
@@ -99,6 +107,13 @@
 Sent to `--statsd` as `rhubarbwinch.<role>.<name>`.
 """
 
+_GATEWAY_METRIC_TEXT = """\
+## rhubarbwinch-gateway
+
+Served as text (Prometheus) at `/metrics` of the metrics port. Counters end in
+`_total` there; histograms count seconds.
+"""
+
 _RECORD_TEXT = """\
 A record is an object with `schema` (1 or 2), `kind`, `name` and `spec`. Names
 have 1 to 63 of a-z, 0-9, dot and dash, and are unique within a kind. A TOML
@@ -189,6 +204,13 @@
             )
         names = ["flag", "variable", "default", "allowed", "meaning"]
         parts += [f"## {title}\n", _table(names, rows)]
+    parts += ["## rhubarbwinch-gateway\n", _GATEWAY_SETTINGS_TEXT]
+    rows = [
+        [f"`{action.option_strings[0]}`", action.help or ""]
+        for action in gatewaymain.make_parser()._actions
+        if action.dest not in ("help", "version")
+    ]
+    parts.append(_table(["flag", "meaning, variable and default"], rows))
     return "\n".join(parts)
 
 
@@ -237,7 +259,20 @@
 def _metrics_page() -> str:
     rows = [[f"`{m.name}`", m.kind, m.meaning] for m in metrics.catalogue()]
     names = ["name", "type", "meaning"]
-    return "\n".join(["# Metrics\n", _NOTE, _METRIC_TEXT, _table(names, rows)])
+    gateway = [
+        [f"`{family.name}`", family.type, family.documentation]
+        for family in statistics.REGISTRY.collect()
+    ]
+    return "\n".join(
+        [
+            "# Metrics\n",
+            _NOTE,
+            _METRIC_TEXT,
+            _table(names, rows),
+            _GATEWAY_METRIC_TEXT,
+            _table(names, gateway),
+        ]
+    )
 
 
 def _records_page() -> str:
--- a/lab/processes.py
+++ b/lab/processes.py
@@ -77,17 +77,18 @@
         """Starts `python -m module arguments` with more environment `env`."""
         environment = dict(os.environ, PYTHONPATH=str(ROOT)) | (env or {})
         with contextlib.ExitStack() as stack:
+            stdout: Any = subprocess.DEVNULL
             stderr: Any = subprocess.DEVNULL
             if self._logs is not None:
                 path = self._logs / f"{name}.log"
-                stderr = stack.enter_context(path.open("ab"))
+                stdout = stderr = stack.enter_context(path.open("ab"))
             elif os.environ.get("SHOW_LOGS"):
                 stderr = None
             self._running[name] = subprocess.Popen(
                 [sys.executable, "-m", *module.split(), *arguments],
                 cwd=ROOT,
                 env=environment,
-                stdout=subprocess.DEVNULL,
+                stdout=stdout,
                 stderr=stderr,
             )
 
--- a/rhubarbwinch/__main__.py
+++ b/rhubarbwinch/__main__.py
@@ -11,6 +11,7 @@
     "control": ("rhubarbwinch.cmdline", "control_main"),
     "ctl": ("rhubarbwinch.ctlcommands", "main"),
     "gateway": ("rhubarbwinch.gatewaymain", "main"),
+    "explain": ("rhubarbwinch.explain", "main"),
 }
 
 
--- /dev/null
+++ b/rhubarbwinch/explain.py
@@ -0,0 +1,140 @@
+"""The story of one request, told from the logs of all gateways.
+
+Reads JSON lines, of one process or of many, in any order. It prints the lines
+of the request, and between them what the gateways learned meanwhile about the
+endpoints that it touched, the store and each other.
+"""
+
+import argparse
+import datetime
+import sys
+from collections.abc import Iterable, Sequence
+from typing import Any
+
+import attrs
+import orjson
+
+from rhubarbwinch.exitstatus import ExitStatus
+
+# Events about what a gateway believes; they explain decisions of requests.
+BELIEFS = frozenset(
+    {
+        "store-down",
+        "store-up",
+        "outage-changed",
+        "table-in-force",
+        "gateway-lost",
+        "gateway-changed",
+        "draining",
+        "drain-limit",
+        "stopped",
+        "started",
+    }
+)
+# Fields that name an endpoint.
+ENDPOINT_FIELDS = ("endpoint", "source", "target")
+# What came shortly before a request may explain its first decision.
+BEFORE_MS = 3_000
+
+
+@attrs.frozen(order=True)
+class Line:
+    """A line of a log.
+
+    Attributes:
+        time: As it stands in the line; it sorts by time.
+        process: Who wrote it.
+        name: The event's name.
+        fields: The event's fields.
+    """
+
+    time: str
+    process: str
+    name: str
+    fields: dict[str, Any] = attrs.field(order=False)
+
+    @property
+    def endpoints(self) -> set[str]:
+        """The endpoints that it names."""
+        return {
+            str(self.fields[name])
+            for name in ENDPOINT_FIELDS
+            if self.fields.get(name)
+        }
+
+    def __str__(self) -> str:
+        told = " ".join(
+            f"{name}={value}"
+            for name, value in self.fields.items()
+            if name not in ("request", "settings")
+        )
+        clock = self.time.partition("T")[2].partition("+")[0]
+        return f"{clock} {self.process} {self.name}: {told}"
+
+
+def parse(lines: Iterable[bytes]) -> list[Line]:
+    """Returns the events among lines, by time; other lines are passed over."""
+    found = []
+    for line in lines:
+        start = line.find(b'{"time"')
+        if start < 0:
+            continue
+        try:
+            event = orjson.loads(line[start:])
+            found.append(
+                Line(
+                    event["time"],
+                    event["process"],
+                    event["name"],
+                    event["fields"],
+                )
+            )
+        except (orjson.JSONDecodeError, KeyError) as error:
+            sys.stderr.write(f"not an event ({error!r}): {line[:80]!r}\n")
+    return sorted(found)
+
+
+def story(lines: list[Line], request: str) -> list[Line]:
+    """Returns the lines that tell what happened to a request."""
+    own = [line for line in lines if line.fields.get("request") == request]
+    if not own:
+        return []
+    processes = {line.process for line in own}
+    endpoints = set().union(*(line.endpoints for line in own))
+    first = _earlier(own[0].time, BEFORE_MS)
+    last = own[-1].time
+    return [
+        line
+        for line in lines
+        if line in own
+        or (
+            first <= line.time <= last
+            and line.process in processes
+            and "request" not in line.fields
+            and (line.name in BELIEFS or line.endpoints & endpoints)
+        )
+    ]
+
+
+def _earlier(time: str, ms: int) -> str:
+    """Returns a time some milliseconds before another."""
+    moment = datetime.datetime.fromisoformat(time)
+    moment -= datetime.timedelta(milliseconds=ms)
+    return moment.isoformat(timespec="milliseconds")
+
+
+def main(argv: Sequence[str] | None = None) -> None:
+    """Runs `rhubarbwinch-explain`."""
+    parser = argparse.ArgumentParser(
+        "rhubarbwinch-explain",
+        description="Prints what happened to a request, from logs on "
+        "standard input.",
+    )
+    parser.add_argument("request", help="the id of the request")
+    request = parser.parse_args(argv).request
+    found = story(parse(sys.stdin.buffer), request)
+    for line in found:
+        print(line)
+    if not found:
+        sys.stderr.write(f"no line of the request {request}\n")
+        sys.exit(ExitStatus.FAILED)
--- a/rhubarbwinch/gateway/feed.py
+++ b/rhubarbwinch/gateway/feed.py
@@ -99,6 +99,11 @@
             return 1 << 40
         return self._clock.now() - self._confirmed_at
 
+    @property
+    def is_failing(self) -> bool:
+        """Whether the last call to the store failed."""
+        return self._failing_since is not None
+
     @property
     def is_after_outage(self) -> bool:
         """Whether the store was away until shortly before."""
--- a/rhubarbwinch/gateway/messages.py
+++ b/rhubarbwinch/gateway/messages.py
@@ -49,6 +49,7 @@
         is_leaving: Whether it was told to stop.
         revision: Up to here it knows the store's changes.
         confirmed_ms: How long ago the store confirmed that to it.
+        is_store_failing: Whether its last call to the store failed.
         loads: What it has running.
     """
 
@@ -63,6 +64,7 @@
     is_leaving: bool = False
     revision: int = 0
     confirmed_ms: int = 1 << 40
+    is_store_failing: bool = False
     loads: list[EndpointLoad] = attrs.field(factory=list)
 
     @property
--- a/rhubarbwinch/gateway/outage.py
+++ b/rhubarbwinch/gateway/outage.py
@@ -14,8 +14,10 @@
 from rhubarbwinch.gateway.endpoints import Endpoint
 from rhubarbwinch.gateway.wire import EngineCalls
 
-# Longer than the usual time between two answers of the store.
+# Longer than the usual time between two answers of the store, when nothing is
+# known to fail, and when a gateway's call has failed.
 STALE_MS = 1_700
+STALE_AND_FAILING_MS = 750
 # Engines report with a lag of some hundred milliseconds and leave two seconds
 # after they know; asking costs the engine a little.
 ASK_MS = 300
@@ -29,6 +31,7 @@
         clock: The source of time.
         calls: Calls engines.
         stale_ms: Returns how old the newest answer of the store is.
+        is_failing: Tells whether the store fails any gateway's calls.
         engines: Returns the engines that this gateway asks.
         on_leaving: Takes an engine that leaves.
     """
@@ -38,12 +41,14 @@
         clock: Clock,
         calls: EngineCalls,
         stale_ms: Callable[[], int],
+        is_failing: Callable[[], bool],
         engines: Callable[[], list[Endpoint]],
         on_leaving: Callable[[Endpoint], None],
     ) -> None:
         self._clock = clock
         self._calls = calls
         self._stale_ms = stale_ms
+        self._is_failing = is_failing
         self._engines = engines
         self._on_leaving = on_leaving
         self._is_outage = False
@@ -52,7 +57,8 @@
         """Watches until cancelled."""
         while True:
             stale_ms = self._stale_ms()
-            is_outage = stale_ms > STALE_MS
+            limit = STALE_AND_FAILING_MS if self._is_failing() else STALE_MS
+            is_outage = stale_ms > limit
             if is_outage != self._is_outage:
                 self._is_outage = is_outage
                 events.OUTAGE_CHANGED.log(outage=is_outage, stale_ms=stale_ms)
--- a/rhubarbwinch/gateway/peers.py
+++ b/rhubarbwinch/gateway/peers.py
@@ -190,6 +190,11 @@
             default=NEVER_MS,
         )
 
+    @property
+    def is_store_failing(self) -> bool:
+        """Whether the store fails the calls of any peer that lives."""
+        return any(heartbeat.is_store_failing for heartbeat in self._alive())
+
     def owns(self, key: str) -> bool:
         """Tells whether a task that one gateway does for all falls to this."""
         names = [h.name for h in self._alive() if not h.is_leaving]
--- a/rhubarbwinch/gateway/program.py
+++ b/rhubarbwinch/gateway/program.py
@@ -161,11 +161,13 @@
             clock,
             outside.engine_calls,
             lambda: min(self._feed.confirmed_ms, self._peers.confirmed_ms),
+            lambda: self._feed.is_failing or self._peers.is_store_failing,
             self._own_engines,
             self._tell_leaving,
         )
         self._front = EdgeServer(settings.front, router.handle, clock)
         self._was_ready = False
+        self._was_failing = False
 
     @property
     def is_ready(self) -> bool:
@@ -226,6 +228,7 @@
             is_leaving=self._context.is_draining,
             revision=self._replica.revision,
             confirmed_ms=self._feed.confirmed_ms,
+            is_store_failing=self._feed.is_failing,
         )
 
     async def _bootstrap(self) -> None:
@@ -371,6 +374,9 @@
                 self._note_leaving(known.endpoint.id)
             statistics.OPEN.set(self._front.status.open_requests)
             self._streams.note_change()
+            if self._feed.is_failing != self._was_failing:
+                self._was_failing = self._feed.is_failing
+                self._peers.tell()
             if self.is_ready != self._was_ready:
                 self._was_ready = self.is_ready
                 events.READY_CHANGED.log(ready=self.is_ready)
--- a/rhubarbwinch/gateway/router.py
+++ b/rhubarbwinch/gateway/router.py
@@ -1,5 +1,7 @@
 """Takes callers' requests: configuration, route, account, and who serves."""
 
+import anyio
+
 from rhubarbwinch import events
 from rhubarbwinch.exceptions import BadCallError
 from rhubarbwinch.gateway.answers import send_failure
@@ -57,10 +59,18 @@
             request, call, route, account, priority, self._target(route)
         )
         context.budget.add_request(job.service, context.clock.now())
-        if route.kind is CallKind.STREAM:
-            await self._streams.serve(job, responder)
-        else:
-            await self._plain.serve(job, responder)
+        try:
+            if route.kind is CallKind.STREAM:
+                await self._streams.serve(job, responder)
+            else:
+                await self._plain.serve(job, responder)
+        except anyio.get_cancelled_exc_class():
+            events.CALLER_LEFT.log(
+                request=call.request_id,
+                took_ms=context.clock.now() - job.received_ms,
+                sends=job.sends,
+            )
+            raise
 
     def _admit(self, call: CallHead) -> tuple[Route, str | None, int] | Failure:
         """Returns the route, the account and the priority of a request."""
--- a/rhubarbwinch/gatewaymain.py
+++ b/rhubarbwinch/gatewaymain.py
@@ -57,12 +57,8 @@
         return bootfile.load(self.settings, self.metrics_port)
 
 
-def parse(argv: Sequence[str] | None = None) -> GatewayOptions:
-    """Returns the options; each is a flag and an environment variable.
-
-    Raises:
-        SystemExit: One is missing or not allowed, or was help or version.
-    """
+def make_parser() -> argparse.ArgumentParser:
+    """Returns the parser of the command line."""
     # cappa, which the other programs use, takes a third of the time of a
     # start, in which this one serves nobody.
     parser = argparse.ArgumentParser(
@@ -77,6 +73,16 @@
         parser, "metrics-port", str(DEFAULT_METRICS_PORT), "port of the metrics"
     )
     _add(parser, "log-level", "info", f"one of {', '.join(LEVELS)}")
+    return parser
+
+
+def parse(argv: Sequence[str] | None = None) -> GatewayOptions:
+    """Returns the options; each is a flag and an environment variable.
+
+    Raises:
+        SystemExit: One is missing or not allowed, or was help or version.
+    """
+    parser = make_parser()
     found = parser.parse_args(argv)
     if not found.settings:
         parser.error("--settings is required")
--- /dev/null
+++ b/tests/gateway/test_gateway.py
@@ -0,0 +1,238 @@
+"""Gateways as processes, before the stand-ins of the platform."""
+
+import json
+import pathlib
+import signal
+import tempfile
+import unittest
+from contextlib import asynccontextmanager
+
+import anyio
+import httpx
+import orjson
+
+from lab.standins.platformengine import ScriptedEngine, answer_ok
+from lab.standins.platformstore import PlatformStoreServer
+from tests.helpers import Processes, asynchronous, free_address
+
+SETTINGS = """\
+node={name}
+zone=z1
+ip={ip}
+listen.front={ip}:{port}
+listen.ready={ip}:{ready}
+listen.directory={ip}:{directory}
+internal_ports={link},{last}
+seeds={seeds}
+limits.memory_mb=205
+limits.max_fds=6150
+bounds.grace_s=8
+bounds.ttl_max_s=5
+bounds.retry_budget_ratio=0.2
+bounds.budget_window_s=10
+bounds.budget_extra=56
+platform.address={store}
+"""
+
+
+def config(version=1, keys=("k1",)):
+    """Returns a configuration with one idempotent route."""
+    route = {
+        "name": "r",
+        "host": "h.example",
+        "prefix": "/r/",
+        "kind": "idempotent",
+        "timeout_ms": 5_000,
+        "target_latency_ms": 500,
+        "max_attempts": 2,
+        "service": "svc",
+    }
+    return orjson.dumps(
+        {
+            "version": version,
+            "routes": [route],
+            "services": [{"name": "svc", "max_connections": 100}],
+            "tenants": [{"name": "t1", "api_keys": list(keys)}],
+        }
+    )
+
+
+class Deployment:
+    """Some gateways, a store and an engine."""
+
+    def __init__(self, folder):
+        self.folder = pathlib.Path(folder)
+        self.processes = Processes(self.folder)
+        self.store = PlatformStoreServer(free_address())
+        self.engine = ScriptedEngine("i-1", free_address(), "svc")
+        base = int(free_address().split(":")[1]) % 20_000 + 11_000
+        self.ports = {
+            "port": base,
+            "ready": base + 1,
+            "directory": base + 2,
+            "link": base + 3,
+            "last": base + 15,
+        }
+
+    def start(self, number):
+        """Starts a gateway on an address of its own."""
+        ip = f"127.0.7.{number}"
+        seed = f"127.0.7.1:{self.ports['port']}"
+        path = self.folder / f"g{number}.conf"
+        text = SETTINGS.format(
+            name=f"g{number}",
+            ip=ip,
+            seeds=seed,
+            store=self.store._server._address,
+            **self.ports,
+        )
+        path.write_text(text)
+        self.processes.start(
+            f"g{number}",
+            "rhubarbwinch gateway",
+            "--metrics-port",
+            str(self.ports["last"]),
+            env={"RHUBARBWINCH_SETTINGS": str(path)},
+        )
+
+    def url(self, number, service="port", path="/"):
+        """Returns the URL of one of a gateway's addresses."""
+        return f"http://127.0.7.{number}:{self.ports[service]}{path}"
+
+    async def get(self, url, **headers):
+        """Returns an answer, or None without a connection."""
+        try:
+            async with httpx.AsyncClient(timeout=20) as client:
+                return await client.get(url, headers=headers)
+        except httpx.TransportError:
+            return None
+
+    async def call(self, number, request_id, key="k1"):
+        """Sends a caller's request."""
+        return await self.get(
+            self.url(number, path="/r/x"),
+            Host="h.example",
+            Authorization=f"Bearer {key}",
+            **{"Attempt-Id": request_id, "Deadline-Ms": "15000"},
+        )
+
+    async def until(self, check):
+        """Waits until an awaited check is true."""
+        with anyio.fail_after(20):
+            while not await check():
+                await anyio.sleep(0.02)
+
+    async def is_ready(self, number):
+        """Tells whether a gateway says that it is ready."""
+        found = await self.get(self.url(number, "ready", "/readiness"))
+        return found is not None and found.status_code == httpx.codes.OK
+
+    def events(self, number):
+        """Returns the events that a gateway has logged."""
+        text = (self.folder / f"g{number}.log").read_text()
+        return [json.loads(x) for x in text.splitlines() if x.startswith("{")]
+
+
+@asynccontextmanager
+async def deployment():
+    """Runs the stand-ins; the gateways are started by the test."""
+    with tempfile.TemporaryDirectory() as folder:
+        found = Deployment(folder)
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(found.store.run)
+            tasks.start_soon(found.engine.run)
+            await anyio.wait_all_tasks_blocked()
+            await found.store.put("op/config", config())
+            await found.store.put("servers/i-1", found.engine.entry)
+            with found.processes:
+                yield found
+            tasks.cancel_scope.cancel()
+
+
+class GatewayTest(unittest.TestCase):
+    """The whole path."""
+
+    @asynchronous
+    async def test_a_request_is_served_and_its_way_is_logged(self):
+        async with deployment() as d:
+            d.start(1)
+            await d.until(lambda: d.is_ready(1))
+            found = await d.call(1, "q1")
+            self.assertEqual((found.status_code, found.text), (200, "q1"))
+            self.assertEqual(found.headers["server-signature"], "sig")
+            names = [
+                e["name"]
+                for e in d.events(1)
+                if e["fields"].get("request") == "q1"
+            ]
+            self.assertEqual(names, ["sent", "answered"])
+            looked_up = await d.get(
+                d.url(1, "directory", "/resolve?name=h.example")
+            )
+            self.assertEqual(
+                looked_up.json()["addresses"], [f"127.0.7.1:{d.ports['port']}"]
+            )
+            metrics = await d.get(d.url(1, "last", "/metrics"))
+            self.assertIn(
+                'rhubarbwinch_sends_total{outcome="good"} 1', metrics.text
+            )
+
+    @asynchronous
+    async def test_a_key_that_is_taken_away_is_refused_at_all(self):
+        async with deployment() as d:
+            for number in (1, 2, 3):
+                d.start(number)
+            for number in (1, 2, 3):
+                await d.until(lambda n=number: d.is_ready(n))
+            await d.store.put("op/config", config(2, keys=("k2",)))
+
+            async def refused():
+                found = [await d.call(n, "q") for n in (1, 2, 3)]
+                return {a.status_code for a in found if a} == {401}
+
+            await d.until(refused)
+            self.assertEqual((await d.call(2, "q9", "k2")).status_code, 200)
+
+    @asynchronous
+    async def test_one_that_starts_while_the_store_is_down_serves(self):
+        async with deployment() as d:
+            d.start(1)
+            await d.until(lambda: d.is_ready(1))
+            d.store.faults.status = 503
+            d.start(2)
+            await d.until(lambda: d.is_ready(2))
+            found = await d.call(2, "q1")
+            self.assertEqual((found.status_code, found.text), (200, "q1"))
+
+    @asynchronous
+    async def test_an_end_by_sigterm_finishes_what_is_open(self):
+        go_on = anyio.Event()
+
+        async def wait(arrival, responder):
+            await go_on.wait()
+            await answer_ok(arrival, responder)
+
+        async with deployment() as d:
+            d.start(1)
+            await d.until(lambda: d.is_ready(1))
+            d.engine.behaviour = wait
+            answers = []
+
+            async def call():
+                answers.append(await d.call(1, "q1"))
+
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(call)
+                while not d.engine.arrivals:
+                    await anyio.sleep(0.01)
+                d.processes.signal("g1", signal.SIGTERM)
+
+                async def not_ready():
+                    return not await d.is_ready(1)
+
+                await d.until(not_ready)
+                go_on.set()
+            self.assertEqual(answers[0].text, "q1")
+            status = await anyio.to_thread.run_sync(d.processes.wait, "g1")
+            self.assertEqual(status, 0)
+            self.assertEqual(d.events(1)[-1]["name"], "stopped")
--- a/tests/gateway/test_outage.py
+++ b/tests/gateway/test_outage.py
@@ -6,7 +6,12 @@
 
 from rhubarbwinch.clock import ManualClock
 from rhubarbwinch.exceptions import EndpointError
-from rhubarbwinch.gateway.outage import ASK_MS, STALE_MS, OutageWatch
+from rhubarbwinch.gateway.outage import (
+    ASK_MS,
+    STALE_AND_FAILING_MS,
+    STALE_MS,
+    OutageWatch,
+)
 from rhubarbwinch.gateway.wire import EngineReport
 from tests.gatewaybuilders import endpoint
 from tests.helpers import asynchronous
@@ -34,7 +39,7 @@
 class OutageWatchTest(unittest.TestCase):
     """A watch on a manual clock."""
 
-    async def _run(self, stale_ms, ms):
+    async def _run(self, stale_ms, ms, is_failing=False):
         self.left = []
         engines = [endpoint(f"e{i}") for i in (1, 2, 3)]
         self.calls = Reports()
@@ -47,6 +52,7 @@
             clock,
             self.calls,
             lambda: stale_ms,
+            lambda: is_failing,
             lambda: engines,
             lambda found: self.left.append(found.id),
         )
@@ -65,3 +71,10 @@
         await self._run(STALE_MS + 1, ASK_MS - 1)
         self.assertEqual(self.left, ["e2"])
         self.assertEqual(len(self.calls.asked), 3)
+
+    @asynchronous
+    async def test_a_call_that_failed_makes_the_watch_quicker(self):
+        await self._run(STALE_AND_FAILING_MS + 1, ASK_MS - 1, is_failing=True)
+        self.assertEqual(self.left, ["e2"])
+        await self._run(STALE_AND_FAILING_MS, ASK_MS - 1, is_failing=True)
+        self.assertEqual(self.left, [])
--- a/tests/lab/test_catalogue.py
+++ b/tests/lab/test_catalogue.py
@@ -20,7 +20,7 @@
 
     def test_each_event_and_metric_of_the_pages_is_used(self):
         sources = "".join(
-            path.read_text() for path in (ROOT / "rhubarbwinch").glob("*.py")
+            path.read_text() for path in (ROOT / "rhubarbwinch").rglob("*.py")
         )
         for module in (events, metrics):
             stem = module.__name__.rpartition(".")[2]
