--- a/rhubarbwinch/explain.py
+++ b/rhubarbwinch/explain.py
@@ -37,12 +37,12 @@
 BEFORE_MS = 3_000
 
 
-@attrs.frozen(order=True)
+@attrs.frozen
 class Line:
     """A line of a log.
 
     Attributes:
-        time: As it stands in the line; it sorts by time.
+        time: As it stands in the line; its order is that of time.
         process: Who wrote it.
         name: The event's name.
         fields: The event's fields.
@@ -51,7 +51,7 @@
     time: str
     process: str
     name: str
-    fields: dict[str, Any] = attrs.field(order=False)
+    fields: dict[str, Any]
 
     @property
     def endpoints(self) -> set[str]:
@@ -91,7 +91,8 @@
             )
         except (orjson.JSONDecodeError, KeyError) as error:
             sys.stderr.write(f"not an event ({error!r}): {line[:80]!r}\n")
-    return sorted(found)
+    # Lines of one millisecond stay in the order in which they were written.
+    return sorted(found, key=lambda line: line.time)
 
 
 def story(lines: list[Line], request: str) -> list[Line]:
