A key told twice in one batch; requests that crash endpoints are refused after three

Cause 1: a batch told a configuration that was too large for a datagram twice; the second entry was taken off a table that held one.

Cause 2: nothing stopped a request that crashes each engine that runs it. Change: an endpoint that is gone after it broke off an answer counts against the request, at all gateways; three end it for a minute, a success clears it. Nobody waits for the probe.

--- a/rhubarbwinch/events.py
+++ b/rhubarbwinch/events.py
@@ -419,6 +419,12 @@
     logging.WARNING,
     "An engine did not answer a call about a copy.",
 )
+CRASHED_UNDER = Event(
+    746,
+    "crashed-under",
+    logging.WARNING,
+    "An endpoint is gone after it broke off the answer to a request.",
+)
 LOG_LINES_LEFT_OUT = Event(
     750,
     "log-lines-left-out",
--- a/rhubarbwinch/gateway/context.py
+++ b/rhubarbwinch/gateway/context.py
@@ -7,6 +7,7 @@
 from rhubarbwinch import events
 from rhubarbwinch.clock import Clock
 from rhubarbwinch.gateway import statistics
+from rhubarbwinch.gateway.crashes import Break, CrashLedger, fingerprint
 from rhubarbwinch.gateway.edge import EdgeRequest
 from rhubarbwinch.gateway.fleet import Fleet, Known
 from rhubarbwinch.gateway.loads import LoadBook
@@ -36,6 +37,7 @@
         peers: The other gateways.
         upstream: Sends to endpoints.
         engine_calls: Calls to engines beside the requests.
+        crashes: Requests under which endpoints crash.
         table: The configuration in force; None before the first.
         is_draining: Whether the gateway was told to stop.
     """
@@ -52,6 +54,7 @@
     peers: Peers
     upstream: Upstream
     engine_calls: EngineCalls
+    crashes: CrashLedger
     table: RoutingTable | None = None
     is_draining: bool = False
 
@@ -101,6 +104,15 @@
                 ),
             )
 
+    def note_break(self, job: "Job", endpoint_id: str, address: str) -> None:
+        """Has it found out whether an endpoint crashed under a request."""
+        known = self.fleet.get(endpoint_id)
+        if known is None or known.is_leaving:
+            return
+        self.crashes.suspect(
+            Break(job.call.request_id, job.fingerprint, endpoint_id, address)
+        )
+
     def may_send_again(self, service: str) -> bool:
         """Takes a further send out of the budget."""
         return self.budget.take(service, self.peers.count + 1, self.clock.now())
@@ -120,6 +132,7 @@
         received_ms: When its first byte was read.
         deadline_ms: When its answer is due at the latest.
         objective_ms: When its answer is on time.
+        fingerprint: What it is recognised by when it comes again.
         sends: Sends to endpoints.
         tried: Ids of endpoints that have failed it.
     """
@@ -133,6 +146,7 @@
     received_ms: int
     deadline_ms: int
     objective_ms: int
+    fingerprint: str
     sends: int = 0
     tried: set[str] = attrs.field(factory=set)
 
@@ -159,4 +173,5 @@
         received_ms=request.received_ms,
         deadline_ms=request.received_ms + allowed_ms,
         objective_ms=request.received_ms + route.objective_ms,
+        fingerprint=fingerprint(account, call.target, request.body),
     )
--- a/rhubarbwinch/gateway/feed.py
+++ b/rhubarbwinch/gateway/feed.py
@@ -211,18 +211,21 @@
         self, batch: SharedBatch, left_out: list[SharedChange]
     ) -> None:
         """Completes a batch by the values that its sender hands over."""
+        # A key that changed more than once is told once for each change; only
+        # its newest value can be had.
         changes = {c.key: _change(c) for c in batch.changes}
-        for shared in left_out:
-            known = self._replica.get(shared.key)
+        newest = {shared.key: shared for shared in left_out}
+        for key, shared in newest.items():
+            known = self._replica.get(key)
             if known is not None and known.revision >= shared.revision:
-                del changes[shared.key]
+                del changes[key]
                 continue
             found = await self._fetch_value(batch.sender, shared)
             if found is None:
                 # The next round of this gateway reads the store itself.
                 self._was_scanned = False
                 return
-            changes[shared.key] = _change(found)
+            changes[key] = _change(found)
         self._take(batch, list(changes.values()))
 
     async def _fetch_value(
--- a/rhubarbwinch/gateway/messages.py
+++ b/rhubarbwinch/gateway/messages.py
@@ -132,6 +132,19 @@
     changes: list[SharedChange] = attrs.field(factory=list)
 
 
+@attrs.frozen
+class CrashNotice:
+    """Tells that an endpoint crashed under a request.
+
+    Attributes:
+        request: The fingerprint of the request.
+        endpoint: The endpoint's id.
+    """
+
+    request: str
+    endpoint: str
+
+
 @attrs.frozen
 class LeavingNotice:
     """Tells that an engine has said by itself that it leaves.
--- a/rhubarbwinch/gateway/plaincalls.py
+++ b/rhubarbwinch/gateway/plaincalls.py
@@ -121,7 +121,10 @@
             with anyio.move_on_after(limit_ms / 1000):
                 return await self._exchange(job, endpoint, left_ms)
         except EndpointError as error:
-            return self._failed(job, endpoint, started, error)
+            failure = self._failed(job, endpoint, started, error)
+            if error.sent:
+                context.note_break(job, endpoint.id, endpoint.address)
+            return failure
         finally:
             context.loads.add_local(endpoint.id, -1)
         context.note(job, job.service, endpoint.id, Outcome.BROKEN)
@@ -162,6 +165,7 @@
             raise EndpointError(f"status {head.status}", sent=True)
         whole = WholeAnswer(head, body)
         outcome = Outcome.GOOD if whole.is_good else Outcome.ERROR
+        context.crashes.clear(job.fingerprint)
         context.note(job, job.service, endpoint.id, outcome)
         self._log(job, endpoint, started, str(head.status))
         return whole
--- a/rhubarbwinch/gateway/program.py
+++ b/rhubarbwinch/gateway/program.py
@@ -18,12 +18,14 @@
 )
 from rhubarbwinch.gateway import statistics
 from rhubarbwinch.gateway.context import Context
+from rhubarbwinch.gateway.crashes import CrashLedger
 from rhubarbwinch.gateway.edge import EdgeRequest, EdgeResponder, EdgeServer
 from rhubarbwinch.gateway.endpoints import Endpoint
 from rhubarbwinch.gateway.feed import Feed
 from rhubarbwinch.gateway.fleet import Fleet
 from rhubarbwinch.gateway.loads import LoadBook
 from rhubarbwinch.gateway.messages import (
+    CrashNotice,
     Heartbeat,
     LeavingNotice,
     PeerAddress,
@@ -139,6 +141,9 @@
             peers=self._peers,
             upstream=Upstream(outside.platform, outside.transport),
             engine_calls=outside.engine_calls,
+            crashes=CrashLedger(
+                outside.transport.is_unreachable, clock, self._broadcast.send
+            ),
         )
         self._replica = Replica()
         self._feed = Feed(
@@ -185,6 +190,7 @@
             self._peers.add(seed)
         self._broadcast.on(SharedBatch, self._feed.take_batch)
         self._broadcast.on(LeavingNotice, self._take_leaving)
+        self._broadcast.on(CrashNotice, self._take_crash)
         self._server.on(SnapshotCall, self._feed.answer_snapshot)
         self._server.on(ValueCall, self._feed.answer_value)
         tree = Supervisor(settings.name, self._clock)
@@ -204,6 +210,7 @@
         ):
             server = EdgeServer(address, self._answer_service, self._clock)
             tree.add(name, server.run)
+        tree.add("crashes", self._context.crashes.run)
         tree.add("tick", self._tick)
         tree.add("outage", self._outage.run)
         tree.add("settings", self._watch_settings)
@@ -365,6 +372,12 @@
             self._note_endpoint(notice.endpoint, "says it leaves", 0, True)
             self._note_leaving(notice.endpoint)
 
+    def _take_crash(self, notice: CrashNotice) -> None:
+        """Takes a crash that another gateway has seen."""
+        self._context.crashes.note(
+            notice.request, notice.endpoint, self._clock.now()
+        )
+
     async def _tick(self) -> None:
         """Does what is due at a time, not on an event."""
         while True:
--- a/rhubarbwinch/gateway/router.py
+++ b/rhubarbwinch/gateway/router.py
@@ -7,7 +7,7 @@
 from rhubarbwinch.gateway.answers import send_failure
 from rhubarbwinch.gateway.context import Context, make_job
 from rhubarbwinch.gateway.edge import EdgeRequest, EdgeResponder
-from rhubarbwinch.gateway.plaincalls import PlainCalls
+from rhubarbwinch.gateway.plaincalls import PlainCalls, answer_failure
 from rhubarbwinch.gateway.routes import CallKind, Route, RoutingTable
 from rhubarbwinch.gateway.streams import StreamCalls
 from rhubarbwinch.gateway.wire import CallHead
@@ -58,6 +58,10 @@
         job = make_job(
             request, call, route, account, priority, self._target(route)
         )
+        if context.crashes.is_refused(job.fingerprint, context.clock.now()):
+            failure = not_run(Reason.QUARANTINED, "endpoints crash under it")
+            await answer_failure(context, job, responder, failure)
+            return
         context.budget.add_request(job.service, context.clock.now())
         try:
             if route.kind is CallKind.STREAM:
--- a/rhubarbwinch/gateway/streams.py
+++ b/rhubarbwinch/gateway/streams.py
@@ -309,6 +309,7 @@
             context.note(job, job.service, endpoint.id, outcome)
             self._log_send(run, endpoint, now, str(error))
             if error.sent:
+                context.note_break(job, endpoint.id, endpoint.address)
                 return Failure(
                     Verdict.MAY_HAVE_RUN, Reason.ENDPOINT_FAILED, str(error)
                 )
@@ -361,11 +362,13 @@
                     self._context.note(
                         run.job, run.job.service, source.id, Outcome.GOOD
                     )
+                    self._context.crashes.clear(run.job.fingerprint)
                     return None
             if self._left_ms(run) <= 0:
                 return Failure(
                     Verdict.MAY_HAVE_RUN, Reason.DEADLINE, "out of time"
                 )
+            self._context.note_break(run.job, source.id, source.address)
             following = await self._go_on(run, source)
             if following is None:
                 return Failure(
--- a/rhubarbwinch/transport.py
+++ b/rhubarbwinch/transport.py
@@ -27,6 +27,8 @@
 KEEP_ALIVE_MARGIN_S = 0.5
 # Answers to earlier requests that may stand before the expected one.
 MAX_STALE_ANSWERS = 4
+# Some round trips; a lost packet makes a live endpoint look gone.
+PROBE_S = 0.4
 _KEEP_ALIVE = re.compile(rb"timeout=(\d{1,6})")
 
 # Tells whether the head of an answer belongs to the request that was sent.
@@ -431,6 +433,16 @@
         self._idle.setdefault(key, deque()).append(connection)
         self._idle_count += 1
 
+    async def is_unreachable(self, key: str) -> bool:
+        """Tells whether an endpoint accepts no new connection."""
+        host, _, port = key.rpartition(":")
+        try:
+            connection = await _connect(host, int(port), PROBE_S, self._options)
+        except (httpx.ConnectError, httpx.ConnectTimeout):
+            return True
+        connection.abort()
+        return False
+
     def close_idle(self, key: str) -> None:
         """Closes the idle connections to an endpoint that is gone."""
         for connection in self._idle.pop(key, ()):
--- /dev/null
+++ b/tests/gateway/test_crashes.py
@@ -0,0 +1,90 @@
+"""Requests under which endpoints crash."""
+
+import unittest
+
+import anyio
+
+from rhubarbwinch.clock import ManualClock
+from rhubarbwinch.gateway.crashes import (
+    KEEP_MS,
+    MAX_CRASHES,
+    MAX_SUSPECTS,
+    CrashLedger,
+    fingerprint,
+)
+from rhubarbwinch.gateway.routes import CallKind
+from tests import gatewaybuilders as build
+from tests.gatewayworld import world
+from tests.helpers import asynchronous
+
+
+class CrashLedgerTest(unittest.TestCase):
+    """Crashes in, refusals out."""
+
+    def setUp(self):
+        self.ledger = CrashLedger(None, ManualClock(), None)
+
+    def _crash(self, request, endpoints, now=0):
+        for endpoint in endpoints:
+            self.ledger.note(request, endpoint, now)
+
+    def test_a_request_is_refused_after_crashes_of_several_endpoints(self):
+        self._crash("r", ["e1", "e2", "e2", "e1"])
+        self.assertFalse(self.ledger.is_refused("r", 1))
+        self._crash("r", ["e3"])
+        self.assertTrue(self.ledger.is_refused("r", 1))
+        self.assertFalse(self.ledger.is_refused("other", 1))
+
+    def test_success_clears_a_request(self):
+        self._crash("r", ["e1", "e2"])
+        self.ledger.clear("r")
+        self._crash("r", ["e3"])
+        self.assertFalse(self.ledger.is_refused("r", 1))
+
+    def test_crashes_of_long_ago_do_not_count(self):
+        self._crash("r", ["e1", "e2", "e3"])
+        self.assertFalse(self.ledger.is_refused("r", KEEP_MS + 1))
+        self._crash("r", ["e4"], KEEP_MS + 2)
+        self.assertFalse(self.ledger.is_refused("r", KEEP_MS + 2))
+
+    def test_the_number_of_suspects_is_bounded(self):
+        for i in range(MAX_SUSPECTS + 50):
+            self._crash(f"r{i}", ["e1"], i)
+        self.assertEqual(len(self.ledger._suspects), MAX_SUSPECTS)
+
+    def test_what_differs_in_any_part_is_another_request(self):
+        parts = [("a", b"/x", b"b"), ("a", b"/", b"xb"), ("ax", b"/", b"b")]
+        self.assertEqual(len({fingerprint(*p) for p in parts}), 3)
+
+
+class CrashingRequestTest(unittest.TestCase):
+    """A request before endpoints that it ends."""
+
+    @asynchronous
+    async def test_it_reaches_no_endpoint_after_the_third_crash(self):
+        table = build.table(build.route(CallKind.NON_IDEMPOTENT))
+        async with world(engines=6, table=table) as w:
+
+            async def crash(arrival, responder):
+                """Ends the endpoint in the middle of the request."""
+                name = arrival.headers["expect-instance"]
+                known = w.context.fleet.get(name)
+                gone = build.endpoint(name, address="127.0.0.1:1")
+                known.endpoint = gone
+
+            async def is_gone(address):
+                return True
+
+            w.context.crashes._is_gone = is_gone
+            for engine in w.engines:
+                engine.behaviour = crash
+            statuses = []
+            for i in range(6):
+                statuses.append((await w.call(f"q{i}")).status)
+                # The crash is found out after the caller has its answer.
+                while len(w.told) < min(i + 1, MAX_CRASHES):
+                    await anyio.sleep(0)
+        self.assertEqual(len(w.arrivals), MAX_CRASHES)
+        self.assertEqual(statuses[:3], [502] * 3)
+        self.assertEqual(statuses[-1], 503)
+        self.assertEqual(len(w.told), MAX_CRASHES)
--- a/tests/gateway/test_feed.py
+++ b/tests/gateway/test_feed.py
@@ -178,6 +178,24 @@
         self.assertEqual(self.seen, [([("big", 5)], False)])
         self.assertEqual(self.links.calls, [("p", "big")])
 
+    @asynchronous
+    async def test_a_key_that_changed_twice_is_fetched_once(self):
+        self._make([Listing([], 3)], [], watches=False)
+        await self._run(300)
+        self.links.values["big"] = SharedChange("big", 6, b"x" * 5_000)
+        twice = [
+            SharedChange("big", revision, bytes_left_out=5_000)
+            for revision in (5, 6)
+        ]
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self.feed.run_fetches)
+            self.feed.take_batch(SharedBatch("p", 3, 6, twice))
+            self.feed.take_batch(SharedBatch("p", 3, 6, twice))
+            await self.clock.advance(10)
+            tasks.cancel_scope.cancel()
+        self.assertEqual(self.seen, [([("big", 6)], False)])
+        self.assertEqual(self.links.calls, [("p", "big")])
+
     @asynchronous
     async def test_a_value_that_a_peer_does_not_hand_over_is_read_anew(self):
         listing = Listing([put("big", 5).entry], 6)
--- a/tests/gatewayworld.py
+++ b/tests/gatewayworld.py
@@ -9,6 +9,7 @@
 from lab.standins.platformengine import ScriptedEngine
 from rhubarbwinch.clock import SystemClock
 from rhubarbwinch.gateway.context import Context
+from rhubarbwinch.gateway.crashes import CrashLedger
 from rhubarbwinch.gateway.edge import EdgeServer
 from rhubarbwinch.gateway.fleet import Fleet
 from rhubarbwinch.gateway.loads import LoadBook
@@ -52,6 +53,7 @@
             ScriptedEngine(f"e{i}", free_address(), "svc")
             for i in range(1, engines + 1)
         ]
+        self.told = []
         self.platform = KielichowaPlatform()
         self.transport = Transport()
         self.context = Context(
@@ -67,6 +69,9 @@
             peers=NoPeers(),
             upstream=Upstream(self.platform, self.transport),
             engine_calls=PlatformEngineCalls(self.transport),
+            crashes=CrashLedger(
+                self.transport.is_unreachable, SystemClock(), self.told.append
+            ),
             table=table,
         )
         for engine in self.engines:
@@ -164,6 +169,7 @@
         for engine in found.engines:
             tasks.start_soon(engine.run)
         tasks.start_soon(found.edge.run)
+        tasks.start_soon(found.context.crashes.run)
         await anyio.wait_all_tasks_blocked()
         try:
             yield found
--- a/tests/test_cmdline.py
+++ b/tests/test_cmdline.py
@@ -13,7 +13,8 @@
     def test_each_script_leads_to_a_function(self):
         project = tomllib.loads((ROOT / "pyproject.toml").read_text())
         scripts = project["project"]["scripts"]
-        wanted = {f"rhubarbwinch-{r}" for r in ("entry", "broker", "control")}
+        names = ("entry", "broker", "control", "gateway", "explain")
+        wanted = {f"rhubarbwinch-{name}" for name in names}
         self.assertEqual(set(scripts), wanted | {"rhubarbwinchctl"})
         for target in scripts.values():
             module, _, name = target.partition(":")
--- /dev/null
+++ b/tests/test_logoutput.py
@@ -0,0 +1,44 @@
+"""Log lines that never wait for their reader."""
+
+import os
+import unittest
+
+from rhubarbwinch.clock import ManualClock
+from rhubarbwinch.logoutput import LINES_PER_WINDOW, WINDOW_MS, LineOutput
+
+LINE = b"x" * 999 + b"\n"
+
+
+class LineOutputTest(unittest.TestCase):
+    """Lines through a pipe."""
+
+    def setUp(self):
+        self.reader, writer = os.pipe()
+        self.addCleanup(os.close, self.reader)
+        self.addCleanup(os.close, writer)
+        self.clock = ManualClock()
+        self.dropped = []
+        self.output = LineOutput(
+            writer, self.clock, lambda: self.dropped.append(1)
+        )
+
+    def test_an_event_has_a_budget_and_others_have_their_own(self):
+        for _ in range(LINES_PER_WINDOW + 5):
+            self.output.write(1, b"a\n")
+        self.output.write(2, b"b\n")
+        self.assertEqual(self.output.take_dropped(), 5)
+        self.clock.set(WINDOW_MS)
+        self.output.write(1, b"c\n")
+        data = os.read(self.reader, 100_000)
+        self.assertEqual(data, b"a\n" * LINES_PER_WINDOW + b"b\nc\n")
+
+    def test_a_reader_that_does_not_read_costs_lines_and_never_time(self):
+        for number in range(300):
+            self.output.write(number, LINE)
+        self.assertGreater(len(self.dropped), 100)
+        data = os.read(self.reader, 1_000_000)
+        self.output.write(999, b"last\n")
+        data += os.read(self.reader, 1_000_000)
+        # Every line that was begun is whole.
+        self.assertTrue(data.endswith(b"\nlast\n"))
+        self.assertEqual(data.count(b"x") % 999, 0)
--- a/tests/test_transport.py
+++ b/tests/test_transport.py
@@ -1,6 +1,8 @@
 """The transport against a server that plays scripted bytes."""
 
 import asyncio
+import socket
+import struct
 import unittest
 
 import h11
@@ -204,3 +206,75 @@
                     total += len(data)
         self.assertEqual(total, count * size)
         self.assertLess(most, MAX_WAITING_BYTES + 8 * size)
+
+
+class StaleAnswerTest(unittest.TestCase):
+    """Answers that belong to other requests, and bodies cut by a reset."""
+
+    def _request(self, server, name):
+        def is_mine(head):
+            return dict(head.headers).get(b"x-id") == name.encode()
+
+        return server.client.build_request(
+            "GET", server.url, extensions={"is_answer": is_mine}
+        )
+
+    def _answer(self, name):
+        head = f"HTTP/1.1 200 OK\r\nx-id: {name}\r\ncontent-length: 2\r\n\r\n"
+        return head.encode() + name.encode()
+
+    @asynchronous
+    async def test_answers_to_earlier_requests_are_passed_over(self):
+        stale, mine = self._answer("aa"), self._answer("bb")
+        async with Script([stale, stale + mine], [mine]) as server:
+            for _ in range(2):
+                request = self._request(server, "bb")
+                found = await server.client.send(request)
+                self.assertEqual(found.text, "bb")
+        self.assertEqual(server.connections, 1)
+
+    @asynchronous
+    async def test_only_answers_to_others_fail_the_request(self):
+        async with Script([self._answer("aa"), None]) as server:
+            with self.assertRaises(httpx.TransportError):
+                await server.client.send(self._request(server, "bb"))
+
+    @asynchronous
+    async def test_a_body_without_a_length_that_is_reset_is_not_whole(self):
+        head = b"HTTP/1.1 200 OK\r\n\r\npart"
+
+        async def serve(reader, writer):
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(head)
+            await writer.drain()
+            await go_on.wait()
+            link = writer.get_extra_info("socket")
+            # With no time to linger a close is a reset.
+            option = struct.pack("ii", 1, 0)
+            link.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, option)
+            writer.transport.abort()
+
+        go_on = asyncio.Event()
+        address = free_address()
+        host, port = address.split(":")
+        server = await asyncio.start_server(serve, host, int(port))
+        client = httpx.AsyncClient(transport=Transport(), timeout=20)
+        async with client.stream("GET", f"http://{address}/") as found:
+            parts = found.aiter_raw()
+            self.assertEqual(await anext(parts), b"part")
+            go_on.set()
+            with self.assertRaises(httpx.TransportError):
+                await anext(parts)
+        await client.aclose()
+        server.close()
+
+    @asynchronous
+    async def test_a_request_may_ask_for_a_fresh_connection(self):
+        async with Script([SIZED], [SIZED], [SIZED]) as server:
+            await server.client.get(server.url)
+            await server.client.get(server.url)
+            fresh = server.client.build_request(
+                "GET", server.url, extensions={"max_idle_s": 0}
+            )
+            await server.client.send(fresh)
+        self.assertEqual(server.connections, 2)
