--- /dev/null
+++ b/rhubarbwinch/gateway/beliefs.py
@@ -0,0 +1,151 @@
+"""Puts in force what the feed tells: configuration, endpoints, gateways."""
+
+from collections.abc import Callable
+
+from rhubarbwinch import codec, events
+from rhubarbwinch.exceptions import CodecError, PlatformFormatError
+from rhubarbwinch.gateway import statistics
+from rhubarbwinch.gateway.context import Context
+from rhubarbwinch.gateway.messages import LeavingNotice, PeerAddress
+from rhubarbwinch.gateway.routes import RoutingTable
+from rhubarbwinch.gateway.streams import StreamCalls
+from rhubarbwinch.store import Change
+from rhubarbwinch.transport import Transport
+
+
+class Beliefs:
+    """What a gateway believes of the platform.
+
+    Args:
+        context: Takes the configuration and the endpoints.
+        streams: Told of endpoints that leave.
+        transport: Its idle connections to those are closed.
+        on_table: Takes a configuration that is now in force.
+    """
+
+    def __init__(
+        self,
+        context: Context,
+        streams: StreamCalls,
+        transport: Transport,
+        on_table: Callable[[RoutingTable], None],
+    ) -> None:
+        self._context = context
+        self._streams = streams
+        self._transport = transport
+        self._on_table = on_table
+
+    def apply(self, changes: list[Change], after_outage: bool) -> None:
+        """Takes changes of the store."""
+        platform = self._context.platform
+        for change in changes:
+            if change.key == platform.config_key:
+                self._apply_config(change)
+            elif change.key.startswith(platform.endpoint_prefix):
+                self._apply_endpoint(change, after_outage)
+            elif change.key.startswith(platform.member_prefix):
+                self._apply_member(change)
+        self._streams.note_change()
+
+    def take_leaving(self, notice: LeavingNotice) -> None:
+        """Takes an engine's own word that it leaves."""
+        if self._context.fleet.mark_leaving(
+            notice.endpoint, notice.started_ms, self._context.clock.now()
+        ):
+            self._note_endpoint(notice.endpoint, "says it leaves", 0, True)
+            self._note_leaving(notice.endpoint)
+
+    def expire(self) -> None:
+        """Gives up endpoints whose lapsed entries did not come back."""
+        for known in self._context.fleet.expire(self._context.clock.now()):
+            self._note_endpoint(known.endpoint.id, "lapsed", 0, True)
+            self._note_leaving(known.endpoint.id)
+
+    def _apply_member(self, change: Change) -> None:
+        """Takes another gateway's registration."""
+        if change.entry is None:
+            return
+        try:
+            address = codec.decode(change.entry.value, PeerAddress)
+        except CodecError as error:
+            events.PEER_REFUSED.log(key=change.key, error=str(error))
+            return
+        self._context.peers.add(address)
+
+    def _apply_config(self, change: Change) -> None:
+        if change.entry is None:
+            events.TABLE_UNREADABLE.log(
+                revision=change.revision, error="it was deleted"
+            )
+            return
+        context = self._context
+        try:
+            table = context.platform.decode_config(change.entry.value)
+        except PlatformFormatError as error:
+            events.TABLE_UNREADABLE.log(
+                revision=change.revision, error=str(error)
+            )
+            return
+        if context.table is not None and table.version < context.table.version:
+            events.TABLE_OLDER.log(
+                version=table.version, in_force=context.table.version
+            )
+            return
+        context.table = table
+        self._on_table(table)
+        statistics.CONFIG_VERSION.set(table.version)
+        events.TABLE_IN_FORCE.log(
+            version=table.version,
+            revision=change.revision,
+            routes=sum(map(len, table.routes.values())),
+            keys=len(table.accounts),
+        )
+
+    def _apply_endpoint(self, change: Change, after_outage: bool) -> None:
+        context = self._context
+        now = context.clock.now()
+        endpoint_id = change.key.removeprefix(context.platform.endpoint_prefix)
+        if change.entry is None:
+            leaves = context.fleet.remove(endpoint_id, now, after_outage)
+            self._note_endpoint(
+                endpoint_id, "removed", change.revision, after_outage
+            )
+        else:
+            try:
+                endpoint = context.platform.decode_endpoint(
+                    endpoint_id, change.entry.value
+                )
+            except PlatformFormatError as error:
+                events.ENDPOINT_UNREADABLE.log(
+                    endpoint=endpoint_id,
+                    revision=change.revision,
+                    error=str(error),
+                )
+                context.fleet.note_unreadable(endpoint_id)
+                return
+            known = context.fleet.get(endpoint_id)
+            if known is None or known.endpoint.state is not endpoint.state:
+                self._note_endpoint(
+                    endpoint_id, endpoint.state, change.revision, after_outage
+                )
+            leaves = context.fleet.put(endpoint, now)
+        if leaves:
+            self._note_leaving(endpoint_id)
+
+    def _note_endpoint(
+        self, endpoint_id: str, state: str, revision: int, after_outage: bool
+    ) -> None:
+        events.ENDPOINT_CHANGED.log(
+            endpoint=endpoint_id,
+            state=state,
+            revision=revision,
+            after_outage=after_outage,
+        )
+
+    def _note_leaving(self, endpoint_id: str) -> None:
+        known = self._context.fleet.get(endpoint_id)
+        if known is None:
+            return
+        self._transport.close_idle(known.endpoint.address)
+        self._context.suspicion.forget(endpoint_id)
+        self._streams.note_leaving(known.endpoint)
--- a/rhubarbwinch/gateway/carrying.py
+++ b/rhubarbwinch/gateway/carrying.py
@@ -28,33 +28,68 @@
     def __init__(self, context: Context) -> None:
         self._context = context
 
-    async def keep_copy(self, run: Run) -> None:
+    def note_leaving(self, run: Run, endpoint: Endpoint) -> None:
+        """Sees to a run when any engine leaves."""
+        if run.room is None:
+            return
+        if run.backup and run.backup.endpoint.id == endpoint.id:
+            run.backup.release()
+            run.backup = None
+        self.copy_if_leaving(run)
+
+    def copy_if_leaving(self, run: Run) -> None:
+        """Has a run copied if its engine leaves and nobody follows it."""
+        assert run.room is not None
+        known = self._context.fleet.get(run.room.endpoint.id)
+        if known is None or not known.is_leaving or run.copying is not None:
+            return
+        spec = self._context.engine_spec(run.job.service)
+        if spec is None or not spec.can_move:
+            return
+        if run.job.route.is_resumable or self.has_backup(run):
+            # It may begin anew elsewhere, or there is a copy already.
+            return
+        run.copying = anyio.CancelScope()
+        run.has_copy = anyio.Event()
+        run.tasks.start_soon(self._keep_copy, run, run.copying)
+
+    def has_backup(self, run: Run) -> bool:
+        """Tells whether an engine that stays follows a run."""
+        if run.backup is None:
+            return False
+        known = self._context.fleet.get(run.backup.endpoint.id)
+        return known is not None and known.takes_work
+
+    async def _keep_copy(self, run: Run, scope: anyio.CancelScope) -> None:
         """Keeps a copy of a run at another engine until cancelled.
 
         Sets `run.home` while there is a copy, and `run.has_copy` with the
         first one; without any to be had it returns.
         """
         assert run.room is not None
-        source = run.room.endpoint
-        refused = {source.id}
         try:
-            while True:
-                room = self._reserve(run, source, refused)
-                if room is None:
-                    refused = {source.id}
-                    await self._context.clock.sleep(RETRY_MS)
-                    continue
-                state = await self._copy_to(run, source, room)
-                if state is MoveState.FAILED:
-                    return
-                if state is MoveState.NO_RUN and run.events:
-                    return
-                if state is MoveState.NO_ROOM:
-                    refused.add(room.endpoint.id)
-                await self._context.clock.sleep(RETRY_MS)
+            with scope:
+                await self._copy_where_it_fits(run, run.room.endpoint)
         finally:
             run.has_copy.set()
 
+    async def _copy_where_it_fits(self, run: Run, source: Endpoint) -> None:
+        refused = {source.id}
+        while True:
+            room = self._reserve(run, source, refused)
+            if room is None:
+                refused = {source.id}
+                await self._context.clock.sleep(RETRY_MS)
+                continue
+            state = await self._copy_to(run, source, room)
+            if state is MoveState.FAILED:
+                return
+            if state is MoveState.NO_RUN and run.events:
+                return
+            if state is MoveState.NO_ROOM:
+                refused.add(room.endpoint.id)
+            await self._context.clock.sleep(RETRY_MS)
+
     def _reserve(
         self, run: Run, source: Endpoint, refused: set[str]
     ) -> Room | None:
--- a/rhubarbwinch/gateway/context.py
+++ b/rhubarbwinch/gateway/context.py
@@ -14,7 +14,7 @@
 from rhubarbwinch.gateway.peers import Peers
 from rhubarbwinch.gateway.placing import Candidate
 from rhubarbwinch.gateway.retrybudget import RetryBudget
-from rhubarbwinch.gateway.routes import Route, RoutingTable
+from rhubarbwinch.gateway.routes import EngineSpec, Route, RoutingTable
 from rhubarbwinch.gateway.suspicion import Outcome, Suspicion
 from rhubarbwinch.gateway.upstream import Upstream
 from rhubarbwinch.gateway.wire import CallHead, EngineCalls, Platform
@@ -25,7 +25,6 @@
     """What is shared by all requests of a gateway.
 
     Attributes:
-        name: The gateway's name.
         data_center: Where the gateway is.
         platform: Translates names and formats.
         clock: The source of time.
@@ -42,7 +41,6 @@
         is_draining: Whether the gateway was told to stop.
     """
 
-    name: str
     data_center: str
     platform: Platform
     clock: Clock
@@ -58,6 +56,11 @@
     table: RoutingTable | None = None
     is_draining: bool = False
 
+    def engine_spec(self, service: str) -> EngineSpec | None:
+        """Returns what the engines of a service can do; None if it has none."""
+        spec = self.table.services.get(service) if self.table else None
+        return spec.engine if spec is not None else None
+
     def candidates(self, service: str, skip: set[str]) -> list[Candidate]:
         """Returns the endpoints that a request may go to now.
 
@@ -78,8 +81,7 @@
 
     def _candidate(self, known: Known, now: int) -> Candidate:
         endpoint = known.endpoint
-        spec = self.table.services.get(endpoint.service) if self.table else None
-        engine = spec.engine if spec is not None else None
+        engine = self.engine_spec(endpoint.service)
         return Candidate(
             endpoint,
             self.loads.total(endpoint.id),
--- /dev/null
+++ b/rhubarbwinch/gateway/enginesends.py
@@ -0,0 +1,131 @@
+"""Sends generations to engines, and sorts what their heads say."""
+
+import anyio
+
+from rhubarbwinch import events
+from rhubarbwinch.exceptions import EndpointError
+from rhubarbwinch.gateway.context import Context
+from rhubarbwinch.gateway.endpoints import Endpoint
+from rhubarbwinch.gateway.plaincalls import (
+    PROMISES,
+    WholeAnswer,
+    relay_whole,
+)
+from rhubarbwinch.gateway.rooms import MIN_SEND_MS
+from rhubarbwinch.gateway.runs import Run
+from rhubarbwinch.gateway.suspicion import Outcome
+from rhubarbwinch.gateway.upstream import Answer
+from rhubarbwinch.gateway.wire import MemoryCopy, SendOptions
+from rhubarbwinch.verdict import Failure, Reason, Verdict, not_run
+
+RETRY_AFTER_MS = 300
+_OK = 200
+
+
+class EngineSends:
+    """Sends generations to engines.
+
+    Args:
+        context: What all requests share.
+    """
+
+    def __init__(self, context: Context) -> None:
+        self._context = context
+
+    async def open(
+        self, run: Run, endpoint: Endpoint, copy: MemoryCopy | None
+    ) -> Answer | Failure | None:
+        """Sends a generation; returns the answer whose events are to come.
+
+        None means that the engine's answer was final and was passed on.
+        """
+        context, job = self._context, run.job
+        now = context.clock.now()
+        left = job.deadline_ms - now
+        if left < MIN_SEND_MS:
+            return Failure(
+                Verdict.MAY_HAVE_RUN, Reason.DEADLINE, "no time left"
+            )
+        job.sends += 1
+        last = run.last_event_id or job.call.last_event_id
+        options = SendOptions(
+            endpoint.id,
+            job.account,
+            left,
+            last_event_id=last,
+            resume_from=copy,
+            backup_address=run.backup.endpoint.address if run.backup else None,
+        )
+        try:
+            with anyio.move_on_after(left / 1000):
+                answer = await context.upstream.send(
+                    endpoint, job.call, job.body, options, False
+                )
+                return await self._judge(run, endpoint, answer, now)
+        except EndpointError as error:
+            outcome = Outcome.BROKEN if error.sent else Outcome.UNREACHABLE
+            context.note(job, job.service, endpoint.id, outcome)
+            self._log_send(run, endpoint, now, str(error))
+            if error.sent:
+                context.note_break(job, endpoint.id, endpoint.address)
+                return Failure(
+                    Verdict.MAY_HAVE_RUN, Reason.ENDPOINT_FAILED, str(error)
+                )
+            return not_run(Reason.NO_ENDPOINT, str(error), RETRY_AFTER_MS)
+        self._log_send(run, endpoint, now, "no answer by the deadline")
+        return Failure(
+            Verdict.MAY_HAVE_RUN, Reason.DEADLINE, "the engine gave no answer"
+        )
+
+    def may_send_again(self, run: Run) -> bool:
+        """Takes a further send out of the budget of the service."""
+        allowed = self._context.may_send_again(run.job.service)
+        if not allowed:
+            events.RETRY_REFUSED.log(request=run.id, service=run.job.service)
+        return allowed
+
+    async def _judge(
+        self, run: Run, endpoint: Endpoint, answer: Answer, started: int
+    ) -> Answer | Failure | None:
+        """Sorts an answer by its head.
+
+        Raises:
+            EndpointError: It is not an answer of the engine.
+        """
+        context, job, head = self._context, run.job, answer.head
+        self._log_send(run, endpoint, started, str(head.status))
+        if head.status == _OK and head.is_signed:
+            return answer
+        try:
+            body = await answer.read()
+        finally:
+            await answer.close()
+        if head.is_refusal:
+            context.note(job, job.service, endpoint.id, Outcome.REFUSED)
+            return not_run(
+                Reason.QUEUE_FULL, "the engine refused", RETRY_AFTER_MS
+            )
+        context.note(job, job.service, endpoint.id, Outcome.ERROR)
+        if not head.is_signed or head.status in PROMISES:
+            raise EndpointError(f"status {head.status}", sent=True)
+        if run.head_sent or job.route.may_repeat:
+            return Failure(
+                Verdict.MAY_HAVE_RUN,
+                Reason.ENDPOINT_FAILED,
+                f"status {head.status}",
+            )
+        await relay_whole(context, job, run.responder, WholeAnswer(head, body))
+        return None
+
+    def _log_send(
+        self, run: Run, endpoint: Endpoint, started: int, outcome: str
+    ) -> None:
+        now = self._context.clock.now()
+        events.SENT.log(
+            request=run.id,
+            endpoint=endpoint.id,
+            send=run.job.sends,
+            took_ms=now - started,
+            left_ms=run.job.deadline_ms - now,
+            outcome=outcome,
+        )
--- a/rhubarbwinch/gateway/loads.py
+++ b/rhubarbwinch/gateway/loads.py
@@ -80,8 +80,8 @@
         """Notes that a request's prompt has been read."""
         load = self._own.get(endpoint)
         if load is not None:
-            # Peers hear of it with the next heartbeat: prompts are read
-            # faster than a message is worth.
+            # Peers hear of it with the next heartbeat: a prompt is read in
+            # less time than a message for it would save.
             load.prefill -= prefill
 
     def remove(
--- a/rhubarbwinch/gateway/moving.py
+++ b/rhubarbwinch/gateway/moving.py
@@ -10,7 +10,7 @@
 import random
 
 from rhubarbwinch.gateway.endpoints import Endpoint
-from rhubarbwinch.gateway.placing import Candidate
+from rhubarbwinch.gateway.placing import FAILING_RUNS, Candidate
 
 # Moves may fill an engine further than new work: the run has been paid for.
 MOVE_MEMORY_SHARE = 1.0
@@ -70,7 +70,7 @@
 
 
 def _cost(candidate: Candidate, source: Endpoint) -> float:
-    cost = candidate.load.runs + 10.0 * candidate.failure_share
+    cost = candidate.load.runs + FAILING_RUNS * candidate.failure_share
     if candidate.endpoint.data_center != source.data_center:
         cost += CROSS_RUNS
     return cost
--- a/rhubarbwinch/gateway/placing.py
+++ b/rhubarbwinch/gateway/placing.py
@@ -19,6 +19,15 @@
 SLOT_SHARE = 1.0
 # A prompt that is being read delays the others' events by so much of a run.
 PREFILL_TOKENS_PER_RUN = 1_500
+# A full memory counts like so many runs: it ends in a preemption.
+FULL_MEMORY_RUNS = 8.0
+# An engine that failed all its calls lately counts like so many runs.
+FAILING_RUNS = 10.0
+# Plain endpoints: how much a call costs more at one that failed all its calls,
+# at one that is slow after its start, and in another data centre.
+PLAIN_FAILURE_FACTOR = 4.0
+PLAIN_WARMUP_FACTOR = 2.0
+PLAIN_CROSS_FACTOR = 1.1
 # Going to another data centre costs a little time and traffic.
 CROSS_COST = 0.3
 # An engine that is still slow after its start.
@@ -73,12 +82,12 @@
     load = candidate.load
     cost = load.runs + load.prefill / PREFILL_TOKENS_PER_RUN
     if candidate.capacity_tokens:
-        cost += 8.0 * load.tokens / candidate.capacity_tokens
+        cost += FULL_MEMORY_RUNS * load.tokens / candidate.capacity_tokens
     if not candidate.is_warm:
         cost += WARMUP_COST
     if candidate.endpoint.data_center != data_center:
         cost += CROSS_COST
-    return cost + 10.0 * candidate.failure_share
+    return cost + FAILING_RUNS * candidate.failure_share
 
 
 def choose_endpoint(
@@ -94,9 +103,9 @@
 
 def _plain_cost(candidate: Candidate, data_center: str) -> float:
     cost = (candidate.load.runs + 1) / max(1, candidate.endpoint.slots)
-    cost *= 1 + 4 * candidate.failure_share
+    cost *= 1 + PLAIN_FAILURE_FACTOR * candidate.failure_share
     if not candidate.is_warm:
-        cost *= 2
+        cost *= PLAIN_WARMUP_FACTOR
     if candidate.endpoint.data_center != data_center:
-        cost *= 1.1
+        cost *= PLAIN_CROSS_FACTOR
     return cost
--- a/rhubarbwinch/gateway/program.py
+++ b/rhubarbwinch/gateway/program.py
@@ -8,18 +8,17 @@
 import anyio.abc
 import attrs
 
-from rhubarbwinch import codec, events, identity
+from rhubarbwinch import events, identity
 from rhubarbwinch.broadcast import Broadcast
 from rhubarbwinch.clock import Clock, SystemClock
 from rhubarbwinch.exceptions import (
-    CodecError,
-    PlatformFormatError,
     SettingError,
 )
 from rhubarbwinch.gateway import statistics
+from rhubarbwinch.gateway.beliefs import Beliefs
 from rhubarbwinch.gateway.context import Context
 from rhubarbwinch.gateway.crashes import CrashLedger
-from rhubarbwinch.gateway.edge import EdgeRequest, EdgeResponder, EdgeServer
+from rhubarbwinch.gateway.edge import EdgeServer
 from rhubarbwinch.gateway.endpoints import Endpoint
 from rhubarbwinch.gateway.feed import Feed
 from rhubarbwinch.gateway.fleet import Fleet
@@ -28,7 +27,6 @@
     CrashNotice,
     Heartbeat,
     LeavingNotice,
-    PeerAddress,
     SharedBatch,
     SnapshotCall,
     ValueCall,
@@ -40,6 +38,8 @@
 from rhubarbwinch.gateway.replica import Replica
 from rhubarbwinch.gateway.retrybudget import RetryBudget
 from rhubarbwinch.gateway.router import Router
+from rhubarbwinch.gateway.routes import RoutingTable
+from rhubarbwinch.gateway.selfservice import SelfService
 from rhubarbwinch.gateway.settings import GatewaySettings
 from rhubarbwinch.gateway.streams import StreamCalls
 from rhubarbwinch.gateway.suspicion import Suspicion
@@ -47,15 +47,12 @@
 from rhubarbwinch.gateway.wire import EngineCalls, Platform
 from rhubarbwinch.links import Links, LinkServer
 from rhubarbwinch.logoutput import LineOutput
-from rhubarbwinch.store import Change, PollingStore
+from rhubarbwinch.store import PollingStore
 from rhubarbwinch.supervisor import Supervisor
 from rhubarbwinch.transport import Transport, TransportOptions
 
 # An engine whose machine acknowledges nothing for so long is unreachable.
 DEAD_ENDPOINT_MS = 2_000
-# Callers keep an answer of the directory for so long; shorter costs them
-# lookups, longer keeps them at VMs that have left.
-DIRECTORY_TTL_MS = 2_000
 TICK_MS = 100
 SETTINGS_CHECK_MS = 5_000
 # How long a gateway that leaves still takes connections of callers who know
@@ -125,7 +122,6 @@
             me, self._broadcast, self._links, clock, loads, self._describe
         )
         self._context = Context(
-            name=settings.name,
             data_center=settings.data_center,
             platform=outside.platform,
             clock=clock,
@@ -146,13 +142,17 @@
             ),
         )
         self._replica = Replica()
+        self._streams = StreamCalls(self._context)
+        self._beliefs = Beliefs(
+            self._context, self._streams, outside.transport, self._use_table
+        )
         self._feed = Feed(
             outside.store,
             self._replica,
             clock,
             self._peers.should_watch,
             self._peers.share,
-            self._apply,
+            self._beliefs.apply,
             self._links,
             settings.address.link,
         )
@@ -160,7 +160,6 @@
         self._registration = GatewayRegistration(
             outside.store, clock, key, settings.address
         )
-        self._streams = StreamCalls(self._context)
         router = Router(self._context, PlainCalls(self._context), self._streams)
         self._outage = OutageWatch(
             clock,
@@ -171,6 +170,9 @@
             self._tell_leaving,
         )
         self._front = EdgeServer(settings.front, router.handle, clock)
+        self._self_service = SelfService(
+            outside.platform, self._peers, settings, lambda: self.is_ready
+        )
         self._was_ready = False
         self._was_failing = False
 
@@ -189,7 +191,7 @@
         for seed in settings.seeds:
             self._peers.add(seed)
         self._broadcast.on(SharedBatch, self._feed.take_batch)
-        self._broadcast.on(LeavingNotice, self._take_leaving)
+        self._broadcast.on(LeavingNotice, self._beliefs.take_leaving)
         self._broadcast.on(CrashNotice, self._take_crash)
         self._server.on(SnapshotCall, self._feed.answer_snapshot)
         self._server.on(ValueCall, self._feed.answer_value)
@@ -208,7 +210,7 @@
             ("directory", settings.directory),
             ("metrics", settings.metrics),
         ):
-            server = EdgeServer(address, self._answer_service, self._clock)
+            server = EdgeServer(address, self._self_service.answer, self._clock)
             tree.add(name, server.run)
         tree.add("crashes", self._context.crashes.run)
         tree.add("tick", self._tick)
@@ -238,6 +240,10 @@
             is_store_failing=self._feed.is_failing,
         )
 
+    def _use_table(self, table: RoutingTable) -> None:
+        """Applies the bounds of a configuration to callers' connections."""
+        self._front.status.limits = table.limits
+
     async def _bootstrap(self) -> None:
         """Asks peers for the configuration while the store gives none."""
         while self._context.table is None:
@@ -246,107 +252,6 @@
                 self._feed.take_snapshot(snapshot)
             await self._clock.sleep(TICK_MS)
 
-    def _apply(self, changes: list[Change], after_outage: bool) -> None:
-        """Takes changes of the store."""
-        platform = self._outside.platform
-        for change in changes:
-            if change.key == platform.config_key:
-                self._apply_config(change)
-            elif change.key.startswith(platform.endpoint_prefix):
-                self._apply_endpoint(change, after_outage)
-            elif change.key.startswith(platform.member_prefix):
-                self._apply_member(change)
-        self._streams.note_change()
-
-    def _apply_member(self, change: Change) -> None:
-        """Takes another gateway's registration."""
-        if change.entry is None:
-            return
-        try:
-            address = codec.decode(change.entry.value, PeerAddress)
-        except CodecError as error:
-            events.PEER_REFUSED.log(key=change.key, error=str(error))
-            return
-        self._peers.add(address)
-
-    def _apply_config(self, change: Change) -> None:
-        if change.entry is None:
-            events.TABLE_UNREADABLE.log(
-                revision=change.revision, error="it was deleted"
-            )
-            return
-        context = self._context
-        try:
-            table = context.platform.decode_config(change.entry.value)
-        except PlatformFormatError as error:
-            events.TABLE_UNREADABLE.log(
-                revision=change.revision, error=str(error)
-            )
-            return
-        if context.table is not None and table.version < context.table.version:
-            events.TABLE_OLDER.log(
-                version=table.version, in_force=context.table.version
-            )
-            return
-        context.table = table
-        self._front.status.limits = table.limits
-        statistics.CONFIG_VERSION.set(table.version)
-        events.TABLE_IN_FORCE.log(
-            version=table.version,
-            revision=change.revision,
-            routes=sum(map(len, table.routes.values())),
-            keys=len(table.accounts),
-        )
-
-    def _apply_endpoint(self, change: Change, after_outage: bool) -> None:
-        context = self._context
-        now = self._clock.now()
-        endpoint_id = change.key.removeprefix(context.platform.endpoint_prefix)
-        if change.entry is None:
-            leaves = context.fleet.remove(endpoint_id, now, after_outage)
-            self._note_endpoint(
-                endpoint_id, "removed", change.revision, after_outage
-            )
-        else:
-            try:
-                endpoint = context.platform.decode_endpoint(
-                    endpoint_id, change.entry.value
-                )
-            except PlatformFormatError as error:
-                events.ENDPOINT_UNREADABLE.log(
-                    endpoint=endpoint_id,
-                    revision=change.revision,
-                    error=str(error),
-                )
-                context.fleet.note_unreadable(endpoint_id)
-                return
-            known = context.fleet.get(endpoint_id)
-            if known is None or known.endpoint.state is not endpoint.state:
-                self._note_endpoint(
-                    endpoint_id, endpoint.state, change.revision, after_outage
-                )
-            leaves = context.fleet.put(endpoint, now)
-        if leaves:
-            self._note_leaving(endpoint_id)
-
-    def _note_endpoint(
-        self, endpoint_id: str, state: str, revision: int, after_outage: bool
-    ) -> None:
-        events.ENDPOINT_CHANGED.log(
-            endpoint=endpoint_id,
-            state=state,
-            revision=revision,
-            after_outage=after_outage,
-        )
-
-    def _note_leaving(self, endpoint_id: str) -> None:
-        known = self._context.fleet.get(endpoint_id)
-        if known is None:
-            return
-        self._outside.transport.close_idle(known.endpoint.address)
-        self._context.suspicion.forget(endpoint_id)
-        self._streams.note_leaving(known.endpoint)
-
     def _own_engines(self) -> list[Endpoint]:
         """Returns the engines that this gateway asks for all."""
         table = self._context.table
@@ -362,15 +267,7 @@
     def _tell_leaving(self, endpoint: Endpoint) -> None:
         notice = LeavingNotice(endpoint.id, endpoint.started_ms)
         self._broadcast.send(notice)
-        self._take_leaving(notice)
-
-    def _take_leaving(self, notice: LeavingNotice) -> None:
-        """Takes an engine's own word that it leaves."""
-        if self._context.fleet.mark_leaving(
-            notice.endpoint, notice.started_ms, self._clock.now()
-        ):
-            self._note_endpoint(notice.endpoint, "says it leaves", 0, True)
-            self._note_leaving(notice.endpoint)
+        self._beliefs.take_leaving(notice)
 
     def _take_crash(self, notice: CrashNotice) -> None:
         """Takes a crash that another gateway has seen."""
@@ -382,9 +279,7 @@
         """Does what is due at a time, not on an event."""
         while True:
             await self._clock.sleep(TICK_MS)
-            for known in self._context.fleet.expire(self._clock.now()):
-                self._note_endpoint(known.endpoint.id, "lapsed", 0, True)
-                self._note_leaving(known.endpoint.id)
+            self._beliefs.expire()
             statistics.OPEN.set(self._front.status.open_requests)
             self._streams.note_change()
             if self._feed.is_failing != self._was_failing:
@@ -399,35 +294,6 @@
             if dropped:
                 events.LOG_LINES_LEFT_OUT.log(lines=dropped)
 
-    async def _answer_service(
-        self, request: EdgeRequest, responder: EdgeResponder
-    ) -> None:
-        """Answers the directory, the readiness check and the metrics."""
-        platform = self._outside.platform
-        if platform.is_readiness(request.target):
-            await responder.send(200 if self.is_ready else 503, [], b"")
-            return
-        if platform.directory_name(request.target) is not None:
-            await self._answer_lookup(responder)
-            return
-        if request.target.startswith(b"/metrics"):
-            kind = (b"Content-Type", b"text/plain; version=0.0.4")
-            await responder.send(200, [kind], statistics.render())
-            return
-        await responder.send(404, [], b"")
-
-    async def _answer_lookup(self, responder: EdgeResponder) -> None:
-        addresses = self._peers.fronts()
-        if self.is_ready:
-            addresses.append(self._settings.front)
-        if not addresses:
-            await responder.send(503, [], b"no gateway serves")
-            return
-        ttl = min(DIRECTORY_TTL_MS, self._settings.directory_ttl_max_ms)
-        body = self._outside.platform.directory_answer(addresses, ttl)
-        kind = (b"Content-Type", b"application/json")
-        await responder.send(200, [kind], body)
-
     async def _watch_settings(self) -> None:
         """Reads the settings anew from time to time: they may change."""
         while True:
--- /dev/null
+++ b/rhubarbwinch/gateway/rooms.py
@@ -0,0 +1,124 @@
+"""Room for generations: at an engine now, after a wait, or a refusal."""
+
+import anyio
+
+from rhubarbwinch import events
+from rhubarbwinch.gateway import moving, placing
+from rhubarbwinch.gateway.context import Context
+from rhubarbwinch.gateway.runs import Room, Run
+from rhubarbwinch.gateway.waiting import WAIT_SHARE, Waiter, WaitQueue
+from rhubarbwinch.verdict import Failure, Reason, not_run
+
+# Less is not enough for a generation.
+MIN_SEND_MS = 50
+# When the wait is over, memory may be overcommitted while slots are free: an
+# engine queues for itself, and a refusal serves nobody.
+LAST_MEMORY_SHARE = 1.25
+
+
+class RoomKeeper:
+    """Holds room at engines for generations.
+
+    Args:
+        context: What all requests share.
+    """
+
+    def __init__(self, context: Context) -> None:
+        self._context = context
+        self._queues: dict[str, WaitQueue] = {}
+
+    def note_change(self) -> None:
+        """Lets waiting requests look for room, and tells peers of loads."""
+        for queue in self._queues.values():
+            queue.wake()
+        self._context.peers.tell_loads()
+
+    async def place(self, run: Run) -> Failure | None:
+        """Holds room at an engine, now or after a wait."""
+        context, job = self._context, run.job
+        now = context.clock.now()
+        left = job.deadline_ms - now
+        if left < MIN_SEND_MS:
+            return not_run(Reason.DEADLINE, "no time is left")
+        queue = self._queues.setdefault(job.service, WaitQueue(context.clock))
+        if queue.is_first(job.priority, job.objective_ms) and self._hold(run):
+            return None
+        limit_ms = int((job.objective_ms - now) * WAIT_SHARE)
+        if limit_ms <= 0:
+            limit_ms = left // 4
+        if queue.is_hopeless(job.priority, job.objective_ms, limit_ms):
+            return self._refuse(run, queue, "too many wait before it")
+        waiter = queue.join(job.priority, job.objective_ms)
+        try:
+            with anyio.move_on_after(limit_ms / 1000):
+                await self._wait_turn(run, waiter)
+                queue.note_admission()
+                return None
+        finally:
+            queue.leave(waiter)
+        if self._hold(run, LAST_MEMORY_SHARE):
+            return None
+        return self._refuse(run, queue, f"no room in {limit_ms} ms")
+
+    async def _wait_turn(self, run: Run, waiter: Waiter) -> None:
+        while True:
+            await waiter.turn.wait()
+            waiter.turn = anyio.Event()
+            if self._hold(run):
+                return
+
+    def _refuse(self, run: Run, queue: WaitQueue, detail: str) -> Failure:
+        job = run.job
+        retry = queue.retry_after_ms(job.priority, job.objective_ms)
+        events.NO_ROOM.log(
+            request=run.id, waiting=len(queue), retry_after_ms=retry
+        )
+        return not_run(Reason.QUEUE_FULL, detail, retry)
+
+    def _hold(
+        self, run: Run, memory_share: float = placing.MEMORY_SHARE
+    ) -> bool:
+        """Holds room at an engine."""
+        context, job = self._context, run.job
+        tokens = run.expected_tokens
+        candidates = context.candidates(job.service, job.tried)
+        chosen = placing.choose_engine(
+            candidates, tokens, context.data_center, context.rng, memory_share
+        )
+        if chosen is None:
+            return False
+        run.room = Room(
+            chosen.endpoint, tokens, job.call.prompt_tokens, 1, context.loads
+        ).hold()
+        events.PLACED.log(
+            request=run.id,
+            endpoint=chosen.endpoint.id,
+            runs=chosen.load.runs,
+            tokens=chosen.load.tokens,
+            needed=tokens,
+            engines=len(candidates),
+        )
+        self.hold_backup(run)
+        context.peers.tell_loads()
+        return True
+
+    def hold_backup(self, run: Run) -> None:
+        """Holds room at a second engine that follows the run, if it fits."""
+        context, job = self._context, run.job
+        spec = context.engine_spec(job.service)
+        if run.room is None or spec is None or not spec.can_back_up:
+            return
+        if job.route.is_resumable:
+            # It is short, and may begin anew elsewhere.
+            return
+        tokens = run.expected_tokens
+        chosen = moving.choose_backup(
+            context.candidates(job.service, {run.room.endpoint.id}),
+            run.room.endpoint,
+            tokens,
+            context.rng,
+        )
+        if chosen is not None:
+            run.backup = Room(
+                chosen.endpoint, tokens, 0, 0, context.loads
+            ).hold()
--- a/rhubarbwinch/gateway/routes.py
+++ b/rhubarbwinch/gateway/routes.py
@@ -20,20 +20,14 @@
     Attributes:
         slots: Requests that an engine runs at once.
         kv_tokens: Tokens that fit an engine's memory.
-        kv_token_bytes: Bytes of memory for each token.
-        link_mbps: The rate at which an engine copies memory.
         can_move: Whether a run's memory can be copied to another engine.
         can_back_up: Whether a second engine can follow a run.
-        tokens_per_event: Tokens in one event of a stream.
     """
 
     slots: int
     kv_tokens: int
-    kv_token_bytes: float
-    link_mbps: float
     can_move: bool
     can_back_up: bool
-    tokens_per_event: int
 
 
 @attrs.frozen
--- /dev/null
+++ b/rhubarbwinch/gateway/selfservice.py
@@ -0,0 +1,65 @@
+"""Answers of a gateway about itself: directory, readiness and metrics."""
+
+from collections.abc import Callable
+
+from rhubarbwinch.gateway import statistics
+from rhubarbwinch.gateway.edge import EdgeRequest, EdgeResponder
+from rhubarbwinch.gateway.peers import Peers
+from rhubarbwinch.gateway.settings import GatewaySettings
+from rhubarbwinch.gateway.wire import Platform
+
+# Callers keep an answer of the directory for so long; shorter costs them
+# lookups, longer keeps them at VMs that have left.
+DIRECTORY_TTL_MS = 2_000
+
+
+class SelfService:
+    """Answers requests that are not for endpoints.
+
+    Args:
+        platform: Translates the answers.
+        peers: The other gateways.
+        settings: What the gateway was told.
+        is_ready: Tells whether new callers are welcome.
+    """
+
+    def __init__(
+        self,
+        platform: Platform,
+        peers: Peers,
+        settings: GatewaySettings,
+        is_ready: Callable[[], bool],
+    ) -> None:
+        self._platform = platform
+        self._peers = peers
+        self._settings = settings
+        self._is_ready = is_ready
+
+    async def answer(
+        self, request: EdgeRequest, responder: EdgeResponder
+    ) -> None:
+        """Answers the directory, the readiness check and the metrics."""
+        platform = self._platform
+        if platform.is_readiness(request.target):
+            await responder.send(200 if self._is_ready() else 503, [], b"")
+            return
+        if platform.directory_name(request.target) is not None:
+            await self._answer_lookup(responder)
+            return
+        if request.target.startswith(b"/metrics"):
+            kind = (b"Content-Type", b"text/plain; version=0.0.4")
+            await responder.send(200, [kind], statistics.render())
+            return
+        await responder.send(404, [], b"")
+
+    async def _answer_lookup(self, responder: EdgeResponder) -> None:
+        addresses = self._peers.fronts()
+        if self._is_ready():
+            addresses.append(self._settings.front)
+        if not addresses:
+            await responder.send(503, [], b"no gateway serves")
+            return
+        ttl = min(DIRECTORY_TTL_MS, self._settings.directory_ttl_max_ms)
+        body = self._platform.directory_answer(addresses, ttl)
+        kind = (b"Content-Type", b"application/json")
+        await responder.send(200, [kind], body)
--- a/rhubarbwinch/gateway/wire.py
+++ b/rhubarbwinch/gateway/wire.py
@@ -133,16 +133,10 @@
     """What an engine says of itself; some hundred ms old.
 
     Attributes:
-        active: Requests that run.
-        queued: Requests that wait.
-        tokens_used: Memory that can't be freed, in tokens.
         leaves_ms: When it ends, if it knows; else None.
         is_leaving: Whether it takes no new work.
     """
 
-    active: int
-    queued: int
-    tokens_used: int
     leaves_ms: int | None
     is_leaving: bool
 
@@ -167,10 +161,6 @@
         """
         ...
 
-    async def drop_copy(self, address: str, handle: str) -> None:
-        """Frees a copy at both engines."""
-        ...
-
 
 class Platform(Protocol):
     """One platform's names and formats; it decides nothing."""
--- a/rhubarbwinch/platform/documents.py
+++ b/rhubarbwinch/platform/documents.py
@@ -146,12 +146,8 @@
     return EngineSpec(
         slots=int(item["slots"]),
         kv_tokens=int(item["kv_tokens"]),
-        kv_token_bytes=float(item.get("kv_bytes") or 0),
-        link_mbps=float(item.get("link_mbps") or 0),
         can_move=bool(item.get("moves")),
         can_back_up=bool(item.get("backups")),
-        # The page's word for it is the step between two events' ids.
-        tokens_per_event=int(item.get("stride") or 1),
     )
 
 
@@ -199,9 +195,6 @@
     def build(found: JSON) -> EngineReport:
         leaves = found.get("leaves_ms")
         return EngineReport(
-            active=_whole(found["active_requests"]),
-            queued=_whole(found["queue_depth"]),
-            tokens_used=_whole(found["kv_used"]),
             leaves_ms=None if leaves is None else int(leaves),
             is_leaving=found.get("state") == "draining",
         )
--- a/rhubarbwinch/platform/enginecalls.py
+++ b/rhubarbwinch/platform/enginecalls.py
@@ -61,19 +61,6 @@
             int(found.get("created") or 0),
         )
 
-    async def drop_copy(self, address: str, handle: str) -> None:
-        """Frees a copy at both engines."""
-        try:
-            await self._client.delete(
-                f"http://{address}/kv-handle/{handle}",
-                timeout=httpx.Timeout(REPORT_TIMEOUT_S, connect=CONNECT_S),
-            )
-        except httpx.HTTPError as error:
-            # The engine drops copies by itself after a while.
-            events.MOVE_CALL_FAILED.log(
-                request=handle, endpoint=address, error=repr(error)
-            )
-
     async def report(self, address: str) -> EngineReport:
         """Returns what an engine says of itself.
 
--- a/tests/gateway/test_outage.py
+++ b/tests/gateway/test_outage.py
@@ -33,7 +33,7 @@
 
 
 def _report(leaves_ms=None, is_leaving=False):
-    return EngineReport(1, 0, 100, leaves_ms, is_leaving)
+    return EngineReport(leaves_ms, is_leaving)
 
 
 class OutageWatchTest(unittest.TestCase):
--- a/tests/gatewaybuilders.py
+++ b/tests/gatewaybuilders.py
@@ -21,11 +21,8 @@
 ENGINE = EngineSpec(
     slots=24,
     kv_tokens=34_000,
-    kv_token_bytes=35_136,
-    link_mbps=5_100,
     can_move=True,
     can_back_up=True,
-    tokens_per_event=4,
 )
 
 
--- a/tests/gatewayworld.py
+++ b/tests/gatewayworld.py
@@ -57,7 +57,6 @@
         self.platform = KielichowaPlatform()
         self.transport = Transport()
         self.context = Context(
-            name="g1",
             data_center="dc-a",
             platform=self.platform,
             clock=SystemClock(),
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -148,7 +148,7 @@
     """Reports of engines."""
 
     def test_a_report_is_read(self):
-        report = {"active_requests": 3, "queue_depth": 1, "kv_used": 9}
+        report = {"stage": "hybrid", "active_requests": 3}
         found = documents.decode_report(
             _bytes(report, state="draining", leaves_ms=1_900.5)
         )
