A gateway whose peers know more of the store asks it

Cause: a change is told to the other gateways by one datagram. When it was lost and no other change came, a follower kept the old configuration, or sent work to an engine that leaves, until the next change of anything.

Change: heartbeats carry the highest revision known; 150 ms behind it, a follower polls the store once.

--- a/rhubarbwinch/gateway/feed.py
+++ b/rhubarbwinch/gateway/feed.py
@@ -39,6 +39,9 @@
 # configuration must be in force after two seconds.
 FRESH_MS = 1_500
 FOLLOWER_POLL_MS = 100
+# A peer that knows more has heard it from the store; what it told may be under
+# way for so long, or is lost.
+BEHIND_MS = 150
 # Leases that lapsed while the store was away come back within two seconds of
 # its return; a deletion in that time may be one of them.
 LAPSE_GRACE_MS = 2_500
@@ -60,6 +63,7 @@
         replica: What is known of it.
         clock: The source of time.
         should_watch: Tells whether this gateway watches the store itself.
+        peer_revision: Returns the highest revision that a peer knows.
         share: Tells all peers of a batch.
         on_change: Takes changes, and whether they came after an outage.
         links: Calls peers.
@@ -72,6 +76,7 @@
         replica: Replica,
         clock: Clock,
         should_watch: Callable[[], bool],
+        peer_revision: Callable[[], int],
         share: Callable[[SharedBatch], None],
         on_change: ChangeHandler,
         links: Caller,
@@ -81,6 +86,8 @@
         self._replica = replica
         self._clock = clock
         self._should_watch = should_watch
+        self._peer_revision = peer_revision
+        self._behind_since: int | None = None
         self._share = share
         self._on_change = on_change
         self._links = links
@@ -116,7 +123,7 @@
     async def run(self) -> None:
         """Follows the store until cancelled."""
         while True:
-            if self._was_scanned and not self._should_watch():
+            if self._was_scanned and not self._must_ask():
                 await self._clock.sleep(FOLLOWER_POLL_MS)
                 continue
             try:
@@ -131,6 +138,20 @@
                 self._note_failure(error)
                 await self._clock.sleep(RETRY_MS)
 
+    def _must_ask(self) -> bool:
+        """Tells whether this gateway asks the store now."""
+        return self._should_watch() or self._is_behind()
+
+    def _is_behind(self) -> bool:
+        """Tells whether a datagram of a peer seems to be lost."""
+        if self._peer_revision() <= self._replica.revision:
+            self._behind_since = None
+            return False
+        now = self._clock.now()
+        if self._behind_since is None:
+            self._behind_since = now
+        return now - self._behind_since >= BEHIND_MS
+
     async def _scan(self) -> None:
         """Reads everything; after a gap in the history, or at the start."""
         listing = await self._store.scan("")
--- a/rhubarbwinch/gateway/peers.py
+++ b/rhubarbwinch/gateway/peers.py
@@ -190,6 +190,11 @@
             default=NEVER_MS,
         )
 
+    @property
+    def revision(self) -> int:
+        """The highest revision of the store that a living peer knows."""
+        return max((h.revision for h in self._alive()), default=0)
+
     @property
     def is_store_failing(self) -> bool:
         """Whether the store fails the calls of any peer that lives."""
--- a/rhubarbwinch/gateway/program.py
+++ b/rhubarbwinch/gateway/program.py
@@ -151,6 +151,7 @@
             self._replica,
             clock,
             self._peers.should_watch,
+            lambda: self._peers.revision,
             self._peers.share,
             self._beliefs.apply,
             self._links,
--- a/tests/gateway/test_feed.py
+++ b/tests/gateway/test_feed.py
@@ -14,6 +14,8 @@
     StoreUnavailable,
 )
 from rhubarbwinch.gateway.feed import (
+    BEHIND_MS,
+    FOLLOWER_POLL_MS,
     LAPSE_GRACE_MS,
     Feed,
     _shared,
@@ -74,11 +76,13 @@
         self.shared, self.seen = [], []
         self.links = PeerValues()
         self.watches = watches
+        self.peers_know = 0
         self.feed = Feed(
             self.store,
             Replica(),
             self.clock,
             lambda: self.watches,
+            lambda: self.peers_know,
             self.shared.append,
             lambda changes, after: self.seen.append(
                 ([(c.key, c.revision) for c in changes], after)
@@ -139,6 +143,21 @@
         await self._run(5_000)
         self.assertEqual(self.store.calls, ["scan"])
 
+    @asynchronous
+    async def test_a_follower_whose_peers_know_more_asks_the_store(self):
+        # The datagram with the change was lost, and none came after it.
+        self._make(
+            [Listing([], 3)], [ChangeBatch(3, 5, [put("a", 5)])], watches=False
+        )
+        await self._run(300)
+        self.peers_know = 5
+        await self._run(FOLLOWER_POLL_MS)
+        self.assertEqual(self.seen, [])
+        await self._run(BEHIND_MS + FOLLOWER_POLL_MS)
+        self.assertEqual(self.seen, [([("a", 5)], False)])
+        await self._run(2_000)
+        self.assertEqual(self.store.calls, ["scan", "poll after 3"])
+
     @asynchronous
     async def test_a_peers_batch_after_a_gap_is_taken_and_the_rest_read(self):
         self._make(
