Give each port on loopback to one program only

Cause, as far as a run without logs can show it: free_address probed a port, but the program it was for bound it later, so a second call could return the same one. Ruled out so far: a slow start (starts of that deployment, four side by side on eight cores, took under the bound each time). The test of a port given twice failed before. The gateway's test took a block of ports that was never probed; it now asks for a block. A start that fails from now on names the processes that ended.

--- a/lab/processes.py
+++ b/lab/processes.py
@@ -22,21 +22,37 @@
 LOWEST_PORT = 10_240
 FIRST_EPHEMERAL_PORT = 32_768
 
+# The ports that were given out. A port is free until the program that it is
+# for has started, so a probe alone would give it to a second program.
+_given: set[int] = set()
+
 
 def free_address() -> str:
-    """Returns a loopback address whose port is free.
+    """Returns a loopback address whose port is free and never given before.
 
     The port lies below those that the system gives to connections, so none
     can take it before the program does that the address is for.
     """
+    return f"127.0.0.1:{free_ports(1)}"
+
+
+def free_ports(count: int) -> int:
+    """Returns the first of `count` free ports in a row, never given before."""
     while True:
-        port = random.randrange(LOWEST_PORT, FIRST_EPHEMERAL_PORT)
-        with socket.socket() as probe:
-            try:
-                probe.bind(("127.0.0.1", port))
-            except OSError:
-                continue
-            return f"127.0.0.1:{port}"
+        first = random.randrange(LOWEST_PORT, FIRST_EPHEMERAL_PORT - count)
+        ports = range(first, first + count)
+        if _given.isdisjoint(ports) and all(map(_is_free, ports)):
+            _given.update(ports)
+            return first
+
+
+def _is_free(port: int) -> bool:
+    with socket.socket() as probe:
+        try:
+            probe.bind(("127.0.0.1", port))
+        except OSError:
+            return False
+    return True
 
 
 def wait_until(check: Callable[[], T], what: str) -> T:
@@ -109,6 +125,13 @@
         """Waits for a process's end and returns its exit status."""
         return self._running.pop(name).wait(WAIT_S)
 
+    def ended(self) -> dict[str, int]:
+        """Returns the exit statuses of the processes that ended unasked."""
+        statuses = {
+            name: process.poll() for name, process in self._running.items()
+        }
+        return {name: x for name, x in statuses.items() if x is not None}
+
     def __exit__(self, *_: object) -> None:
         for process in self._running.values():
             process.kill()
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -108,4 +108,7 @@
             answer = httpx.post(url, json=body, headers=AUTHORIZATION)
             return answer.status_code == httpx.codes.OK
 
-        wait_until(serves, f"entry {address}")
+        try:
+            wait_until(serves, f"entry {address}")
+        except AssertionError as error:
+            raise AssertionError(f"{error}; ended: {self.ended()}") from error
--- a/tests/gateway/test_gateway.py
+++ b/tests/gateway/test_gateway.py
@@ -11,6 +11,7 @@
 import httpx
 import orjson
 
+from lab.processes import free_ports
 from lab.standins.platformengine import ScriptedEngine, answer_ok
 from lab.standins.platformstore import PlatformStoreServer
 from tests.helpers import Processes, asynchronous, free_address
@@ -65,7 +66,7 @@
         self.processes = Processes(self.folder)
         self.store = PlatformStoreServer(free_address())
         self.engine = ScriptedEngine("i-1", free_address(), "svc")
-        base = int(free_address().split(":")[1]) % 20_000 + 11_000
+        base = free_ports(16)
         self.ports = {
             "port": base,
             "ready": base + 1,
--- /dev/null
+++ b/tests/test_processes.py
@@ -0,0 +1,20 @@
+"""Tests of starting processes on the loopback address."""
+
+import unittest
+from unittest import mock
+
+from lab import processes
+
+
+class FreeAddressTest(unittest.TestCase):
+    """Whom a port is given to."""
+
+    def test_a_port_is_given_out_once(self):
+        first = processes.free_address()
+        port = int(first.rpartition(":")[2])
+        other = port - 1 if port > processes.LOWEST_PORT else port + 1
+        drawn = iter([port, other, *range(processes.LOWEST_PORT, port)])
+        with mock.patch.object(
+            processes.random, "randrange", side_effect=lambda *_: next(drawn)
+        ):
+            self.assertNotEqual(processes.free_address(), first)
