Signals that come while a program starts or ends do not cut it

Cause: until the signal receiver was open, SIGHUP had its default effect; and the receiver was closed when the drain began, which gave SIGTERM and SIGHUP their default effect back, so that a second signal cut all open requests. Daemons had the second fault as well. Ruled out: a crash of the program (no traceback, status is the signal's).

--- a/rhubarbwinch/__main__.py
+++ b/rhubarbwinch/__main__.py
@@ -1,6 +1,7 @@
 """Runs a program by its name: `python -m rhubarbwinch entry ...`."""
 
 import importlib
+import signal
 import sys
 
 # The module and the function of each program. Only the one that runs is
@@ -14,13 +15,21 @@
     "explain": ("rhubarbwinch.explain", "main"),
 }
 
+# They are told by SIGHUP that their settings have changed.
+RELOADING = frozenset({"gateway"})
+
 
 def main() -> None:
     """Takes the program's name off the arguments and runs it."""
     names = ", ".join(PROGRAMS)
     if len(sys.argv) < 2 or sys.argv[1] not in PROGRAMS:
         sys.exit(f"usage: python -m rhubarbwinch {{{names}}} ...")
-    module, function = PROGRAMS[sys.argv.pop(1)]
+    name = sys.argv.pop(1)
+    if name in RELOADING:
+        # By default the signal would end the process. Until the program sets
+        # its handler there is nothing to reload.
+        signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    module, function = PROGRAMS[name]
     getattr(importlib.import_module(module), function)()
 
 
--- a/rhubarbwinch/daemon.py
+++ b/rhubarbwinch/daemon.py
@@ -177,7 +177,8 @@
         ) as signals:
             async for _ in signals:
                 break
-        await self.leave()
+            # A further signal must not cut the requests that are still open.
+            await self.leave()
         tasks.cancel_scope.cancel()
 
     async def leave(self) -> None:
--- a/rhubarbwinch/gateway/program.py
+++ b/rhubarbwinch/gateway/program.py
@@ -2,7 +2,7 @@
 
 import random
 import signal
-from collections.abc import Callable
+from collections.abc import AsyncIterator, Callable
 
 import anyio
 import anyio.abc
@@ -61,6 +61,8 @@
 # The process ends so long before it would be killed.
 GRACE_MARGIN_MS = 500
 DRAIN_CHECK_MS = 50
+# What the last call to the store may take; without it the lease lapses.
+CLOSE_MS = 300
 
 
 @attrs.frozen
@@ -218,16 +220,23 @@
         tree.add("outage", self._outage.run)
         tree.add("settings", self._watch_settings)
         events.STARTED.log(name=settings.name, settings=attrs.asdict(settings))
-        try:
-            async with anyio.create_task_group() as tasks:
-                tasks.start_soon(self._watch_signals, tasks)
-                await tree.run()
-        except* Exception as group:
-            # The task group wraps what the tree raised.
-            raise group.exceptions[0] from None
-        finally:
-            with anyio.CancelScope(shield=True), anyio.move_on_after(0.3):
-                await self._registration.close()
+        # Signals may come until the end, so they are taken until then.
+        with anyio.open_signal_receiver(
+            signal.SIGTERM, signal.SIGINT, signal.SIGHUP
+        ) as signals:
+            try:
+                async with anyio.create_task_group() as tasks:
+                    tasks.start_soon(self._watch_signals, signals, tasks)
+                    await tree.run()
+            except* Exception as group:
+                # The task group wraps what the tree raised.
+                raise group.exceptions[0] from None
+            finally:
+                with (
+                    anyio.CancelScope(shield=True),
+                    anyio.move_on_after(CLOSE_MS / 1000),
+                ):
+                    await self._registration.close()
         events.STOPPED.log(name=settings.name)
 
     def _describe(self, heartbeat: Heartbeat) -> Heartbeat:
@@ -319,15 +328,17 @@
         )
         events.RELOADED.log(settings=attrs.asdict(settings))
 
-    async def _watch_signals(self, tasks: anyio.abc.TaskGroup) -> None:
-        with anyio.open_signal_receiver(
-            signal.SIGTERM, signal.SIGINT, signal.SIGHUP
-        ) as signals:
-            async for number in signals:
-                if number != signal.SIGHUP:
-                    break
-                self._reload()
-                events.RELOADED.log(signal="SIGHUP")
+    async def _watch_signals(
+        self,
+        signals: AsyncIterator[signal.Signals],
+        tasks: anyio.abc.TaskGroup,
+    ) -> None:
+        async for number in signals:
+            if number != signal.SIGHUP:
+                break
+            self._reload()
+            events.RELOADED.log(signal="SIGHUP")
+        # Further signals are left unread: they ask for nothing new.
         await self._drain()
         tasks.cancel_scope.cancel()
 
--- a/tests/test_rolling.py
+++ b/tests/test_rolling.py
@@ -182,7 +182,8 @@
                 timeout=TIMEOUT_S,
             ) as answer:
                 for line in answer.iter_lines():
-                    if not first:
+                    if len(first) in (0, 12):
+                        # The second signal must not cut the stream.
                         fleet.signal("entry-1", signal.SIGTERM)
                     first.append(line)
             status = fleet.wait("entry-1")
