--- /dev/null
+++ b/lab/soak/__init__.py
@@ -0,0 +1,1 @@
+"""A randomized run of the real gateways under faults from outside them."""
--- /dev/null
+++ b/lab/soak/__main__.py
@@ -0,0 +1,83 @@
+"""Plays seeds of the soak: `python -m lab.soak --seeds 1-50`.
+
+Without seeds it plays those that once broke a promise. For each that breaks
+one, prints what broke, where the logs are and the command that plays it again.
+The exit status is 1 if there was any.
+"""
+
+import argparse
+import pathlib
+import shutil
+import sys
+import tempfile
+from collections import Counter
+
+import anyio
+from absl import logging
+
+from lab.seeded.__main__ import parse_seeds
+from lab.soak.check import broken_promises
+from lab.soak.records import Journal
+from lab.soak.run import Size, play
+
+REGRESSIONS = pathlib.Path(__file__).parent / "regressions.txt"
+MOST_LINES = 20
+
+
+def regression_seeds() -> list[int]:
+    """Returns the seeds that once broke a promise."""
+    lines = REGRESSIONS.read_text().splitlines()
+    return [int(line.split()[0]) for line in lines if line[:1].isdigit()]
+
+
+def describe(seed: int, journal: Journal) -> str:
+    """Returns a line on what happened."""
+    statuses = Counter(a.status for a in journal.attempts)
+    faults = sum(line.endswith(" begins") for line in journal.faults)
+    return (
+        f"seed {seed}: {len(journal.attempts)} requests "
+        f"{dict(statuses.most_common())}, {len(journal.runs)} runs "
+        f"({sum(run.is_resumed for run in journal.runs)} from copies), "
+        f"{faults} faults, peak {journal.peak_mb:.0f} MB\n"
+    )
+
+
+def _play(seed: int, size: Size) -> bool:
+    """Plays a seed; keeps its folder only if a promise was broken."""
+    folder = pathlib.Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
+    journal = anyio.run(play, seed, folder, size)
+    broken = broken_promises(journal, with_times=True)
+    sys.stdout.write(describe(seed, journal))
+    if broken:
+        (folder / "faults.txt").write_text("\n".join(journal.faults) + "\n")
+        lines = [f"  broken: {line}\n" for line in broken[:MOST_LINES]]
+        lines.append(f"  logs: {folder}\n")
+        lines.append(f"  again: python -m lab.soak --seeds {seed}\n")
+        sys.stdout.writelines(lines)
+    else:
+        shutil.rmtree(folder)
+    sys.stdout.flush()
+    return not broken
+
+
+def main() -> None:
+    """Plays the seeds."""
+    usual = Size()
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seeds", type=parse_seeds, default=regression_seeds())
+    parser.add_argument("--seconds", type=float, default=usual.faults_s)
+    parser.add_argument("--gateways", type=int, default=usual.gateways)
+    parser.add_argument("--engines", type=int, default=usual.engines)
+    parser.add_argument("--callers", type=int, default=usual.callers)
+    options = parser.parse_args()
+    size = Size(
+        options.seconds, options.gateways, options.engines, options.callers
+    )
+    # The stand-ins' own errors are part of the faults.
+    logging.set_verbosity(logging.FATAL)
+    good = [_play(seed, size) for seed in options.seeds]
+    sys.exit(0 if all(good) else 1)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/lab/soak/run.py
@@ -0,0 +1,100 @@
+"""Plays one seed: callers, faults and a calm end."""
+
+import pathlib
+import random
+
+import anyio
+import anyio.abc
+import attrs
+
+from lab.soak.callers import Caller, Callers
+from lab.soak.faults import FAULTS
+from lab.soak.records import Journal
+from lab.soak.world import World
+
+READY_S = 3.0
+# The time in which everything has to be served again after the last fault.
+RECOVER_S = 5.0
+CALM_S = 3.0
+# The mean time from one fault to the next.
+FAULT_EVERY_S = 0.7
+WATCH_S = 0.1
+
+
+@attrs.frozen
+class Size:
+    """How large a run is.
+
+    Attributes:
+        faults_s: For how long faults come.
+        gateways: How many gateways there are.
+        engines: How many engines, and how many plain endpoints there are.
+        callers: How many callers there are.
+    """
+
+    faults_s: float = 12.0
+    gateways: int = 4
+    engines: int = 3
+    callers: int = 24
+
+
+async def play(seed: int, folder: pathlib.Path, size: Size) -> Journal:
+    """Plays a seed; `folder` keeps the logs of the gateways."""
+    rng = random.Random(seed)
+    world = World(folder, rng, size.gateways, size.engines)
+    try:
+        async with anyio.create_task_group() as tasks:
+            await world.start(tasks)
+            await anyio.sleep(READY_S)
+            tasks.start_soon(_watch, world)
+            await _play_callers(world, rng, size)
+            tasks.cancel_scope.cancel()
+    finally:
+        world.close()
+    return world.journal
+
+
+async def _watch(world: World) -> None:
+    while True:
+        world.check_processes()
+        await anyio.sleep(WATCH_S)
+
+
+async def _play_callers(world: World, rng: random.Random, size: Size) -> None:
+    shared = Callers(
+        world.fronts,
+        world.directories,
+        lambda: world.keys,
+        world.journal,
+        world.clock,
+    )
+    seeds = [rng.randrange(1 << 30) for _ in range(size.callers)]
+    callers = [Caller(shared, random.Random(seed)) for seed in seeds]
+    async with anyio.create_task_group() as tasks:
+        for caller in callers:
+            tasks.start_soon(caller.run)
+        await _play_faults(world, rng, size.faults_s)
+        world.journal.calm_from_ms = world.clock.now()
+        await anyio.sleep(RECOVER_S)
+        world.journal.sound_from_ms = world.clock.now()
+        await anyio.sleep(CALM_S)
+        for caller in callers:
+            caller.is_stopping = True
+
+
+async def _play_faults(world: World, rng: random.Random, last_s: float) -> None:
+    """Starts faults for some time and waits for the end of the last."""
+    end = anyio.current_time() + last_s
+    async with anyio.create_task_group() as tasks:
+        while anyio.current_time() < end:
+            await anyio.sleep(rng.expovariate(1 / FAULT_EVERY_S))
+            name = rng.choice(sorted(FAULTS))
+            tasks.start_soon(_play_fault, world, name, rng.randrange(1 << 30))
+    for proxy in world.proxies:
+        proxy.heal()
+
+
+async def _play_fault(world: World, name: str, seed: int) -> None:
+    world.note(f"{name} begins")
+    await FAULTS.get(name)(world, random.Random(seed))
+    world.note(f"{name} ends")
--- /dev/null
+++ b/lab/soak/world.py
@@ -0,0 +1,303 @@
+"""The deployment of a soak: stand-ins, proxies and gateway processes."""
+
+import pathlib
+import random
+import signal
+import socket
+from collections.abc import Iterator
+
+import anyio
+import anyio.abc
+import attrs
+
+from lab.processes import Processes, free_address, free_ports
+from lab.soak.engines import Fabric, SoakEngine
+from lab.soak.proxy import LoopbackProxy
+from lab.soak.records import Journal, Kind
+from lab.standins import platformfiles
+from lab.standins.platformstore import PlatformStoreServer
+from rhubarbwinch.clock import Clock, SystemClock
+
+# One port for each thing that a gateway listens on, and its internal ports.
+PORTS = 16
+GRACE_S = 8
+# A gateway that has to end may take so long beyond its grace.
+SLACK_S = 2.0
+# Until the interpreter runs the first line of the program, which it does
+# within this time on a busy machine, a signal has its default effect.
+INTERPRETER_MS = 1_000
+POLL_S = 0.02
+ENGINE_SERVICE, PLAIN_SERVICE = "engines", "plain"
+
+
+@attrs.define
+class Gateway:
+    """A gateway's process and what stands around it.
+
+    Attributes:
+        name: Its name.
+        ip: Its own address.
+        store: The proxy between it and the store.
+        front: The proxy between callers and it.
+        is_asked_to_end: Whether it was sent a signal that ends it.
+        is_killed: Whether that was SIGKILL.
+        was_starting: Whether it did not listen yet when it was asked to end.
+        started_ms: When its process was started.
+        is_coming_back: Whether somebody sees to its restart.
+        was_paused: Whether it was stopped since it was asked to end.
+    """
+
+    name: str
+    ip: str
+    store: LoopbackProxy
+    front: LoopbackProxy
+    is_asked_to_end: bool = False
+    is_killed: bool = False
+    was_starting: bool = False
+    started_ms: int = 0
+    is_coming_back: bool = False
+    was_paused: bool = False
+
+
+class World:
+    """Everything that a run consists of, but for callers and faults.
+
+    Args:
+        folder: For settings files and logs.
+        rng: The source of chance.
+        gateways: How many gateways there are.
+        engines: How many engines and how many plain endpoints there are.
+    """
+
+    def __init__(
+        self,
+        folder: pathlib.Path,
+        rng: random.Random,
+        gateways: int = 4,
+        engines: int = 3,
+    ) -> None:
+        self.journal = Journal()
+        self.clock: Clock = SystemClock()
+        self.store = PlatformStoreServer(free_address())
+        self.keys = {"a": "key-a-1", "b": "key-b-1"}
+        self.version = 1
+        self._folder = folder
+        self._first_port = free_ports(PORTS)
+        self._network = rng.randrange(10, 250), rng.randrange(1, 250)
+        self._processes = Processes(folder)
+        self._names = iter(range(1, 1_000_000))
+        fabric = Fabric({}, {}, self.journal, self.clock, rng)
+        self.gateways = [self._new_gateway(i + 1) for i in range(gateways)]
+        self.engines = [
+            self._new_engine(service, fabric)
+            for service in (ENGINE_SERVICE, PLAIN_SERVICE)
+            for _ in range(engines)
+        ]
+
+    def _new_gateway(self, number: int) -> Gateway:
+        high, low = self._network
+        ip = f"127.{high}.{low}.{number}"
+        store = LoopbackProxy(free_address(), self.store.address)
+        front = LoopbackProxy(free_address(), f"{ip}:{self._first_port}")
+        return Gateway(f"g{number}", ip, store, front)
+
+    def _new_engine(self, service: str, fabric: Fabric) -> SoakEngine:
+        address = free_address()
+        proxy = LoopbackProxy(free_address(), address)
+        return SoakEngine(self.new_id(), address, service, proxy, fabric)
+
+    def new_id(self) -> str:
+        """Returns an id that no engine has had."""
+        return f"i-{next(self._names)}"
+
+    @property
+    def proxies(self) -> Iterator[LoopbackProxy]:
+        """All proxies."""
+        for gateway in self.gateways:
+            yield gateway.store
+            yield gateway.front
+        for engine in self.engines:
+            yield engine.proxy
+
+    @property
+    def fronts(self) -> dict[str, LoopbackProxy]:
+        """The proxies before the gateways, by what the directory names."""
+        return {f"{g.ip}:{self._first_port}": g.front for g in self.gateways}
+
+    @property
+    def directories(self) -> list[str]:
+        """Where callers ask which gateways there are."""
+        return [f"{g.ip}:{self._first_port + 2}" for g in self.gateways]
+
+    async def start(self, tasks: anyio.abc.TaskGroup) -> None:
+        """Starts the stand-ins, the proxies and the gateways."""
+        tasks.start_soon(self.store.run)
+        for proxy in self.proxies:
+            tasks.start_soon(proxy.run)
+        for engine in self.engines:
+            tasks.start_soon(engine.run)
+        await anyio.wait_all_tasks_blocked()
+        await self.configure()
+        for engine in self.engines:
+            await self.announce(engine)
+        for gateway in self.gateways:
+            self.start_gateway(gateway)
+
+    async def configure(self) -> None:
+        """Writes the configuration that `version` and `keys` describe."""
+        routes = [
+            platformfiles.route(Kind.CALL.value, PLAIN_SERVICE, "idempotent"),
+            platformfiles.route(
+                Kind.ONCE.value, PLAIN_SERVICE, "non_idempotent"
+            ),
+            platformfiles.route(
+                Kind.DRAFT.value,
+                ENGINE_SERVICE,
+                "stream",
+                target_gap_ms=180,
+                sticky=True,
+            ),
+        ]
+        engine = {
+            "slots": 24,
+            "kv_tokens": 34_000,
+            "moves": True,
+            "backups": True,
+        }
+        services = [
+            {"name": ENGINE_SERVICE, "max_connections": 100, "engine": engine},
+            {"name": PLAIN_SERVICE, "max_connections": 100},
+        ]
+        keys = {name: [key] for name, key in self.keys.items()}
+        text = platformfiles.config(self.version, routes, services, keys)
+        await self.store.put(platformfiles.CONFIG_KEY, text)
+
+    async def announce(self, engine: SoakEngine, state: str = "ready") -> None:
+        """Writes an engine's entry."""
+        key = platformfiles.ENDPOINT_PREFIX + engine.name
+        await self.store.put(key, engine.registration(state))
+
+    async def withdraw(self, engine: SoakEngine) -> None:
+        """Removes an engine's entry."""
+        await self.store.remove(platformfiles.ENDPOINT_PREFIX + engine.name)
+
+    async def replace(self, engine: SoakEngine) -> None:
+        """Starts a new incarnation of an engine at its address."""
+        await self.withdraw(engine)
+        engine.name = self.new_id()
+        engine.proxy.heal()
+        await self.announce(engine)
+
+    def start_gateway(self, gateway: Gateway) -> None:
+        """Starts a gateway's process."""
+        self.write_settings(gateway)
+        gateway.is_asked_to_end = gateway.is_killed = False
+        gateway.was_paused = gateway.was_starting = False
+        gateway.started_ms = self.clock.now()
+        path = self._settings_path(gateway)
+        self.note(f"start of {gateway.name}")
+        self._processes.start(
+            gateway.name,
+            "rhubarbwinch gateway",
+            "--metrics-port",
+            str(self._first_port + PORTS - 1),
+            env={"RHUBARBWINCH_SETTINGS": str(path)},
+        )
+
+    def _settings_path(self, gateway: Gateway) -> pathlib.Path:
+        return self._folder / f"{gateway.name}.conf"
+
+    def write_settings(self, gateway: Gateway, memory_mb: int = 205) -> None:
+        """Writes a gateway's settings file."""
+        port, ip = self._first_port, gateway.ip
+        text = platformfiles.settings_text(
+            node=gateway.name,
+            ip=ip,
+            listen__front=f"{ip}:{port}",
+            listen__ready=f"{ip}:{port + 1}",
+            listen__directory=f"{ip}:{port + 2}",
+            internal_ports=f"{port + 3},{port + PORTS - 1}",
+            seeds=f"{self.gateways[0].ip}:{port}" if self.gateways else "",
+            platform__address=gateway.store.address,
+            limits__memory_mb=memory_mb,
+            bounds__grace_s=GRACE_S,
+        )
+        self._settings_path(gateway).write_text(text)
+
+    def note(self, what: str) -> None:
+        """Notes a step of a fault."""
+        self.journal.faults.append(f"{self.clock.now()} {what}")
+
+    def signal(self, gateway: Gateway, number: signal.Signals) -> None:
+        """Sends a signal to a gateway, if it runs."""
+        if self._processes.status(gateway.name) is not None:
+            return
+        age_ms = self.clock.now() - gateway.started_ms
+        if number is signal.SIGHUP and age_ms < INTERPRETER_MS:
+            return
+        if number in (signal.SIGTERM, signal.SIGKILL):
+            gateway.is_asked_to_end = True
+        if number is signal.SIGTERM and not self._listens(gateway):
+            gateway.was_starting = True
+        gateway.is_killed |= number is signal.SIGKILL
+        gateway.was_paused |= number is signal.SIGSTOP
+        self._note_memory(gateway)
+        self.note(f"{number.name} to {gateway.name}")
+        self._processes.signal(gateway.name, number)
+
+    def _listens(self, gateway: Gateway) -> bool:
+        with socket.socket() as probe:
+            return not probe.connect_ex((gateway.ip, self._first_port))
+
+    async def bring_back(self, gateway: Gateway, pause_s: float) -> None:
+        """Waits for the end of a gateway that was asked to, and starts it."""
+        if gateway.is_coming_back or not gateway.is_asked_to_end:
+            # Another fault has started it again, or is about to.
+            return
+        gateway.is_coming_back = True
+        try:
+            await self._await_end(gateway)
+            await anyio.sleep(pause_s)
+            self.start_gateway(gateway)
+        finally:
+            gateway.is_coming_back = False
+
+    async def _await_end(self, gateway: Gateway) -> None:
+        with anyio.move_on_after(GRACE_S + SLACK_S) as scope:
+            while self._processes.status(gateway.name) is None:
+                await anyio.sleep(POLL_S)
+        if scope.cancelled_caught:
+            if not gateway.was_paused:
+                self.journal.ended.append(f"{gateway.name} outlived its grace")
+            gateway.is_killed = True
+            self._processes.signal(gateway.name, signal.SIGKILL)
+        self._note_end(gateway)
+
+    def _note_end(self, gateway: Gateway) -> None:
+        status = self._processes.status(gateway.name)
+        wanted = {0, -signal.SIGKILL} if gateway.is_killed else {0}
+        if gateway.was_starting:
+            # A program that has not set up its signals ends by them.
+            wanted.add(-signal.SIGTERM)
+        if status is not None and status not in wanted:
+            self.journal.ended.append(f"{gateway.name}: status {status}")
+
+    def check_processes(self) -> None:
+        """Notes gateways that ended unasked."""
+        for gateway in self.gateways:
+            self._note_memory(gateway)
+            if gateway.is_coming_back or gateway.is_asked_to_end:
+                continue
+            status = self._processes.status(gateway.name)
+            if status is not None:
+                line = f"{gateway.name} ended unasked: status {status}"
+                self.journal.ended.append(line)
+                self.start_gateway(gateway)
+
+    def _note_memory(self, gateway: Gateway) -> None:
+        peak = self._processes.peak_mb(gateway.name)
+        self.journal.peak_mb = max(self.journal.peak_mb, peak)
+
+    def close(self) -> None:
+        """Ends all processes."""
+        self._processes.__exit__()
--- /dev/null
+++ b/lab/standins/platformfiles.py
@@ -0,0 +1,64 @@
+"""What the users' operator writes: settings files and configurations."""
+
+from collections.abc import Iterable, Mapping
+from typing import Any
+
+import orjson
+
+CONFIG_KEY = "op/config"
+ENDPOINT_PREFIX = "servers/"
+
+
+def settings_text(**fields: object) -> str:
+    """Returns a settings file of a gateway.
+
+    Args:
+        fields: What differs, by name. Dots are written as two underscores:
+            `limits__max_fds`.
+    """
+    base: dict[str, object] = {
+        "node": "front-1",
+        "zone": "z1",
+        "limits__memory_mb": 205,
+        "limits__max_fds": 6150,
+        "bounds__grace_s": 8,
+        "bounds__ttl_max_s": 5,
+        "bounds__retry_budget_ratio": 0.2,
+        "bounds__budget_window_s": 10,
+        "bounds__budget_extra": 56,
+    }
+    rows = (base | fields).items()
+    return "".join(f"{k.replace('__', '.')}={v}\n" for k, v in rows)
+
+
+def route(name: str, service: str, kind: str, **fields: object) -> Any:
+    """Returns a route of the host `h.example` under `/NAME/`."""
+    base = {
+        "name": name,
+        "host": "h.example",
+        "prefix": f"/{name}/",
+        "kind": kind,
+        "service": service,
+        "timeout_ms": 5_000,
+        "target_latency_ms": 500,
+        "max_attempts": 2 if kind == "idempotent" else 1,
+    }
+    return base | fields
+
+
+def config(
+    version: int,
+    routes: Iterable[Any],
+    services: Iterable[Any],
+    keys: Mapping[str, Iterable[str]],
+) -> bytes:
+    """Returns a configuration; `keys` are API keys by client account."""
+    accounts = [{"name": n, "api_keys": list(k)} for n, k in keys.items()]
+    return orjson.dumps(
+        {
+            "version": version,
+            "routes": list(routes),
+            "services": list(services),
+            "tenants": accounts,
+        }
+    )
--- a/lab/standins/platformstore.py
+++ b/lab/standins/platformstore.py
@@ -65,6 +65,7 @@
     """
 
     def __init__(self, address: str, clock: Clock | None = None) -> None:
+        self.address = address
         self.memory = MemoryStore(clock or SystemClock())
         self.faults = Faults()
         self.calls: list[str] = []
--- /dev/null
+++ b/tests/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the fault soak."""
--- /dev/null
+++ b/tests/soak/test_proxy.py
@@ -0,0 +1,90 @@
+"""Tests of the proxy that harms connections."""
+
+import contextlib
+import unittest
+
+import anyio
+
+from lab.soak.proxy import LoopbackProxy
+from tests.helpers import asynchronous, free_address
+
+# Nothing is expected to come in this time; what comes later fails a test that
+# waits for it without a limit.
+QUIET_S = 0.1
+
+
+@contextlib.asynccontextmanager
+async def echo_behind_proxy():
+    """Yields a proxy before a server that echoes, and a connection."""
+    target, address = free_address(), free_address()
+
+    async def echo(stream):
+        ends = (anyio.EndOfStream, anyio.BrokenResourceError)
+        async with stream:
+            with contextlib.suppress(*ends):
+                while True:
+                    await stream.send(await stream.receive())
+
+    host, port = target.split(":")
+    proxy = LoopbackProxy(address, target)
+    listener = await anyio.create_tcp_listener(
+        local_host=host, local_port=int(port)
+    )
+    async with listener, anyio.create_task_group() as tasks:
+        tasks.start_soon(listener.serve, echo)
+        tasks.start_soon(proxy.run)
+        await anyio.wait_all_tasks_blocked()
+        host, port = address.split(":")
+        async with await anyio.connect_tcp(host, int(port)) as stream:
+            yield proxy, stream
+        tasks.cancel_scope.cancel()
+
+
+async def is_silent(stream):
+    """Tells whether nothing comes for a while."""
+    with anyio.move_on_after(QUIET_S) as scope:
+        await stream.receive()
+    return scope.cancelled_caught
+
+
+class LoopbackProxyTest(unittest.TestCase):
+    """A connection through the proxy."""
+
+    @asynchronous
+    async def test_what_is_sound_passes_both_ways(self):
+        async with echo_behind_proxy() as (_, stream):
+            await stream.send(b"abc")
+            self.assertEqual(await stream.receive(), b"abc")
+
+    @asynchronous
+    async def test_a_cut_either_way_is_silent_until_it_heals(self):
+        for side in ("is_cut_there", "is_cut_back"):
+            async with echo_behind_proxy() as (proxy, stream):
+                setattr(proxy.condition, side, True)
+                await stream.send(b"abc")
+                self.assertTrue(await is_silent(stream))
+                proxy.heal()
+                self.assertEqual(await stream.receive(), b"abc")
+
+    @asynchronous
+    async def test_a_reset_ends_what_is_open_and_nothing_else(self):
+        async with echo_behind_proxy() as (proxy, stream):
+            await stream.send(b"abc")
+            await stream.receive()
+            proxy.reset()
+            with self.assertRaises(
+                (anyio.EndOfStream, anyio.BrokenResourceError)
+            ):
+                await stream.receive()
+            host, port = proxy.address.split(":")
+            async with await anyio.connect_tcp(host, int(port)) as other:
+                await other.send(b"def")
+                self.assertEqual(await other.receive(), b"def")
+
+    @asynchronous
+    async def test_extra_bytes_follow_the_next_that_come_back(self):
+        async with echo_behind_proxy() as (proxy, stream):
+            proxy.condition.extra = b"stray"
+            await stream.send(b"abc")
+            self.assertEqual(await stream.receive(), b"abcstray")
+            self.assertTrue(proxy.is_sound)
--- /dev/null
+++ b/tests/soak/test_soak.py
@@ -0,0 +1,24 @@
+"""A short seeded run of the real gateways under faults."""
+
+import pathlib
+import tempfile
+import unittest
+
+from lab.soak.__main__ import regression_seeds
+from lab.soak.check import broken_promises
+from lab.soak.run import Size, play
+from tests.helpers import asynchronous
+
+SIZE = Size(faults_s=4.0, gateways=3, engines=2, callers=8)
+
+
+class SoakTest(unittest.TestCase):
+    """Promises that have no time in them, as callers and engines see them."""
+
+    @asynchronous
+    async def test_a_short_run_breaks_no_promise(self):
+        seed = regression_seeds()[0]
+        with tempfile.TemporaryDirectory() as folder:
+            journal = await play(seed, pathlib.Path(folder), SIZE)
+        self.assertEqual(broken_promises(journal, with_times=False), [])
+        self.assertTrue(any(a.status == 200 for a in journal.attempts))
