--- a/examples/embed_admission.py
+++ b/examples/embed_admission.py
@@ -2,10 +2,10 @@
 
 import random
 
-from rhubarbwinch.admission import Admission
-from rhubarbwinch.clock import SystemClock
-from rhubarbwinch.messages import PermitRelease, PermitRequest, StreamEnd
-from rhubarbwinch.records import EndpointSpec, PoolSpec
+from rhubarbwinch.admission.admission import Admission
+from rhubarbwinch.links.messages import PermitRelease, PermitRequest, StreamEnd
+from rhubarbwinch.records.records import EndpointSpec, PoolSpec
+from rhubarbwinch.shared.clock import SystemClock
 
 POOL = "vintner.dc-a"
 
--- a/lab/bench_broker.py
+++ b/lab/bench_broker.py
@@ -14,10 +14,10 @@
 from hdrh.histogram import HdrHistogram
 
 from lab.bench_load import ACCOUNT_SIZES, ACCOUNTS, account_specs
-from rhubarbwinch.admission import Admission, Decision, LoadReport
-from rhubarbwinch.clock import ManualClock
-from rhubarbwinch.messages import PermitRelease, PermitRequest, StreamEnd
-from rhubarbwinch.records import EndpointSpec, PoolSpec
+from rhubarbwinch.admission.admission import Admission, Decision, LoadReport
+from rhubarbwinch.links.messages import PermitRelease, PermitRequest, StreamEnd
+from rhubarbwinch.records.records import EndpointSpec, PoolSpec
+from rhubarbwinch.shared.clock import ManualClock
 
 ENGINES = 64
 WAITING = 1000
--- a/lab/bench_claims.py
+++ b/lab/bench_claims.py
@@ -15,17 +15,17 @@
 import attrs
 from result import Ok
 
-from rhubarbwinch import codec
-from rhubarbwinch.claimfloor import ClaimFloor
-from rhubarbwinch.claimkeys import ClaimKey
-from rhubarbwinch.claimowners import Standing
-from rhubarbwinch.claimpages import ClaimPages, ClaimRecord
-from rhubarbwinch.claimrouting import RoutedPages
-from rhubarbwinch.claims import Claims, make_outcome
-from rhubarbwinch.clock import SystemClock
-from rhubarbwinch.members import Member, MemberNews, Members, Role
-from rhubarbwinch.memstore import MemoryStore
-from rhubarbwinch.store import Entry, Swap
+from rhubarbwinch.claims.claimfloor import ClaimFloor
+from rhubarbwinch.claims.claimkeys import ClaimKey
+from rhubarbwinch.claims.claimowners import Standing
+from rhubarbwinch.claims.claimpages import ClaimPages, ClaimRecord
+from rhubarbwinch.claims.claimrouting import RoutedPages
+from rhubarbwinch.claims.claims import Claims, make_outcome
+from rhubarbwinch.membership.members import Member, MemberNews, Members, Role
+from rhubarbwinch.shared import codec
+from rhubarbwinch.shared.clock import SystemClock
+from rhubarbwinch.stores.memstore import MemoryStore
+from rhubarbwinch.stores.store import Entry, Swap
 
 T = TypeVar("T")
 
--- a/lab/bench_config.py
+++ b/lab/bench_config.py
@@ -12,9 +12,9 @@
 import attrs
 import orjson
 
-from rhubarbwinch import accepted
-from rhubarbwinch.accepted import Snapshot
-from rhubarbwinch.records import Record
+from rhubarbwinch.records import accepted
+from rhubarbwinch.records.accepted import Snapshot
+from rhubarbwinch.records.records import Record
 
 SIZES = (1_000, 4_000, 9_400)
 
--- a/lab/bench_links.py
+++ b/lab/bench_links.py
@@ -13,10 +13,9 @@
 import attrs
 import orjson
 
-from rhubarbwinch import codec
-from rhubarbwinch.digests import request_key
-from rhubarbwinch.links import Links, LinkServer
-from rhubarbwinch.messages import (
+from rhubarbwinch.admission.digests import request_key
+from rhubarbwinch.links.links import Links, LinkServer
+from rhubarbwinch.links.messages import (
     Ack,
     DigestReply,
     DigestReport,
@@ -27,6 +26,7 @@
     StreamGrowth,
     StreamProgress,
 )
+from rhubarbwinch.shared import codec
 
 CALLERS = 50
 STREAMS_IN_REPORT = 20
--- a/lab/bench_load.py
+++ b/lab/bench_load.py
@@ -7,8 +7,8 @@
 import attrs
 
 from lab.enginemodel import BLOCK_TOKENS
-from rhubarbwinch.messages import PermitRequest
-from rhubarbwinch.records import AccountSpec
+from rhubarbwinch.links.messages import PermitRequest
+from rhubarbwinch.records.records import AccountSpec
 
 ENTRIES = 4
 POOL = "model.dc"
--- /dev/null
+++ b/lab/bench_logging.py
@@ -0,0 +1,107 @@
+"""What the log of a gateway costs: `python -m lab.bench_logging`.
+
+One gateway serves the callers of the soak without faults, by turns with its
+log and with errors only. Prints processor time, lines and bytes a request.
+"""
+
+import argparse
+import pathlib
+import random
+import statistics
+import sys
+import tempfile
+
+import anyio
+import attrs
+
+from lab.soak.callers import Caller, Callers
+from lab.soak.world import World
+
+START_S = 2.0
+CALLERS = 32
+
+
+@attrs.frozen
+class Cost:
+    """What was measured of a run.
+
+    Attributes:
+        requests: Requests that were served.
+        cpu_ms: Processor time a request.
+        lines: Log lines a request.
+        log_bytes: Bytes of log a request.
+    """
+
+    requests: int
+    cpu_ms: float
+    lines: float
+    log_bytes: float
+
+
+async def measure(level: str, last_s: float, folder: pathlib.Path) -> Cost:
+    """Runs a gateway at a log level under the load of the soak."""
+    options = ("--log-level", level)
+    world = World(folder, random.Random(1), 1, 3, options)
+    log = folder / "g1.log"
+    try:
+        async with anyio.create_task_group() as tasks:
+            await world.start(tasks)
+            await anyio.sleep(START_S)
+            gateway = world.gateways[0]
+            before, size = world.cpu_s(gateway), log.stat().st_size
+            await _call(world, last_s)
+            cpu_s = world.cpu_s(gateway) - before
+            tasks.cancel_scope.cancel()
+    finally:
+        world.close()
+    written = log.read_bytes()[size:]
+    count = sum(a.status == 200 for a in world.journal.attempts)
+    return Cost(
+        count,
+        1000 * cpu_s / count,
+        written.count(b"\n") / count,
+        len(written) / count,
+    )
+
+
+async def _call(world: World, last_s: float) -> None:
+    shared = Callers(
+        world.fronts,
+        world.directories,
+        lambda: world.keys,
+        world.journal,
+        world.clock,
+    )
+    callers = [Caller(shared, random.Random(i)) for i in range(CALLERS)]
+    async with anyio.create_task_group() as tasks:
+        for caller in callers:
+            tasks.start_soon(caller.run)
+        await anyio.sleep(last_s)
+        for caller in callers:
+            caller.is_stopping = True
+
+
+def main() -> None:
+    """Measures by turns and prints the medians."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--rounds", type=int, default=3)
+    parser.add_argument("--seconds", type=float, default=8.0)
+    options = parser.parse_args()
+    found: dict[str, list[Cost]] = {"info": [], "error": []}
+    for _ in range(options.rounds):
+        for level, costs in found.items():
+            with tempfile.TemporaryDirectory() as name:
+                folder = pathlib.Path(name)
+                costs.append(anyio.run(measure, level, options.seconds, folder))
+    for level, costs in found.items():
+        cpu = [cost.cpu_ms for cost in costs]
+        sys.stdout.write(
+            f"{level}: {statistics.median(cpu):.2f} ms of processor time a "
+            f"request ({min(cpu):.2f} to {max(cpu):.2f}), "
+            f"{costs[0].lines:.1f} lines and {costs[0].log_bytes:.0f} bytes a "
+            f"request, {sum(c.requests for c in costs)} requests\n"
+        )
+
+
+if __name__ == "__main__":
+    main()
--- a/lab/bench_policies.py
+++ b/lab/bench_policies.py
@@ -5,14 +5,14 @@
 import attrs
 
 from lab.bench_load import Arrival
-from rhubarbwinch.admission import Options
-from rhubarbwinch.lengths import (
+from rhubarbwinch.admission.admission import Options
+from rhubarbwinch.admission.lengths import (
     HORIZONS,
     LearnedLengths,
     LengthEstimator,
     Outlook,
 )
-from rhubarbwinch.messages import PermitRequest
+from rhubarbwinch.links.messages import PermitRequest
 
 
 class KnownLengths:
--- a/lab/bench_sim.py
+++ b/lab/bench_sim.py
@@ -21,15 +21,14 @@
 )
 from lab.bench_policies import Contender
 from lab.enginemodel import EngineModel, EngineParameters, Sequence, Step
-from rhubarbwinch.admission import (
+from rhubarbwinch.admission.admission import (
     Admission,
     CacheReport,
     Decision,
     LoadReport,
 )
-from rhubarbwinch.clock import ManualClock
-from rhubarbwinch.limits import backoff_ms
-from rhubarbwinch.messages import (
+from rhubarbwinch.admission.limits import backoff_ms
+from rhubarbwinch.links.messages import (
     PermitGrant,
     PermitRelease,
     PermitRequest,
@@ -37,7 +36,8 @@
     StreamEnd,
     StreamProgress,
 )
-from rhubarbwinch.records import EndpointSpec, PoolSpec
+from rhubarbwinch.records.records import EndpointSpec, PoolSpec
+from rhubarbwinch.shared.clock import ManualClock
 
 ENGINES = 6
 WARM_MS = 120_000.0
--- a/lab/capacity_rows.py
+++ b/lab/capacity_rows.py
@@ -1,8 +1,8 @@
 """What each role costs at the target size, row by row."""
 
 from lab.capacity_model import DAY_S, Row, Slopes, Target
-from rhubarbwinch.digests import GROWTH_TOKENS
-from rhubarbwinch.reports import MAX_PERIOD_MS
+from rhubarbwinch.admission.digests import GROWTH_TOKENS
+from rhubarbwinch.admission.reports import MAX_PERIOD_MS
 
 
 def config_rows(target: Target, slopes: Slopes) -> list[Row]:
--- a/lab/catalogue.py
+++ b/lab/catalogue.py
@@ -11,22 +11,18 @@
 from absl import logging
 
 from lab.processes import ROOT
-from rhubarbwinch import (
-    apicatalogue,
-    events,
-    gatewaymain,
-    metrics,
-    problems,
-    settingtypes,
-    specs,
-)
-from rhubarbwinch.config import (
+from rhubarbwinch.callers import apicatalogue
+from rhubarbwinch.gateway import statistics
+from rhubarbwinch.http import problems
+from rhubarbwinch.programs import gatewaymain
+from rhubarbwinch.programs.config import (
     BrokerSettings,
     ControlSettings,
     EntrySettings,
     Settings,
 )
-from rhubarbwinch.gateway import statistics
+from rhubarbwinch.records import specs
+from rhubarbwinch.shared import events, metrics, settingtypes
 
 _NOTE = "This page is made from the code by `make docs`.\n"
 _ATTRIBUTE = re.compile(r"^    (\w+): (.*)$")
--- a/lab/control_traffic.py
+++ b/lab/control_traffic.py
@@ -16,16 +16,16 @@
 import anyio
 import attrs
 
-from rhubarbwinch import codec
-from rhubarbwinch.clock import SystemClock
-from rhubarbwinch.distribution import Distribution
-from rhubarbwinch.follower import Follower
-from rhubarbwinch.gossip import Gossip
-from rhubarbwinch.leaving import LeavingVms
-from rhubarbwinch.links import Links, LinkServer
-from rhubarbwinch.members import Member, Members, Role
-from rhubarbwinch.memstore import MemoryStore
-from rhubarbwinch.registration import Registration
+from rhubarbwinch.configuration.distribution import Distribution
+from rhubarbwinch.configuration.follower import Follower
+from rhubarbwinch.links.links import Links, LinkServer
+from rhubarbwinch.membership.gossip import Gossip
+from rhubarbwinch.membership.leaving import LeavingVms
+from rhubarbwinch.membership.members import Member, Members, Role
+from rhubarbwinch.membership.registration import Registration
+from rhubarbwinch.shared import codec
+from rhubarbwinch.shared.clock import SystemClock
+from rhubarbwinch.stores.memstore import MemoryStore
 
 T = TypeVar("T")
 
--- a/lab/memberset.py
+++ b/lab/memberset.py
@@ -1,7 +1,7 @@
 """Members of a deployment in one process, over memory links and a hand clock.
 
 Each has the parts that its program has, without HTTP; the wiring is that of
-`rhubarbwinch.daemon`.
+`rhubarbwinch.programs.daemon`.
 """
 
 import random
@@ -9,18 +9,18 @@
 import anyio
 import anyio.abc
 
-from rhubarbwinch.clock import ManualClock
-from rhubarbwinch.distribution import Distribution
-from rhubarbwinch.follower import Follower
-from rhubarbwinch.gossip import Gossip
-from rhubarbwinch.leaving import LeavingVms
-from rhubarbwinch.members import Member, Members, Role
-from rhubarbwinch.memlinks import MemoryNetwork
-from rhubarbwinch.memstore import MemoryStore
-from rhubarbwinch.publisher import Publisher
-from rhubarbwinch.publishing import Publishing
-from rhubarbwinch.registration import Registration
-from rhubarbwinch.store import Store
+from rhubarbwinch.configuration.distribution import Distribution
+from rhubarbwinch.configuration.follower import Follower
+from rhubarbwinch.configuration.publisher import Publisher
+from rhubarbwinch.configuration.publishing import Publishing
+from rhubarbwinch.links.memlinks import MemoryNetwork
+from rhubarbwinch.membership.gossip import Gossip
+from rhubarbwinch.membership.leaving import LeavingVms
+from rhubarbwinch.membership.members import Member, Members, Role
+from rhubarbwinch.membership.registration import Registration
+from rhubarbwinch.shared.clock import ManualClock
+from rhubarbwinch.stores.memstore import MemoryStore
+from rhubarbwinch.stores.store import Store
 
 LEASE_MS = 5000
 
--- a/lab/processes.py
+++ b/lab/processes.py
@@ -135,6 +135,14 @@
         rows = [line for line in lines if line.startswith("VmHWM:")]
         return int(rows[0].split()[1]) / 1024 if rows else 0.0
 
+    def cpu_s(self, name: str) -> float:
+        """Returns the processor time that a running process has taken."""
+        text = pathlib.Path(f"/proc/{self.pid(name)}/stat").read_text()
+        # The name before the last parenthesis may hold spaces.
+        fields = text.rpartition(")")[2].split()
+        ticks = int(fields[11]) + int(fields[12])
+        return ticks / os.sysconf("SC_CLK_TCK")
+
     def wait(self, name: str) -> int:
         """Waits for a process's end and returns its exit status."""
         return self._running.pop(name).wait(WAIT_S)
--- a/lab/seeded/callers.py
+++ b/lab/seeded/callers.py
@@ -8,8 +8,8 @@
 
 from lab.seeded.log import Attempt, End, Kind
 from lab.seeded.world import API_KEY, Program, World, completion_body
-from rhubarbwinch.entry import Entry
-from rhubarbwinch.sse import DONE, Splitter
+from rhubarbwinch.http.sse import DONE, Splitter
+from rhubarbwinch.programs.entry import Entry
 
 MAX_ATTEMPTS = 8
 RETRY_MS = 500
--- a/lab/seeded/check.py
+++ b/lab/seeded/check.py
@@ -5,7 +5,7 @@
 import orjson
 
 from lab.seeded.log import Attempt, End, Journal, Kind, Run
-from rhubarbwinch.sse import DONE
+from rhubarbwinch.http.sse import DONE
 
 
 def faults_of(journal: Journal) -> list[str]:
--- a/lab/seeded/endpoints.py
+++ b/lab/seeded/endpoints.py
@@ -10,11 +10,11 @@
 import orjson
 
 from lab.seeded.log import Journal, Run
-from rhubarbwinch.clock import Clock
-from rhubarbwinch.endpoints import EndpointClient
-from rhubarbwinch.exceptions import EndpointError, GenerationLostError
-from rhubarbwinch.relay import EventStream
-from rhubarbwinch.sse import DONE, StreamEvent
+from rhubarbwinch.endpoints.endpoints import EndpointClient
+from rhubarbwinch.endpoints.relay import EventStream
+from rhubarbwinch.http.sse import DONE, StreamEvent
+from rhubarbwinch.shared.clock import Clock
+from rhubarbwinch.shared.exceptions import EndpointError, GenerationLostError
 
 TOKEN_MS = 40
 SILENCE_MS = 1000
--- a/lab/seeded/links.py
+++ b/lab/seeded/links.py
@@ -9,9 +9,9 @@
 import anyio.abc
 import attrs
 
-from rhubarbwinch import codec
-from rhubarbwinch.clock import Clock
-from rhubarbwinch.exceptions import LinkTimeout
+from rhubarbwinch.shared import codec
+from rhubarbwinch.shared.clock import Clock
+from rhubarbwinch.shared.exceptions import LinkTimeout
 
 T = TypeVar("T")
 
--- a/lab/seeded/run.py
+++ b/lab/seeded/run.py
@@ -7,8 +7,8 @@
 from lab.seeded.check import faults_of
 from lab.seeded.log import Attempt, End, Kind
 from lab.seeded.world import DESKS, ENGINES, Program, World
-from rhubarbwinch.registry import Registry
-from rhubarbwinch.sse import DONE
+from rhubarbwinch.http.sse import DONE
+from rhubarbwinch.shared.registry import Registry
 
 ENTRIES = 3
 BROKERS = 2
--- a/lab/seeded/world.py
+++ b/lab/seeded/world.py
@@ -11,19 +11,20 @@
 from lab.seeded.endpoints import Field, SeededEndpoints
 from lab.seeded.links import SeededNetwork
 from lab.seeded.log import Journal
-from rhubarbwinch import accepted, keys
-from rhubarbwinch.accepted import Head
-from rhubarbwinch.apikeys import hash_key
-from rhubarbwinch.broker import Broker
-from rhubarbwinch.clock import ManualClock
-from rhubarbwinch.config import BrokerSettings, EntrySettings
-from rhubarbwinch.entry import Entry
-from rhubarbwinch.exceptions import StoreUnavailable
-from rhubarbwinch.memstore import MemoryStore
-from rhubarbwinch.records import Record
-from rhubarbwinch.store import Change, Listing, Swap
-from rhubarbwinch.store import Entry as StoreEntry
-from rhubarbwinch.surroundings import Surroundings
+from rhubarbwinch.programs.broker import Broker
+from rhubarbwinch.programs.config import BrokerSettings, EntrySettings
+from rhubarbwinch.programs.entry import Entry
+from rhubarbwinch.programs.surroundings import Surroundings
+from rhubarbwinch.records import accepted
+from rhubarbwinch.records.accepted import Head
+from rhubarbwinch.records.apikeys import hash_key
+from rhubarbwinch.records.records import Record
+from rhubarbwinch.shared.clock import ManualClock
+from rhubarbwinch.shared.exceptions import StoreUnavailable
+from rhubarbwinch.stores import keys
+from rhubarbwinch.stores.memstore import MemoryStore
+from rhubarbwinch.stores.store import Change, Listing, Swap
+from rhubarbwinch.stores.store import Entry as StoreEntry
 
 API_KEY = "acme.secret"
 ENGINES = {f"10.0.1.{i}:80": f"engine-{i}" for i in range(1, 4)}
--- a/lab/soak/callers.py
+++ b/lab/soak/callers.py
@@ -9,8 +9,8 @@
 
 from lab.soak.proxy import LoopbackProxy
 from lab.soak.records import Attempt, Journal, Kind
-from rhubarbwinch.clock import Clock
 from rhubarbwinch.platform import headers
+from rhubarbwinch.shared.clock import Clock
 
 HOST = "h.example"
 DEADLINE_MS = 5_000
--- a/lab/soak/check.py
+++ b/lab/soak/check.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 
 from lab.soak.records import Attempt, Journal, Kind, Run, event, whole_answer
-from rhubarbwinch.registry import Registry
+from rhubarbwinch.shared.registry import Registry
 
 Check = Callable[[Journal], list[str]]
 CHECKS: Registry[Check] = Registry("check")
--- a/lab/soak/engines.py
+++ b/lab/soak/engines.py
@@ -17,9 +17,9 @@
     head_of,
     refuse,
 )
-from rhubarbwinch.clock import Clock
 from rhubarbwinch.gateway.edge import EdgeRequest, EdgeResponder
 from rhubarbwinch.platform import headers
+from rhubarbwinch.shared.clock import Clock
 
 EVENT_MS = 25
 CALL_MS = 40
--- a/lab/soak/faults.py
+++ b/lab/soak/faults.py
@@ -10,7 +10,7 @@
 from lab.soak.proxy import LoopbackProxy
 from lab.soak.world import Gateway, World
 from lab.standins import platformfiles
-from rhubarbwinch.registry import Registry
+from rhubarbwinch.shared.registry import Registry
 
 Fault = Callable[[World, random.Random], Awaitable[None]]
 FAULTS: Registry[Fault] = Registry("fault")
--- a/lab/soak/proxy.py
+++ b/lab/soak/proxy.py
@@ -8,7 +8,7 @@
 import anyio.abc
 import attrs
 
-from rhubarbwinch import misc
+from rhubarbwinch.shared import misc
 
 CHUNK_BYTES = 65_536
 # How often a direction that is cut looks whether it is open again.
--- a/lab/soak/world.py
+++ b/lab/soak/world.py
@@ -4,7 +4,7 @@
 import random
 import signal
 import socket
-from collections.abc import Iterator
+from collections.abc import Iterator, Sequence
 
 import anyio
 import anyio.abc
@@ -16,7 +16,7 @@
 from lab.soak.records import Journal, Kind
 from lab.standins import platformfiles
 from lab.standins.platformstore import PlatformStoreServer
-from rhubarbwinch.clock import Clock, SystemClock
+from rhubarbwinch.shared.clock import Clock, SystemClock
 
 # One port for each thing that a gateway listens on, and its internal ports.
 PORTS = 16
@@ -67,6 +67,7 @@
         rng: The source of chance.
         gateways: How many gateways there are.
         engines: How many engines and how many plain endpoints there are.
+        options: More flags of the gateways.
     """
 
     def __init__(
@@ -75,6 +76,7 @@
         rng: random.Random,
         gateways: int = 4,
         engines: int = 3,
+        options: Sequence[str] = (),
     ) -> None:
         self.journal = Journal()
         self.clock: Clock = SystemClock()
@@ -82,6 +84,7 @@
         self.keys = {"a": "key-a-1", "b": "key-b-1"}
         self.version = 1
         self._folder = folder
+        self._options = options
         self._first_port = free_ports(PORTS)
         self._network = rng.randrange(10, 250), rng.randrange(1, 250)
         self._processes = Processes(folder)
@@ -201,6 +204,7 @@
             "rhubarbwinch gateway",
             "--metrics-port",
             str(self._first_port + PORTS - 1),
+            *self._options,
             env={"RHUBARBWINCH_SETTINGS": str(path)},
         )
 
@@ -298,6 +302,10 @@
         peak = self._processes.peak_mb(gateway.name)
         self.journal.peak_mb = max(self.journal.peak_mb, peak)
 
+    def cpu_s(self, gateway: Gateway) -> float:
+        """Returns the processor time that a gateway has taken."""
+        return self._processes.cpu_s(gateway.name)
+
     def close(self) -> None:
         """Ends all processes."""
         self._processes.__exit__()
--- a/lab/spread.py
+++ b/lab/spread.py
@@ -11,10 +11,11 @@
 import attrs
 
 from lab.memberset import MemberSet
-from rhubarbwinch import accepted, keys
-from rhubarbwinch.accepted import Head
-from rhubarbwinch.memstore import MemoryStore
-from rhubarbwinch.records import Record
+from rhubarbwinch.records import accepted
+from rhubarbwinch.records.accepted import Head
+from rhubarbwinch.records.records import Record
+from rhubarbwinch.stores import keys
+from rhubarbwinch.stores.memstore import MemoryStore
 
 DATA_CENTERS = 3
 # From this size on there are three regions of that many data centres.
--- a/lab/standins/engine.py
+++ b/lab/standins/engine.py
@@ -19,7 +19,7 @@
 from lab.standins.faults import Faults
 from lab.standins.orders import OrderBoard
 from lab.standins.serve import MAX_BODY_BYTES, parser, serve
-from rhubarbwinch.httpapi import App, Request, Responder
+from rhubarbwinch.http.httpapi import App, Request, Responder
 
 DEFAULT_TOKENS = 20
 POISON = "poison"
--- a/lab/standins/faults.py
+++ b/lab/standins/faults.py
@@ -5,7 +5,7 @@
 import anyio
 import attrs
 
-from rhubarbwinch.httpapi import Responder
+from rhubarbwinch.http.httpapi import Responder
 
 
 @attrs.define
--- a/lab/standins/kvstore.py
+++ b/lab/standins/kvstore.py
@@ -11,11 +11,11 @@
 import orjson
 
 from lab.standins.serve import MAX_BODY_BYTES, parser, serve
-from rhubarbwinch.clock import SystemClock
-from rhubarbwinch.exceptions import StoreError, StoreUncertain
-from rhubarbwinch.httpapi import App, Request, Responder
-from rhubarbwinch.memstore import MemoryStore
-from rhubarbwinch.store import Entry
+from rhubarbwinch.http.httpapi import App, Request, Responder
+from rhubarbwinch.shared.clock import SystemClock
+from rhubarbwinch.shared.exceptions import StoreError, StoreUncertain
+from rhubarbwinch.stores.memstore import MemoryStore
+from rhubarbwinch.stores.store import Entry
 
 JSON = dict[str, Any]
 
--- a/lab/standins/orders.py
+++ b/lab/standins/orders.py
@@ -6,7 +6,7 @@
 import httpx
 import orjson
 
-from rhubarbwinch.httpapi import App, Request, Responder
+from rhubarbwinch.http.httpapi import App, Request, Responder
 
 
 @attrs.frozen
--- a/lab/standins/platformengine.py
+++ b/lab/standins/platformengine.py
@@ -11,9 +11,9 @@
 import attrs
 import orjson
 
-from rhubarbwinch.clock import SystemClock
 from rhubarbwinch.gateway.edge import EdgeRequest, EdgeResponder, EdgeServer
 from rhubarbwinch.gateway.wire import Headers
+from rhubarbwinch.shared.clock import SystemClock
 
 SIGNATURE = (b"Server-Signature", b"sig")
 
--- a/lab/standins/platformstore.py
+++ b/lab/standins/platformstore.py
@@ -11,11 +11,11 @@
 import attrs
 import orjson
 
-from rhubarbwinch.clock import Clock, SystemClock
-from rhubarbwinch.exceptions import StoreUncertain
 from rhubarbwinch.gateway.edge import EdgeRequest, EdgeResponder, EdgeServer
-from rhubarbwinch.memstore import MemoryStore
-from rhubarbwinch.store import Change, Entry, Swap
+from rhubarbwinch.shared.clock import Clock, SystemClock
+from rhubarbwinch.shared.exceptions import StoreUncertain
+from rhubarbwinch.stores.memstore import MemoryStore
+from rhubarbwinch.stores.store import Change, Entry, Swap
 
 JSON = dict[str, Any]
 
--- a/lab/standins/serve.py
+++ b/lab/standins/serve.py
@@ -6,7 +6,7 @@
 import hypercorn.asyncio
 from hypercorn.config import Config
 
-from rhubarbwinch.httpapi import App
+from rhubarbwinch.http.httpapi import App
 
 MAX_BODY_BYTES = 16 << 20
 
--- a/lab/standins/service.py
+++ b/lab/standins/service.py
@@ -9,7 +9,7 @@
 import orjson
 
 from lab.standins.serve import MAX_BODY_BYTES, parser, serve
-from rhubarbwinch.httpapi import App, Request, Responder
+from rhubarbwinch.http.httpapi import App, Request, Responder
 
 
 class Service:
--- a/lab/standins/vmlist.py
+++ b/lab/standins/vmlist.py
@@ -13,7 +13,7 @@
 import orjson
 
 from lab.standins.serve import MAX_BODY_BYTES, parser, serve
-from rhubarbwinch.httpapi import App, Request, Responder
+from rhubarbwinch.http.httpapi import App, Request, Responder
 
 
 @attrs.frozen
--- a/lab/standins/weights.py
+++ b/lab/standins/weights.py
@@ -4,8 +4,8 @@
 import orjson
 
 from lab.standins.serve import MAX_BODY_BYTES, parser, serve
-from rhubarbwinch.clock import Clock, SystemClock
-from rhubarbwinch.httpapi import App, Request, Responder
+from rhubarbwinch.http.httpapi import App, Request, Responder
+from rhubarbwinch.shared.clock import Clock, SystemClock
 
 MINUTE_MS = 60_000
 
--- a/lab/stream_client.py
+++ b/lab/stream_client.py
@@ -15,7 +15,7 @@
 import orjson
 from hdrh.histogram import HdrHistogram
 
-from rhubarbwinch.httpbody import ChunkedBody
+from rhubarbwinch.http.httpbody import ChunkedBody
 
 _ID = re.compile(rb'id: [^\n]*:(\d+)\ndata: [^\n]*"t":(\d+)}\n\n')
 MAX_US = 60_000_000
--- a/rhubarbwinch/__main__.py
+++ b/rhubarbwinch/__main__.py
@@ -7,12 +7,12 @@
 # The module and the function of each program. Only the one that runs is
 # imported: the start of a process is time in which nobody is served.
 PROGRAMS = {
-    "entry": ("rhubarbwinch.cmdline", "entry_main"),
-    "broker": ("rhubarbwinch.cmdline", "broker_main"),
-    "control": ("rhubarbwinch.cmdline", "control_main"),
-    "ctl": ("rhubarbwinch.ctlcommands", "main"),
-    "gateway": ("rhubarbwinch.gatewaymain", "main"),
-    "explain": ("rhubarbwinch.explain", "main"),
+    "entry": ("rhubarbwinch.programs.cmdline", "entry_main"),
+    "broker": ("rhubarbwinch.programs.cmdline", "broker_main"),
+    "control": ("rhubarbwinch.programs.cmdline", "control_main"),
+    "ctl": ("rhubarbwinch.programs.ctlcommands", "main"),
+    "gateway": ("rhubarbwinch.programs.gatewaymain", "main"),
+    "explain": ("rhubarbwinch.programs.explain", "main"),
 }
 
 # They are told by SIGHUP that their settings have changed.
--- /dev/null
+++ b/rhubarbwinch/admission/__init__.py
@@ -0,0 +1,1 @@
+"""Who is served when, and where: queues, limits, placement, permits."""
--- a/rhubarbwinch/admission.py
+++ b/rhubarbwinch/admission/admission.py
@@ -7,21 +7,25 @@
 import random
 from collections import OrderedDict, deque
 
-from rhubarbwinch.clock import Clock
-from rhubarbwinch.decisions import Decision, EntryChange, Options
-from rhubarbwinch.digests import DigestChecker
-from rhubarbwinch.enginestate import (
+from rhubarbwinch.admission.decisions import Decision, EntryChange, Options
+from rhubarbwinch.admission.digests import DigestChecker
+from rhubarbwinch.admission.enginestate import (
     FORECAST_MS,
     CacheReport,
     EngineState,
     LoadReport,
     Stream,
 )
-from rhubarbwinch.fairness import Queued, ShareMeter
-from rhubarbwinch.gate import RETRY_AFTER_MS, Gate
-from rhubarbwinch.lengths import LearnedLengths, LengthEstimator
-from rhubarbwinch.limits import Limits
-from rhubarbwinch.messages import (
+from rhubarbwinch.admission.fairness import Queued, ShareMeter
+from rhubarbwinch.admission.gate import RETRY_AFTER_MS, Gate
+from rhubarbwinch.admission.lengths import LearnedLengths, LengthEstimator
+from rhubarbwinch.admission.limits import Limits
+from rhubarbwinch.admission.placement import MEMORY_DEVIATIONS, POLICIES
+from rhubarbwinch.admission.queueing import Lane
+from rhubarbwinch.admission.steptime import StepTime
+from rhubarbwinch.admission.streamindex import StreamIndex
+from rhubarbwinch.admission.yielding import YIELDING_PRIORITY, choose_yielding
+from rhubarbwinch.links.messages import (
     DigestReport,
     PermitGrant,
     PermitRelease,
@@ -31,13 +35,9 @@
     ProgressReport,
     StreamEnd,
 )
-from rhubarbwinch.placement import MEMORY_DEVIATIONS, POLICIES
-from rhubarbwinch.queueing import Lane
-from rhubarbwinch.records import AccountSpec, PoolSpec
-from rhubarbwinch.steptime import StepTime
-from rhubarbwinch.streamindex import StreamIndex
-from rhubarbwinch.verdict import Failure, Reason, not_run
-from rhubarbwinch.yielding import YIELDING_PRIORITY, choose_yielding
+from rhubarbwinch.records.records import AccountSpec, PoolSpec
+from rhubarbwinch.shared.clock import Clock
+from rhubarbwinch.shared.verdict import Failure, Reason, not_run
 
 REFRESH_MS = 500
 # Engines whose forecasts are made anew in one call, to keep calls short.
--- a/rhubarbwinch/decisions.py
+++ b/rhubarbwinch/admission/decisions.py
@@ -2,7 +2,11 @@
 
 import attrs
 
-from rhubarbwinch.messages import PermitReply, PermitRequest, PriorityChange
+from rhubarbwinch.links.messages import (
+    PermitReply,
+    PermitRequest,
+    PriorityChange,
+)
 
 
 @attrs.frozen
--- a/rhubarbwinch/digests.py
+++ b/rhubarbwinch/admission/digests.py
@@ -11,7 +11,7 @@
 import attrs
 import xxhash
 
-from rhubarbwinch.messages import (
+from rhubarbwinch.links.messages import (
     DigestReport,
     ProgressReport,
     StreamGrowth,
--- a/rhubarbwinch/enginestate.py
+++ b/rhubarbwinch/admission/enginestate.py
@@ -5,10 +5,10 @@
 
 import attrs
 
-from rhubarbwinch.lengths import HORIZONS, LengthEstimator
-from rhubarbwinch.messages import PermitRequest
-from rhubarbwinch.records import EndpointSpec
-from rhubarbwinch.steptime import StepTime
+from rhubarbwinch.admission.lengths import HORIZONS, LengthEstimator
+from rhubarbwinch.admission.steptime import StepTime
+from rhubarbwinch.links.messages import PermitRequest
+from rhubarbwinch.records.records import EndpointSpec
 
 BLOCK_TOKENS = 64
 MAX_HINTS = 4096
--- a/rhubarbwinch/fairness.py
+++ b/rhubarbwinch/admission/fairness.py
@@ -7,9 +7,9 @@
 
 import attrs
 
-from rhubarbwinch.clock import Clock
-from rhubarbwinch.enginestate import Stream
-from rhubarbwinch.messages import PermitRequest
+from rhubarbwinch.admission.enginestate import Stream
+from rhubarbwinch.links.messages import PermitRequest
+from rhubarbwinch.shared.clock import Clock
 
 SHARE_HALF_LIFE_MS = 30_000
 # Accounts' demands differ; only a flood is this far over its share.
--- a/rhubarbwinch/gate.py
+++ b/rhubarbwinch/admission/gate.py
@@ -1,11 +1,11 @@
 """Refusals at the gate of a pool: limits, shares and hopeless waits."""
 
-from rhubarbwinch.decisions import Options
-from rhubarbwinch.fairness import ShareMeter
-from rhubarbwinch.limits import AccountLimits, Limits
-from rhubarbwinch.messages import PermitRequest
-from rhubarbwinch.queueing import Lane
-from rhubarbwinch.verdict import Failure, Reason, not_run
+from rhubarbwinch.admission.decisions import Options
+from rhubarbwinch.admission.fairness import ShareMeter
+from rhubarbwinch.admission.limits import AccountLimits, Limits
+from rhubarbwinch.admission.queueing import Lane
+from rhubarbwinch.links.messages import PermitRequest
+from rhubarbwinch.shared.verdict import Failure, Reason, not_run
 
 MAX_QUEUED = 1000
 RETRY_AFTER_MS = 1000
--- a/rhubarbwinch/lengths.py
+++ b/rhubarbwinch/admission/lengths.py
@@ -10,7 +10,7 @@
 
 import attrs
 
-from rhubarbwinch.messages import PermitRequest
+from rhubarbwinch.links.messages import PermitRequest
 
 MIN_OBSERVATIONS = 30
 HALF_LIFE_OBSERVATIONS = 400
--- a/rhubarbwinch/limits.py
+++ b/rhubarbwinch/admission/limits.py
@@ -4,8 +4,8 @@
 
 import attrs
 
-from rhubarbwinch.clock import Clock
-from rhubarbwinch.records import AccountSpec
+from rhubarbwinch.records.records import AccountSpec
+from rhubarbwinch.shared.clock import Clock
 
 RETRY_SHARE = 0.1
 _DEFAULT = AccountSpec()
--- a/rhubarbwinch/permits.py
+++ b/rhubarbwinch/admission/permits.py
@@ -5,18 +5,18 @@
 import attrs
 from result import Err, Ok, Result
 
-from rhubarbwinch import metrics, rendezvous, tracing
-from rhubarbwinch.exceptions import CodecError, LinkError, LinkTimeout
-from rhubarbwinch.linktypes import RunningCaller
-from rhubarbwinch.members import Member, Members, Role
-from rhubarbwinch.messages import (
+from rhubarbwinch.links.linktypes import RunningCaller
+from rhubarbwinch.links.messages import (
     PermitGrant,
     PermitRelease,
     PermitReply,
     PermitRequest,
     StreamEnd,
 )
-from rhubarbwinch.verdict import Failure, Reason, not_run
+from rhubarbwinch.membership.members import Member, Members, Role
+from rhubarbwinch.shared import metrics, rendezvous, tracing
+from rhubarbwinch.shared.exceptions import CodecError, LinkError, LinkTimeout
+from rhubarbwinch.shared.verdict import Failure, Reason, not_run
 
 RETRY_AFTER_MS = 1000
 
--- a/rhubarbwinch/placement.py
+++ b/rhubarbwinch/admission/placement.py
@@ -5,9 +5,9 @@
 from collections.abc import Callable
 from typing import Protocol
 
-from rhubarbwinch.enginestate import EngineState, Stream
-from rhubarbwinch.registry import Registry
-from rhubarbwinch.steptime import StepTime
+from rhubarbwinch.admission.enginestate import EngineState, Stream
+from rhubarbwinch.admission.steptime import StepTime
+from rhubarbwinch.shared.registry import Registry
 
 GAP_TARGET_MS = 41.0
 # How much longer than with one stream a step of a slow engine may take.
--- a/rhubarbwinch/prefixes.py
+++ b/rhubarbwinch/admission/prefixes.py
@@ -5,7 +5,7 @@
 import orjson
 import xxhash
 
-from rhubarbwinch.enginestate import BLOCK_TOKENS
+from rhubarbwinch.admission.enginestate import BLOCK_TOKENS
 
 BYTES_PER_TOKEN = 4
 BLOCK_BYTES = BLOCK_TOKENS * BYTES_PER_TOKEN
--- a/rhubarbwinch/queueing.py
+++ b/rhubarbwinch/admission/queueing.py
@@ -4,10 +4,10 @@
 import itertools
 from collections.abc import Callable, Iterator
 
-from rhubarbwinch.clock import Clock
-from rhubarbwinch.fairness import FairQueue, Queued
-from rhubarbwinch.messages import PermitRequest
-from rhubarbwinch.waits import ServiceRate
+from rhubarbwinch.admission.fairness import FairQueue, Queued
+from rhubarbwinch.admission.waits import ServiceRate
+from rhubarbwinch.links.messages import PermitRequest
+from rhubarbwinch.shared.clock import Clock
 
 # Accounts that are looked at when others are at their limits.
 MAX_HEADS = 64
--- a/rhubarbwinch/reports.py
+++ b/rhubarbwinch/admission/reports.py
@@ -2,13 +2,13 @@
 
 import anyio
 
-from rhubarbwinch.clock import Clock
-from rhubarbwinch.digests import StreamReporter
-from rhubarbwinch.exceptions import CodecError, LinkError
-from rhubarbwinch.linktypes import RunningCaller
-from rhubarbwinch.members import Members, Role
-from rhubarbwinch.messages import DigestReply, StreamProgress
-from rhubarbwinch.permits import Permit, PermitClient, pool_owner
+from rhubarbwinch.admission.digests import StreamReporter
+from rhubarbwinch.admission.permits import Permit, PermitClient, pool_owner
+from rhubarbwinch.links.linktypes import RunningCaller
+from rhubarbwinch.links.messages import DigestReply, StreamProgress
+from rhubarbwinch.membership.members import Members, Role
+from rhubarbwinch.shared.clock import Clock
+from rhubarbwinch.shared.exceptions import CodecError, LinkError
 
 # The period grows with the number of entries, so that what an owner hears a
 # second does not.
--- a/rhubarbwinch/streamindex.py
+++ b/rhubarbwinch/admission/streamindex.py
@@ -2,9 +2,9 @@
 
 from collections.abc import Iterator
 
-from rhubarbwinch.digests import request_key
-from rhubarbwinch.enginestate import Stream
-from rhubarbwinch.messages import PermitRequest, StreamGrowth
+from rhubarbwinch.admission.digests import request_key
+from rhubarbwinch.admission.enginestate import Stream
+from rhubarbwinch.links.messages import PermitRequest, StreamGrowth
 
 
 class StreamIndex:
--- a/rhubarbwinch/waits.py
+++ b/rhubarbwinch/admission/waits.py
@@ -2,7 +2,7 @@
 
 import math
 
-from rhubarbwinch.clock import Clock
+from rhubarbwinch.shared.clock import Clock
 
 START_WINDOW_MS = 20_000.0
 MIN_RATE_PER_MS = 1e-6
--- a/rhubarbwinch/yielding.py
+++ b/rhubarbwinch/admission/yielding.py
@@ -1,6 +1,6 @@
 """Which stream yields when an engine's memory is about to run out."""
 
-from rhubarbwinch.enginestate import EngineState, Stream
+from rhubarbwinch.admission.enginestate import EngineState, Stream
 
 YIELDING_PRIORITY = 2
 
--- a/rhubarbwinch/apicatalogue.py
+++ b/rhubarbwinch/callers/apicatalogue.py
@@ -2,7 +2,7 @@
 
 import attrs
 
-from rhubarbwinch.verdict import Reason
+from rhubarbwinch.shared.verdict import Reason
 
 
 @attrs.frozen
--- a/rhubarbwinch/callparams.py
+++ b/rhubarbwinch/callers/callparams.py
@@ -4,8 +4,8 @@
 
 import attrs
 
-from rhubarbwinch.httpapi import Refused
-from rhubarbwinch.verdict import Reason, not_run
+from rhubarbwinch.http.httpapi import Refused
+from rhubarbwinch.shared.verdict import Reason, not_run
 
 
 @attrs.frozen
--- a/rhubarbwinch/calls.py
+++ b/rhubarbwinch/callers/calls.py
@@ -6,19 +6,19 @@
 import attrs
 import orjson
 
-from rhubarbwinch.accepted import Snapshot
-from rhubarbwinch.callparams import check_parameters
-from rhubarbwinch.claimkeys import ClaimKey
-from rhubarbwinch.httpapi import Refused, Request, Responder
-from rhubarbwinch.prefixes import (
+from rhubarbwinch.admission.prefixes import (
     BYTES_PER_TOKEN,
     prefix_hashes,
     prompt_bytes,
 )
-from rhubarbwinch.records import ServiceSpec
-from rhubarbwinch.relay import Relay
-from rhubarbwinch.repeatable import claim_key
-from rhubarbwinch.verdict import Reason, not_run
+from rhubarbwinch.callers.callparams import check_parameters
+from rhubarbwinch.claims.claimkeys import ClaimKey
+from rhubarbwinch.claims.repeatable import claim_key
+from rhubarbwinch.endpoints.relay import Relay
+from rhubarbwinch.http.httpapi import Refused, Request, Responder
+from rhubarbwinch.records.accepted import Snapshot
+from rhubarbwinch.records.records import ServiceSpec
+from rhubarbwinch.shared.verdict import Reason, not_run
 
 DEFAULT_MAX_TOKENS = 4096
 
--- a/rhubarbwinch/drainlimit.py
+++ b/rhubarbwinch/callers/drainlimit.py
@@ -5,8 +5,8 @@
 import anyio
 import orjson
 
-from rhubarbwinch.httpapi import Refused, Responder
-from rhubarbwinch.verdict import Failure, Reason, Verdict
+from rhubarbwinch.http.httpapi import Refused, Responder
+from rhubarbwinch.shared.verdict import Failure, Reason, Verdict
 
 RETRY_AFTER_MS = 1000
 
--- a/rhubarbwinch/generate.py
+++ b/rhubarbwinch/callers/generate.py
@@ -7,21 +7,21 @@
 import anyio
 from result import Err
 
-from rhubarbwinch import events, identity, metrics
-from rhubarbwinch.accepted import Snapshot
-from rhubarbwinch.calls import Call, send_whole
-from rhubarbwinch.clock import Clock
-from rhubarbwinch.endpoints import EndpointClient
-from rhubarbwinch.exceptions import EndpointError
-from rhubarbwinch.httpapi import Refused, Responder
-from rhubarbwinch.messages import PermitGrant, PermitRequest, StreamEnd
-from rhubarbwinch.permits import Permit, PermitClient
-from rhubarbwinch.relay import Position, Relay
-from rhubarbwinch.retries import Backoff, RetryBudget
-from rhubarbwinch.runguard import NoGuard, RunGuard
-from rhubarbwinch.sse import join
-from rhubarbwinch.streams import OpenStream, OpenStreams
-from rhubarbwinch.verdict import Failure, Reason, Verdict, not_run
+from rhubarbwinch.admission.permits import Permit, PermitClient
+from rhubarbwinch.callers.calls import Call, send_whole
+from rhubarbwinch.callers.runguard import NoGuard, RunGuard
+from rhubarbwinch.callers.streams import OpenStream, OpenStreams
+from rhubarbwinch.endpoints.endpoints import EndpointClient
+from rhubarbwinch.endpoints.relay import Position, Relay
+from rhubarbwinch.endpoints.retries import Backoff, RetryBudget
+from rhubarbwinch.http.httpapi import Refused, Responder
+from rhubarbwinch.http.sse import join
+from rhubarbwinch.links.messages import PermitGrant, PermitRequest, StreamEnd
+from rhubarbwinch.records.accepted import Snapshot
+from rhubarbwinch.shared import events, identity, metrics
+from rhubarbwinch.shared.clock import Clock
+from rhubarbwinch.shared.exceptions import EndpointError
+from rhubarbwinch.shared.verdict import Failure, Reason, Verdict, not_run
 
 MAX_ATTEMPTS = 3
 SSE_HEADERS = [
--- a/rhubarbwinch/guarded.py
+++ b/rhubarbwinch/callers/guarded.py
@@ -1,15 +1,15 @@
 """Generation requests under the guards of quarantine and claims."""
 
-from rhubarbwinch.accepted import Snapshot
-from rhubarbwinch.calls import Call
-from rhubarbwinch.claims import Claims
-from rhubarbwinch.endpoints import EndpointClient
-from rhubarbwinch.generate import Generator
-from rhubarbwinch.httpapi import Responder
-from rhubarbwinch.permits import PermitClient
-from rhubarbwinch.quarantine import Quarantine
-from rhubarbwinch.repeatable import replay
-from rhubarbwinch.runguard import ClaimGuard, QuarantineGuard
+from rhubarbwinch.admission.permits import PermitClient
+from rhubarbwinch.callers.calls import Call
+from rhubarbwinch.callers.generate import Generator
+from rhubarbwinch.callers.runguard import ClaimGuard, QuarantineGuard
+from rhubarbwinch.claims.claims import Claims
+from rhubarbwinch.claims.quarantine import Quarantine
+from rhubarbwinch.claims.repeatable import replay
+from rhubarbwinch.endpoints.endpoints import EndpointClient
+from rhubarbwinch.http.httpapi import Responder
+from rhubarbwinch.records.accepted import Snapshot
 
 
 class GuardedGenerator:
--- a/rhubarbwinch/models.py
+++ b/rhubarbwinch/callers/models.py
@@ -2,7 +2,7 @@
 
 import orjson
 
-from rhubarbwinch.accepted import Snapshot
+from rhubarbwinch.records.accepted import Snapshot
 
 OWNER = "rhubarbwinch"
 
--- a/rhubarbwinch/plain.py
+++ b/rhubarbwinch/callers/plain.py
@@ -7,18 +7,18 @@
 import httpx
 from result import Err
 
-from rhubarbwinch import events, identity
-from rhubarbwinch.accepted import Snapshot
-from rhubarbwinch.claimkeys import ClaimKey
-from rhubarbwinch.claims import Claim, Claims, make_outcome
-from rhubarbwinch.endpoints import EndpointClient
-from rhubarbwinch.exceptions import EndpointError
-from rhubarbwinch.httpapi import Refused, Request, Responder
-from rhubarbwinch.messages import PermitRequest, StreamEnd
-from rhubarbwinch.permits import Permit, PermitClient
-from rhubarbwinch.records import ServiceSpec
-from rhubarbwinch.repeatable import claim_key, replay
-from rhubarbwinch.verdict import Failure, Reason, Verdict, not_run
+from rhubarbwinch.admission.permits import Permit, PermitClient
+from rhubarbwinch.claims.claimkeys import ClaimKey
+from rhubarbwinch.claims.claims import Claim, Claims, make_outcome
+from rhubarbwinch.claims.repeatable import claim_key, replay
+from rhubarbwinch.endpoints.endpoints import EndpointClient
+from rhubarbwinch.http.httpapi import Refused, Request, Responder
+from rhubarbwinch.links.messages import PermitRequest, StreamEnd
+from rhubarbwinch.records.accepted import Snapshot
+from rhubarbwinch.records.records import ServiceSpec
+from rhubarbwinch.shared import events, identity
+from rhubarbwinch.shared.exceptions import EndpointError
+from rhubarbwinch.shared.verdict import Failure, Reason, Verdict, not_run
 
 PREFIX = "/services/"
 MAX_ATTEMPTS = 3
--- a/rhubarbwinch/runguard.py
+++ b/rhubarbwinch/callers/runguard.py
@@ -7,21 +7,21 @@
 import anyio
 from result import Err
 
-from rhubarbwinch import identity
-from rhubarbwinch.claimkeys import ClaimKey
-from rhubarbwinch.claimpages import Outcome
-from rhubarbwinch.claims import Claim, Claims, make_outcome
-from rhubarbwinch.endpoints import EndpointClient
-from rhubarbwinch.exceptions import (
+from rhubarbwinch.admission.permits import Permit, PermitClient
+from rhubarbwinch.claims.claimkeys import ClaimKey
+from rhubarbwinch.claims.claimpages import Outcome
+from rhubarbwinch.claims.claims import Claim, Claims, make_outcome
+from rhubarbwinch.claims.quarantine import Quarantine, Suspect
+from rhubarbwinch.endpoints.endpoints import EndpointClient
+from rhubarbwinch.http.httpapi import Refused
+from rhubarbwinch.links.messages import StreamEnd
+from rhubarbwinch.shared import identity
+from rhubarbwinch.shared.exceptions import (
     EndpointError,
     GenerationLostError,
     StoreError,
 )
-from rhubarbwinch.httpapi import Refused
-from rhubarbwinch.messages import StreamEnd
-from rhubarbwinch.permits import Permit, PermitClient
-from rhubarbwinch.quarantine import Quarantine, Suspect
-from rhubarbwinch.verdict import Failure, Reason, Verdict, not_run
+from rhubarbwinch.shared.verdict import Failure, Reason, Verdict, not_run
 
 RETRY_AFTER_MS = 1_000
 LOAD_WAIT_MS = 1_000
--- a/rhubarbwinch/streams.py
+++ b/rhubarbwinch/callers/streams.py
@@ -8,18 +8,18 @@
 import anyio
 import attrs
 
-from rhubarbwinch import events
-from rhubarbwinch.clock import Clock
-from rhubarbwinch.endpoints import EndpointClient
-from rhubarbwinch.messages import (
+from rhubarbwinch.admission.permits import Permit, PermitClient
+from rhubarbwinch.endpoints.endpoints import EndpointClient
+from rhubarbwinch.endpoints.metering import Meter
+from rhubarbwinch.endpoints.relay import Position
+from rhubarbwinch.links.messages import (
     PriorityChange,
     StreamEnd,
     StreamTake,
     StreamTaken,
 )
-from rhubarbwinch.metering import Meter
-from rhubarbwinch.permits import Permit, PermitClient
-from rhubarbwinch.relay import Position
+from rhubarbwinch.shared import events
+from rhubarbwinch.shared.clock import Clock
 
 CHECK_MS = 100
 MAX_CANCELS = 10_000
--- a/rhubarbwinch/takeover.py
+++ b/rhubarbwinch/callers/takeover.py
@@ -2,14 +2,14 @@
 
 import attrs
 
-from rhubarbwinch import identity
-from rhubarbwinch.accepted import Snapshot
-from rhubarbwinch.exceptions import CodecError, LinkError
-from rhubarbwinch.linktypes import Caller
-from rhubarbwinch.members import Member, Members, Role
-from rhubarbwinch.messages import PermitGrant, StreamTake, StreamTaken
-from rhubarbwinch.permits import Permit
-from rhubarbwinch.streams import OpenStreams
+from rhubarbwinch.admission.permits import Permit
+from rhubarbwinch.callers.streams import OpenStreams
+from rhubarbwinch.links.linktypes import Caller
+from rhubarbwinch.links.messages import PermitGrant, StreamTake, StreamTaken
+from rhubarbwinch.membership.members import Member, Members, Role
+from rhubarbwinch.records.accepted import Snapshot
+from rhubarbwinch.shared import identity
+from rhubarbwinch.shared.exceptions import CodecError, LinkError
 
 
 class Takeover:
--- /dev/null
+++ b/rhubarbwinch/claims/__init__.py
@@ -0,0 +1,1 @@
+"""What may run at most once: claims, their pages, quarantine, audit."""
--- a/rhubarbwinch/audit.py
+++ b/rhubarbwinch/claims/audit.py
@@ -10,17 +10,19 @@
 
 import attrs
 
-from rhubarbwinch import claimkeys, codec, keys
-from rhubarbwinch.claimpages import ClaimRecord, ClaimState, Page
-from rhubarbwinch.exceptions import SettingError
-from rhubarbwinch.metering import (
+from rhubarbwinch.claims import claimkeys
+from rhubarbwinch.claims.claimpages import ClaimRecord, ClaimState, Page
+from rhubarbwinch.endpoints.metering import (
     PERIOD_MS,
     GenerationMark,
     MeterCount,
     MeterDocument,
     origin_of,
 )
-from rhubarbwinch.store import Store
+from rhubarbwinch.shared import codec
+from rhubarbwinch.shared.exceptions import SettingError
+from rhubarbwinch.stores import keys
+from rhubarbwinch.stores.store import Store
 
 # One scan reads the pages whose window numbers differ in the last digit only.
 WINDOWS_A_SCAN = 10
--- a/rhubarbwinch/claimchanges.py
+++ b/rhubarbwinch/claims/claimchanges.py
@@ -2,7 +2,7 @@
 
 import attrs
 
-from rhubarbwinch.claimpages import ClaimRecord, ClaimState, Outcome
+from rhubarbwinch.claims.claimpages import ClaimRecord, ClaimState, Outcome
 
 _UNFINISHED = (ClaimState.CLAIMED, ClaimState.MAY_HAVE_RUN)
 
--- a/rhubarbwinch/claimfloor.py
+++ b/rhubarbwinch/claims/claimfloor.py
@@ -8,11 +8,16 @@
 import attrs
 from result import Err, Ok, Result
 
-from rhubarbwinch import codec, events, keys
-from rhubarbwinch.claimkeys import WINDOW_MS
-from rhubarbwinch.clock import Clock
-from rhubarbwinch.exceptions import CodecError, StoreError, StoreUnavailable
-from rhubarbwinch.store import Store, delete_prefix
+from rhubarbwinch.claims.claimkeys import WINDOW_MS
+from rhubarbwinch.shared import codec, events
+from rhubarbwinch.shared.clock import Clock
+from rhubarbwinch.shared.exceptions import (
+    CodecError,
+    StoreError,
+    StoreUnavailable,
+)
+from rhubarbwinch.stores import keys
+from rhubarbwinch.stores.store import Store, delete_prefix
 
 REFRESH_MS = 60_000
 PASS_MS = 600_000
--- a/rhubarbwinch/claimkeys.py
+++ b/rhubarbwinch/claims/claimkeys.py
@@ -10,7 +10,7 @@
 import attrs
 import xxhash
 
-from rhubarbwinch import keys
+from rhubarbwinch.stores import keys
 
 HEADER = "idempotency-key"
 WINDOW_MS = 10_000
--- a/rhubarbwinch/claimowners.py
+++ b/rhubarbwinch/claims/claimowners.py
@@ -3,11 +3,11 @@
 import enum
 from typing import Protocol
 
-from rhubarbwinch.claimpages import ClaimRecord
-from rhubarbwinch.exceptions import CodecError, LinkError
-from rhubarbwinch.linktypes import Caller
-from rhubarbwinch.members import Members
-from rhubarbwinch.messages import ClaimAnswer, ClaimQuestion
+from rhubarbwinch.claims.claimpages import ClaimRecord
+from rhubarbwinch.links.linktypes import Caller
+from rhubarbwinch.links.messages import ClaimAnswer, ClaimQuestion
+from rhubarbwinch.membership.members import Members
+from rhubarbwinch.shared.exceptions import CodecError, LinkError
 
 ASK_TIMEOUT_MS = 500
 
--- a/rhubarbwinch/claimpages.py
+++ b/rhubarbwinch/claims/claimpages.py
@@ -15,15 +15,15 @@
 import attrs
 from result import Err, Ok, Result
 
-from rhubarbwinch import codec, events
-from rhubarbwinch.clock import Clock
-from rhubarbwinch.exceptions import (
+from rhubarbwinch.shared import codec, events
+from rhubarbwinch.shared.clock import Clock
+from rhubarbwinch.shared.exceptions import (
     CodecError,
     StoreError,
     StoreUnavailable,
     StoreUncertain,
 )
-from rhubarbwinch.store import Entry, Store, Swap
+from rhubarbwinch.stores.store import Entry, Store, Swap
 
 # A page takes no new claims beyond this; the room up to the store's limit is
 # for the outcomes of those that it holds.
--- a/rhubarbwinch/claimrouting.py
+++ b/rhubarbwinch/claims/claimrouting.py
@@ -11,13 +11,13 @@
 import attrs
 from result import Err, Ok, Result
 
-from rhubarbwinch import rendezvous
-from rhubarbwinch.claimchanges import Finish, Take
-from rhubarbwinch.claimpages import ClaimRecord
-from rhubarbwinch.clock import Clock
-from rhubarbwinch.exceptions import CodecError, LinkError, StoreError
-from rhubarbwinch.linktypes import Caller
-from rhubarbwinch.members import Member, Members, Role
+from rhubarbwinch.claims.claimchanges import Finish, Take
+from rhubarbwinch.claims.claimpages import ClaimRecord
+from rhubarbwinch.links.linktypes import Caller
+from rhubarbwinch.membership.members import Member, Members, Role
+from rhubarbwinch.shared import rendezvous
+from rhubarbwinch.shared.clock import Clock
+from rhubarbwinch.shared.exceptions import CodecError, LinkError, StoreError
 
 CALL_TIMEOUT_MS = 1_000
 # A writer that was silent is not asked again for so long.
--- a/rhubarbwinch/claims.py
+++ b/rhubarbwinch/claims/claims.py
@@ -12,17 +12,18 @@
 import attrs
 from result import Err, Ok, Result
 
-from rhubarbwinch import claimkeys, events
-from rhubarbwinch.claimchanges import Finish, Take
-from rhubarbwinch.claimfloor import ClaimFloor
-from rhubarbwinch.claimkeys import CLOCK_SKEW_MS, ClaimKey
-from rhubarbwinch.claimowners import Owners, Standing
-from rhubarbwinch.claimpages import ClaimRecord, ClaimState, Outcome
-from rhubarbwinch.claimrouting import Pages
-from rhubarbwinch.clock import Clock
-from rhubarbwinch.exceptions import StoreError
-from rhubarbwinch.messages import ClaimAnswer, ClaimQuestion
-from rhubarbwinch.verdict import Failure, Reason, Verdict, not_run
+from rhubarbwinch.claims import claimkeys
+from rhubarbwinch.claims.claimchanges import Finish, Take
+from rhubarbwinch.claims.claimfloor import ClaimFloor
+from rhubarbwinch.claims.claimkeys import CLOCK_SKEW_MS, ClaimKey
+from rhubarbwinch.claims.claimowners import Owners, Standing
+from rhubarbwinch.claims.claimpages import ClaimRecord, ClaimState, Outcome
+from rhubarbwinch.claims.claimrouting import Pages
+from rhubarbwinch.links.messages import ClaimAnswer, ClaimQuestion
+from rhubarbwinch.shared import events
+from rhubarbwinch.shared.clock import Clock
+from rhubarbwinch.shared.exceptions import StoreError
+from rhubarbwinch.shared.verdict import Failure, Reason, Verdict, not_run
 
 WAIT_MS = 3_000
 FIRST_POLL_MS = 100
--- a/rhubarbwinch/quarantine.py
+++ b/rhubarbwinch/claims/quarantine.py
@@ -10,10 +10,15 @@
 
 import attrs
 
-from rhubarbwinch import codec, events, keys
-from rhubarbwinch.clock import Clock
-from rhubarbwinch.exceptions import CodecError, StoreError, StoreUncertain
-from rhubarbwinch.store import Store
+from rhubarbwinch.shared import codec, events
+from rhubarbwinch.shared.clock import Clock
+from rhubarbwinch.shared.exceptions import (
+    CodecError,
+    StoreError,
+    StoreUncertain,
+)
+from rhubarbwinch.stores import keys
+from rhubarbwinch.stores.store import Store
 
 KIND = "suspect"
 MAX_STRIKES = 2
--- a/rhubarbwinch/repeatable.py
+++ b/rhubarbwinch/claims/repeatable.py
@@ -1,11 +1,11 @@
 """Which requests run at most once, and their recorded answers."""
 
-from rhubarbwinch import claimkeys
-from rhubarbwinch.claimkeys import ClaimKey
-from rhubarbwinch.claimpages import Outcome
-from rhubarbwinch.httpapi import Refused, Request, Responder
-from rhubarbwinch.records import ServiceSpec
-from rhubarbwinch.verdict import Failure, Reason, Verdict, not_run
+from rhubarbwinch.claims import claimkeys
+from rhubarbwinch.claims.claimkeys import ClaimKey
+from rhubarbwinch.claims.claimpages import Outcome
+from rhubarbwinch.http.httpapi import Refused, Request, Responder
+from rhubarbwinch.records.records import ServiceSpec
+from rhubarbwinch.shared.verdict import Failure, Reason, Verdict, not_run
 
 REPLAYED = (b"idempotency-replayed", b"true")
 
--- /dev/null
+++ b/rhubarbwinch/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""How an accepted configuration gets from operators to every process."""
--- a/rhubarbwinch/distribution.py
+++ b/rhubarbwinch/configuration/distribution.py
@@ -10,11 +10,11 @@
 
 import attrs
 
-from rhubarbwinch import accepted
-from rhubarbwinch.accepted import Head
-from rhubarbwinch.exceptions import CodecError, LinkError
-from rhubarbwinch.linktypes import Caller, Listener
-from rhubarbwinch.members import Members
+from rhubarbwinch.links.linktypes import Caller, Listener
+from rhubarbwinch.membership.members import Members
+from rhubarbwinch.records import accepted
+from rhubarbwinch.records.accepted import Head
+from rhubarbwinch.shared.exceptions import CodecError, LinkError
 
 FETCH_TIMEOUT_MS = 1000
 MAX_PEERS_ASKED = 3
--- a/rhubarbwinch/follower.py
+++ b/rhubarbwinch/configuration/follower.py
@@ -5,14 +5,19 @@
 import anyio
 import attrs
 
-from rhubarbwinch import accepted, events, keys
-from rhubarbwinch.accepted import Head, Snapshot
-from rhubarbwinch.clock import Clock
-from rhubarbwinch.distribution import MAX_PEERS_ASKED, Distribution
-from rhubarbwinch.exceptions import CodecError, StoreError
-from rhubarbwinch.members import Members
-from rhubarbwinch.records import Record
-from rhubarbwinch.store import Store
+from rhubarbwinch.configuration.distribution import (
+    MAX_PEERS_ASKED,
+    Distribution,
+)
+from rhubarbwinch.membership.members import Members
+from rhubarbwinch.records import accepted
+from rhubarbwinch.records.accepted import Head, Snapshot
+from rhubarbwinch.records.records import Record
+from rhubarbwinch.shared import events
+from rhubarbwinch.shared.clock import Clock
+from rhubarbwinch.shared.exceptions import CodecError, StoreError
+from rhubarbwinch.stores import keys
+from rhubarbwinch.stores.store import Store
 
 RETRY_MS = 500
 SEEDS = 2
--- a/rhubarbwinch/publisher.py
+++ b/rhubarbwinch/configuration/publisher.py
@@ -3,16 +3,18 @@
 import attrs
 import orjson
 
-from rhubarbwinch import accepted, events, keys, records
-from rhubarbwinch.accepted import SLOTS, Head
-from rhubarbwinch.exceptions import (
+from rhubarbwinch.configuration.follower import Follower
+from rhubarbwinch.records import accepted, records
+from rhubarbwinch.records.accepted import SLOTS, Head
+from rhubarbwinch.records.records import Record
+from rhubarbwinch.shared import events
+from rhubarbwinch.shared.exceptions import (
     RecordError,
     StoreUnavailable,
     StoreUncertain,
 )
-from rhubarbwinch.follower import Follower
-from rhubarbwinch.records import Record
-from rhubarbwinch.store import Change, Entry, Store
+from rhubarbwinch.stores import keys
+from rhubarbwinch.stores.store import Change, Entry, Store
 
 
 @attrs.frozen
--- a/rhubarbwinch/publishing.py
+++ b/rhubarbwinch/configuration/publishing.py
@@ -3,12 +3,13 @@
 import anyio
 import anyio.abc
 
-from rhubarbwinch import keys, rendezvous
-from rhubarbwinch.clock import Clock
-from rhubarbwinch.exceptions import CodecError, StoreError
-from rhubarbwinch.members import Members, Role
-from rhubarbwinch.publisher import Publisher
-from rhubarbwinch.store import Change, Store
+from rhubarbwinch.configuration.publisher import Publisher
+from rhubarbwinch.membership.members import Members, Role
+from rhubarbwinch.shared import rendezvous
+from rhubarbwinch.shared.clock import Clock
+from rhubarbwinch.shared.exceptions import CodecError, StoreError
+from rhubarbwinch.stores import keys
+from rhubarbwinch.stores.store import Change, Store
 
 RETRY_MS = 500
 BATCH_MS = 50
--- /dev/null
+++ b/rhubarbwinch/endpoints/__init__.py
@@ -0,0 +1,1 @@
+"""Calls to endpoints: retries, relayed streams, tokens that are billed."""
--- a/rhubarbwinch/endpoints.py
+++ b/rhubarbwinch/endpoints/endpoints.py
@@ -7,11 +7,11 @@
 import httpx
 import orjson
 
-from rhubarbwinch import tracing
-from rhubarbwinch.exceptions import EndpointError, GenerationLostError
-from rhubarbwinch.relay import EventStream
-from rhubarbwinch.sse import Splitter
-from rhubarbwinch.transport import Transport
+from rhubarbwinch.endpoints.relay import EventStream
+from rhubarbwinch.http.sse import Splitter
+from rhubarbwinch.http.transport import Transport
+from rhubarbwinch.shared import tracing
+from rhubarbwinch.shared.exceptions import EndpointError, GenerationLostError
 
 CONNECT_S = 1.0
 GENERATION_HEADER = "x-generation-id"
--- a/rhubarbwinch/metering.py
+++ b/rhubarbwinch/endpoints/metering.py
@@ -9,11 +9,12 @@
 import anyio
 import attrs
 
-from rhubarbwinch import codec, events, keys
-from rhubarbwinch.clock import Clock
-from rhubarbwinch.exceptions import StoreError, StoreUncertain
-from rhubarbwinch.relay import Position
-from rhubarbwinch.store import Store, delete_prefix
+from rhubarbwinch.endpoints.relay import Position
+from rhubarbwinch.shared import codec, events
+from rhubarbwinch.shared.clock import Clock
+from rhubarbwinch.shared.exceptions import StoreError, StoreUncertain
+from rhubarbwinch.stores import keys
+from rhubarbwinch.stores.store import Store, delete_prefix
 
 PERIOD_MS = 3_600_000
 MAX_MARKS = 5_000
--- a/rhubarbwinch/relay.py
+++ b/rhubarbwinch/endpoints/relay.py
@@ -5,15 +5,15 @@
 
 import attrs
 
-from rhubarbwinch import events
-from rhubarbwinch.clock import Clock
-from rhubarbwinch.exceptions import (
+from rhubarbwinch.endpoints.retries import Backoff
+from rhubarbwinch.http.sse import DONE, StreamEvent
+from rhubarbwinch.shared import events
+from rhubarbwinch.shared.clock import Clock
+from rhubarbwinch.shared.exceptions import (
     EndpointError,
     ForeignGenerationError,
     GenerationLostError,
 )
-from rhubarbwinch.retries import Backoff
-from rhubarbwinch.sse import DONE, StreamEvent
 
 # Openings without a new event before a stream is given up.
 MAX_RESUMES = 8
--- a/rhubarbwinch/gateway/answers.py
+++ b/rhubarbwinch/gateway/answers.py
@@ -1,10 +1,10 @@
 """Answers of the gateway's own: refusals and failures with their verdicts."""
 
-from rhubarbwinch import events
 from rhubarbwinch.gateway import statistics
 from rhubarbwinch.gateway.edge import EdgeResponder
 from rhubarbwinch.gateway.wire import Platform
-from rhubarbwinch.verdict import Failure, Reason, Verdict
+from rhubarbwinch.shared import events
+from rhubarbwinch.shared.verdict import Failure, Reason, Verdict
 
 # Statuses by reason, where they differ from those of the verdict.
 _STATUS = {
--- a/rhubarbwinch/gateway/beliefs.py
+++ b/rhubarbwinch/gateway/beliefs.py
@@ -2,15 +2,15 @@
 
 from collections.abc import Callable
 
-from rhubarbwinch import codec, events
-from rhubarbwinch.exceptions import CodecError, PlatformFormatError
 from rhubarbwinch.gateway import statistics
 from rhubarbwinch.gateway.context import Context
 from rhubarbwinch.gateway.messages import LeavingNotice, PeerAddress
 from rhubarbwinch.gateway.routes import RoutingTable
 from rhubarbwinch.gateway.streams import StreamCalls
-from rhubarbwinch.store import Change
-from rhubarbwinch.transport import Transport
+from rhubarbwinch.http.transport import Transport
+from rhubarbwinch.shared import codec, events
+from rhubarbwinch.shared.exceptions import CodecError, PlatformFormatError
+from rhubarbwinch.stores.store import Change
 
 
 class Beliefs:
--- a/rhubarbwinch/gateway/carrying.py
+++ b/rhubarbwinch/gateway/carrying.py
@@ -2,12 +2,12 @@
 
 import anyio
 
-from rhubarbwinch import events
 from rhubarbwinch.gateway import moving, statistics
 from rhubarbwinch.gateway.context import Context
 from rhubarbwinch.gateway.endpoints import Endpoint
 from rhubarbwinch.gateway.runs import NewHome, Room, Run
 from rhubarbwinch.gateway.wire import MemoryCopy, MoveResult, MoveState
+from rhubarbwinch.shared import events
 
 # A run that waits or whose prompt is being read can't be copied yet.
 RETRY_MS = 40
--- a/rhubarbwinch/gateway/context.py
+++ b/rhubarbwinch/gateway/context.py
@@ -4,12 +4,11 @@
 
 import attrs
 
-from rhubarbwinch import events
-from rhubarbwinch.clock import Clock
 from rhubarbwinch.gateway import statistics
 from rhubarbwinch.gateway.crashes import Break, CrashLedger, fingerprint
 from rhubarbwinch.gateway.edge import EdgeRequest
 from rhubarbwinch.gateway.fleet import Fleet, Known
+from rhubarbwinch.gateway.hops import Tracer
 from rhubarbwinch.gateway.loads import LoadBook
 from rhubarbwinch.gateway.peers import Peers
 from rhubarbwinch.gateway.placing import Candidate
@@ -18,6 +17,8 @@
 from rhubarbwinch.gateway.suspicion import Outcome, Suspicion
 from rhubarbwinch.gateway.upstream import Upstream
 from rhubarbwinch.gateway.wire import CallHead, EngineCalls, Platform
+from rhubarbwinch.shared import events
+from rhubarbwinch.shared.clock import Clock
 
 
 @attrs.define
@@ -37,6 +38,7 @@
         upstream: Sends to endpoints.
         engine_calls: Calls to engines beside the requests.
         crashes: Requests under which endpoints crash.
+        tracer: Makes spans of requests; None for none.
         table: The configuration in force; None before the first.
         is_draining: Whether the gateway was told to stop.
     """
@@ -53,6 +55,7 @@
     upstream: Upstream
     engine_calls: EngineCalls
     crashes: CrashLedger
+    tracer: Tracer | None = None
     table: RoutingTable | None = None
     is_draining: bool = False
 
--- a/rhubarbwinch/gateway/continuing.py
+++ b/rhubarbwinch/gateway/continuing.py
@@ -2,7 +2,6 @@
 
 import anyio
 
-from rhubarbwinch import events
 from rhubarbwinch.gateway import statistics
 from rhubarbwinch.gateway.carrying import Carrier
 from rhubarbwinch.gateway.context import Context
@@ -13,6 +12,7 @@
 from rhubarbwinch.gateway.suspicion import Outcome
 from rhubarbwinch.gateway.upstream import Answer
 from rhubarbwinch.gateway.wire import MemoryCopy
+from rhubarbwinch.shared import events
 
 # A copy that is on its way when the stream breaks pays for this wait.
 COPY_WAIT_MS = 600
--- a/rhubarbwinch/gateway/crashes.py
+++ b/rhubarbwinch/gateway/crashes.py
@@ -11,9 +11,9 @@
 import anyio
 import attrs
 
-from rhubarbwinch import events
-from rhubarbwinch.clock import Clock
 from rhubarbwinch.gateway.messages import CrashNotice
+from rhubarbwinch.shared import events
+from rhubarbwinch.shared.clock import Clock
 
 # Endpoints that may crash under a request before it is refused.
 MAX_CRASHES = 3
--- a/rhubarbwinch/gateway/edge.py
+++ b/rhubarbwinch/gateway/edge.py
@@ -14,11 +14,11 @@
 import attrs
 import h11
 
-from rhubarbwinch import events, misc
-from rhubarbwinch.clock import Clock
 from rhubarbwinch.gateway.routes import HttpLimits
 from rhubarbwinch.gateway.wire import Headers
-from rhubarbwinch.transport import probe_dead_peer
+from rhubarbwinch.http.transport import probe_dead_peer
+from rhubarbwinch.shared import events, misc
+from rhubarbwinch.shared.clock import Clock
 
 BACKLOG = 1024
 # Reading stops while so much of further requests waits.
--- a/rhubarbwinch/gateway/enginesends.py
+++ b/rhubarbwinch/gateway/enginesends.py
@@ -2,8 +2,6 @@
 
 import anyio
 
-from rhubarbwinch import events
-from rhubarbwinch.exceptions import EndpointError
 from rhubarbwinch.gateway.context import Context
 from rhubarbwinch.gateway.endpoints import Endpoint
 from rhubarbwinch.gateway.plaincalls import (
@@ -16,7 +14,9 @@
 from rhubarbwinch.gateway.suspicion import Outcome
 from rhubarbwinch.gateway.upstream import Answer
 from rhubarbwinch.gateway.wire import MemoryCopy, SendOptions
-from rhubarbwinch.verdict import Failure, Reason, Verdict, not_run
+from rhubarbwinch.shared import events
+from rhubarbwinch.shared.exceptions import EndpointError
+from rhubarbwinch.shared.verdict import Failure, Reason, Verdict, not_run
 
 RETRY_AFTER_MS = 300
 _OK = 200
--- a/rhubarbwinch/gateway/feed.py
+++ b/rhubarbwinch/gateway/feed.py
@@ -9,14 +9,6 @@
 
 import anyio
 
-from rhubarbwinch import events
-from rhubarbwinch.clock import Clock
-from rhubarbwinch.exceptions import (
-    CodecError,
-    LinkError,
-    StoreCompacted,
-    StoreError,
-)
 from rhubarbwinch.gateway.messages import (
     SharedBatch,
     SharedChange,
@@ -25,8 +17,16 @@
     ValueCall,
 )
 from rhubarbwinch.gateway.replica import Replica
-from rhubarbwinch.linktypes import Caller
-from rhubarbwinch.store import Change, ChangeBatch, Entry, PollingStore
+from rhubarbwinch.links.linktypes import Caller
+from rhubarbwinch.shared import events
+from rhubarbwinch.shared.clock import Clock
+from rhubarbwinch.shared.exceptions import (
+    CodecError,
+    LinkError,
+    StoreCompacted,
+    StoreError,
+)
+from rhubarbwinch.stores.store import Change, ChangeBatch, Entry, PollingStore
 
 # The store answers a watch without events after so long. An answer confirms
 # that nothing was missed, so the time bounds how late a cut is noticed.
--- /dev/null
+++ b/rhubarbwinch/gateway/hops.py
@@ -0,0 +1,58 @@
+"""Spans of a request's hops, if the program was told where to send them."""
+
+from contextlib import AbstractContextManager, nullcontext
+from typing import Any, Protocol
+
+from rhubarbwinch.gateway.wire import Headers
+
+# The header of W3C Trace Context.
+TRACE_PARENT = b"traceparent"
+
+
+class Tracer(Protocol):
+    """Makes spans, as the module `rhubarbwinch.shared.tracing` does."""
+
+    def span(
+        self, name: str, traceparent: str | None = None, **attributes: Any
+    ) -> AbstractContextManager[Any]:
+        """Runs a block in a span; spans begun in it are its children."""
+        ...
+
+    def current(self) -> str:
+        """Returns the context of the current span; empty without one."""
+        ...
+
+    def close(self) -> None:
+        """Sends what is left."""
+        ...
+
+
+def request_span(
+    tracer: Tracer | None, headers: Headers, request_id: str
+) -> AbstractContextManager[Any]:
+    """Returns the span of a caller's request, a child of the caller's own."""
+    if tracer is None:
+        return nullcontext()
+    found = [v.decode("latin-1") for n, v in headers if _is_parent(n)]
+    return tracer.span("gateway", "".join(found[:1]), request=request_id)
+
+
+def send_span(
+    tracer: Tracer | None, endpoint_id: str
+) -> AbstractContextManager[Any]:
+    """Returns the span of a send, from its start to the answer's head."""
+    if tracer is None:
+        return nullcontext()
+    return tracer.span("endpoint", endpoint=endpoint_id)
+
+
+def with_parent(tracer: Tracer | None, headers: Headers) -> Headers:
+    """Returns headers of a send that name the current span as its parent."""
+    if tracer is None:
+        return headers
+    kept = [(n, v) for n, v in headers if not _is_parent(n)]
+    return [*kept, (TRACE_PARENT, tracer.current().encode())]
+
+
+def _is_parent(name: bytes) -> bool:
+    return name.lower() == TRACE_PARENT
--- a/rhubarbwinch/gateway/outage.py
+++ b/rhubarbwinch/gateway/outage.py
@@ -8,11 +8,11 @@
 
 import anyio
 
-from rhubarbwinch import events
-from rhubarbwinch.clock import Clock
-from rhubarbwinch.exceptions import EndpointError
 from rhubarbwinch.gateway.endpoints import Endpoint
 from rhubarbwinch.gateway.wire import EngineCalls
+from rhubarbwinch.shared import events
+from rhubarbwinch.shared.clock import Clock
+from rhubarbwinch.shared.exceptions import EndpointError
 
 # Longer than the usual time between two answers of the store, when nothing is
 # known to fail, and when a gateway's call has failed.
--- a/rhubarbwinch/gateway/peers.py
+++ b/rhubarbwinch/gateway/peers.py
@@ -5,10 +5,6 @@
 import anyio
 import attrs
 
-from rhubarbwinch import events, rendezvous
-from rhubarbwinch.broadcast import Broadcast
-from rhubarbwinch.clock import Clock
-from rhubarbwinch.exceptions import CodecError, LinkError
 from rhubarbwinch.gateway.feed import FRESH_MS
 from rhubarbwinch.gateway.loads import LoadBook
 from rhubarbwinch.gateway.messages import (
@@ -18,7 +14,11 @@
     Snapshot,
     SnapshotCall,
 )
-from rhubarbwinch.linktypes import Caller
+from rhubarbwinch.links.broadcast import Broadcast
+from rhubarbwinch.links.linktypes import Caller
+from rhubarbwinch.shared import events, rendezvous
+from rhubarbwinch.shared.clock import Clock
+from rhubarbwinch.shared.exceptions import CodecError, LinkError
 
 # All gateways hear all heartbeats, so their number grows with the square of
 # the fleet. A change of load or of state is told at once, by a heartbeat.
--- a/rhubarbwinch/gateway/plaincalls.py
+++ b/rhubarbwinch/gateway/plaincalls.py
@@ -3,15 +3,15 @@
 import anyio
 import attrs
 
-from rhubarbwinch import events
-from rhubarbwinch.exceptions import EndpointError
 from rhubarbwinch.gateway import answers, placing, statistics
 from rhubarbwinch.gateway.context import Context, Job
 from rhubarbwinch.gateway.edge import EdgeResponder
 from rhubarbwinch.gateway.endpoints import Endpoint
 from rhubarbwinch.gateway.suspicion import Outcome
 from rhubarbwinch.gateway.wire import AnswerHead, SendOptions
-from rhubarbwinch.verdict import Failure, Reason, Verdict, not_run
+from rhubarbwinch.shared import events
+from rhubarbwinch.shared.exceptions import EndpointError
+from rhubarbwinch.shared.verdict import Failure, Reason, Verdict, not_run
 
 # An endpoint that stops at the deadline answers so a moment later.
 ANSWER_GRACE_MS = 60
--- a/rhubarbwinch/gateway/program.py
+++ b/rhubarbwinch/gateway/program.py
@@ -8,12 +8,6 @@
 import anyio.abc
 import attrs
 
-from rhubarbwinch import events, identity
-from rhubarbwinch.broadcast import Broadcast
-from rhubarbwinch.clock import Clock, SystemClock
-from rhubarbwinch.exceptions import (
-    SettingError,
-)
 from rhubarbwinch.gateway import statistics
 from rhubarbwinch.gateway.beliefs import Beliefs
 from rhubarbwinch.gateway.context import Context
@@ -22,6 +16,7 @@
 from rhubarbwinch.gateway.endpoints import Endpoint
 from rhubarbwinch.gateway.feed import Feed
 from rhubarbwinch.gateway.fleet import Fleet
+from rhubarbwinch.gateway.hops import Tracer
 from rhubarbwinch.gateway.loads import LoadBook
 from rhubarbwinch.gateway.messages import (
     CrashNotice,
@@ -45,11 +40,17 @@
 from rhubarbwinch.gateway.suspicion import Suspicion
 from rhubarbwinch.gateway.upstream import Upstream
 from rhubarbwinch.gateway.wire import EngineCalls, Platform
-from rhubarbwinch.links import Links, LinkServer
-from rhubarbwinch.logoutput import LineOutput
-from rhubarbwinch.store import PollingStore
-from rhubarbwinch.supervisor import Supervisor
-from rhubarbwinch.transport import Transport, TransportOptions
+from rhubarbwinch.http.transport import Transport, TransportOptions
+from rhubarbwinch.links.broadcast import Broadcast
+from rhubarbwinch.links.links import Links, LinkServer
+from rhubarbwinch.shared import events, identity
+from rhubarbwinch.shared.clock import Clock, SystemClock
+from rhubarbwinch.shared.exceptions import (
+    SettingError,
+)
+from rhubarbwinch.shared.logoutput import LineOutput
+from rhubarbwinch.shared.supervisor import Supervisor
+from rhubarbwinch.stores.store import PollingStore
 
 # An engine whose machine acknowledges nothing for so long is unreachable.
 DEAD_ENDPOINT_MS = 2_000
@@ -77,6 +78,7 @@
         load_settings: Reads the settings anew.
         clock: The source of time.
         lines: Where log lines go.
+        tracer: Makes spans of requests; None for none.
     """
 
     platform: Platform
@@ -85,6 +87,7 @@
     engine_calls: EngineCalls
     load_settings: Callable[[], GatewaySettings]
     lines: LineOutput | None = None
+    tracer: Tracer | None = None
     clock: Clock = attrs.field(factory=SystemClock)
 
 
@@ -137,7 +140,10 @@
                 settings.retry_extra,
             ),
             peers=self._peers,
-            upstream=Upstream(outside.platform, outside.transport),
+            upstream=Upstream(
+                outside.platform, outside.transport, outside.tracer
+            ),
+            tracer=outside.tracer,
             engine_calls=outside.engine_calls,
             crashes=CrashLedger(
                 outside.transport.is_unreachable, clock, self._broadcast.send
--- a/rhubarbwinch/gateway/registration.py
+++ b/rhubarbwinch/gateway/registration.py
@@ -1,10 +1,10 @@
 """A gateway's registration in the store, by which others find its link."""
 
-from rhubarbwinch import codec, events
-from rhubarbwinch.clock import Clock
-from rhubarbwinch.exceptions import StoreError
 from rhubarbwinch.gateway.messages import PeerAddress
-from rhubarbwinch.store import Store
+from rhubarbwinch.shared import codec, events
+from rhubarbwinch.shared.clock import Clock
+from rhubarbwinch.shared.exceptions import StoreError
+from rhubarbwinch.stores.store import Store
 
 # Peers judge by heartbeats whether a gateway lives, so the lease may be long;
 # it only bounds how long the address of one that is gone is called.
--- a/rhubarbwinch/gateway/relaying.py
+++ b/rhubarbwinch/gateway/relaying.py
@@ -6,15 +6,15 @@
 
 import anyio
 
-from rhubarbwinch import events
-from rhubarbwinch.exceptions import EndpointError
 from rhubarbwinch.gateway import statistics
 from rhubarbwinch.gateway.carrying import Carrier
 from rhubarbwinch.gateway.context import Context
 from rhubarbwinch.gateway.rooms import RoomKeeper
 from rhubarbwinch.gateway.runs import Run
 from rhubarbwinch.gateway.upstream import Answer
-from rhubarbwinch.sse import Splitter
+from rhubarbwinch.http.sse import Splitter
+from rhubarbwinch.shared import events
+from rhubarbwinch.shared.exceptions import EndpointError
 
 # A generation that another engine can take over is given up at its engine
 # after this silence; events come every 30 ms, and the caller's bound on a
--- a/rhubarbwinch/gateway/replica.py
+++ b/rhubarbwinch/gateway/replica.py
@@ -6,7 +6,7 @@
 
 import attrs
 
-from rhubarbwinch.store import Change, ChangeBatch, Entry, Listing
+from rhubarbwinch.stores.store import Change, ChangeBatch, Entry, Listing
 
 # Deletions are remembered for so many keys, the newest.
 MAX_TOMBSTONES = 2_000
--- a/rhubarbwinch/gateway/rooms.py
+++ b/rhubarbwinch/gateway/rooms.py
@@ -2,12 +2,12 @@
 
 import anyio
 
-from rhubarbwinch import events
 from rhubarbwinch.gateway import moving, placing
 from rhubarbwinch.gateway.context import Context
 from rhubarbwinch.gateway.runs import Room, Run
 from rhubarbwinch.gateway.waiting import WAIT_SHARE, Waiter, WaitQueue
-from rhubarbwinch.verdict import Failure, Reason, not_run
+from rhubarbwinch.shared import events
+from rhubarbwinch.shared.verdict import Failure, Reason, not_run
 
 # Less is not enough for a generation.
 MIN_SEND_MS = 50
--- a/rhubarbwinch/gateway/router.py
+++ b/rhubarbwinch/gateway/router.py
@@ -2,8 +2,7 @@
 
 import anyio
 
-from rhubarbwinch import events
-from rhubarbwinch.exceptions import BadCallError
+from rhubarbwinch.gateway import hops
 from rhubarbwinch.gateway.answers import send_failure
 from rhubarbwinch.gateway.context import Context, make_job
 from rhubarbwinch.gateway.edge import EdgeRequest, EdgeResponder
@@ -11,7 +10,9 @@
 from rhubarbwinch.gateway.routes import CallKind, Route, RoutingTable
 from rhubarbwinch.gateway.streams import StreamCalls
 from rhubarbwinch.gateway.wire import CallHead
-from rhubarbwinch.verdict import Failure, Reason, not_run
+from rhubarbwinch.shared import events
+from rhubarbwinch.shared.exceptions import BadCallError
+from rhubarbwinch.shared.verdict import Failure, Reason, not_run
 
 RETRY_AFTER_MS = 300
 # A generation may run longer than what is left until the process ends, so
@@ -48,6 +49,13 @@
             failure = not_run(Reason.BAD_REQUEST, str(error))
             await send_failure(context.platform, responder, "", failure)
             return
+        with hops.request_span(context.tracer, call.headers, call.request_id):
+            await self._handle_call(request, call, responder)
+
+    async def _handle_call(
+        self, request: EdgeRequest, call: CallHead, responder: EdgeResponder
+    ) -> None:
+        context = self._context
         found = self._admit(call)
         if isinstance(found, Failure):
             await send_failure(
--- a/rhubarbwinch/gateway/streams.py
+++ b/rhubarbwinch/gateway/streams.py
@@ -2,7 +2,6 @@
 
 import anyio
 
-from rhubarbwinch import events
 from rhubarbwinch.gateway import statistics
 from rhubarbwinch.gateway.carrying import Carrier
 from rhubarbwinch.gateway.context import Context, Job
@@ -16,7 +15,8 @@
 from rhubarbwinch.gateway.runs import Run
 from rhubarbwinch.gateway.suspicion import Outcome
 from rhubarbwinch.gateway.upstream import Answer
-from rhubarbwinch.verdict import Failure, Reason, Verdict
+from rhubarbwinch.shared import events
+from rhubarbwinch.shared.verdict import Failure, Reason, Verdict
 
 # Sends of one generation that were refused as not run.
 MAX_REFUSED_SENDS = 4
--- a/rhubarbwinch/gateway/upstream.py
+++ b/rhubarbwinch/gateway/upstream.py
@@ -5,15 +5,17 @@
 import attrs
 import httpx
 
-from rhubarbwinch.exceptions import EndpointError
+from rhubarbwinch.gateway import hops
 from rhubarbwinch.gateway.endpoints import Endpoint
+from rhubarbwinch.gateway.hops import Tracer
 from rhubarbwinch.gateway.wire import (
     AnswerHead,
     CallHead,
     Platform,
     SendOptions,
 )
-from rhubarbwinch.transport import Transport
+from rhubarbwinch.http.transport import Transport
+from rhubarbwinch.shared.exceptions import EndpointError
 
 # Round trips are a few milliseconds, and a lost packet is sent again after
 # 200 ms; a longer wait takes time from a second try.
@@ -77,11 +79,18 @@
     Args:
         platform: Translates heads.
         transport: Keeps the connections.
+        tracer: Makes a span for each send; None for none.
     """
 
-    def __init__(self, platform: Platform, transport: Transport) -> None:
+    def __init__(
+        self,
+        platform: Platform,
+        transport: Transport,
+        tracer: Tracer | None = None,
+    ) -> None:
         self._platform = platform
         self._transport = transport
+        self._tracer = tracer
 
     async def send(
         self,
@@ -96,11 +105,33 @@
         Raises:
             EndpointError: No head came; it tells whether a byte was sent.
         """
+        with hops.send_span(self._tracer, endpoint.id):
+            request = self._request(endpoint, call, body, options)
+            if not may_repeat:
+                request.extensions["max_idle_s"] = FRESH_IDLE_S
+            try:
+                response = await self._transport.handle_async_request(request)
+            except (httpx.ConnectError, httpx.ConnectTimeout) as error:
+                raise EndpointError(repr(error), sent=False) from error
+            except httpx.HTTPError as error:
+                raise EndpointError(repr(error), sent=True) from error
+        head = self._platform.decode_answer(
+            response.status_code, response.headers.raw
+        )
+        return Answer(head, response)
+
+    def _request(
+        self,
+        endpoint: Endpoint,
+        call: CallHead,
+        body: bytes,
+        options: SendOptions,
+    ) -> httpx.Request:
         headers = self._platform.endpoint_headers(call, options, len(body))
-        request = httpx.Request(
+        return httpx.Request(
             call.method,
             f"http://{endpoint.address}/",
-            headers=headers,
+            headers=hops.with_parent(self._tracer, headers),
             stream=httpx.ByteStream(body),
             extensions={
                 "target": call.target,
@@ -110,15 +141,3 @@
                 ),
             },
         )
-        if not may_repeat:
-            request.extensions["max_idle_s"] = FRESH_IDLE_S
-        try:
-            response = await self._transport.handle_async_request(request)
-        except (httpx.ConnectError, httpx.ConnectTimeout) as error:
-            raise EndpointError(repr(error), sent=False) from error
-        except httpx.HTTPError as error:
-            raise EndpointError(repr(error), sent=True) from error
-        head = self._platform.decode_answer(
-            response.status_code, response.headers.raw
-        )
-        return Answer(head, response)
--- a/rhubarbwinch/gateway/waiting.py
+++ b/rhubarbwinch/gateway/waiting.py
@@ -8,8 +8,8 @@
 import anyio
 import attrs
 
-from rhubarbwinch.clock import Clock
 from rhubarbwinch.gateway import statistics
+from rhubarbwinch.shared.clock import Clock
 
 # The part of the time to the objective that may be spent waiting: the prompt
 # has to be read too.
--- a/rhubarbwinch/gateway/wire.py
+++ b/rhubarbwinch/gateway/wire.py
@@ -7,7 +7,7 @@
 
 from rhubarbwinch.gateway.endpoints import Endpoint
 from rhubarbwinch.gateway.routes import RoutingTable
-from rhubarbwinch.registry import Registry
+from rhubarbwinch.shared.registry import Registry
 
 Headers = list[tuple[bytes, bytes]]
 
--- /dev/null
+++ b/rhubarbwinch/http/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP on both sides: servers, answers, event streams, connections."""
--- a/rhubarbwinch/httpapi.py
+++ b/rhubarbwinch/http/httpapi.py
@@ -7,8 +7,9 @@
 import attrs
 from hypercorn.typing import ASGIReceiveCallable, ASGISendCallable, Scope
 
-from rhubarbwinch import events, problems
-from rhubarbwinch.verdict import Failure, Reason, Verdict, not_run
+from rhubarbwinch.http import problems
+from rhubarbwinch.shared import events
+from rhubarbwinch.shared.verdict import Failure, Reason, Verdict, not_run
 
 BODY_TIMEOUT_MS = 30_000
 
--- a/rhubarbwinch/problems.py
+++ b/rhubarbwinch/http/problems.py
@@ -2,7 +2,7 @@
 
 import orjson
 
-from rhubarbwinch.verdict import Failure, Reason
+from rhubarbwinch.shared.verdict import Failure, Reason
 
 TYPE_PREFIX = "urn:rhubarbwinch:problem:"
 VERDICT_HEADER = b"x-verdict"
--- a/rhubarbwinch/sse.py
+++ b/rhubarbwinch/http/sse.py
@@ -9,8 +9,8 @@
 import attrs
 import orjson
 
-from rhubarbwinch.exceptions import EndpointError
-from rhubarbwinch.identity import EventId, parse_event_id
+from rhubarbwinch.shared.exceptions import EndpointError
+from rhubarbwinch.shared.identity import EventId, parse_event_id
 
 MAX_EVENT_BYTES = 1 << 20
 DONE = b"data: [DONE]\n\n"
--- a/rhubarbwinch/transport.py
+++ b/rhubarbwinch/http/transport.py
@@ -15,7 +15,7 @@
 import h11
 import httpx
 
-from rhubarbwinch.httpbody import Body, make_body
+from rhubarbwinch.http.httpbody import Body, make_body
 
 MAX_HEAD_BYTES = 64 << 10
 # Reading stops while so much waits for the caller, and goes on below.
--- /dev/null
+++ b/rhubarbwinch/links/__init__.py
@@ -0,0 +1,1 @@
+"""Messages between our processes, and what carries them."""
--- a/rhubarbwinch/broadcast.py
+++ b/rhubarbwinch/links/broadcast.py
@@ -11,8 +11,8 @@
 
 import anyio
 
-from rhubarbwinch import codec, events, misc
-from rhubarbwinch.exceptions import CodecError
+from rhubarbwinch.shared import codec, events, misc
+from rhubarbwinch.shared.exceptions import CodecError
 
 T = TypeVar("T")
 
--- a/rhubarbwinch/links.py
+++ b/rhubarbwinch/links/links.py
@@ -17,8 +17,8 @@
 import zmq
 import zmq.asyncio
 
-from rhubarbwinch import codec, events
-from rhubarbwinch.exceptions import (
+from rhubarbwinch.shared import codec, events
+from rhubarbwinch.shared.exceptions import (
     CodecError,
     LinkError,
     LinkTimeout,
--- a/rhubarbwinch/memlinks.py
+++ b/rhubarbwinch/links/memlinks.py
@@ -5,9 +5,9 @@
 
 import attrs
 
-from rhubarbwinch import codec
-from rhubarbwinch.clock import Clock
-from rhubarbwinch.exceptions import LinkError, LinkTimeout
+from rhubarbwinch.shared import codec
+from rhubarbwinch.shared.clock import Clock
+from rhubarbwinch.shared.exceptions import LinkError, LinkTimeout
 
 T = TypeVar("T")
 
--- a/rhubarbwinch/messages.py
+++ b/rhubarbwinch/links/messages.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from rhubarbwinch.verdict import Failure
+from rhubarbwinch.shared.verdict import Failure
 
 
 class StreamEnd(enum.StrEnum):
--- a/rhubarbwinch/gossip.py
+++ b/rhubarbwinch/membership/gossip.py
@@ -11,14 +11,15 @@
 import anyio
 import anyio.abc
 
-from rhubarbwinch import codec, events, overlay
-from rhubarbwinch.bytebudget import ByteBudget
-from rhubarbwinch.clock import Clock
-from rhubarbwinch.exceptions import CodecError, LinkError
-from rhubarbwinch.heartbeat import Heartbeat, ViewReply, ViewRequest
-from rhubarbwinch.linktypes import Caller, Listener
-from rhubarbwinch.members import Health, Member, MemberNews, Members
-from rhubarbwinch.rumours import Rumour, Rumours
+from rhubarbwinch.links.linktypes import Caller, Listener
+from rhubarbwinch.membership import overlay
+from rhubarbwinch.membership.heartbeat import Heartbeat, ViewReply, ViewRequest
+from rhubarbwinch.membership.members import Health, Member, MemberNews, Members
+from rhubarbwinch.membership.rumours import Rumour, Rumours
+from rhubarbwinch.shared import codec, events
+from rhubarbwinch.shared.bytebudget import ByteBudget
+from rhubarbwinch.shared.clock import Clock
+from rhubarbwinch.shared.exceptions import CodecError, LinkError
 
 # Takes a rumour's key and data.
 RumourHandler = Callable[[str, bytes], Awaitable[None]]
--- a/rhubarbwinch/heartbeat.py
+++ b/rhubarbwinch/membership/heartbeat.py
@@ -2,8 +2,8 @@
 
 import attrs
 
-from rhubarbwinch.members import MemberNews
-from rhubarbwinch.rumours import Rumour
+from rhubarbwinch.membership.members import MemberNews
+from rhubarbwinch.membership.rumours import Rumour
 
 
 @attrs.frozen
--- a/rhubarbwinch/leaving.py
+++ b/rhubarbwinch/membership/leaving.py
@@ -3,11 +3,11 @@
 import enum
 from collections.abc import Callable
 
-from rhubarbwinch import events, misc
-from rhubarbwinch.accepted import Snapshot
-from rhubarbwinch.clock import Clock
-from rhubarbwinch.gossip import Gossip
-from rhubarbwinch.records import PoolSpec
+from rhubarbwinch.membership.gossip import Gossip
+from rhubarbwinch.records.accepted import Snapshot
+from rhubarbwinch.records.records import PoolSpec
+from rhubarbwinch.shared import events, misc
+from rhubarbwinch.shared.clock import Clock
 
 RUMOUR = "vm"
 # A notice from the list that nobody repeats is dropped after this time.
--- a/rhubarbwinch/members.py
+++ b/rhubarbwinch/membership/members.py
@@ -6,7 +6,7 @@
 import attrs
 import xxhash
 
-from rhubarbwinch import events, rendezvous
+from rhubarbwinch.shared import events, rendezvous
 
 BUCKETS = 32
 
--- a/rhubarbwinch/overlay.py
+++ b/rhubarbwinch/membership/overlay.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Iterable
 
-from rhubarbwinch import rendezvous
+from rhubarbwinch.shared import rendezvous
 
 RINGS = 4
 
--- a/rhubarbwinch/ownership.py
+++ b/rhubarbwinch/membership/ownership.py
@@ -2,9 +2,9 @@
 
 from collections.abc import Iterable
 
-from rhubarbwinch import rendezvous
-from rhubarbwinch.clock import Clock
-from rhubarbwinch.members import Members, Role
+from rhubarbwinch.membership.members import Members, Role
+from rhubarbwinch.shared import rendezvous
+from rhubarbwinch.shared.clock import Clock
 
 # Entries report their streams to a new owner at once; until then requests
 # wait, so that engines that look empty are not filled twice.
--- a/rhubarbwinch/registration.py
+++ b/rhubarbwinch/membership/registration.py
@@ -2,11 +2,12 @@
 
 import anyio
 
-from rhubarbwinch import codec, events, keys
-from rhubarbwinch.clock import Clock
-from rhubarbwinch.exceptions import CodecError, StoreError
-from rhubarbwinch.members import Member, MemberNews, Members
-from rhubarbwinch.store import Store
+from rhubarbwinch.membership.members import Member, MemberNews, Members
+from rhubarbwinch.shared import codec, events
+from rhubarbwinch.shared.clock import Clock
+from rhubarbwinch.shared.exceptions import CodecError, StoreError
+from rhubarbwinch.stores import keys
+from rhubarbwinch.stores.store import Store
 
 SEEDS = 2
 SCAN_MS = 30_000
--- a/rhubarbwinch/vmlist.py
+++ b/rhubarbwinch/membership/vmlist.py
@@ -8,12 +8,12 @@
 import httpx
 import orjson
 
-from rhubarbwinch import events, rendezvous
-from rhubarbwinch.clock import Clock
-from rhubarbwinch.exceptions import VmListError
-from rhubarbwinch.leaving import REPEAT_MS, LeavingVms, Notice
-from rhubarbwinch.members import Members, Role
-from rhubarbwinch.registry import Registry
+from rhubarbwinch.membership.leaving import REPEAT_MS, LeavingVms, Notice
+from rhubarbwinch.membership.members import Members, Role
+from rhubarbwinch.shared import events, rendezvous
+from rhubarbwinch.shared.clock import Clock
+from rhubarbwinch.shared.exceptions import VmListError
+from rhubarbwinch.shared.registry import Registry
 
 POLL_MS = 500
 READ_TIMEOUT_S = 2.0
--- /dev/null
+++ b/rhubarbwinch/orders/__init__.py
@@ -0,0 +1,1 @@
+"""Orders to endpoints, sent by one holder at a time."""
--- a/rhubarbwinch/fencing.py
+++ b/rhubarbwinch/orders/fencing.py
@@ -10,10 +10,11 @@
 
 import attrs
 
-from rhubarbwinch import codec, events, keys
-from rhubarbwinch.clock import Clock
-from rhubarbwinch.exceptions import StoreError
-from rhubarbwinch.store import Store
+from rhubarbwinch.shared import codec, events
+from rhubarbwinch.shared.clock import Clock
+from rhubarbwinch.shared.exceptions import StoreError
+from rhubarbwinch.stores import keys
+from rhubarbwinch.stores.store import Store
 
 # What two clocks may differ by over the life of a lease.
 CLOCK_MARGIN_MS = 200
--- a/rhubarbwinch/orders.py
+++ b/rhubarbwinch/orders/orders.py
@@ -11,20 +11,20 @@
 import httpx
 import orjson
 
-from rhubarbwinch import events, rendezvous
-from rhubarbwinch.accepted import Snapshot
-from rhubarbwinch.clock import Clock
-from rhubarbwinch.exceptions import EndpointError, StoreError
-from rhubarbwinch.fencing import Fencing, HoldState
-from rhubarbwinch.placementplan import (
+from rhubarbwinch.orders.fencing import Fencing, HoldState
+from rhubarbwinch.orders.placementplan import (
     EndpointState,
     Order,
     OrderKind,
     orders_towards,
     wanted_loads,
 )
-from rhubarbwinch.records import EndpointSpec
-from rhubarbwinch.registry import Registry
+from rhubarbwinch.records.accepted import Snapshot
+from rhubarbwinch.records.records import EndpointSpec
+from rhubarbwinch.shared import events, rendezvous
+from rhubarbwinch.shared.clock import Clock
+from rhubarbwinch.shared.exceptions import EndpointError, StoreError
+from rhubarbwinch.shared.registry import Registry
 
 
 class OrderClient(Protocol):
--- a/rhubarbwinch/placementplan.py
+++ b/rhubarbwinch/orders/placementplan.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from rhubarbwinch.accepted import Snapshot
+from rhubarbwinch.records.accepted import Snapshot
 
 
 class OrderKind(enum.StrEnum):
--- a/rhubarbwinch/platform/bootfile.py
+++ b/rhubarbwinch/platform/bootfile.py
@@ -2,10 +2,10 @@
 
 import pathlib
 
-from rhubarbwinch import misc
-from rhubarbwinch.exceptions import SettingError
 from rhubarbwinch.gateway.messages import PeerAddress
 from rhubarbwinch.gateway.settings import GatewaySettings
+from rhubarbwinch.shared import misc
+from rhubarbwinch.shared.exceptions import SettingError
 
 
 def load(path: str, metrics_port: int) -> GatewaySettings:
--- a/rhubarbwinch/platform/documents.py
+++ b/rhubarbwinch/platform/documents.py
@@ -5,8 +5,6 @@
 
 import orjson
 
-from rhubarbwinch import misc
-from rhubarbwinch.exceptions import PlatformFormatError
 from rhubarbwinch.gateway.endpoints import Endpoint, EndpointState
 from rhubarbwinch.gateway.routes import (
     Account,
@@ -19,6 +17,8 @@
     Target,
 )
 from rhubarbwinch.gateway.wire import EngineReport
+from rhubarbwinch.shared import misc
+from rhubarbwinch.shared.exceptions import PlatformFormatError
 
 JSON = dict[str, Any]
 
--- a/rhubarbwinch/platform/enginecalls.py
+++ b/rhubarbwinch/platform/enginecalls.py
@@ -3,10 +3,10 @@
 import httpx
 import orjson
 
-from rhubarbwinch import events
-from rhubarbwinch.exceptions import EndpointError, PlatformFormatError
 from rhubarbwinch.gateway.wire import EngineReport, MoveResult, MoveState
 from rhubarbwinch.platform import documents
+from rhubarbwinch.shared import events
+from rhubarbwinch.shared.exceptions import EndpointError, PlatformFormatError
 
 # A copy of a large run takes some hundred milliseconds, and others may stand
 # before it in the queue of the link.
--- a/rhubarbwinch/platform/headers.py
+++ b/rhubarbwinch/platform/headers.py
@@ -2,13 +2,13 @@
 
 import re
 
-from rhubarbwinch.exceptions import BadCallError
 from rhubarbwinch.gateway.wire import (
     AnswerHead,
     CallHead,
     Headers,
     SendOptions,
 )
+from rhubarbwinch.shared.exceptions import BadCallError
 
 # One attempt of a caller: its retries have ids of their own.
 REQUEST_ID = b"attempt-id"
--- a/rhubarbwinch/platform/kvstore.py
+++ b/rhubarbwinch/platform/kvstore.py
@@ -8,21 +8,20 @@
 import httpx
 import orjson
 
-from rhubarbwinch.exceptions import (
+from rhubarbwinch.http.transport import Transport, TransportOptions
+from rhubarbwinch.shared.exceptions import (
     StoreCompacted,
     StoreError,
     StoreUnavailable,
     StoreUncertain,
 )
-from rhubarbwinch.store import (
-    STORES,
+from rhubarbwinch.stores.store import (
     Change,
     ChangeBatch,
     Entry,
     Listing,
     Swap,
 )
-from rhubarbwinch.transport import Transport, TransportOptions
 
 JSON = dict[str, Any]
 
@@ -52,7 +51,6 @@
     return Change(key, revision, _entry(event))
 
 
-@STORES.register("platform")
 class PlatformStore:
     """A store spoken to over HTTP/1.1 and JSON.
 
--- a/rhubarbwinch/broker.py
+++ b/rhubarbwinch/programs/broker.py
@@ -6,23 +6,17 @@
 import anyio
 import attrs
 
-from rhubarbwinch import metrics, tracing
-from rhubarbwinch.accepted import Snapshot
-from rhubarbwinch.admission import (
+from rhubarbwinch.admission.admission import (
     Admission,
     Decision,
     EntryChange,
     LoadReport,
     Options,
 )
-from rhubarbwinch.clock import Clock
-from rhubarbwinch.config import BrokerSettings
-from rhubarbwinch.daemon import Daemon
-from rhubarbwinch.endpoints import EndpointClient
-from rhubarbwinch.exceptions import EndpointError, LinkError
-from rhubarbwinch.httpapi import App
-from rhubarbwinch.members import Role
-from rhubarbwinch.messages import (
+from rhubarbwinch.admission.permits import pool_owner
+from rhubarbwinch.endpoints.endpoints import EndpointClient
+from rhubarbwinch.http.httpapi import App
+from rhubarbwinch.links.messages import (
     DigestReply,
     DigestReport,
     PermitRelease,
@@ -30,11 +24,17 @@
     PermitRequest,
     ProgressReport,
 )
-from rhubarbwinch.ownership import Ownership
-from rhubarbwinch.permits import pool_owner
-from rhubarbwinch.records import PoolSpec
-from rhubarbwinch.surroundings import Surroundings
-from rhubarbwinch.verdict import Reason, not_run
+from rhubarbwinch.membership.members import Role
+from rhubarbwinch.membership.ownership import Ownership
+from rhubarbwinch.programs.config import BrokerSettings
+from rhubarbwinch.programs.daemon import Daemon
+from rhubarbwinch.programs.surroundings import Surroundings
+from rhubarbwinch.records.accepted import Snapshot
+from rhubarbwinch.records.records import PoolSpec
+from rhubarbwinch.shared import metrics, tracing
+from rhubarbwinch.shared.clock import Clock
+from rhubarbwinch.shared.exceptions import EndpointError, LinkError
+from rhubarbwinch.shared.verdict import Reason, not_run
 
 # Returns the names of a pool's endpoints that leave.
 LeavingFinder = Callable[[PoolSpec], set[str]]
--- a/rhubarbwinch/claimparts.py
+++ b/rhubarbwinch/programs/claimparts.py
@@ -2,16 +2,16 @@
 
 import secrets
 
-from rhubarbwinch.claimfloor import ClaimCleaner, ClaimFloor
-from rhubarbwinch.claimowners import LinkOwners
-from rhubarbwinch.claimpages import ClaimPages
-from rhubarbwinch.claimrouting import PageCall, RoutedPages
-from rhubarbwinch.claims import Claims
-from rhubarbwinch.config import EntrySettings
-from rhubarbwinch.daemon import Daemon
-from rhubarbwinch.messages import ClaimQuestion
-from rhubarbwinch.metering import Meter, MeterCleaner
-from rhubarbwinch.quarantine import Quarantine
+from rhubarbwinch.claims.claimfloor import ClaimCleaner, ClaimFloor
+from rhubarbwinch.claims.claimowners import LinkOwners
+from rhubarbwinch.claims.claimpages import ClaimPages
+from rhubarbwinch.claims.claimrouting import PageCall, RoutedPages
+from rhubarbwinch.claims.claims import Claims
+from rhubarbwinch.claims.quarantine import Quarantine
+from rhubarbwinch.endpoints.metering import Meter, MeterCleaner
+from rhubarbwinch.links.messages import ClaimQuestion
+from rhubarbwinch.programs.config import EntrySettings
+from rhubarbwinch.programs.daemon import Daemon
 
 HOUR_MS = 3_600_000
 
--- a/rhubarbwinch/cmdline.py
+++ b/rhubarbwinch/programs/cmdline.py
@@ -6,19 +6,20 @@
 
 import anyio
 
-from rhubarbwinch import events, options, tracing
-from rhubarbwinch.broker import Broker
-from rhubarbwinch.config import (
+from rhubarbwinch.programs import options
+from rhubarbwinch.programs.broker import Broker
+from rhubarbwinch.programs.config import (
     BrokerSettings,
     ControlSettings,
     EntrySettings,
     Settings,
 )
-from rhubarbwinch.control import Control
-from rhubarbwinch.entry import Entry
-from rhubarbwinch.eventloop import check_no_io_uring
-from rhubarbwinch.exceptions import RestartLimitError
-from rhubarbwinch.exitstatus import ExitStatus
+from rhubarbwinch.programs.control import Control
+from rhubarbwinch.programs.entry import Entry
+from rhubarbwinch.shared import events, tracing
+from rhubarbwinch.shared.eventloop import check_no_io_uring
+from rhubarbwinch.shared.exceptions import RestartLimitError
+from rhubarbwinch.shared.exitstatus import ExitStatus
 
 _SETTINGS_HELP = (
     " Each setting is a flag and an environment variable; the flag wins. Give "
--- a/rhubarbwinch/config.py
+++ b/rhubarbwinch/programs/config.py
@@ -5,15 +5,15 @@
 import attrs
 import zmq
 
-from rhubarbwinch import etcdstore  # noqa: F401 - registers an adapter
-from rhubarbwinch import settingtypes as types
-from rhubarbwinch.events import LogFormat
-from rhubarbwinch.exceptions import SettingError
-from rhubarbwinch.links import LinkKeys
-from rhubarbwinch.placement import POLICIES
-from rhubarbwinch.settingtypes import arg
-from rhubarbwinch.store import STORES
-from rhubarbwinch.tls import TlsFiles
+from rhubarbwinch.admission.placement import POLICIES
+from rhubarbwinch.links.links import LinkKeys
+from rhubarbwinch.shared import settingtypes as types
+from rhubarbwinch.shared.events import LogFormat
+from rhubarbwinch.shared.exceptions import SettingError
+from rhubarbwinch.shared.settingtypes import arg
+from rhubarbwinch.shared.tls import TlsFiles
+from rhubarbwinch.stores import etcdstore  # noqa: F401 - registers an adapter
+from rhubarbwinch.stores.store import STORES
 
 _log_format = types.ValueType(", ".join(LogFormat), LogFormat)
 
--- a/rhubarbwinch/control.py
+++ b/rhubarbwinch/programs/control.py
@@ -2,16 +2,16 @@
 
 import anyio
 
-from rhubarbwinch.config import ControlSettings
-from rhubarbwinch.daemon import Daemon
-from rhubarbwinch.fencing import Fencing
-from rhubarbwinch.httpapi import App
-from rhubarbwinch.members import Role
-from rhubarbwinch.orders import ENGINE_ADAPTERS, LoadPacer, Orderer
-from rhubarbwinch.pauseguard import end_if_paused
-from rhubarbwinch.publisher import Publisher
-from rhubarbwinch.publishing import Publishing
-from rhubarbwinch.vmlist import VM_LISTS, VmListReader
+from rhubarbwinch.configuration.publisher import Publisher
+from rhubarbwinch.configuration.publishing import Publishing
+from rhubarbwinch.http.httpapi import App
+from rhubarbwinch.membership.members import Role
+from rhubarbwinch.membership.vmlist import VM_LISTS, VmListReader
+from rhubarbwinch.orders.fencing import Fencing
+from rhubarbwinch.orders.orders import ENGINE_ADAPTERS, LoadPacer, Orderer
+from rhubarbwinch.orders.pauseguard import end_if_paused
+from rhubarbwinch.programs.config import ControlSettings
+from rhubarbwinch.programs.daemon import Daemon
 
 MAX_BODY_BYTES = 64 << 10
 ORDER_PERIOD_MS = 1000
--- a/rhubarbwinch/ctl.py
+++ b/rhubarbwinch/programs/ctl.py
@@ -8,11 +8,16 @@
 
 import orjson
 
-from rhubarbwinch import keys, records, secretkeys
-from rhubarbwinch.exceptions import ConflictError, RecordError, StoreUncertain
-from rhubarbwinch.records import Record
-from rhubarbwinch.secretkeys import ApiKey
-from rhubarbwinch.store import Store
+from rhubarbwinch.records import records, secretkeys
+from rhubarbwinch.records.records import Record
+from rhubarbwinch.records.secretkeys import ApiKey
+from rhubarbwinch.shared.exceptions import (
+    ConflictError,
+    RecordError,
+    StoreUncertain,
+)
+from rhubarbwinch.stores import keys
+from rhubarbwinch.stores.store import Store
 
 DEFAULT_STORE = "127.0.0.1:2379"
 
--- a/rhubarbwinch/ctlcommands.py
+++ b/rhubarbwinch/programs/ctlcommands.py
@@ -8,20 +8,23 @@
 import attrs
 import cappa
 
-from rhubarbwinch import audit, ctl, etcdstore, fleetstatus, options, secretkeys
-from rhubarbwinch import settingtypes as types
-from rhubarbwinch.ctl import Output
-from rhubarbwinch.exceptions import (
+from rhubarbwinch.claims import audit
+from rhubarbwinch.programs import ctl, fleetstatus, options
+from rhubarbwinch.programs.ctl import Output
+from rhubarbwinch.programs.fleetstatus import FleetStatus, RecordState
+from rhubarbwinch.records import secretkeys
+from rhubarbwinch.records.records import Record
+from rhubarbwinch.records.secretkeys import ApiKey
+from rhubarbwinch.shared import settingtypes as types
+from rhubarbwinch.shared.exceptions import (
     ConflictError,
     RecordError,
     SettingError,
     StoreError,
 )
-from rhubarbwinch.exitstatus import ExitStatus
-from rhubarbwinch.fleetstatus import FleetStatus, RecordState
-from rhubarbwinch.records import Record
-from rhubarbwinch.secretkeys import ApiKey
-from rhubarbwinch.store import Store
+from rhubarbwinch.shared.exitstatus import ExitStatus
+from rhubarbwinch.stores import etcdstore
+from rhubarbwinch.stores.store import Store
 
 CTL_HELP = (
     "Drives a deployment by its records. Exit status: 0 done, 1 failed, 2 bad "
--- a/rhubarbwinch/daemon.py
+++ b/rhubarbwinch/programs/daemon.py
@@ -7,24 +7,24 @@
 import anyio
 from hypercorn.config import Config
 
-from rhubarbwinch import events, metrics, misc
-from rhubarbwinch.config import Settings
-from rhubarbwinch.distribution import Distribution
-from rhubarbwinch.exceptions import StoreError
-from rhubarbwinch.follower import Follower
-from rhubarbwinch.gossip import Gossip
-from rhubarbwinch.httpapi import App
-from rhubarbwinch.httpserver import HttpServer
-from rhubarbwinch.leaving import LeavingVms
-from rhubarbwinch.members import Member, Members, MemberState, Role
-from rhubarbwinch.metrics import Metrics
-from rhubarbwinch.probes import Drain, Probes
-from rhubarbwinch.registration import Registration
-from rhubarbwinch.store import Store
-from rhubarbwinch.supervisor import Supervisor
-from rhubarbwinch.surroundings import Surroundings, make_surroundings
-from rhubarbwinch.tls import TlsFiles
-from rhubarbwinch.tracedstore import TracedStore
+from rhubarbwinch.configuration.distribution import Distribution
+from rhubarbwinch.configuration.follower import Follower
+from rhubarbwinch.http.httpapi import App
+from rhubarbwinch.http.httpserver import HttpServer
+from rhubarbwinch.membership.gossip import Gossip
+from rhubarbwinch.membership.leaving import LeavingVms
+from rhubarbwinch.membership.members import Member, Members, MemberState, Role
+from rhubarbwinch.membership.registration import Registration
+from rhubarbwinch.programs.config import Settings
+from rhubarbwinch.programs.probes import Drain, Probes
+from rhubarbwinch.programs.surroundings import Surroundings, make_surroundings
+from rhubarbwinch.shared import events, metrics, misc
+from rhubarbwinch.shared.exceptions import StoreError
+from rhubarbwinch.shared.metrics import Metrics
+from rhubarbwinch.shared.supervisor import Supervisor
+from rhubarbwinch.shared.tls import TlsFiles
+from rhubarbwinch.stores.store import Store
+from rhubarbwinch.stores.tracedstore import TracedStore
 
 DRAIN_CHECK_MS = 20
 LEAVING_NOTICE_MS = 500
--- a/rhubarbwinch/entry.py
+++ b/rhubarbwinch/programs/entry.py
@@ -5,27 +5,28 @@
 
 import orjson
 
-from rhubarbwinch import events, identity, metrics, models, rendezvous, tracing
-from rhubarbwinch.apikeys import KeyChecker
-from rhubarbwinch.calls import parse_call
-from rhubarbwinch.claimparts import ClaimParts
-from rhubarbwinch.config import EntrySettings
-from rhubarbwinch.daemon import Daemon
-from rhubarbwinch.drainlimit import run_until_limit
-from rhubarbwinch.endpoints import EndpointClient
-from rhubarbwinch.generate import Generator
-from rhubarbwinch.guarded import GuardedGenerator
-from rhubarbwinch.httpapi import App, Handler, Refused, Request, Responder
-from rhubarbwinch.members import Role
-from rhubarbwinch.messages import PriorityChange, StreamTake
-from rhubarbwinch.permits import PermitClient
-from rhubarbwinch.plain import PREFIX, PlainCaller
-from rhubarbwinch.reports import Reporter
-from rhubarbwinch.retries import RatioBudget
-from rhubarbwinch.streams import OpenStreams
-from rhubarbwinch.surroundings import Surroundings
-from rhubarbwinch.takeover import Takeover
-from rhubarbwinch.verdict import Reason, not_run
+from rhubarbwinch.admission.permits import PermitClient
+from rhubarbwinch.admission.reports import Reporter
+from rhubarbwinch.callers import models
+from rhubarbwinch.callers.calls import parse_call
+from rhubarbwinch.callers.drainlimit import run_until_limit
+from rhubarbwinch.callers.generate import Generator
+from rhubarbwinch.callers.guarded import GuardedGenerator
+from rhubarbwinch.callers.plain import PREFIX, PlainCaller
+from rhubarbwinch.callers.streams import OpenStreams
+from rhubarbwinch.callers.takeover import Takeover
+from rhubarbwinch.endpoints.endpoints import EndpointClient
+from rhubarbwinch.endpoints.retries import RatioBudget
+from rhubarbwinch.http.httpapi import App, Handler, Refused, Request, Responder
+from rhubarbwinch.links.messages import PriorityChange, StreamTake
+from rhubarbwinch.membership.members import Role
+from rhubarbwinch.programs.claimparts import ClaimParts
+from rhubarbwinch.programs.config import EntrySettings
+from rhubarbwinch.programs.daemon import Daemon
+from rhubarbwinch.programs.surroundings import Surroundings
+from rhubarbwinch.records.apikeys import KeyChecker
+from rhubarbwinch.shared import events, identity, metrics, rendezvous, tracing
+from rhubarbwinch.shared.verdict import Reason, not_run
 
 ENTRIES_TTL_MS = 5000
 RETRY_AFTER_MS = 1000
--- a/rhubarbwinch/explain.py
+++ b/rhubarbwinch/programs/explain.py
@@ -14,7 +14,7 @@
 import attrs
 import orjson
 
-from rhubarbwinch.exitstatus import ExitStatus
+from rhubarbwinch.shared.exitstatus import ExitStatus
 
 # Events about what a gateway believes; they explain decisions of requests.
 BELIEFS = frozenset(
--- a/rhubarbwinch/fleetstatus.py
+++ b/rhubarbwinch/programs/fleetstatus.py
@@ -5,12 +5,15 @@
 import httpx
 import orjson
 
-from rhubarbwinch import accepted, codec, ctl, keys, records, rendezvous
-from rhubarbwinch.accepted import Snapshot
-from rhubarbwinch.exceptions import RecordError
-from rhubarbwinch.members import Member, MemberState, Role
-from rhubarbwinch.records import Record
-from rhubarbwinch.store import Store
+from rhubarbwinch.membership.members import Member, MemberState, Role
+from rhubarbwinch.programs import ctl
+from rhubarbwinch.records import accepted, records
+from rhubarbwinch.records.accepted import Snapshot
+from rhubarbwinch.records.records import Record
+from rhubarbwinch.shared import codec, rendezvous
+from rhubarbwinch.shared.exceptions import RecordError
+from rhubarbwinch.stores import keys
+from rhubarbwinch.stores.store import Store
 
 READ_TIMEOUT_S = 2.0
 MAX_READS_AT_ONCE = 32
--- a/rhubarbwinch/options.py
+++ b/rhubarbwinch/programs/options.py
@@ -9,8 +9,8 @@
 import attrs
 import cappa
 
-from rhubarbwinch import settingtypes
-from rhubarbwinch.exceptions import SettingError
+from rhubarbwinch.shared import settingtypes
+from rhubarbwinch.shared.exceptions import SettingError
 from rhubarbwinch.version import VERSION
 
 T = TypeVar("T")
--- a/rhubarbwinch/probes.py
+++ b/rhubarbwinch/programs/probes.py
@@ -6,8 +6,8 @@
 import attrs
 import orjson
 
-from rhubarbwinch.follower import Follower
-from rhubarbwinch.httpapi import App, Request, Responder
+from rhubarbwinch.configuration.follower import Follower
+from rhubarbwinch.http.httpapi import App, Request, Responder
 
 
 @attrs.define
--- a/rhubarbwinch/surroundings.py
+++ b/rhubarbwinch/programs/surroundings.py
@@ -2,12 +2,12 @@
 
 import attrs
 
-from rhubarbwinch import identity
-from rhubarbwinch.clock import Clock, SystemClock
-from rhubarbwinch.config import Settings
-from rhubarbwinch.links import Links, LinkServer
-from rhubarbwinch.linktypes import RunningCaller, RunningListener
-from rhubarbwinch.store import STORES, Store
+from rhubarbwinch.links.links import Links, LinkServer
+from rhubarbwinch.links.linktypes import RunningCaller, RunningListener
+from rhubarbwinch.programs.config import Settings
+from rhubarbwinch.shared import identity
+from rhubarbwinch.shared.clock import Clock, SystemClock
+from rhubarbwinch.stores.store import STORES, Store
 
 
 @attrs.frozen
--- /dev/null
+++ b/rhubarbwinch/records/__init__.py
@@ -0,0 +1,1 @@
+"""What operators write: records, their schemas, accepted configurations."""
--- a/rhubarbwinch/accepted.py
+++ b/rhubarbwinch/records/accepted.py
@@ -13,13 +13,8 @@
 import orjson
 import xxhash
 
-from rhubarbwinch import codec, events, keys, records, rendezvous
-from rhubarbwinch.exceptions import (
-    CodecError,
-    RecordError,
-    StoreUnavailable,
-)
-from rhubarbwinch.records import (
+from rhubarbwinch.records import records
+from rhubarbwinch.records.records import (
     AccountSpec,
     ModelSpec,
     PoolSpec,
@@ -27,7 +22,14 @@
     ServiceSpec,
     VmSpec,
 )
-from rhubarbwinch.store import Store
+from rhubarbwinch.shared import codec, events, rendezvous
+from rhubarbwinch.shared.exceptions import (
+    CodecError,
+    RecordError,
+    StoreUnavailable,
+)
+from rhubarbwinch.stores import keys
+from rhubarbwinch.stores.store import Store
 
 SLOTS = 64
 
--- a/rhubarbwinch/apikeys.py
+++ b/rhubarbwinch/records/apikeys.py
@@ -3,8 +3,8 @@
 import hashlib
 import hmac
 
-from rhubarbwinch.accepted import Snapshot
-from rhubarbwinch.records import KeyHash
+from rhubarbwinch.records.accepted import Snapshot
+from rhubarbwinch.records.records import KeyHash
 
 
 def hash_key(key: str, salt: str) -> str:
--- a/rhubarbwinch/records.py
+++ b/rhubarbwinch/records/records.py
@@ -17,9 +17,7 @@
     IterableValidationError,
 )
 
-from rhubarbwinch.exceptions import RecordError
-from rhubarbwinch.registry import Registry
-from rhubarbwinch.specs import (
+from rhubarbwinch.records.specs import (
     KINDS,
     NAME_ALLOWED,
     AccountSpec,
@@ -33,6 +31,8 @@
     VmSpec,
     is_name,
 )
+from rhubarbwinch.shared.exceptions import RecordError
+from rhubarbwinch.shared.registry import Registry
 
 __all__ = [
     "CONVERTERS",
--- a/rhubarbwinch/secretkeys.py
+++ b/rhubarbwinch/records/secretkeys.py
@@ -5,10 +5,10 @@
 import attrs
 import zmq
 
-from rhubarbwinch.apikeys import hash_key
-from rhubarbwinch.exceptions import RecordError
-from rhubarbwinch.links import LinkKeys
-from rhubarbwinch.records import KeyHash, Record, upgrade
+from rhubarbwinch.links.links import LinkKeys
+from rhubarbwinch.records.apikeys import hash_key
+from rhubarbwinch.records.records import KeyHash, Record, upgrade
+from rhubarbwinch.shared.exceptions import RecordError
 
 _SECRET_BYTES = 24
 _SALT_BYTES = 16
--- a/rhubarbwinch/specs.py
+++ b/rhubarbwinch/records/specs.py
@@ -6,7 +6,7 @@
 
 import attrs
 
-from rhubarbwinch import misc
+from rhubarbwinch.shared import misc
 
 MAX_ENDPOINTS = 64
 _NAME = re.compile(r"^[a-z0-9][a-z0-9.-]{0,62}$")
--- /dev/null
+++ b/rhubarbwinch/shared/__init__.py
@@ -0,0 +1,1 @@
+"""What all programs use: time, errors, events, supervision, small types."""
--- a/rhubarbwinch/bytebudget.py
+++ b/rhubarbwinch/shared/bytebudget.py
@@ -1,6 +1,6 @@
 """A bound on bytes over time, with room for bursts."""
 
-from rhubarbwinch.clock import Clock
+from rhubarbwinch.shared.clock import Clock
 
 
 class ByteBudget:
--- a/rhubarbwinch/codec.py
+++ b/rhubarbwinch/shared/codec.py
@@ -6,7 +6,7 @@
 import msgpack
 from cattrs.preconf.msgpack import make_converter
 
-from rhubarbwinch.exceptions import CodecError
+from rhubarbwinch.shared.exceptions import CodecError
 
 T = TypeVar("T")
 
--- a/rhubarbwinch/eventloop.py
+++ b/rhubarbwinch/shared/eventloop.py
@@ -3,7 +3,7 @@
 import os
 import pathlib
 
-from rhubarbwinch.exceptions import EventLoopError
+from rhubarbwinch.shared.exceptions import EventLoopError
 
 DESCRIPTORS = pathlib.Path("/proc/self/fd")
 _IO_URING = "anon_inode:[io_uring]"
--- a/rhubarbwinch/events.py
+++ b/rhubarbwinch/shared/events.py
@@ -9,7 +9,7 @@
 import orjson
 from absl import flags, logging
 
-from rhubarbwinch.logoutput import LineOutput
+from rhubarbwinch.shared.logoutput import LineOutput
 
 
 class LogFormat(enum.StrEnum):
--- a/rhubarbwinch/logoutput.py
+++ b/rhubarbwinch/shared/logoutput.py
@@ -3,7 +3,7 @@
 import os
 from collections.abc import Callable
 
-from rhubarbwinch.clock import Clock
+from rhubarbwinch.shared.clock import Clock
 
 # Lines of one event in each window; enough for each request of a busy VM, and
 # a bound on what a fault in a loop can write.
--- a/rhubarbwinch/metrics.py
+++ b/rhubarbwinch/shared/metrics.py
@@ -3,7 +3,7 @@
 import attrs
 import statsd
 
-from rhubarbwinch import misc
+from rhubarbwinch.shared import misc
 
 PREFIX = "rhubarbwinch"
 
--- a/rhubarbwinch/settingtypes.py
+++ b/rhubarbwinch/shared/settingtypes.py
@@ -8,8 +8,8 @@
 import attrs
 import cappa
 
-from rhubarbwinch import misc
-from rhubarbwinch.registry import Registry
+from rhubarbwinch.shared import misc
+from rhubarbwinch.shared.registry import Registry
 
 ENV_PREFIX = "RHUBARBWINCH_"
 _Z85_CHARS = 40
--- a/rhubarbwinch/supervisor.py
+++ b/rhubarbwinch/shared/supervisor.py
@@ -6,9 +6,9 @@
 import anyio.abc
 import attrs
 
-from rhubarbwinch import events
-from rhubarbwinch.clock import Clock
-from rhubarbwinch.exceptions import RestartLimitError
+from rhubarbwinch.shared import events
+from rhubarbwinch.shared.clock import Clock
+from rhubarbwinch.shared.exceptions import RestartLimitError
 
 
 @attrs.frozen
--- a/rhubarbwinch/tracing.py
+++ b/rhubarbwinch/shared/tracing.py
@@ -30,8 +30,8 @@
     TraceContextTextMapPropagator,
 )
 
-from rhubarbwinch import events
-from rhubarbwinch.verdict import Failure
+from rhubarbwinch.shared import events
+from rhubarbwinch.shared.verdict import Failure
 
 HEADER = "traceparent"
 LOG_TARGET = "log"
--- /dev/null
+++ b/rhubarbwinch/stores/__init__.py
@@ -0,0 +1,1 @@
+"""The key-value store: its interface, its adapters and its keys."""
--- a/rhubarbwinch/etcdstore.py
+++ b/rhubarbwinch/stores/etcdstore.py
@@ -7,8 +7,8 @@
 import httpx
 import orjson
 
-from rhubarbwinch.exceptions import StoreUnavailable, StoreUncertain
-from rhubarbwinch.store import STORES, Change, Entry, Listing, Swap
+from rhubarbwinch.shared.exceptions import StoreUnavailable, StoreUncertain
+from rhubarbwinch.stores.store import STORES, Change, Entry, Listing, Swap
 
 JSON = dict[str, Any]
 
--- a/rhubarbwinch/memstore.py
+++ b/rhubarbwinch/stores/memstore.py
@@ -6,9 +6,9 @@
 import anyio
 import attrs
 
-from rhubarbwinch.clock import Clock
-from rhubarbwinch.exceptions import StoreUnavailable, StoreUncertain
-from rhubarbwinch.store import Change, Entry, Listing, Swap
+from rhubarbwinch.shared.clock import Clock
+from rhubarbwinch.shared.exceptions import StoreUnavailable, StoreUncertain
+from rhubarbwinch.stores.store import Change, Entry, Listing, Swap
 
 
 @attrs.define
--- a/rhubarbwinch/store.py
+++ b/rhubarbwinch/stores/store.py
@@ -5,7 +5,7 @@
 
 import attrs
 
-from rhubarbwinch.registry import Registry
+from rhubarbwinch.shared.registry import Registry
 
 
 @attrs.frozen
--- a/rhubarbwinch/tracedstore.py
+++ b/rhubarbwinch/stores/tracedstore.py
@@ -2,8 +2,8 @@
 
 from collections.abc import AsyncIterator
 
-from rhubarbwinch import tracing
-from rhubarbwinch.store import Change, Entry, Listing, Store, Swap
+from rhubarbwinch.shared import tracing
+from rhubarbwinch.stores.store import Change, Entry, Listing, Store, Swap
 
 
 class TracedStore:
--- a/tests/test_admission.py
+++ b/tests/admission/test_admission.py
@@ -3,26 +3,26 @@
 import random
 import unittest
 
-from rhubarbwinch.admission import (
+from rhubarbwinch.admission.admission import (
     ENTRY_SILENCE_MS,
     Admission,
     LoadReport,
     Options,
 )
-from rhubarbwinch.clock import ManualClock
-from rhubarbwinch.messages import (
+from rhubarbwinch.links.messages import (
     PermitRelease,
     ProgressReport,
     StreamEnd,
     StreamProgress,
 )
-from rhubarbwinch.records import (
+from rhubarbwinch.records.records import (
     AccountSpec,
     EndpointSpec,
     PoolSpec,
     Room,
 )
-from rhubarbwinch.verdict import Reason, Verdict
+from rhubarbwinch.shared.clock import ManualClock
+from rhubarbwinch.shared.verdict import Reason, Verdict
 from tests import builders
 
 POOL = "vintner.dc-a"
--- a/tests/test_digests.py
+++ b/tests/admission/test_digests.py
@@ -2,13 +2,13 @@
 
 import unittest
 
-from rhubarbwinch.digests import (
+from rhubarbwinch.admission.digests import (
     GROWTH_TOKENS,
     DigestChecker,
     StreamReporter,
     request_key,
 )
-from rhubarbwinch.messages import StreamProgress
+from rhubarbwinch.links.messages import StreamProgress
 from tests import builders
 
 
--- a/tests/test_fairness.py
+++ b/tests/admission/test_fairness.py
@@ -3,8 +3,8 @@
 import unittest
 from collections import Counter
 
-from rhubarbwinch.clock import ManualClock
-from rhubarbwinch.fairness import FairQueue, Queued, ShareMeter
+from rhubarbwinch.admission.fairness import FairQueue, Queued, ShareMeter
+from rhubarbwinch.shared.clock import ManualClock
 from tests import builders
 
 WEIGHTS = {"large": 3.0, "small": 1.0}
--- a/tests/test_lengths.py
+++ b/tests/admission/test_lengths.py
@@ -3,7 +3,7 @@
 import random
 import unittest
 
-from rhubarbwinch.lengths import (
+from rhubarbwinch.admission.lengths import (
     HORIZONS,
     MIN_OBSERVATIONS,
     LearnedLengths,
--- a/tests/test_limits.py
+++ b/tests/admission/test_limits.py
@@ -3,8 +3,8 @@
 import random
 import unittest
 
-from rhubarbwinch.clock import ManualClock
-from rhubarbwinch.limits import RetryBudget, TokenBucket, backoff_ms
+from rhubarbwinch.admission.limits import RetryBudget, TokenBucket, backoff_ms
+from rhubarbwinch.shared.clock import ManualClock
 
 
 class TokenBucketTest(unittest.TestCase):
--- a/tests/test_prefixes.py
+++ b/tests/admission/test_prefixes.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from rhubarbwinch.prefixes import (
+from rhubarbwinch.admission.prefixes import (
     BLOCK_BYTES,
     MAX_BLOCKS,
     prefix_hashes,
--- a/tests/test_steptime.py
+++ b/tests/admission/test_steptime.py
@@ -3,7 +3,7 @@
 import random
 import unittest
 
-from rhubarbwinch.steptime import StepTime
+from rhubarbwinch.admission.steptime import StepTime
 
 
 class StepTimeTest(unittest.TestCase):
--- a/tests/test_streamindex.py
+++ b/tests/admission/test_streamindex.py
@@ -3,11 +3,11 @@
 import random
 import unittest
 
-from rhubarbwinch.admission import SETTLE_MS, Admission
-from rhubarbwinch.clock import ManualClock
-from rhubarbwinch.digests import GROWTH_TOKENS, StreamReporter
-from rhubarbwinch.messages import StreamProgress
-from rhubarbwinch.records import check
+from rhubarbwinch.admission.admission import SETTLE_MS, Admission
+from rhubarbwinch.admission.digests import GROWTH_TOKENS, StreamReporter
+from rhubarbwinch.links.messages import StreamProgress
+from rhubarbwinch.records.records import check
+from rhubarbwinch.shared.clock import ManualClock
 from tests import builders
 
 
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -2,10 +2,10 @@
 
 import orjson
 
-from rhubarbwinch.accepted import make_snapshot
-from rhubarbwinch.apikeys import hash_key
-from rhubarbwinch.messages import PermitRequest
-from rhubarbwinch.records import Record
+from rhubarbwinch.links.messages import PermitRequest
+from rhubarbwinch.records.accepted import make_snapshot
+from rhubarbwinch.records.apikeys import hash_key
+from rhubarbwinch.records.records import Record
 
 SALT = "00ff"
 API_KEY = "acme.secret"
--- a/tests/test_drainlimit.py
+++ b/tests/callers/test_drainlimit.py
@@ -4,9 +4,9 @@
 
 import anyio
 
-from rhubarbwinch.drainlimit import run_until_limit
-from rhubarbwinch.httpapi import App, Refused, Responder
-from rhubarbwinch.verdict import Reason, Verdict
+from rhubarbwinch.callers.drainlimit import run_until_limit
+from rhubarbwinch.http.httpapi import App, Refused, Responder
+from rhubarbwinch.shared.verdict import Reason, Verdict
 from tests.helpers import asynchronous
 
 
--- a/tests/test_plain.py
+++ b/tests/callers/test_plain.py
@@ -11,7 +11,7 @@
 
 import httpx
 
-from rhubarbwinch.verdict import Reason, not_run
+from rhubarbwinch.shared.verdict import Reason, not_run
 from tests import builders
 from tests.claimworld import World, uuid7
 from tests.fleet import AUTHORIZATION, Fleet
--- a/tests/test_streams.py
+++ b/tests/callers/test_streams.py
@@ -4,14 +4,14 @@
 
 import anyio
 
-from rhubarbwinch.clock import ManualClock
-from rhubarbwinch.exceptions import LinkTimeout
-from rhubarbwinch.members import Member, MemberNews, Members, Role
-from rhubarbwinch.messages import PermitGrant, PriorityChange, StreamEnd
-from rhubarbwinch.permits import Permit
-from rhubarbwinch.relay import Position
-from rhubarbwinch.streams import OpenStreams
-from rhubarbwinch.takeover import Takeover
+from rhubarbwinch.admission.permits import Permit
+from rhubarbwinch.callers.streams import OpenStreams
+from rhubarbwinch.callers.takeover import Takeover
+from rhubarbwinch.endpoints.relay import Position
+from rhubarbwinch.links.messages import PermitGrant, PriorityChange, StreamEnd
+from rhubarbwinch.membership.members import Member, MemberNews, Members, Role
+from rhubarbwinch.shared.clock import ManualClock
+from rhubarbwinch.shared.exceptions import LinkTimeout
 from tests import builders
 from tests.helpers import GoldTestCase, asynchronous
 
--- a/tests/test_audit.py
+++ b/tests/claims/test_audit.py
@@ -2,12 +2,12 @@
 
 import attrs
 
-from rhubarbwinch import audit
-from rhubarbwinch.clock import ManualClock
-from rhubarbwinch.exceptions import SettingError
-from rhubarbwinch.memstore import MemoryStore
-from rhubarbwinch.metering import PERIOD_MS, Meter
-from rhubarbwinch.relay import Position
+from rhubarbwinch.claims import audit
+from rhubarbwinch.endpoints.metering import PERIOD_MS, Meter
+from rhubarbwinch.endpoints.relay import Position
+from rhubarbwinch.shared.clock import ManualClock
+from rhubarbwinch.shared.exceptions import SettingError
+from rhubarbwinch.stores.memstore import MemoryStore
 from tests.helpers import GoldTestCase, asynchronous
 
 FLUSH_MS = 5_000
--- a/tests/test_claimfloor.py
+++ b/tests/claims/test_claimfloor.py
@@ -1,7 +1,7 @@
 """The cleanup of pages: state stays bounded, and no key runs again."""
 
-from rhubarbwinch import keys
-from rhubarbwinch.claimfloor import PASS_MS, REFRESH_MS, ClaimCleaner
+from rhubarbwinch.claims.claimfloor import PASS_MS, REFRESH_MS, ClaimCleaner
+from rhubarbwinch.stores import keys
 from tests.claimworld import World
 from tests.helpers import GoldTestCase, asynchronous
 
--- a/tests/test_claimrouting.py
+++ b/tests/claims/test_claimrouting.py
@@ -2,13 +2,14 @@
 
 import anyio
 
-from rhubarbwinch import codec, keys
-from rhubarbwinch.claimchanges import Finish, Take
-from rhubarbwinch.claimpages import ClaimPages, ClaimRecord, ClaimState
-from rhubarbwinch.claimrouting import RoutedPages
-from rhubarbwinch.clock import ManualClock
-from rhubarbwinch.exceptions import LinkTimeout
-from rhubarbwinch.memstore import MemoryStore
+from rhubarbwinch.claims.claimchanges import Finish, Take
+from rhubarbwinch.claims.claimpages import ClaimPages, ClaimRecord, ClaimState
+from rhubarbwinch.claims.claimrouting import RoutedPages
+from rhubarbwinch.shared import codec
+from rhubarbwinch.shared.clock import ManualClock
+from rhubarbwinch.shared.exceptions import LinkTimeout
+from rhubarbwinch.stores import keys
+from rhubarbwinch.stores.memstore import MemoryStore
 from tests.claimworld import Gate, GatedStore
 from tests.helpers import GoldTestCase, asynchronous
 
--- a/tests/test_claims.py
+++ b/tests/claims/test_claims.py
@@ -1,6 +1,6 @@
 """At most once: whole sessions with the endpoint's own count as the judge."""
 
-from rhubarbwinch.verdict import Reason, not_run
+from rhubarbwinch.shared.verdict import Reason, not_run
 from tests.claimworld import World
 from tests.helpers import GoldTestCase, asynchronous
 
--- a/tests/test_quarantine.py
+++ b/tests/claims/test_quarantine.py
@@ -5,14 +5,14 @@
 import anyio
 import httpx
 
-from rhubarbwinch.clock import ManualClock
-from rhubarbwinch.exceptions import EndpointError
-from rhubarbwinch.httpapi import Refused
-from rhubarbwinch.memstore import MemoryStore
-from rhubarbwinch.messages import PermitGrant
-from rhubarbwinch.permits import Permit
-from rhubarbwinch.quarantine import Quarantine
-from rhubarbwinch.runguard import QuarantineGuard
+from rhubarbwinch.admission.permits import Permit
+from rhubarbwinch.callers.runguard import QuarantineGuard
+from rhubarbwinch.claims.quarantine import Quarantine
+from rhubarbwinch.http.httpapi import Refused
+from rhubarbwinch.links.messages import PermitGrant
+from rhubarbwinch.shared.clock import ManualClock
+from rhubarbwinch.shared.exceptions import EndpointError
+from rhubarbwinch.stores.memstore import MemoryStore
 from tests import builders
 from tests.fleet import AUTHORIZATION, Fleet
 from tests.helpers import GoldTestCase, asynchronous
--- a/tests/claimworld.py
+++ b/tests/claimworld.py
@@ -9,26 +9,27 @@
 import orjson
 from result import Err, Ok
 
-from rhubarbwinch import identity, keys
-from rhubarbwinch.accepted import make_snapshot
-from rhubarbwinch.audit import Period, list_calls
-from rhubarbwinch.claimfloor import ClaimFloor
-from rhubarbwinch.claimowners import Standing
-from rhubarbwinch.claimpages import ClaimPages
-from rhubarbwinch.claims import Claims
-from rhubarbwinch.clock import ManualClock
-from rhubarbwinch.exceptions import (
+from rhubarbwinch.admission.permits import Permit
+from rhubarbwinch.callers.plain import PlainCaller
+from rhubarbwinch.claims.audit import Period, list_calls
+from rhubarbwinch.claims.claimfloor import ClaimFloor
+from rhubarbwinch.claims.claimowners import Standing
+from rhubarbwinch.claims.claimpages import ClaimPages
+from rhubarbwinch.claims.claims import Claims
+from rhubarbwinch.endpoints.metering import PERIOD_MS
+from rhubarbwinch.http.httpapi import Refused, Request, Responder
+from rhubarbwinch.links.messages import ClaimQuestion, PermitGrant
+from rhubarbwinch.records.accepted import make_snapshot
+from rhubarbwinch.shared import identity
+from rhubarbwinch.shared.clock import ManualClock
+from rhubarbwinch.shared.exceptions import (
     EndpointError,
     StoreUnavailable,
     StoreUncertain,
 )
-from rhubarbwinch.httpapi import Refused, Request, Responder
-from rhubarbwinch.memstore import MemoryStore
-from rhubarbwinch.messages import ClaimQuestion, PermitGrant
-from rhubarbwinch.metering import PERIOD_MS
-from rhubarbwinch.permits import Permit
-from rhubarbwinch.plain import PlainCaller
-from rhubarbwinch.verdict import Reason, not_run
+from rhubarbwinch.shared.verdict import Reason, not_run
+from rhubarbwinch.stores import keys
+from rhubarbwinch.stores.memstore import MemoryStore
 from tests import builders
 
 STEP_MS = 200
@@ -335,8 +336,8 @@
 
 async def claim_states(page):
     """Returns the states of the claims in a page."""
-    from rhubarbwinch import codec
-    from rhubarbwinch.claimpages import Page
+    from rhubarbwinch.claims.claimpages import Page
+    from rhubarbwinch.shared import codec
 
     claims = codec.decode(page.value, Page).claims
     return [record.state.value for record in claims.values()]
--- a/tests/test_distribution.py
+++ b/tests/configuration/test_distribution.py
@@ -6,10 +6,12 @@
 import anyio
 
 from lab.memberset import MemberSet
-from rhubarbwinch import accepted, ctl, keys, records
-from rhubarbwinch.exceptions import ConflictError, StoreError
-from rhubarbwinch.members import Role
-from rhubarbwinch.records import Record
+from rhubarbwinch.membership.members import Role
+from rhubarbwinch.programs import ctl
+from rhubarbwinch.records import accepted, records
+from rhubarbwinch.records.records import Record
+from rhubarbwinch.shared.exceptions import ConflictError, StoreError
+from rhubarbwinch.stores import keys
 from tests import builders
 from tests.faultystore import FaultyStore
 from tests.helpers import GoldTestCase, asynchronous
--- a/tests/test_publisher.py
+++ b/tests/configuration/test_publisher.py
@@ -4,12 +4,14 @@
 
 import anyio
 
-from rhubarbwinch import accepted, ctl, keys
-from rhubarbwinch.clock import ManualClock
-from rhubarbwinch.exceptions import StoreError
-from rhubarbwinch.follower import Follower
-from rhubarbwinch.memstore import MemoryStore
-from rhubarbwinch.publisher import Publisher
+from rhubarbwinch.configuration.follower import Follower
+from rhubarbwinch.configuration.publisher import Publisher
+from rhubarbwinch.programs import ctl
+from rhubarbwinch.records import accepted
+from rhubarbwinch.shared.clock import ManualClock
+from rhubarbwinch.shared.exceptions import StoreError
+from rhubarbwinch.stores import keys
+from rhubarbwinch.stores.memstore import MemoryStore
 from tests import builders
 from tests.helpers import asynchronous
 
--- a/tests/test_relay.py
+++ b/tests/endpoints/test_relay.py
@@ -5,11 +5,11 @@
 
 import anyio
 
-from rhubarbwinch.clock import ManualClock
-from rhubarbwinch.exceptions import EndpointError, GenerationLostError
-from rhubarbwinch.relay import Position, Relay
-from rhubarbwinch.retries import Backoff
-from rhubarbwinch.sse import Splitter, join
+from rhubarbwinch.endpoints.relay import Position, Relay
+from rhubarbwinch.endpoints.retries import Backoff
+from rhubarbwinch.http.sse import Splitter, join
+from rhubarbwinch.shared.clock import ManualClock
+from rhubarbwinch.shared.exceptions import EndpointError, GenerationLostError
 from tests import builders
 from tests.helpers import GoldTestCase, asynchronous
 
--- a/tests/faultystore.py
+++ b/tests/faultystore.py
@@ -1,8 +1,8 @@
 """A store in memory whose head of the configuration misbehaves on request."""
 
-from rhubarbwinch import keys
-from rhubarbwinch.exceptions import StoreUncertain
-from rhubarbwinch.memstore import MemoryStore
+from rhubarbwinch.shared.exceptions import StoreUncertain
+from rhubarbwinch.stores import keys
+from rhubarbwinch.stores.memstore import MemoryStore
 
 
 class FaultyStore(MemoryStore):
--- a/tests/gateway/test_crashes.py
+++ b/tests/gateway/test_crashes.py
@@ -4,7 +4,6 @@
 
 import anyio
 
-from rhubarbwinch.clock import ManualClock
 from rhubarbwinch.gateway.crashes import (
     KEEP_MS,
     MAX_CRASHES,
@@ -13,6 +12,7 @@
     fingerprint,
 )
 from rhubarbwinch.gateway.routes import CallKind
+from rhubarbwinch.shared.clock import ManualClock
 from tests import gatewaybuilders as build
 from tests.gatewayworld import world
 from tests.helpers import asynchronous
--- a/tests/gateway/test_edge.py
+++ b/tests/gateway/test_edge.py
@@ -7,9 +7,9 @@
 
 import anyio
 
-from rhubarbwinch.clock import SystemClock
 from rhubarbwinch.gateway.edge import EdgeServer
 from rhubarbwinch.gateway.routes import HttpLimits
+from rhubarbwinch.shared.clock import SystemClock
 from tests.helpers import asynchronous, free_address
 
 GET = b"GET /a HTTP/1.1\r\nHost: h\r\n\r\n"
--- a/tests/gateway/test_feed.py
+++ b/tests/gateway/test_feed.py
@@ -5,14 +5,6 @@
 
 import anyio
 
-from rhubarbwinch import codec
-from rhubarbwinch.broadcast import MAX_MESSAGE_BYTES
-from rhubarbwinch.clock import ManualClock
-from rhubarbwinch.exceptions import (
-    LinkTimeout,
-    StoreCompacted,
-    StoreUnavailable,
-)
 from rhubarbwinch.gateway.feed import (
     BEHIND_MS,
     FOLLOWER_POLL_MS,
@@ -23,7 +15,15 @@
 )
 from rhubarbwinch.gateway.messages import SharedBatch, SharedChange
 from rhubarbwinch.gateway.replica import Replica
-from rhubarbwinch.store import ChangeBatch, Listing
+from rhubarbwinch.links.broadcast import MAX_MESSAGE_BYTES
+from rhubarbwinch.shared import codec
+from rhubarbwinch.shared.clock import ManualClock
+from rhubarbwinch.shared.exceptions import (
+    LinkTimeout,
+    StoreCompacted,
+    StoreUnavailable,
+)
+from rhubarbwinch.stores.store import ChangeBatch, Listing
 from tests.gatewaybuilders import gone, put
 from tests.helpers import asynchronous
 
--- a/tests/gateway/test_outage.py
+++ b/tests/gateway/test_outage.py
@@ -4,8 +4,6 @@
 
 import anyio
 
-from rhubarbwinch.clock import ManualClock
-from rhubarbwinch.exceptions import EndpointError
 from rhubarbwinch.gateway.outage import (
     ASK_MS,
     STALE_AND_FAILING_MS,
@@ -13,6 +11,8 @@
     OutageWatch,
 )
 from rhubarbwinch.gateway.wire import EngineReport
+from rhubarbwinch.shared.clock import ManualClock
+from rhubarbwinch.shared.exceptions import EndpointError
 from tests.gatewaybuilders import endpoint
 from tests.helpers import asynchronous
 
--- a/tests/gateway/test_replica.py
+++ b/tests/gateway/test_replica.py
@@ -4,7 +4,7 @@
 import unittest
 
 from rhubarbwinch.gateway.replica import MAX_TOMBSTONES, Replica
-from rhubarbwinch.store import ChangeBatch, Listing
+from rhubarbwinch.stores.store import ChangeBatch, Listing
 from tests.gatewaybuilders import gone, put
 
 
--- a/tests/gateway/test_waiting.py
+++ b/tests/gateway/test_waiting.py
@@ -2,8 +2,8 @@
 
 import unittest
 
-from rhubarbwinch.clock import ManualClock
 from rhubarbwinch.gateway.waiting import MIN_RETRY_AFTER_MS, WaitQueue
+from rhubarbwinch.shared.clock import ManualClock
 
 
 class WaitQueueTest(unittest.TestCase):
--- a/tests/gatewaybuilders.py
+++ b/tests/gatewaybuilders.py
@@ -16,7 +16,7 @@
     Target,
 )
 from rhubarbwinch.gateway.wire import CallHead
-from rhubarbwinch.store import Change, Entry
+from rhubarbwinch.stores.store import Change, Entry
 
 ENGINE = EngineSpec(
     slots=24,
--- a/tests/gatewayworld.py
+++ b/tests/gatewayworld.py
@@ -7,7 +7,6 @@
 import attrs
 
 from lab.standins.platformengine import ScriptedEngine
-from rhubarbwinch.clock import SystemClock
 from rhubarbwinch.gateway.context import Context
 from rhubarbwinch.gateway.crashes import CrashLedger
 from rhubarbwinch.gateway.edge import EdgeServer
@@ -19,9 +18,10 @@
 from rhubarbwinch.gateway.streams import StreamCalls
 from rhubarbwinch.gateway.suspicion import Suspicion
 from rhubarbwinch.gateway.upstream import Upstream
+from rhubarbwinch.http.transport import Transport
 from rhubarbwinch.platform.adapter import KielichowaPlatform
 from rhubarbwinch.platform.enginecalls import PlatformEngineCalls
-from rhubarbwinch.transport import Transport
+from rhubarbwinch.shared.clock import SystemClock
 from tests import gatewaybuilders as build
 from tests.helpers import free_address
 
@@ -48,7 +48,7 @@
 class World:
     """A router before scripted engines."""
 
-    def __init__(self, engines, table):
+    def __init__(self, engines, table, tracer=None):
         self.engines = [
             ScriptedEngine(f"e{i}", free_address(), "svc")
             for i in range(1, engines + 1)
@@ -66,7 +66,8 @@
             suspicion=Suspicion(),
             budget=RetryBudget(0.2, 10_000, 100),
             peers=NoPeers(),
-            upstream=Upstream(self.platform, self.transport),
+            upstream=Upstream(self.platform, self.transport, tracer),
+            tracer=tracer,
             engine_calls=PlatformEngineCalls(self.transport),
             crashes=CrashLedger(
                 self.transport.is_unreachable, SystemClock(), self.told.append
@@ -161,9 +162,9 @@
 
 
 @asynccontextmanager
-async def world(engines=2, table=None):
+async def world(engines=2, table=None, tracer=None):
     """Runs a world."""
-    found = World(engines, table or build.table(build.route()))
+    found = World(engines, table or build.table(build.route()), tracer)
     async with anyio.create_task_group() as tasks:
         for engine in found.engines:
             tasks.start_soon(engine.run)
--- a/tests/test_httpapi.py
+++ b/tests/http/test_httpapi.py
@@ -5,7 +5,7 @@
 
 import httpx
 
-from rhubarbwinch import apicatalogue
+from rhubarbwinch.callers import apicatalogue
 from tests import builders
 from tests.fleet import AUTHORIZATION, Fleet
 from tests.helpers import GoldTestCase, free_address, wait_until
--- a/tests/test_transport.py
+++ b/tests/http/test_transport.py
@@ -8,8 +8,8 @@
 import h11
 import httpx
 
-from rhubarbwinch.httpbody import make_body
-from rhubarbwinch.transport import MAX_WAITING_BYTES, Transport
+from rhubarbwinch.http.httpbody import make_body
+from rhubarbwinch.http.transport import MAX_WAITING_BYTES, Transport
 from tests.helpers import asynchronous, free_address
 
 CHUNKED = b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n"
--- a/tests/lab/test_catalogue.py
+++ b/tests/lab/test_catalogue.py
@@ -5,8 +5,10 @@
 import unittest
 
 from lab import catalogue
-from rhubarbwinch import apicatalogue, events, metrics, problems
-from rhubarbwinch.verdict import Reason
+from rhubarbwinch.callers import apicatalogue
+from rhubarbwinch.http import problems
+from rhubarbwinch.shared import events, metrics
+from rhubarbwinch.shared.verdict import Reason
 from tests.helpers import ROOT
 
 
--- a/tests/lab/test_seeded.py
+++ b/tests/lab/test_seeded.py
@@ -8,7 +8,7 @@
 from lab.seeded.check import faults_of
 from lab.seeded.log import Attempt, End, Journal, Kind, Run
 from lab.seeded.run import run_seed
-from rhubarbwinch.sse import DONE
+from rhubarbwinch.http.sse import DONE
 
 # 31 left a request without an answer, for a wait by another clock; with 10 a
 # pool refused all work, for a prediction that no engine could meet.
--- a/tests/test_links.py
+++ b/tests/links/test_links.py
@@ -8,17 +8,17 @@
 import zmq
 import zmq.asyncio
 
-from rhubarbwinch import codec
-from rhubarbwinch.exceptions import LinkError, LinkTimeout, PeerFailed
-from rhubarbwinch.links import Links, LinkServer
-from rhubarbwinch.members import Member, MemberNews, Members, Role
-from rhubarbwinch.messages import (
+from rhubarbwinch.admission.permits import PermitClient
+from rhubarbwinch.links.links import Links, LinkServer
+from rhubarbwinch.links.messages import (
     PermitGrant,
     PermitRelease,
     PermitReply,
     PermitRequest,
 )
-from rhubarbwinch.permits import PermitClient
+from rhubarbwinch.membership.members import Member, MemberNews, Members, Role
+from rhubarbwinch.shared import codec
+from rhubarbwinch.shared.exceptions import LinkError, LinkTimeout, PeerFailed
 from rhubarbwinch.version import PROTOCOL_VERSION
 from tests import builders
 from tests.helpers import GoldTestCase, asynchronous, free_address
--- a/tests/test_gossip.py
+++ b/tests/membership/test_gossip.py
@@ -5,9 +5,9 @@
 import anyio
 
 from lab.memberset import MemberSet
-from rhubarbwinch import overlay
-from rhubarbwinch.members import MemberState, Role
-from rhubarbwinch.rumours import Rumour, Rumours
+from rhubarbwinch.membership import overlay
+from rhubarbwinch.membership.members import MemberState, Role
+from rhubarbwinch.membership.rumours import Rumour, Rumours
 from tests.helpers import GoldTestCase, asynchronous
 
 
--- a/tests/test_leaving.py
+++ b/tests/membership/test_leaving.py
@@ -5,15 +5,15 @@
 import anyio
 
 from lab.memberset import MemberSet
-from rhubarbwinch import ctl
-from rhubarbwinch.admission import Options
-from rhubarbwinch.broker import PoolKeeper
-from rhubarbwinch.exceptions import VmListError
-from rhubarbwinch.members import Role
-from rhubarbwinch.messages import PermitRelease, StreamEnd
-from rhubarbwinch.metrics import Metrics
-from rhubarbwinch.records import Record
-from rhubarbwinch.vmlist import Vm, VmListReader, VmState
+from rhubarbwinch.admission.admission import Options
+from rhubarbwinch.links.messages import PermitRelease, StreamEnd
+from rhubarbwinch.membership.members import Role
+from rhubarbwinch.membership.vmlist import Vm, VmListReader, VmState
+from rhubarbwinch.programs import ctl
+from rhubarbwinch.programs.broker import PoolKeeper
+from rhubarbwinch.records.records import Record
+from rhubarbwinch.shared.exceptions import VmListError
+from rhubarbwinch.shared.metrics import Metrics
 from tests import builders
 from tests.helpers import GoldTestCase, asynchronous
 
--- a/tests/test_ownership.py
+++ b/tests/membership/test_ownership.py
@@ -5,20 +5,20 @@
 import anyio
 
 from lab.memberset import MemberSet
-from rhubarbwinch import ctl
-from rhubarbwinch.broker import PoolKeeper
-from rhubarbwinch.members import Role
-from rhubarbwinch.messages import (
+from rhubarbwinch.admission.permits import PermitClient, pool_owner
+from rhubarbwinch.admission.reports import Reporter
+from rhubarbwinch.links.messages import (
     DigestReport,
     PermitRelease,
     PermitRequest,
     ProgressReport,
     StreamEnd,
 )
-from rhubarbwinch.metrics import Metrics
-from rhubarbwinch.ownership import Ownership
-from rhubarbwinch.permits import PermitClient, pool_owner
-from rhubarbwinch.reports import Reporter
+from rhubarbwinch.membership.members import Role
+from rhubarbwinch.membership.ownership import Ownership
+from rhubarbwinch.programs import ctl
+from rhubarbwinch.programs.broker import PoolKeeper
+from rhubarbwinch.shared.metrics import Metrics
 from tests import builders
 from tests.helpers import GoldTestCase, asynchronous
 
--- /dev/null
+++ b/tests/orders/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of `rhubarbwinch.orders.orders`."""
--- a/tests/test_orders.py
+++ b/tests/orders/test_orders.py
@@ -3,13 +3,14 @@
 import attrs
 
 from lab.standins.orders import OrderBoard
-from rhubarbwinch import accepted, rendezvous
-from rhubarbwinch.clock import ManualClock
-from rhubarbwinch.exceptions import EndpointError
-from rhubarbwinch.fencing import Fencing, HoldState
-from rhubarbwinch.memstore import MemoryStore
-from rhubarbwinch.orders import LoadPacer, Orderer
-from rhubarbwinch.placementplan import EndpointState
+from rhubarbwinch.orders.fencing import Fencing, HoldState
+from rhubarbwinch.orders.orders import LoadPacer, Orderer
+from rhubarbwinch.orders.placementplan import EndpointState
+from rhubarbwinch.records import accepted
+from rhubarbwinch.shared import rendezvous
+from rhubarbwinch.shared.clock import ManualClock
+from rhubarbwinch.shared.exceptions import EndpointError
+from rhubarbwinch.stores.memstore import MemoryStore
 from tests import builders
 from tests.helpers import GoldTestCase, asynchronous
 
--- a/tests/test_pauseguard.py
+++ b/tests/orders/test_pauseguard.py
@@ -13,7 +13,7 @@
 PAUSED_SENDER = """
 import os, signal, socket, sys
 from contextlib import nullcontext
-from rhubarbwinch.pauseguard import end_if_paused
+from rhubarbwinch.orders.pauseguard import end_if_paused
 peer = socket.create_connection(("127.0.0.1", int(sys.argv[1])))
 with end_if_paused(50) if sys.argv[2] == "guarded" else nullcontext():
     os.kill(os.getpid(), signal.SIGSTOP)
--- a/tests/platform/test_bootfile.py
+++ b/tests/platform/test_bootfile.py
@@ -2,9 +2,9 @@
 
 import unittest
 
-from rhubarbwinch.exceptions import SettingError
 from rhubarbwinch.gateway.messages import PeerAddress
 from rhubarbwinch.platform import bootfile
+from rhubarbwinch.shared.exceptions import SettingError
 
 TEXT = """\
 node=front-1
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -4,10 +4,10 @@
 
 import orjson
 
-from rhubarbwinch.exceptions import PlatformFormatError
 from rhubarbwinch.gateway.endpoints import EndpointState
 from rhubarbwinch.gateway.routes import CallKind
 from rhubarbwinch.platform import documents
+from rhubarbwinch.shared.exceptions import PlatformFormatError
 
 ENDPOINT = {
     "service": "s1",
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -2,9 +2,9 @@
 
 import unittest
 
-from rhubarbwinch.exceptions import BadCallError
 from rhubarbwinch.gateway.wire import MemoryCopy, SendOptions
 from rhubarbwinch.platform import headers
+from rhubarbwinch.shared.exceptions import BadCallError
 
 HEAD = [
     (b"Host", b"H.example:8080"),
--- a/tests/platform/test_kvstore.py
+++ b/tests/platform/test_kvstore.py
@@ -6,12 +6,12 @@
 import anyio
 
 from lab.standins.platformstore import PlatformStoreServer
-from rhubarbwinch.exceptions import (
+from rhubarbwinch.platform.kvstore import PlatformStore
+from rhubarbwinch.shared.exceptions import (
     StoreCompacted,
     StoreUnavailable,
     StoreUncertain,
 )
-from rhubarbwinch.platform.kvstore import PlatformStore
 from tests.helpers import asynchronous, free_address
 
 TIMEOUT_MS = 3_000
--- a/tests/test_broker.py
+++ b/tests/programs/test_broker.py
@@ -5,12 +5,12 @@
 
 import anyio
 
-from rhubarbwinch import accepted
-from rhubarbwinch.broker import PoolKeeper
-from rhubarbwinch.clock import ManualClock
-from rhubarbwinch.members import Role
-from rhubarbwinch.metrics import Metrics
-from rhubarbwinch.verdict import Reason, Verdict
+from rhubarbwinch.membership.members import Role
+from rhubarbwinch.programs.broker import PoolKeeper
+from rhubarbwinch.records import accepted
+from rhubarbwinch.shared.clock import ManualClock
+from rhubarbwinch.shared.metrics import Metrics
+from rhubarbwinch.shared.verdict import Reason, Verdict
 from tests import builders
 from tests.helpers import asynchronous
 
--- a/tests/test_config.py
+++ b/tests/programs/test_config.py
@@ -8,9 +8,9 @@
 
 import zmq
 
-from rhubarbwinch import options
-from rhubarbwinch.config import BrokerSettings, EntrySettings
-from rhubarbwinch.events import LogFormat
+from rhubarbwinch.programs import options
+from rhubarbwinch.programs.config import BrokerSettings, EntrySettings
+from rhubarbwinch.shared.events import LogFormat
 
 REQUIRED = {
     "RHUBARBWINCH_NAME": "entry-1",
--- a/tests/test_ctl.py
+++ b/tests/programs/test_ctl.py
@@ -11,14 +11,16 @@
 import typing
 import unittest
 
-from rhubarbwinch import ctl, ctlcommands, keys, secretkeys
-from rhubarbwinch.apikeys import matches
-from rhubarbwinch.clock import ManualClock
-from rhubarbwinch.ctl import Output
-from rhubarbwinch.exceptions import ConflictError, RecordError
-from rhubarbwinch.exitstatus import ExitStatus
-from rhubarbwinch.memstore import MemoryStore
-from rhubarbwinch.records import Record, check
+from rhubarbwinch.programs import ctl, ctlcommands
+from rhubarbwinch.programs.ctl import Output
+from rhubarbwinch.records import secretkeys
+from rhubarbwinch.records.apikeys import matches
+from rhubarbwinch.records.records import Record, check
+from rhubarbwinch.shared.clock import ManualClock
+from rhubarbwinch.shared.exceptions import ConflictError, RecordError
+from rhubarbwinch.shared.exitstatus import ExitStatus
+from rhubarbwinch.stores import keys
+from rhubarbwinch.stores.memstore import MemoryStore
 from tests import builders
 from tests.helpers import ROOT, asynchronous, free_address
 
--- a/tests/test_explain.py
+++ b/tests/programs/test_explain.py
@@ -4,7 +4,7 @@
 
 import orjson
 
-from rhubarbwinch.explain import parse, story
+from rhubarbwinch.programs.explain import parse, story
 
 
 def _line(second, process, name, **fields):
--- a/tests/test_fleetstatus.py
+++ b/tests/programs/test_fleetstatus.py
@@ -5,9 +5,10 @@
 import anyio
 
 from lab.memberset import MemberSet
-from rhubarbwinch import ctl, fleetstatus, keys
-from rhubarbwinch.exceptions import RecordError
-from rhubarbwinch.members import Role
+from rhubarbwinch.membership.members import Role
+from rhubarbwinch.programs import ctl, fleetstatus
+from rhubarbwinch.shared.exceptions import RecordError
+from rhubarbwinch.stores import keys
 from tests import builders
 from tests.helpers import asynchronous
 
--- a/tests/test_accepted.py
+++ b/tests/records/test_accepted.py
@@ -2,8 +2,8 @@
 
 import unittest
 
-from rhubarbwinch import accepted
-from rhubarbwinch.records import Record
+from rhubarbwinch.records import accepted
+from rhubarbwinch.records.records import Record
 from tests import builders
 
 
--- a/tests/test_records.py
+++ b/tests/records/test_records.py
@@ -3,9 +3,9 @@
 import json
 import unittest
 
-from rhubarbwinch import records
-from rhubarbwinch.exceptions import RecordError
-from rhubarbwinch.records import Record
+from rhubarbwinch.records import records
+from rhubarbwinch.records.records import Record
+from rhubarbwinch.shared.exceptions import RecordError
 from tests import builders
 from tests.helpers import ROOT
 
--- a/tests/test_eventloop.py
+++ b/tests/shared/test_eventloop.py
@@ -4,8 +4,8 @@
 import tempfile
 import unittest
 
-from rhubarbwinch.eventloop import check_no_io_uring
-from rhubarbwinch.exceptions import EventLoopError
+from rhubarbwinch.shared.eventloop import check_no_io_uring
+from rhubarbwinch.shared.exceptions import EventLoopError
 
 
 class EventLoopTest(unittest.TestCase):
--- a/tests/test_events.py
+++ b/tests/shared/test_events.py
@@ -8,8 +8,8 @@
 
 from absl import logging
 
-from rhubarbwinch import events
-from rhubarbwinch.events import LogFormat
+from rhubarbwinch.shared import events
+from rhubarbwinch.shared.events import LogFormat
 
 
 def _written(log_format, level, log):
--- a/tests/test_logoutput.py
+++ b/tests/shared/test_logoutput.py
@@ -3,8 +3,12 @@
 import os
 import unittest
 
-from rhubarbwinch.clock import ManualClock
-from rhubarbwinch.logoutput import LINES_PER_WINDOW, WINDOW_MS, LineOutput
+from rhubarbwinch.shared.clock import ManualClock
+from rhubarbwinch.shared.logoutput import (
+    LINES_PER_WINDOW,
+    WINDOW_MS,
+    LineOutput,
+)
 
 LINE = b"x" * 999 + b"\n"
 
--- a/tests/test_rendezvous.py
+++ b/tests/shared/test_rendezvous.py
@@ -3,7 +3,7 @@
 import unittest
 from collections import Counter
 
-from rhubarbwinch import rendezvous
+from rhubarbwinch.shared import rendezvous
 
 MEMBERS = [f"member-{i}" for i in range(5)]
 KEYS = [f"key-{i}" for i in range(2000)]
--- a/tests/test_supervisor.py
+++ b/tests/shared/test_supervisor.py
@@ -6,9 +6,9 @@
 
 import anyio
 
-from rhubarbwinch.clock import ManualClock
-from rhubarbwinch.exceptions import RestartLimitError
-from rhubarbwinch.supervisor import RestartLimit, Supervisor
+from rhubarbwinch.shared.clock import ManualClock
+from rhubarbwinch.shared.exceptions import RestartLimitError
+from rhubarbwinch.shared.supervisor import RestartLimit, Supervisor
 from tests.fleet import Fleet
 from tests.helpers import asynchronous
 
--- a/tests/test_tracing.py
+++ b/tests/shared/test_tracing.py
@@ -16,11 +16,11 @@
     InMemorySpanExporter,
 )
 
-from rhubarbwinch import tracing
-from rhubarbwinch.clock import ManualClock
-from rhubarbwinch.memstore import MemoryStore
-from rhubarbwinch.tracedstore import TracedStore
-from rhubarbwinch.verdict import Reason, not_run
+from rhubarbwinch.shared import tracing
+from rhubarbwinch.shared.clock import ManualClock
+from rhubarbwinch.shared.verdict import Reason, not_run
+from rhubarbwinch.stores.memstore import MemoryStore
+from rhubarbwinch.stores.tracedstore import TracedStore
 from tests.fleet import AUTHORIZATION, Fleet
 from tests.helpers import asynchronous, wait_until
 
--- a/tests/test_embedding.py
+++ b/tests/test_embedding.py
@@ -14,7 +14,7 @@
 
     def test_every_name_on_the_page_can_be_imported(self):
         text = (ROOT / "docs" / "embedding.md").read_text()
-        names = re.findall(r"`([a-z]+)\.([A-Z]\w+)`", text)
+        names = re.findall(r"`([a-z]+\.[a-z]+)\.([A-Z]\w+)`", text)
         self.assertGreater(len(names), 20)
         for module, name in names:
             found = importlib.import_module(f"rhubarbwinch.{module}")
--- /dev/null
+++ b/tests/test_layers.py
@@ -0,0 +1,56 @@
+"""Imports between the folders of the package run one way."""
+
+import re
+import unittest
+
+from tests.helpers import ROOT
+
+PACKAGE = ROOT / "rhubarbwinch"
+# A folder imports itself and those before it.
+LAYERS = (
+    "shared",
+    "stores",
+    "links",
+    "http",
+    "records",
+    "membership",
+    "configuration",
+    "endpoints",
+    "admission",
+    "claims",
+    "callers",
+    "orders",
+    "gateway",
+    "platform",
+    "programs",
+)
+
+
+def imported_folders(path):
+    """Returns the folders of the package that a module imports from."""
+    text = path.read_text()
+    found = set(re.findall(r"from rhubarbwinch\.(\w+)", text))
+    return found & set(LAYERS)
+
+
+class LayersTest(unittest.TestCase):
+    """The folders of the package."""
+
+    def test_each_folder_has_its_place(self):
+        found = {path.parent.name for path in PACKAGE.glob("*/__init__.py")}
+        self.assertEqual(found, set(LAYERS))
+
+    def test_no_import_runs_back_up(self):
+        back = [
+            f"{path.relative_to(ROOT)} imports {folder}"
+            for place, layer in enumerate(LAYERS)
+            for path in sorted((PACKAGE / layer).glob("*.py"))
+            for folder in imported_folders(path)
+            if LAYERS.index(folder) > place
+        ]
+        self.assertEqual(back, [])
+
+    def test_the_architecture_page_has_a_row_for_each_folder(self):
+        text = (ROOT / "docs" / "architecture.md").read_text()
+        rows = re.findall(r"^\| `(\w+)/` \|", text, re.MULTILINE)
+        self.assertEqual(tuple(rows), LAYERS)
--- a/tests/test_linkkeys.py
+++ b/tests/test_linkkeys.py
@@ -8,9 +8,9 @@
 import attrs
 import httpx
 
-from rhubarbwinch.exceptions import LinkError
-from rhubarbwinch.links import Links, LinkServer
-from rhubarbwinch.secretkeys import make_link_keys
+from rhubarbwinch.links.links import Links, LinkServer
+from rhubarbwinch.records.secretkeys import make_link_keys
+from rhubarbwinch.shared.exceptions import LinkError
 from tests.fleet import AUTHORIZATION, Fleet
 from tests.helpers import asynchronous, free_address, wait_until
 
