Four failures of calls between processes are logged

Cause: a peer without an answer (configuration, news of members, the status command) and an engine that is not told of an end or a priority were passed over without a line, so that nobody could see why another was asked.

--- a/rhubarbwinch/configuration/distribution.py
+++ b/rhubarbwinch/configuration/distribution.py
@@ -14,6 +14,7 @@
 from rhubarbwinch.membership.members import Members
 from rhubarbwinch.records import accepted
 from rhubarbwinch.records.accepted import Head
+from rhubarbwinch.shared import events
 from rhubarbwinch.shared.exceptions import CodecError, LinkError
 
 FETCH_TIMEOUT_MS = 1000
@@ -92,7 +93,8 @@
             reply = await self._links.call(
                 address, HeadRequest(), HeadReply, FETCH_TIMEOUT_MS
             )
-        except (LinkError, CodecError):
+        except (LinkError, CodecError) as error:
+            events.PEER_SILENT.log(peer=address, error=str(error))
             return None
         return reply.head
 
@@ -118,7 +120,8 @@
                 reply = await self._links.call(
                     address, ChunkRequest(name), ChunkReply, FETCH_TIMEOUT_MS
                 )
-            except (LinkError, CodecError):
+            except (LinkError, CodecError) as error:
+                events.PEER_SILENT.log(peer=address, error=str(error))
                 continue
             if accepted.digest(reply.chunk) == name:
                 return reply.chunk
--- a/rhubarbwinch/endpoints/endpoints.py
+++ b/rhubarbwinch/endpoints/endpoints.py
@@ -10,7 +10,7 @@
 from rhubarbwinch.endpoints.relay import EventStream
 from rhubarbwinch.http.sse import Splitter
 from rhubarbwinch.http.transport import Transport
-from rhubarbwinch.shared import tracing
+from rhubarbwinch.shared import events, tracing
 from rhubarbwinch.shared.exceptions import EndpointError, GenerationLostError
 
 CONNECT_S = 1.0
@@ -75,27 +75,27 @@
         return self._traced("GET", url, b"", {})
 
     async def cancel(self, address: str, generation: str) -> None:
-        """Ends a generation; a failure to reach the engine is ignored."""
+        """Ends a generation; a failure to reach the engine is only logged."""
         url = f"http://{address}/v1/generations/{generation}"
         try:
             await self._client.delete(url)
-        except httpx.HTTPError:
+        except httpx.HTTPError as error:
             # An engine that can't be reached is judged by its next call.
-            return
+            events.ENDPOINT_UNREACHED.log(url=url, error=repr(error))
 
     async def set_priority(
         self, address: str, generation: str, priority: int
     ) -> None:
         """Changes a running generation's priority.
 
-        A failure to reach the engine is ignored: the priority steers the
+        A failure to reach the engine is only logged: the priority steers the
         engine, and no answer depends on it.
         """
         url = f"http://{address}/v1/generations/{generation}"
         try:
             await self._client.patch(url, json={"priority": priority})
-        except httpx.HTTPError:
-            return
+        except httpx.HTTPError as error:
+            events.ENDPOINT_UNREACHED.log(url=url, error=repr(error))
 
     async def call(
         self, method: str, url: str, body: bytes, headers: dict[str, str]
--- a/rhubarbwinch/membership/gossip.py
+++ b/rhubarbwinch/membership/gossip.py
@@ -264,7 +264,8 @@
             reply = await self._links.call(
                 address, ViewRequest(digests), ViewReply, HEARTBEAT_TIMEOUT_MS
             )
-        except (LinkError, CodecError):
+        except (LinkError, CodecError) as error:
+            events.PEER_SILENT.log(peer=address, error=str(error))
             return
         for news in reply.news:
             self._merge(news)
--- a/rhubarbwinch/programs/fleetstatus.py
+++ b/rhubarbwinch/programs/fleetstatus.py
@@ -10,7 +10,7 @@
 from rhubarbwinch.records import accepted, records
 from rhubarbwinch.records.accepted import Snapshot
 from rhubarbwinch.records.records import Record
-from rhubarbwinch.shared import codec, rendezvous
+from rhubarbwinch.shared import codec, events, rendezvous
 from rhubarbwinch.shared.exceptions import RecordError
 from rhubarbwinch.stores import keys
 from rhubarbwinch.stores.store import Store
@@ -195,5 +195,6 @@
     try:
         response = await client.get(f"http://{member.http}/readyz")
         return int(orjson.loads(response.content)["generation"])
-    except (httpx.HTTPError, ValueError, KeyError, TypeError):
+    except (httpx.HTTPError, ValueError, KeyError, TypeError) as error:
+        events.PEER_SILENT.log(peer=member.http, error=repr(error))
         return None
--- a/rhubarbwinch/shared/events.py
+++ b/rhubarbwinch/shared/events.py
@@ -160,6 +160,12 @@
 ENDPOINT_LOST = Event(
     52, "endpoint-lost", logging.WARNING, "An endpoint failed a call."
 )
+ENDPOINT_UNREACHED = Event(
+    53,
+    "endpoint-unreached",
+    logging.INFO,
+    "An endpoint was not told that a generation ended or changed its priority.",
+)
 MEMBER_SUSPECTED = Event(
     200, "member-suspected", logging.INFO, "A member does not answer its peers."
 )
@@ -181,6 +187,9 @@
 VM_LIST_SILENT = Event(
     205, "vm-list-silent", logging.WARNING, "The list of VMs can't be read."
 )
+PEER_SILENT = Event(
+    206, "peer-silent", logging.INFO, "A peer gave no answer that can be read."
+)
 CLAIM_PAGE_BAD = Event(
     100, "claim-page-bad", logging.ERROR, "A page of claims can't be read."
 )
--- a/tests/configuration/test_distribution.py
+++ b/tests/configuration/test_distribution.py
@@ -1,16 +1,23 @@
 """The configuration on its way to all members, under faults of the store."""
 
 import json
+import random
+import unittest
 from unittest import mock
 
 import anyio
 
 from lab.memberset import MemberSet
+from rhubarbwinch.configuration.distribution import Distribution
 from rhubarbwinch.membership.members import Role
 from rhubarbwinch.programs import ctl
 from rhubarbwinch.records import accepted, records
 from rhubarbwinch.records.records import Record
-from rhubarbwinch.shared.exceptions import ConflictError, StoreError
+from rhubarbwinch.shared.exceptions import (
+    ConflictError,
+    LinkTimeout,
+    StoreError,
+)
 from rhubarbwinch.stores import keys
 from tests import builders
 from tests.faultystore import FaultyStore
@@ -342,3 +349,17 @@
         converters = {f"{kind}/2": lambda spec: spec for kind in records.KINDS}
         with mock.patch.dict(records.CONVERTERS._items, converters):
             return await session.fleet.nodes["control-0"].publisher.start()
+
+
+class SilentPeerTest(unittest.TestCase):
+    """A peer that gives no answer."""
+
+    def test_it_is_logged_and_nothing_is_taken_from_it(self):
+        links = mock.Mock()
+        links.call = mock.AsyncMock(side_effect=LinkTimeout("cut"))
+        members = mock.Mock()
+        found = Distribution(links, mock.Mock(), members, random.Random(1))
+        with self.assertLogs("absl", "INFO") as logs:
+            head = anyio.run(found.head, "127.0.0.1:1")
+        self.assertIsNone(head)
+        self.assertIn("peer-silent", logs.output[0])
--- /dev/null
+++ b/tests/endpoints/test_endpoints.py
@@ -0,0 +1,30 @@
+"""Calls to engines whose failure changes no answer."""
+
+import unittest
+
+import anyio
+import httpx
+
+from rhubarbwinch.endpoints.endpoints import EndpointClient
+
+SILENCE_MS = 1_000
+
+
+def refuse(request):
+    """Fails as an engine that is gone does."""
+    raise httpx.ConnectError("refused", request=request)
+
+
+class EndpointClientTest(unittest.TestCase):
+    """An engine that can't be reached."""
+
+    def test_a_change_that_an_engine_is_not_told_of_is_logged(self):
+        client = EndpointClient(SILENCE_MS, httpx.MockTransport(refuse))
+        for call in (
+            lambda: client.cancel("127.0.0.1:1", "g1"),
+            lambda: client.set_priority("127.0.0.1:1", "g1", 3),
+        ):
+            with self.assertLogs("absl", "INFO") as logs:
+                anyio.run(call)
+            self.assertIn("endpoint-unreached", logs.output[0])
+            self.assertIn("generations/g1", logs.output[0])
