A load that has ended at all peers leaves no entry

Cause: the sum of what peers have told kept an entry of zeros for each endpoint that ever was; ids are new at each start of an endpoint. Seen by reading the change before. The tests of the load book pass.

--- a/rhubarbwinch/gateway/loads.py
+++ b/rhubarbwinch/gateway/loads.py
@@ -152,3 +152,5 @@
         for load in loads:
             here = self._peers.setdefault(load.endpoint, Load())
             here.add(sign * load.runs, sign * load.tokens, sign * load.prefill)
+            if here == Load():
+                del self._peers[load.endpoint]
