--- a/tests/gateway/test_gateway.py
+++ b/tests/gateway/test_gateway.py
@@ -9,53 +9,19 @@
 
 import anyio
 import httpx
-import orjson
 
 from lab.processes import free_ports
+from lab.standins import platformfiles
 from lab.standins.platformengine import ScriptedEngine, answer_ok
 from lab.standins.platformstore import PlatformStoreServer
 from tests.helpers import Processes, asynchronous, free_address
 
-SETTINGS = """\
-node={name}
-zone=z1
-ip={ip}
-listen.front={ip}:{port}
-listen.ready={ip}:{ready}
-listen.directory={ip}:{directory}
-internal_ports={link},{last}
-seeds={seeds}
-limits.memory_mb=205
-limits.max_fds=6150
-bounds.grace_s=8
-bounds.ttl_max_s=5
-bounds.retry_budget_ratio=0.2
-bounds.budget_window_s=10
-bounds.budget_extra=56
-platform.address={store}
-"""
-
 
 def config(version=1, keys=("k1",)):
     """Returns a configuration with one idempotent route."""
-    route = {
-        "name": "r",
-        "host": "h.example",
-        "prefix": "/r/",
-        "kind": "idempotent",
-        "timeout_ms": 5_000,
-        "target_latency_ms": 500,
-        "max_attempts": 2,
-        "service": "svc",
-    }
-    return orjson.dumps(
-        {
-            "version": version,
-            "routes": [route],
-            "services": [{"name": "svc", "max_connections": 100}],
-            "tenants": [{"name": "t1", "api_keys": list(keys)}],
-        }
-    )
+    routes = [platformfiles.route("r", "svc", "idempotent")]
+    services = [{"name": "svc", "max_connections": 100}]
+    return platformfiles.config(version, routes, services, {"t1": keys})
 
 
 class Deployment:
@@ -78,14 +44,17 @@
     def start(self, number):
         """Starts a gateway on an address of its own."""
         ip = f"127.0.7.{number}"
-        seed = f"127.0.7.1:{self.ports['port']}"
+        ports = self.ports
         path = self.folder / f"g{number}.conf"
-        text = SETTINGS.format(
-            name=f"g{number}",
+        text = platformfiles.settings_text(
+            node=f"g{number}",
             ip=ip,
-            seeds=seed,
-            store=self.store._server._address,
-            **self.ports,
+            listen__front=f"{ip}:{ports['port']}",
+            listen__ready=f"{ip}:{ports['ready']}",
+            listen__directory=f"{ip}:{ports['directory']}",
+            internal_ports=f"{ports['link']},{ports['last']}",
+            seeds=f"127.0.7.1:{ports['port']}",
+            platform__address=self.store.address,
         )
         path.write_text(text)
         self.processes.start(
@@ -143,8 +112,10 @@
             tasks.start_soon(found.store.run)
             tasks.start_soon(found.engine.run)
             await anyio.wait_all_tasks_blocked()
-            await found.store.put("op/config", config())
-            await found.store.put("servers/i-1", found.engine.entry)
+            await found.store.put(platformfiles.CONFIG_KEY, config())
+            await found.store.put(
+                platformfiles.ENDPOINT_PREFIX + "i-1", found.engine.entry
+            )
             with found.processes:
                 yield found
             tasks.cancel_scope.cancel()
@@ -185,7 +156,7 @@
                 d.start(number)
             for number in (1, 2, 3):
                 await d.until(lambda n=number: d.is_ready(n))
-            await d.store.put("op/config", config(2, keys=("k2",)))
+            await d.store.put(platformfiles.CONFIG_KEY, config(2, keys=("k2",)))
 
             async def refused():
                 found = [await d.call(n, "q") for n in (1, 2, 3)]
--- a/tests/platform/test_bootfile.py
+++ b/tests/platform/test_bootfile.py
@@ -2,29 +2,21 @@
 
 import unittest
 
+from lab.standins import platformfiles
 from rhubarbwinch.gateway.messages import PeerAddress
 from rhubarbwinch.platform import bootfile
 from rhubarbwinch.shared.exceptions import SettingError
 
-TEXT = """\
-node=front-1
-zone=z1
-ip=10.1.0.19
-listen.front=10.1.0.19:8740
-listen.ready=10.1.0.19:8749
-listen.directory=10.1.0.19:8746
-internal_ports=7200,7215
-seeds=10.1.0.19:8748,10.2.0.13:8748
-limits.memory_mb=205
-limits.max_fds=6150
-bounds.grace_s=8
-bounds.ttl_max_s=5
-bounds.retry_budget_ratio=0.2
-bounds.budget_window_s=10
-bounds.budget_extra=56
-platform.address=10.200.1.7:8742
-a.new.field=of no interest
-"""
+TEXT = platformfiles.settings_text(
+    ip="10.1.0.19",
+    listen__front="10.1.0.19:8740",
+    listen__ready="10.1.0.19:8749",
+    listen__directory="10.1.0.19:8746",
+    internal_ports="7200,7215",
+    seeds="10.1.0.19:8748,10.2.0.13:8748",
+    platform__address="10.200.1.7:8742",
+    a__new__field="of no interest",
+)
 
 
 class BootFileTest(unittest.TestCase):
