--- a/tests/gateway/test_streams.py
+++ b/tests/gateway/test_streams.py
@@ -184,6 +184,28 @@
         self.assertEqual(found.body, ALL)
         self.assertEqual(sorted(w.arrivals), ["e1", "e2"])
 
+    @asynchronous
+    async def test_a_run_that_is_placed_anew_gives_up_its_old_backup(self):
+        async with world(engines=3, table=FOLLOWED) as w:
+            generation = Generation()
+            held = []
+
+            async def refuse_first(arrival, responder):
+                loads = [w.context.loads.total(e.name) for e in w.engines]
+                held.append(sorted(load.tokens for load in loads))
+                if len(held) == 1:
+                    await refuse(arrival, responder)
+                else:
+                    await generation.run(arrival, responder)
+
+            for engine in w.engines:
+                engine.behaviour = refuse_first
+            found = await w.call()
+        self.assertEqual(found.body, ALL)
+        # The run at one engine, its backup at another, nothing at the third.
+        self.assertEqual(held[0][0], 0)
+        self.assertEqual(held[1], held[0])
+
     @asynchronous
     async def test_a_resumable_run_begins_anew_after_its_last_event(self):
         async with world(table=RESUMABLE) as w:
