--- a/lab/bench_logging.py
+++ b/lab/bench_logging.py
@@ -14,7 +14,7 @@
 import anyio
 import attrs
 
-from lab.soak.callers import Caller, Callers
+from lab.soak.run import make_callers
 from lab.soak.world import World
 
 START_S = 2.0
@@ -65,14 +65,7 @@
 
 
 async def _call(world: World, last_s: float) -> None:
-    shared = Callers(
-        world.fronts,
-        world.directories,
-        lambda: world.keys,
-        world.journal,
-        world.clock,
-    )
-    callers = [Caller(shared, random.Random(i)) for i in range(CALLERS)]
+    callers = make_callers(world, random.Random(1), CALLERS)
     async with anyio.create_task_group() as tasks:
         for caller in callers:
             tasks.start_soon(caller.run)
--- a/lab/soak/run.py
+++ b/lab/soak/run.py
@@ -60,7 +60,8 @@
         await anyio.sleep(WATCH_S)
 
 
-async def _play_callers(world: World, rng: random.Random, size: Size) -> None:
+def make_callers(world: World, rng: random.Random, count: int) -> list[Caller]:
+    """Returns callers of the gateways of a world."""
     shared = Callers(
         world.fronts,
         world.directories,
@@ -68,8 +69,12 @@
         world.journal,
         world.clock,
     )
-    seeds = [rng.randrange(1 << 30) for _ in range(size.callers)]
-    callers = [Caller(shared, random.Random(seed)) for seed in seeds]
+    seeds = [rng.randrange(1 << 30) for _ in range(count)]
+    return [Caller(shared, random.Random(seed)) for seed in seeds]
+
+
+async def _play_callers(world: World, rng: random.Random, size: Size) -> None:
+    callers = make_callers(world, rng, size.callers)
     async with anyio.create_task_group() as tasks:
         for caller in callers:
             tasks.start_soon(caller.run)
--- a/tests/gateway/test_gateway.py
+++ b/tests/gateway/test_gateway.py
@@ -178,39 +178,14 @@
 
     @asynchronous
     async def test_an_end_by_sigterm_finishes_what_is_open(self):
-        go_on = anyio.Event()
-
-        async def wait(arrival, responder):
-            await go_on.wait()
-            await answer_ok(arrival, responder)
-
-        async with deployment() as d:
-            d.start(1)
-            await d.until(lambda: d.is_ready(1))
-            d.engine.behaviour = wait
-            answers = []
-
-            async def call():
-                answers.append(await d.call(1, "q1"))
-
-            async with anyio.create_task_group() as tasks:
-                tasks.start_soon(call)
-                while not d.engine.arrivals:
-                    await anyio.sleep(0.01)
-                d.processes.signal("g1", signal.SIGTERM)
-
-                async def not_ready():
-                    return not await d.is_ready(1)
-
-                await d.until(not_ready)
-                go_on.set()
-            self.assertEqual(answers[0].text, "q1")
-            status = await anyio.to_thread.run_sync(d.processes.wait, "g1")
-            self.assertEqual(status, 0)
-            self.assertEqual(d.events(1)[-1]["name"], "stopped")
+        await self._end_under_an_open_request()
 
     @asynchronous
     async def test_signals_while_it_ends_leave_what_is_open_alone(self):
+        await self._end_under_an_open_request(signal.SIGHUP, signal.SIGTERM)
+
+    async def _end_under_an_open_request(self, *later):
+        """Ends a gateway that waits for an answer, by more than one signal."""
         go_on = anyio.Event()
 
         async def wait(arrival, responder):
@@ -236,8 +211,9 @@
                     return not await d.is_ready(1)
 
                 await d.until(not_ready)
-                for number in (signal.SIGHUP, signal.SIGTERM):
+                for number in later:
                     d.processes.signal("g1", number)
+                    # Signals that are sent at once may be joined into one.
                     await anyio.sleep(0.1)
                 go_on.set()
             self.assertEqual(answers[0].text, "q1")
