--- /dev/null
+++ b/lab/bench_gateways.py
@@ -0,0 +1,108 @@
+"""What gateways cost as their number grows: `python -m lab.bench_gateways`.
+
+For each number of gateways prints their processor time, idle and under the
+callers of the soak without faults, and the calls that they make to the store.
+"""
+
+import argparse
+import pathlib
+import random
+import sys
+import tempfile
+
+import anyio
+import attrs
+
+from lab.soak.run import make_callers
+from lab.soak.world import World
+
+# Interpreters that start at once share the cores; then all have to settle.
+START_S_EACH = 0.3
+SETTLE_S = 5.0
+ENGINES = 8
+
+
+@attrs.frozen
+class Usage:
+    """What was used in a while.
+
+    Attributes:
+        requests: Requests of callers that were served a second.
+        cores: Processor time of a gateway, as a share of a core.
+        store_calls: Calls of all gateways to the store a second.
+    """
+
+    requests: float
+    cores: float
+    store_calls: float
+
+    def __str__(self) -> str:
+        return (
+            f"{self.requests:.0f} requests/s, {100 * self.cores:.1f}% of a "
+            f"core each, {self.store_calls:.1f} store calls/s"
+        )
+
+
+async def measure(
+    gateways: int, callers: int, last_s: float, folder: pathlib.Path
+) -> list[Usage]:
+    """Returns what gateways use idle and under callers."""
+    world = World(folder, random.Random(1), gateways, ENGINES)
+    try:
+        async with anyio.create_task_group() as tasks:
+            await world.start(tasks)
+            await anyio.sleep(START_S_EACH * gateways + SETTLE_S)
+            idle = await _watch(world, 0, last_s)
+            busy = await _watch(world, callers, last_s)
+            tasks.cancel_scope.cancel()
+    finally:
+        world.close()
+    return [idle, busy]
+
+
+async def _watch(world: World, count: int, last_s: float) -> Usage:
+    cpu, calls = _cpu_s(world), len(world.store.calls)
+    served = _served(world)
+    callers = make_callers(world, random.Random(1), count)
+    async with anyio.create_task_group() as tasks:
+        for caller in callers:
+            tasks.start_soon(caller.run)
+        await anyio.sleep(last_s)
+        used = Usage(
+            (_served(world) - served) / last_s,
+            (_cpu_s(world) - cpu) / last_s / len(world.gateways),
+            (len(world.store.calls) - calls) / last_s,
+        )
+        for caller in callers:
+            caller.is_stopping = True
+    return used
+
+
+def _cpu_s(world: World) -> float:
+    return sum(world.cpu_s(gateway) for gateway in world.gateways)
+
+
+def _served(world: World) -> int:
+    return sum(a.status == 200 for a in world.journal.attempts)
+
+
+def main() -> None:
+    """Measures each number of gateways."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--gateways", default="4,33,100")
+    parser.add_argument("--callers", type=int, default=60)
+    parser.add_argument("--seconds", type=float, default=10.0)
+    options = parser.parse_args()
+    for number in map(int, options.gateways.split(",")):
+        with tempfile.TemporaryDirectory() as name:
+            folder = pathlib.Path(name)
+            idle, busy = anyio.run(
+                measure, number, options.callers, options.seconds, folder
+            )
+        sys.stdout.write(f"{number} gateways, idle: {idle}\n")
+        sys.stdout.write(f"{number} gateways, busy: {busy}\n")
+        sys.stdout.flush()
+
+
+if __name__ == "__main__":
+    main()
