A seed of the soak that breaks a promise keeps its records

Cause: the logs of the gateways and the list of faults alone do not tell what the callers and engines saw.

--- a/lab/soak/__main__.py
+++ b/lab/soak/__main__.py
@@ -42,6 +42,16 @@
     )
 
 
+def keep(journal: Journal, folder: pathlib.Path) -> None:
+    """Writes what happened beside the logs, to trace what broke."""
+    for name, rows in (
+        ("faults.txt", journal.faults),
+        ("attempts.txt", journal.attempts),
+        ("runs.txt", journal.runs),
+    ):
+        (folder / name).write_text("".join(f"{row}\n" for row in rows))
+
+
 def _play(seed: int, size: Size) -> bool:
     """Plays a seed; keeps its folder only if a promise was broken."""
     folder = pathlib.Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
@@ -49,7 +59,7 @@
     broken = broken_promises(journal, with_times=True)
     sys.stdout.write(describe(seed, journal))
     if broken:
-        (folder / "faults.txt").write_text("\n".join(journal.faults) + "\n")
+        keep(journal, folder)
         lines = [f"  broken: {line}\n" for line in broken[:MOST_LINES]]
         lines.append(f"  logs: {folder}\n")
         lines.append(f"  again: python -m lab.soak --seeds {seed}\n")
