A reset in the soak passes over a side that has closed

Seen: seed 18 ended with OSError, bad file descriptor, at the first side of a connection that had closed by itself a moment before; a fault of the soak, not of a gateway. The new test failed before and passes.

--- a/lab/soak/proxy.py
+++ b/lab/soak/proxy.py
@@ -61,10 +61,12 @@
 
     def reset(self) -> None:
         """Resets all open connections, both sides."""
-        for scope, streams in self._open.items():
+        for scope, streams in list(self._open.items()):
             for stream in streams:
                 link = stream.extra(anyio.abc.SocketAttribute.raw_socket)
-                link.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _ABORT)
+                # A side that has closed already has no descriptor any more.
+                if link.fileno() >= 0:
+                    link.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _ABORT)
             scope.cancel()
 
     async def run(self) -> None:
--- a/tests/soak/test_proxy.py
+++ b/tests/soak/test_proxy.py
@@ -81,6 +81,20 @@
                 await other.send(b"def")
                 self.assertEqual(await other.receive(), b"def")
 
+    @asynchronous
+    async def test_a_reset_passes_over_a_side_that_has_closed(self):
+        async with echo_behind_proxy() as (proxy, stream):
+            await stream.send(b"abc")
+            await stream.receive()
+            # The proxy has not heard yet that its caller's side is closed.
+            for streams in proxy._open.values():
+                await streams[0].aclose()
+            proxy.reset()
+            with self.assertRaises(
+                (anyio.EndOfStream, anyio.BrokenResourceError)
+            ):
+                await stream.receive()
+
     @asynchronous
     async def test_extra_bytes_follow_the_next_that_come_back(self):
         async with echo_behind_proxy() as (proxy, stream):
