A gateway that starts in an outage is told which engines leave

Cause: a gateway that starts while the store is away gets the store's entries from a peer, but not that engines have said by themselves that they leave. Ruled out: lost notices; the gateway was not running when they were sent. Test: gateways as processes; failed before (200 where 503 is true).

--- a/lab/standins/platformengine.py
+++ b/lab/standins/platformengine.py
@@ -80,6 +80,7 @@
         self.left = 0
         self.moves: list[dict[str, object]] = []
         self.move_status = 200
+        self.leaves_ms: int | None = None
         self._server = EdgeServer(address, self._handle, SystemClock())
 
     @property
@@ -117,6 +118,10 @@
         if request.target == b"/kv-move":
             await self._move(request, responder)
             return
+        if request.target == b"/report":
+            report = {"state": "ready", "leaves_ms": self.leaves_ms}
+            await responder.send(200, [], orjson.dumps(report))
+            return
         expected = names.get("expect-instance")
         if expected != self.name:
             await responder.send(421, [], b"")
--- a/rhubarbwinch/gateway/beliefs.py
+++ b/rhubarbwinch/gateway/beliefs.py
@@ -55,6 +55,13 @@
             self._note_endpoint(notice.endpoint, "says it leaves", 0, True)
             self._note_leaving(notice.endpoint)
 
+    def leaving_notices(self) -> list[LeavingNotice]:
+        """Returns what a gateway that starts has to know of engines."""
+        return [
+            LeavingNotice(known.endpoint.id, known.endpoint.started_ms)
+            for known in self._context.fleet.all_leaving()
+        ]
+
     def expire(self) -> None:
         """Gives up endpoints whose lapsed entries did not come back."""
         for known in self._context.fleet.expire(self._context.clock.now()):
--- a/rhubarbwinch/gateway/fleet.py
+++ b/rhubarbwinch/gateway/fleet.py
@@ -104,6 +104,10 @@
             return False
         return self._leave(known, now_ms)
 
+    def all_leaving(self) -> list[Known]:
+        """Returns the endpoints that take no new work and are not forgotten."""
+        return [known for known in self._known.values() if known.is_leaving]
+
     def all_taking_work(self) -> list[Known]:
         """Returns the endpoints of all services that take new requests."""
         return [known for known in self._known.values() if known.takes_work]
--- a/rhubarbwinch/gateway/messages.py
+++ b/rhubarbwinch/gateway/messages.py
@@ -124,14 +124,6 @@
     sender: str
 
 
-@attrs.frozen
-class Snapshot:
-    """Everything that a gateway knows of the store."""
-
-    revision: int
-    changes: list[SharedChange] = attrs.field(factory=list)
-
-
 @attrs.frozen
 class CrashNotice:
     """Tells that an endpoint crashed under a request.
@@ -156,3 +148,19 @@
 
     endpoint: str
     started_ms: int
+
+
+@attrs.frozen
+class Snapshot:
+    """Everything that a gateway knows of the store.
+
+    Attributes:
+        revision: Up to here the changes are complete.
+        changes: The newest change of each key.
+        leaving: Engines that leave, also those of which the store does not
+            know it.
+    """
+
+    revision: int
+    changes: list[SharedChange] = attrs.field(factory=list)
+    leaving: list[LeavingNotice] = attrs.field(factory=list)
--- a/rhubarbwinch/gateway/program.py
+++ b/rhubarbwinch/gateway/program.py
@@ -23,6 +23,7 @@
     Heartbeat,
     LeavingNotice,
     SharedBatch,
+    Snapshot,
     SnapshotCall,
     ValueCall,
 )
@@ -202,7 +203,7 @@
         self._broadcast.on(SharedBatch, self._feed.take_batch)
         self._broadcast.on(LeavingNotice, self._beliefs.take_leaving)
         self._broadcast.on(CrashNotice, self._take_crash)
-        self._server.on(SnapshotCall, self._feed.answer_snapshot)
+        self._server.on(SnapshotCall, self._answer_snapshot)
         self._server.on(ValueCall, self._feed.answer_value)
         tree = Supervisor(settings.name, self._clock)
         tree.add("links", self._links.run)
@@ -266,8 +267,16 @@
             snapshot = await self._peers.fetch_snapshot()
             if snapshot is not None and self._context.table is None:
                 self._feed.take_snapshot(snapshot)
+                # The store's entries of these engines may still be unchanged.
+                for notice in snapshot.leaving:
+                    self._beliefs.take_leaving(notice)
             await self._clock.sleep(TICK_MS)
 
+    async def _answer_snapshot(self, call: SnapshotCall) -> Snapshot:
+        """Tells a gateway that starts all that is known here."""
+        snapshot = await self._feed.answer_snapshot(call)
+        return attrs.evolve(snapshot, leaving=self._beliefs.leaving_notices())
+
     def _own_engines(self) -> list[Endpoint]:
         """Returns the engines that this gateway asks for all."""
         table = self._context.table
--- a/tests/gateway/test_gateway.py
+++ b/tests/gateway/test_gateway.py
@@ -16,11 +16,14 @@
 from lab.standins.platformstore import PlatformStoreServer
 from tests.helpers import Processes, asynchronous, free_address
 
+# What a configuration tells of a service whose endpoints are engines.
+ENGINE = {"slots": 24, "kv_tokens": 34_000, "moves": True, "backups": True}
 
-def config(version=1, keys=("k1",)):
+
+def config(version=1, keys=("k1",), engine=None):
     """Returns a configuration with one idempotent route."""
     routes = [platformfiles.route("r", "svc", "idempotent")]
-    services = [{"name": "svc", "max_connections": 100}]
+    services = [{"name": "svc", "max_connections": 100, "engine": engine}]
     return platformfiles.config(version, routes, services, {"t1": keys})
 
 
@@ -176,6 +179,27 @@
             found = await d.call(2, "q1")
             self.assertEqual((found.status_code, found.text), (200, "q1"))
 
+    @asynchronous
+    async def test_one_that_starts_in_an_outage_knows_which_engines_leave(self):
+        async with deployment() as d:
+            await d.store.put(
+                platformfiles.CONFIG_KEY, config(2, engine=ENGINE)
+            )
+            d.start(1)
+            await d.until(lambda: d.is_ready(1))
+            d.store.faults.status = 503
+            d.engine.leaves_ms = 900
+
+            async def refused():
+                return (await d.call(1, "q1")).status_code == 503
+
+            await d.until(refused)
+            served = len(d.engine.arrivals)
+            d.start(2)
+            await d.until(lambda: d.is_ready(2))
+            self.assertEqual((await d.call(2, "q2")).status_code, 503)
+            self.assertEqual(len(d.engine.arrivals), served)
+
     @asynchronous
     async def test_an_end_by_sigterm_finishes_what_is_open(self):
         await self._end_under_an_open_request()
