Copies of runs that are not used are freed at their engines

Cause: when engines leave, all their runs are copied, but most runs end before their engine does. Nobody freed such a copy, so it kept memory and a slot at the other engine for more than five seconds, while the common count took the room as free. Ruled out: the gateways' queues (a wait of 0 ms in the log of most), cold engines, lost datagrams of loads. Change: a copy is freed at its source, or where it lies when the source is gone; a call that is under way when its run ends is awaited for the name of the copy. Room that may still be occupied counts until the copy expires.

--- a/lab/standins/platformengine.py
+++ b/lab/standins/platformengine.py
@@ -15,6 +15,7 @@
 from rhubarbwinch.gateway.wire import Headers
 from rhubarbwinch.shared.clock import SystemClock
 
+FREE_PATH = b"/kv-handle/"
 SIGNATURE = (b"Server-Signature", b"sig")
 
 
@@ -79,6 +80,7 @@
         self.arrivals: list[Arrival] = []
         self.left = 0
         self.moves: list[dict[str, object]] = []
+        self.freed: list[str] = []
         self.move_status = 200
         self.leaves_ms: int | None = None
         self._server = EdgeServer(address, self._handle, SystemClock())
@@ -118,6 +120,10 @@
         if request.target == b"/kv-move":
             await self._move(request, responder)
             return
+        if request.target.startswith(FREE_PATH):
+            self.freed.append(request.target.removeprefix(FREE_PATH).decode())
+            await responder.send(200, [], b"{}")
+            return
         if request.target == b"/report":
             report = {"state": "ready", "leaves_ms": self.leaves_ms}
             await responder.send(200, [], orjson.dumps(report))
--- a/rhubarbwinch/gateway/carrying.py
+++ b/rhubarbwinch/gateway/carrying.py
@@ -2,12 +2,13 @@
 
 import anyio
 
-from rhubarbwinch.gateway import moving, statistics
+from rhubarbwinch.gateway import moving
 from rhubarbwinch.gateway.context import Context
+from rhubarbwinch.gateway.copies import RunCopy
 from rhubarbwinch.gateway.endpoints import Endpoint
-from rhubarbwinch.gateway.runs import NewHome, Room, Run
-from rhubarbwinch.gateway.wire import MemoryCopy, MoveResult, MoveState
-from rhubarbwinch.shared import events
+from rhubarbwinch.gateway.loads import Room
+from rhubarbwinch.gateway.runs import NewHome, Run
+from rhubarbwinch.gateway.wire import MemoryCopy, MoveState
 
 # A run that waits or whose prompt is being read can't be copied yet.
 RETRY_MS = 40
@@ -108,6 +109,11 @@
         context.peers.tell_loads()
         return room
 
+    def _new_copy(self, run: Run, source: Endpoint, room: Room) -> RunCopy:
+        spec = self._context.engine_spec(run.job.service)
+        expiry_ms = spec.copy_expiry_ms if spec is not None else 0
+        return RunCopy(run.id, source, room.endpoint, room, expiry_ms)
+
     async def _copy_to(
         self, run: Run, source: Endpoint, room: Room
     ) -> MoveState:
@@ -116,9 +122,11 @@
         Returns:
             Why there is no copy, or none any more.
         """
+        copies = self._context.copies
+        made = self._new_copy(run, source, room)
         try:
             while True:
-                result = await self._call(run, source, room.endpoint, False)
+                result = await copies.renew(made, False, run.events)
                 if result.state is MoveState.COPIED:
                     copy = MemoryCopy(source.address, result.handle)
                     run.home = NewHome(room, copy, source)
@@ -134,7 +142,7 @@
                 run.home = None
             # The run that goes on from the copy holds the room by then.
             if run.room is not room:
-                room.release()
+                copies.drop(made)
 
     async def _leaves(self, endpoint: Endpoint, limit_ms: int) -> bool:
         """Waits until an endpoint leaves; False if it does not in time."""
@@ -147,34 +155,22 @@
                 return True
         return False
 
-    async def stop(self, run: Run, source: Endpoint, to: Endpoint) -> None:
+    async def stop(
+        self, run: Run, source: Endpoint, to: Endpoint, is_copy_used: bool
+    ) -> None:
         """Stops a run whose stream broke, so that it can go on elsewhere.
 
         Its engine may live and still be at work on it; of a run that is not
         repeatable only one engine may make events.
+
+        Args:
+            run: The run.
+            source: Its engine.
+            to: Where engines copy the memory of a run that is stopped.
+            is_copy_used: Whether the run goes on from a copy by this call.
         """
+        copy = RunCopy(run.id, source, to, None, 0)
         with anyio.move_on_after(STOP_MS / 1000):
-            await self._call(run, source, to, True)
-
-    async def _call(
-        self, run: Run, source: Endpoint, to: Endpoint, is_last: bool
-    ) -> MoveResult:
-        context = self._context
-        started = context.clock.now()
-        result = await context.engine_calls.move(
-            source.address, run.id, to.address, is_last
-        )
-        statistics.MOVES.labels(
-            "stop" if is_last else "copy", result.state
-        ).inc()
-        events.MOVED.log(
-            request=run.id,
-            source=source.id,
-            target=to.id,
-            last=is_last,
-            state=result.state,
-            took_ms=context.clock.now() - started,
-            events=result.events,
-            relayed=run.events,
-        )
-        return result
+            await self._context.copies.renew(copy, True, run.events)
+        if not is_copy_used:
+            self._context.copies.drop(copy)
--- a/rhubarbwinch/gateway/context.py
+++ b/rhubarbwinch/gateway/context.py
@@ -5,6 +5,7 @@
 import attrs
 
 from rhubarbwinch.gateway import statistics
+from rhubarbwinch.gateway.copies import CopyKeeper
 from rhubarbwinch.gateway.crashes import Break, CrashLedger, fingerprint
 from rhubarbwinch.gateway.edge import EdgeRequest
 from rhubarbwinch.gateway.fleet import Fleet, Known
@@ -16,7 +17,7 @@
 from rhubarbwinch.gateway.routes import EngineSpec, Route, RoutingTable
 from rhubarbwinch.gateway.suspicion import Outcome, Suspicion
 from rhubarbwinch.gateway.upstream import Upstream
-from rhubarbwinch.gateway.wire import CallHead, EngineCalls, Platform
+from rhubarbwinch.gateway.wire import CallHead, Platform
 from rhubarbwinch.shared import events
 from rhubarbwinch.shared.clock import Clock
 
@@ -36,7 +37,7 @@
         budget: Bounds further sends.
         peers: The other gateways.
         upstream: Sends to endpoints.
-        engine_calls: Calls to engines beside the requests.
+        copies: Copies of generations at other engines.
         crashes: Requests under which endpoints crash.
         tracer: Makes spans of requests; None for none.
         table: The configuration in force; None before the first.
@@ -53,7 +54,7 @@
     budget: RetryBudget
     peers: Peers
     upstream: Upstream
-    engine_calls: EngineCalls
+    copies: CopyKeeper
     crashes: CrashLedger
     tracer: Tracer | None = None
     table: RoutingTable | None = None
--- a/rhubarbwinch/gateway/continuing.py
+++ b/rhubarbwinch/gateway/continuing.py
@@ -7,8 +7,9 @@
 from rhubarbwinch.gateway.context import Context
 from rhubarbwinch.gateway.endpoints import Endpoint
 from rhubarbwinch.gateway.enginesends import EngineSends
+from rhubarbwinch.gateway.loads import Room
 from rhubarbwinch.gateway.rooms import RoomKeeper
-from rhubarbwinch.gateway.runs import NewHome, Room, Run
+from rhubarbwinch.gateway.runs import NewHome, Run
 from rhubarbwinch.gateway.suspicion import Outcome
 from rhubarbwinch.gateway.upstream import Answer
 from rhubarbwinch.gateway.wire import MemoryCopy
@@ -16,6 +17,9 @@
 
 # A copy that is on its way when the stream breaks pays for this wait.
 COPY_WAIT_MS = 600
+# Whose copy a run goes on from: of a move, or of an engine that followed it.
+MOVE = "move"
+BACKUP = "backup"
 
 
 class Continuation:
@@ -49,9 +53,9 @@
             with anyio.move_on_after(COPY_WAIT_MS / 1000):
                 await run.has_copy.wait()
         if run.home is not None:
-            return await self._go_home(run, run.home, "move")
+            return await self._go_home(run, run.home, MOVE)
         if self._carrier.has_backup(run):
-            return await self._go_home(run, self._backup_home(run), "backup")
+            return await self._go_home(run, self._backup_home(run), BACKUP)
         if run.job.route.is_resumable:
             return await self._begin_anew(run, source)
         return None
@@ -76,7 +80,9 @@
         self, run: Run, home: NewHome, how: str
     ) -> Answer | None:
         """Goes on at the engine that has the copy."""
-        await self._carrier.stop(run, home.source, home.room.endpoint)
+        await self._carrier.stop(
+            run, home.source, home.room.endpoint, is_copy_used=how == MOVE
+        )
         self._settle(run, home.room)
         answer = await self._resume(run, home.room.endpoint, home.copy, how)
         if answer is not None:
@@ -94,7 +100,9 @@
         run.release()
         if await self._rooms.place(run) is not None or run.room is None:
             return None
-        await self._carrier.stop(run, source, run.room.endpoint)
+        await self._carrier.stop(
+            run, source, run.room.endpoint, is_copy_used=False
+        )
         result = await self._sends.open(run, run.room.endpoint, None)
         return result if isinstance(result, Answer) else None
 
--- a/rhubarbwinch/gateway/loads.py
+++ b/rhubarbwinch/gateway/loads.py
@@ -7,6 +7,7 @@
 
 import attrs
 
+from rhubarbwinch.gateway.endpoints import Endpoint
 from rhubarbwinch.gateway.messages import EndpointLoad
 
 # Without news of a gateway for so long, its requests are taken as ended: it
@@ -154,3 +155,42 @@
             here.add(sign * load.runs, sign * load.tokens, sign * load.prefill)
             if here == Load():
                 del self._peers[load.endpoint]
+
+
+@attrs.define(eq=False)
+class Room:
+    """Room at an engine, counted for all gateways until it is released.
+
+    Attributes:
+        endpoint: The engine.
+        tokens: The memory that is expected to be needed, in tokens.
+        prefill: Prompt tokens that are still to be read.
+        runs: 0 for a copy that occupies memory only.
+    """
+
+    endpoint: Endpoint
+    tokens: int
+    prefill: int
+    runs: int
+    _loads: LoadBook
+    _is_held: bool = False
+
+    def hold(self) -> "Room":
+        """Counts the room."""
+        self._loads.add(self.endpoint.id, self.tokens, self.prefill, self.runs)
+        self._is_held = True
+        return self
+
+    def end_prefill(self) -> None:
+        """Notes that the prompt has been read."""
+        if self._is_held and self.prefill:
+            self._loads.end_prefill(self.endpoint.id, self.prefill)
+            self.prefill = 0
+
+    def release(self) -> None:
+        """Counts the room no more."""
+        if self._is_held:
+            self._is_held = False
+            self._loads.remove(
+                self.endpoint.id, self.tokens, self.prefill, self.runs
+            )
--- a/rhubarbwinch/gateway/program.py
+++ b/rhubarbwinch/gateway/program.py
@@ -11,6 +11,7 @@
 from rhubarbwinch.gateway import statistics
 from rhubarbwinch.gateway.beliefs import Beliefs
 from rhubarbwinch.gateway.context import Context
+from rhubarbwinch.gateway.copies import CopyKeeper
 from rhubarbwinch.gateway.crashes import CrashLedger
 from rhubarbwinch.gateway.edge import EdgeServer
 from rhubarbwinch.gateway.endpoints import Endpoint
@@ -145,7 +146,7 @@
                 outside.platform, outside.transport, outside.tracer
             ),
             tracer=outside.tracer,
-            engine_calls=outside.engine_calls,
+            copies=CopyKeeper(outside.engine_calls, clock),
             crashes=CrashLedger(
                 outside.transport.is_unreachable, clock, self._broadcast.send
             ),
@@ -222,6 +223,7 @@
         ):
             server = EdgeServer(address, self._self_service.answer, self._clock)
             tree.add(name, server.run)
+        tree.add("copies", self._context.copies.run)
         tree.add("crashes", self._context.crashes.run)
         tree.add("tick", self._tick)
         tree.add("outage", self._outage.run)
--- a/rhubarbwinch/gateway/rooms.py
+++ b/rhubarbwinch/gateway/rooms.py
@@ -4,7 +4,8 @@
 
 from rhubarbwinch.gateway import moving, placing
 from rhubarbwinch.gateway.context import Context
-from rhubarbwinch.gateway.runs import Room, Run
+from rhubarbwinch.gateway.loads import Room
+from rhubarbwinch.gateway.runs import Run
 from rhubarbwinch.gateway.waiting import WAIT_SHARE, Waiter, WaitQueue
 from rhubarbwinch.shared import events
 from rhubarbwinch.shared.verdict import Failure, Reason, not_run
--- a/rhubarbwinch/gateway/routes.py
+++ b/rhubarbwinch/gateway/routes.py
@@ -22,12 +22,14 @@
         kv_tokens: Tokens that fit an engine's memory.
         can_move: Whether a run's memory can be copied to another engine.
         can_back_up: Whether a second engine can follow a run.
+        copy_expiry_ms: How long an engine keeps a copy that is not used.
     """
 
     slots: int
     kv_tokens: int
     can_move: bool
     can_back_up: bool
+    copy_expiry_ms: int = 0
 
 
 @attrs.frozen
--- a/rhubarbwinch/gateway/wire.py
+++ b/rhubarbwinch/gateway/wire.py
@@ -113,6 +113,17 @@
     FAILED = "failed"
 
 
+class FreeState(enum.StrEnum):
+    """How a call to free a copy ended.
+
+    An engine that does not know a copy, as after a restart, does not keep it.
+    """
+
+    FREED = "freed"
+    UNKNOWN = "unknown"
+    FAILED = "failed"
+
+
 @attrs.frozen
 class MoveResult:
     """The answer to a call that copies a run's memory.
@@ -153,6 +164,13 @@
         """
         ...
 
+    async def free_copy(self, address: str, handle: str) -> FreeState:
+        """Frees a copy at its source, and so at both ends, or where it is.
+
+        Never raises for a failed call.
+        """
+        ...
+
     async def report(self, address: str) -> EngineReport:
         """Returns what an engine says of itself.
 
--- a/rhubarbwinch/platform/documents.py
+++ b/rhubarbwinch/platform/documents.py
@@ -148,6 +148,7 @@
         kv_tokens=int(item["kv_tokens"]),
         can_move=bool(item.get("moves")),
         can_back_up=bool(item.get("backups")),
+        copy_expiry_ms=int(1_000 * float(item.get("handle_s") or 0)),
     )
 
 
--- a/rhubarbwinch/platform/enginecalls.py
+++ b/rhubarbwinch/platform/enginecalls.py
@@ -1,9 +1,16 @@
 """Calls to the platform's engines beside the requests of callers."""
 
+import urllib.parse
+
 import httpx
 import orjson
 
-from rhubarbwinch.gateway.wire import EngineReport, MoveResult, MoveState
+from rhubarbwinch.gateway.wire import (
+    EngineReport,
+    FreeState,
+    MoveResult,
+    MoveState,
+)
 from rhubarbwinch.platform import documents
 from rhubarbwinch.shared import events
 from rhubarbwinch.shared.exceptions import EndpointError, PlatformFormatError
@@ -13,6 +20,7 @@
 MOVE_TIMEOUT_S = 3.0
 CONNECT_S = 0.3
 REPORT_TIMEOUT_S = 1.0
+FREE_TIMEOUT_S = 0.5
 
 _STATES: dict[int, MoveState] = {
     httpx.codes.OK: MoveState.COPIED,
@@ -61,6 +69,28 @@
             int(found.get("created") or 0),
         )
 
+    async def free_copy(self, address: str, handle: str) -> FreeState:
+        """Frees a copy at its source, and so at both ends, or where it is."""
+        name = urllib.parse.quote(handle, safe="")
+        try:
+            response = await self._client.delete(
+                f"http://{address}/kv-handle/{name}",
+                timeout=httpx.Timeout(FREE_TIMEOUT_S, connect=CONNECT_S),
+            )
+        except httpx.HTTPError as error:
+            events.FREE_CALL_FAILED.log(
+                endpoint=address, handle=handle, error=repr(error)
+            )
+            return FreeState.FAILED
+        if response.is_success:
+            return FreeState.FREED
+        if response.status_code == httpx.codes.NOT_FOUND:
+            return FreeState.UNKNOWN
+        events.FREE_CALL_FAILED.log(
+            endpoint=address, handle=handle, error=str(response.status_code)
+        )
+        return FreeState.FAILED
+
     async def report(self, address: str) -> EngineReport:
         """Returns what an engine says of itself.
 
--- a/rhubarbwinch/shared/events.py
+++ b/rhubarbwinch/shared/events.py
@@ -428,6 +428,18 @@
     logging.WARNING,
     "An engine did not answer a call about a copy.",
 )
+COPY_DROPPED = Event(
+    747,
+    "copy-dropped",
+    logging.INFO,
+    "A copy of a run that nobody needs was freed, or could not be.",
+)
+FREE_CALL_FAILED = Event(
+    748,
+    "free-call-failed",
+    logging.WARNING,
+    "An engine did not free a copy.",
+)
 CRASHED_UNDER = Event(
     746,
     "crashed-under",
--- a/tests/gateway/test_streams.py
+++ b/tests/gateway/test_streams.py
@@ -93,10 +93,44 @@
             writer.close()
         self.assertEqual(found.body, ALL)
         self.assertTrue(found.is_complete)
+        # A copy that is used is not freed.
+        self.assertEqual(source.freed + other.freed, [])
         resumed = other.arrivals[0].headers
         self.assertEqual(resumed["kv-from"], f"{source.address}/h-q1")
         self.assertEqual(resumed["last-event-id"], "3")
 
+    @asynchronous
+    async def test_a_copy_of_a_run_that_ends_before_its_engine_is_freed(self):
+        async with world(table=ONCE) as w:
+            generation = Generation()
+            generation.go_on = anyio.Event()
+
+            async def finish(arrival, responder):
+                await responder.start_stream(200, head_of(arrival))
+                for number in range(1, 4):
+                    await responder.write(event(number))
+                generation.reached.set()
+                await generation.go_on.wait()
+                for number in range(4, 7):
+                    await responder.write(event(number))
+                await responder.end_stream()
+
+            for engine in w.engines:
+                engine.behaviour = finish
+            reader, writer = await _start(w)
+            await generation.reached.wait()
+            source = next(e for e in w.engines if e.arrivals)
+            w.announce_leaving(source)
+            while not next(iter(w.streams._runs)).home:
+                await anyio.sleep(0)
+            generation.go_on.set()
+            found = await read_answer(reader)
+            writer.close()
+            while w.context.loads.own():
+                await anyio.sleep(0)
+        self.assertEqual(found.body, ALL)
+        self.assertEqual(source.freed, ["h-q1"])
+
     @asynchronous
     async def test_a_copy_is_good_though_copying_again_fails(self):
         async with world(table=ONCE) as w:
--- a/tests/gatewayworld.py
+++ b/tests/gatewayworld.py
@@ -8,6 +8,7 @@
 
 from lab.standins.platformengine import ScriptedEngine
 from rhubarbwinch.gateway.context import Context
+from rhubarbwinch.gateway.copies import CopyKeeper
 from rhubarbwinch.gateway.crashes import CrashLedger
 from rhubarbwinch.gateway.edge import EdgeServer
 from rhubarbwinch.gateway.fleet import Fleet
@@ -68,7 +69,9 @@
             peers=NoPeers(),
             upstream=Upstream(self.platform, self.transport, tracer),
             tracer=tracer,
-            engine_calls=PlatformEngineCalls(self.transport),
+            copies=CopyKeeper(
+                PlatformEngineCalls(self.transport), SystemClock()
+            ),
             crashes=CrashLedger(
                 self.transport.is_unreachable, SystemClock(), self.told.append
             ),
@@ -170,6 +173,7 @@
             tasks.start_soon(engine.run)
         tasks.start_soon(found.edge.run)
         tasks.start_soon(found.context.crashes.run)
+        tasks.start_soon(found.context.copies.run)
         await anyio.wait_all_tasks_blocked()
         try:
             yield found
