Gateways ask a store that is away less often, and see its return

Cause: while the store is away all gateways ask it every 150 ms. Ruled out: a store that still failed; the watchers had answers all the time. Change: only watchers keep the short period, the others double it up to 1.2 s; fresh answers of peers end an outage. Tests: two in tests.gateway.test_feed; both failed before.

--- a/rhubarbwinch/gateway/feed.py
+++ b/rhubarbwinch/gateway/feed.py
@@ -33,7 +33,11 @@
 WATCH_WAIT_MS = 700
 # Events that come close together share a call of a watcher.
 COALESCE_MS = 60
+# After a failed call a watcher asks again so soon, since all depend on it. The
+# others double the wait up to a bound: while the store is away, all gateways
+# without a fresh answer ask, and each call is paid for.
 RETRY_MS = 150
+MAX_RETRY_MS = 1_200
 # A watcher that the store has not answered for so long is not relied on: the
 # wait of a watch and the time between two heartbeats, with a little more. A
 # configuration must be in force after two seconds.
@@ -63,6 +67,7 @@
         replica: What is known of it.
         clock: The source of time.
         should_watch: Tells whether this gateway watches the store itself.
+        is_watcher: Tells whether the other gateways rely on its watch.
         peer_revision: Returns the highest revision that a peer knows.
         share: Tells all peers of a batch.
         on_change: Takes changes, and whether they came after an outage.
@@ -76,6 +81,7 @@
         replica: Replica,
         clock: Clock,
         should_watch: Callable[[], bool],
+        is_watcher: Callable[[], bool],
         peer_revision: Callable[[], int],
         share: Callable[[SharedBatch], None],
         on_change: ChangeHandler,
@@ -86,6 +92,7 @@
         self._replica = replica
         self._clock = clock
         self._should_watch = should_watch
+        self._is_watcher = is_watcher
         self._peer_revision = peer_revision
         self._behind_since: int | None = None
         self._share = share
@@ -122,8 +129,12 @@
 
     async def run(self) -> None:
         """Follows the store until cancelled."""
+        failures = 0
         while True:
             if self._was_scanned and not self._must_ask():
+                # The peers have fresh answers.
+                self._note_recovery()
+                failures = 0
                 await self._clock.sleep(FOLLOWER_POLL_MS)
                 continue
             try:
@@ -131,12 +142,19 @@
                     await self._scan()
                 else:
                     await self._poll()
+                failures = 0
             except StoreCompacted as error:
                 events.WATCH_COMPACTED.log(error=str(error))
                 self._was_scanned = False
             except StoreError as error:
                 self._note_failure(error)
-                await self._clock.sleep(RETRY_MS)
+                failures += 1
+                await self._clock.sleep(self._retry_ms(failures))
+
+    def _retry_ms(self, failures: int) -> int:
+        if self._is_watcher():
+            return RETRY_MS
+        return min(MAX_RETRY_MS, RETRY_MS << (failures - 1))
 
     def _must_ask(self) -> bool:
         """Tells whether this gateway asks the store now."""
@@ -289,12 +307,15 @@
 
     def _note_answer(self) -> None:
         self._confirmed_at = self._clock.now()
-        if self._failing_since is not None:
-            events.STORE_UP.log(
-                down_ms=self._confirmed_at - self._failing_since
-            )
-            self._failing_since = None
-            self._recovered_at = self._confirmed_at
+        self._note_recovery()
+
+    def _note_recovery(self) -> None:
+        if self._failing_since is None:
+            return
+        now = self._clock.now()
+        events.STORE_UP.log(down_ms=now - self._failing_since)
+        self._failing_since = None
+        self._recovered_at = now
 
     def _note_failure(self, error: StoreError) -> None:
         if self._failing_since is None:
--- a/rhubarbwinch/gateway/peers.py
+++ b/rhubarbwinch/gateway/peers.py
@@ -165,17 +165,21 @@
         """How many other gateways there are, leaving ones included."""
         return len(self._alive())
 
-    def should_watch(self) -> bool:
-        """Tells whether this gateway watches the store itself.
+    def is_watcher(self) -> bool:
+        """Tells whether this gateway watches the store for all.
 
-        The first of the gateways by a hash of their names do, and each whose
-        peers have no fresh answer of the store.
+        The first of the gateways by a hash of their names do.
         """
         names = [h.name for h in self._alive() if not h.is_leaving]
         first = rendezvous.ranking("feed", [*names, self._me.name])[:WATCHERS]
-        if self._me.name in first:
-            return True
-        return self.confirmed_ms > FRESH_MS
+        return self._me.name in first
+
+    def should_watch(self) -> bool:
+        """Tells whether this gateway watches the store itself.
+
+        Watchers do, and each whose peers have no fresh answer of the store.
+        """
+        return self.is_watcher() or self.confirmed_ms > FRESH_MS
 
     @property
     def confirmed_ms(self) -> int:
--- a/rhubarbwinch/gateway/program.py
+++ b/rhubarbwinch/gateway/program.py
@@ -161,6 +161,7 @@
             self._replica,
             clock,
             self._peers.should_watch,
+            self._peers.is_watcher,
             lambda: self._peers.revision,
             self._peers.share,
             self._beliefs.apply,
--- a/tests/gateway/test_feed.py
+++ b/tests/gateway/test_feed.py
@@ -9,6 +9,8 @@
     BEHIND_MS,
     FOLLOWER_POLL_MS,
     LAPSE_GRACE_MS,
+    MAX_RETRY_MS,
+    RETRY_MS,
     Feed,
     _shared,
     split_batch,
@@ -76,11 +78,13 @@
         self.shared, self.seen = [], []
         self.links = PeerValues()
         self.watches = watches
+        self.is_cut_off = False
         self.peers_know = 0
         self.feed = Feed(
             self.store,
             Replica(),
             self.clock,
+            lambda: self.watches or self.is_cut_off,
             lambda: self.watches,
             lambda: self.peers_know,
             self.shared.append,
@@ -143,6 +147,32 @@
         await self._run(5_000)
         self.assertEqual(self.store.calls, ["scan"])
 
+    @asynchronous
+    async def test_in_an_outage_others_than_watchers_ask_less_and_less(self):
+        down = [StoreUnavailable("down") for _ in range(100)]
+        self._make([Listing([], 3)], down)
+        await self._run(8_000)
+        watcher_calls = len(self.store.calls)
+        self._make([Listing([], 3)], down, watches=False)
+        self.is_cut_off = True
+        await self._run(8_000)
+        self.assertGreater(watcher_calls, 8_000 // RETRY_MS)
+        self.assertLess(
+            len(self.store.calls), 8_000 // MAX_RETRY_MS + watcher_calls // 10
+        )
+
+    @asynchronous
+    async def test_an_outage_has_ended_when_peers_have_fresh_answers(self):
+        down = [StoreUnavailable("down") for _ in range(100)]
+        self._make([Listing([], 3)], down, watches=False)
+        self.is_cut_off = True
+        await self._run(2_000)
+        self.assertTrue(self.feed.is_failing)
+        self.is_cut_off = False
+        await self._run(MAX_RETRY_MS)
+        self.assertFalse(self.feed.is_failing)
+        self.assertTrue(self.feed.is_after_outage)
+
     @asynchronous
     async def test_a_follower_whose_peers_know_more_asks_the_store(self):
         # The datagram with the change was lost, and none came after it.
