Gateways tell each other of endpoints that fail their requests

Cause: each gateway judges endpoints by its own calls, and with 33 gateways each sends an engine one generation in some seconds. Ruled out: late news of the store (the engine's entry did not change). Change: a failed request is told to all; two gateways of one data centre, or of two, that fail at an endpoint in a second make all avoid it, when that is a clear share of what endpoints of the service get. One failure is enough after the pause. A fault towards one data centre is believed there only. Tests: tests.gateway.test_failurereports replays the faults.

--- a/rhubarbwinch/gateway/beliefs.py
+++ b/rhubarbwinch/gateway/beliefs.py
@@ -155,4 +155,5 @@
             return
         self._transport.close_idle(known.endpoint.address)
         self._context.suspicion.forget(endpoint_id)
+        self._context.reports.forget(endpoint_id)
         self._streams.note_leaving(known.endpoint)
--- a/rhubarbwinch/gateway/context.py
+++ b/rhubarbwinch/gateway/context.py
@@ -8,9 +8,15 @@
 from rhubarbwinch.gateway.copies import CopyKeeper
 from rhubarbwinch.gateway.crashes import Break, CrashLedger, fingerprint
 from rhubarbwinch.gateway.edge import EdgeRequest
+from rhubarbwinch.gateway.failurereports import (
+    WINDOW_MS,
+    FailureReports,
+    Traffic,
+)
 from rhubarbwinch.gateway.fleet import Fleet, Known
 from rhubarbwinch.gateway.hops import Tracer
 from rhubarbwinch.gateway.loads import LoadBook
+from rhubarbwinch.gateway.messages import FailureNotice
 from rhubarbwinch.gateway.peers import Peers
 from rhubarbwinch.gateway.placing import Candidate
 from rhubarbwinch.gateway.retrybudget import RetryBudget
@@ -34,6 +40,7 @@
         fleet: The endpoints.
         loads: What runs where.
         suspicion: Which endpoints are avoided.
+        reports: Failures of endpoints that all gateways have met.
         budget: Bounds further sends.
         peers: The other gateways.
         upstream: Sends to endpoints.
@@ -51,6 +58,7 @@
     fleet: Fleet
     loads: LoadBook
     suspicion: Suspicion
+    reports: FailureReports
     budget: RetryBudget
     peers: Peers
     upstream: Upstream
@@ -110,6 +118,42 @@
                 ),
             )
 
+        if self._is_reported(service, outcome):
+            self.take_failure(self.peers.report_failure(endpoint_id))
+
+    def _is_reported(self, service: str, outcome: Outcome) -> bool:
+        """Tells whether other gateways hear of an outcome."""
+        if outcome is Outcome.ERROR:
+            # Plain services answer some requests by errors of their own.
+            return self.engine_spec(service) is not None
+        return outcome in (Outcome.BROKEN, Outcome.UNREACHABLE)
+
+    def take_failure(self, notice: FailureNotice) -> None:
+        """Takes a failure that this gateway or another has met."""
+        known = self.fleet.get(notice.endpoint)
+        if known is None or known.is_leaving:
+            return
+        now = self.clock.now()
+        service = known.endpoint.service
+        traffic = Traffic(
+            self.suspicion.calls_each(service, WINDOW_MS),
+            self.peers.near_count + 1,
+            self.peers.count + 1,
+        )
+        if not self.reports.note(notice, traffic, now):
+            return
+        until_ms = self.suspicion.avoid(service, notice.endpoint, now)
+        if until_ms is None:
+            return
+        self.reports.note_pause(notice.endpoint, until_ms)
+        events.ENDPOINT_REPORTED.log(
+            endpoint=notice.endpoint,
+            reporter=notice.gateway,
+            calls_each=round(traffic.calls_each, 2),
+            gateways=traffic.gateways,
+            pause_ms=until_ms - now,
+        )
+
     def note_break(self, job: "Job", endpoint_id: str, address: str) -> None:
         """Has it found out whether an endpoint crashed under a request."""
         known = self.fleet.get(endpoint_id)
--- a/rhubarbwinch/gateway/messages.py
+++ b/rhubarbwinch/gateway/messages.py
@@ -137,6 +137,21 @@
     endpoint: str
 
 
+@attrs.frozen
+class FailureNotice:
+    """Tells that an endpoint failed a request.
+
+    Attributes:
+        gateway: The sender's name.
+        data_center: Where the sender is.
+        endpoint: The endpoint's id.
+    """
+
+    gateway: str
+    data_center: str
+    endpoint: str
+
+
 @attrs.frozen
 class LeavingNotice:
     """Tells that an engine has said by itself that it leaves.
--- a/rhubarbwinch/gateway/peers.py
+++ b/rhubarbwinch/gateway/peers.py
@@ -8,6 +8,7 @@
 from rhubarbwinch.gateway.feed import FRESH_MS
 from rhubarbwinch.gateway.loads import LoadBook
 from rhubarbwinch.gateway.messages import (
+    FailureNotice,
     Heartbeat,
     PeerAddress,
     SharedBatch,
@@ -129,6 +130,13 @@
         """Tells all peers of changes in the store."""
         self._broadcast.send(batch)
 
+    def report_failure(self, endpoint: str) -> FailureNotice:
+        """Tells all peers of a failed request; returns what it tells."""
+        me = self._me
+        notice = FailureNotice(me.name, me.data_center, endpoint)
+        self._broadcast.send(notice)
+        return notice
+
     def take(self, heartbeat: Heartbeat) -> None:
         """Takes a peer's heartbeat."""
         if heartbeat.link == self._me.link:
@@ -165,6 +173,12 @@
         """How many other gateways there are, leaving ones included."""
         return len(self._alive())
 
+    @property
+    def near_count(self) -> int:
+        """How many other gateways there are in this data centre."""
+        here = self._me.data_center
+        return sum(h.data_center == here for h in self._alive())
+
     def is_watcher(self) -> bool:
         """Tells whether this gateway watches the store for all.
 
--- a/rhubarbwinch/gateway/program.py
+++ b/rhubarbwinch/gateway/program.py
@@ -15,12 +15,14 @@
 from rhubarbwinch.gateway.crashes import CrashLedger
 from rhubarbwinch.gateway.edge import EdgeServer
 from rhubarbwinch.gateway.endpoints import Endpoint
+from rhubarbwinch.gateway.failurereports import FailureReports
 from rhubarbwinch.gateway.feed import Feed
 from rhubarbwinch.gateway.fleet import Fleet
 from rhubarbwinch.gateway.hops import Tracer
 from rhubarbwinch.gateway.loads import LoadBook
 from rhubarbwinch.gateway.messages import (
     CrashNotice,
+    FailureNotice,
     Heartbeat,
     LeavingNotice,
     SharedBatch,
@@ -136,6 +138,7 @@
             fleet=Fleet(),
             loads=loads,
             suspicion=Suspicion(),
+            reports=FailureReports(settings.data_center),
             budget=RetryBudget(
                 settings.retry_ratio,
                 settings.retry_window_ms,
@@ -205,6 +208,7 @@
         self._broadcast.on(SharedBatch, self._feed.take_batch)
         self._broadcast.on(LeavingNotice, self._beliefs.take_leaving)
         self._broadcast.on(CrashNotice, self._take_crash)
+        self._broadcast.on(FailureNotice, self._context.take_failure)
         self._server.on(SnapshotCall, self._answer_snapshot)
         self._server.on(ValueCall, self._feed.answer_value)
         tree = Supervisor(settings.name, self._clock)
--- a/rhubarbwinch/gateway/suspicion.py
+++ b/rhubarbwinch/gateway/suspicion.py
@@ -6,6 +6,7 @@
 """
 
 import enum
+import math
 
 import attrs
 
@@ -81,10 +82,27 @@
             record.pause_ms = FIRST_PAUSE_MS
         if not self._is_bad(record, outcome, now_ms):
             return False
+        self._avoid(record, now_ms)
+        return True
+
+    def avoid(self, service: str, endpoint: str, now_ms: int) -> int | None:
+        """Avoids an endpoint that several gateways have found failing.
+
+        Returns:
+            Until when; None if it is avoided already.
+        """
+        record = self._records.get(endpoint)
+        if record is None:
+            record = self._records[endpoint] = _Record(service, at_ms=now_ms)
+        if now_ms < record.avoided_until_ms:
+            return None
+        self._avoid(record, now_ms)
+        return record.avoided_until_ms
+
+    def _avoid(self, record: _Record, now_ms: int) -> None:
         record.avoided_until_ms = now_ms + record.pause_ms
         record.pause_ms = min(MAX_PAUSE_MS, record.pause_ms * 2)
         record.is_on_trial = True
-        return True
 
     def is_avoided(self, endpoint: str, now_ms: int) -> bool:
         """Tells whether an endpoint gets no new requests for now."""
@@ -98,6 +116,16 @@
             return 0.0
         return record.failures / (record.calls + 1)
 
+    def calls_each(self, service: str, window_ms: int) -> float:
+        """Returns how many calls an endpoint of a service gets in a window."""
+        found = [
+            r.calls for r in self._records.values() if r.service == service
+        ]
+        if not found:
+            return 0.0
+        weight_ms = HALF_LIFE_MS / math.log(2)
+        return sum(found) / len(found) * window_ms / weight_ms
+
     def forget(self, endpoint: str) -> None:
         """Drops an endpoint that is gone."""
         self._records.pop(endpoint, None)
--- a/rhubarbwinch/shared/events.py
+++ b/rhubarbwinch/shared/events.py
@@ -440,6 +440,12 @@
     logging.WARNING,
     "An engine did not free a copy.",
 )
+ENDPOINT_REPORTED = Event(
+    749,
+    "endpoint-reported",
+    logging.WARNING,
+    "An endpoint is avoided: several gateways have found it failing.",
+)
 CRASHED_UNDER = Event(
     746,
     "crashed-under",
--- /dev/null
+++ b/tests/gateway/test_failurereports.py
@@ -0,0 +1,71 @@
+"""Failures that gateways report: replays of the faults that they meet."""
+
+import unittest
+
+from rhubarbwinch.gateway.failurereports import (
+    TRIAL_MS,
+    WINDOW_MS,
+    FailureReports,
+    Traffic,
+)
+from rhubarbwinch.gateway.messages import FailureNotice
+
+# 33 gateways before 30 engines, and before four busy plain endpoints.
+GENERATIONS = Traffic(calls_each=0.04, near=11, gateways=33)
+PLAIN_CALLS = Traffic(calls_each=0.6, near=11, gateways=33)
+
+
+def _notice(number, data_center="dc-a", endpoint="e1"):
+    return FailureNotice(f"g{number}", data_center, endpoint)
+
+
+class FailureReportsTest(unittest.TestCase):
+    """A gateway in data centre dc-a that hears of failures."""
+
+    def setUp(self):
+        self.reports = FailureReports("dc-a")
+
+    def _note(self, *notices, traffic=GENERATIONS, now_ms=0, step_ms=10):
+        """Returns after how many reports the endpoint is avoided, or None."""
+        for count, notice in enumerate(notices, 1):
+            if self.reports.note(notice, traffic, now_ms + count * step_ms):
+                return count
+        return None
+
+    def test_an_engine_that_resets_what_it_gets_costs_two_gateways(self):
+        everyone = [_notice(i) for i in range(1, 34)]
+        self.assertEqual(self._note(*everyone), 2)
+
+    def test_the_failures_of_one_gateway_are_its_own(self):
+        self.assertIsNone(self._note(*[_notice(1)] * 20))
+
+    def test_a_fault_towards_another_data_center_is_not_believed(self):
+        others = [_notice(i, "dc-b") for i in range(1, 20)]
+        self.assertIsNone(self._note(*others))
+
+    def test_a_fault_towards_two_data_centers_is_the_endpoints(self):
+        mixed = [_notice(1, "dc-b"), _notice(2, "dc-c")]
+        self.assertEqual(self._note(*mixed), 2)
+
+    def test_an_endpoint_that_loses_one_answer_in_twenty_is_kept(self):
+        # 20 calls in a second, of which one fails in each data centre.
+        rare = [_notice(1), _notice(2, "dc-b"), _notice(3, "dc-c")] * 10
+        found = self._note(*rare, traffic=PLAIN_CALLS, step_ms=WINDOW_MS // 2)
+        self.assertIsNone(found)
+
+    def test_a_plain_endpoint_that_resets_a_third_is_avoided(self):
+        # Of 20 calls in a second seven fail, at as many gateways.
+        third = [_notice(i, f"dc-{'abc'[i % 3]}") for i in range(14)]
+        found = self._note(*third, traffic=PLAIN_CALLS, step_ms=WINDOW_MS // 7)
+        self.assertIsNotNone(found)
+
+    def test_failures_far_apart_do_not_add_up(self):
+        rare = [_notice(i) for i in range(1, 9)]
+        self.assertIsNone(self._note(*rare, step_ms=WINDOW_MS + 1))
+
+    def test_one_failure_after_a_pause_is_enough(self):
+        self.reports.note_pause("e1", 1_000)
+        self.assertEqual(self._note(_notice(1), now_ms=1_000), 1)
+        self.reports.note_pause("e1", 4_000)
+        later = 4_000 + TRIAL_MS
+        self.assertIsNone(self._note(_notice(1), now_ms=later))
--- a/tests/gatewayworld.py
+++ b/tests/gatewayworld.py
@@ -11,8 +11,10 @@
 from rhubarbwinch.gateway.copies import CopyKeeper
 from rhubarbwinch.gateway.crashes import CrashLedger
 from rhubarbwinch.gateway.edge import EdgeServer
+from rhubarbwinch.gateway.failurereports import FailureReports
 from rhubarbwinch.gateway.fleet import Fleet
 from rhubarbwinch.gateway.loads import LoadBook
+from rhubarbwinch.gateway.messages import FailureNotice
 from rhubarbwinch.gateway.plaincalls import PlainCalls
 from rhubarbwinch.gateway.retrybudget import RetryBudget
 from rhubarbwinch.gateway.router import Router
@@ -31,10 +33,15 @@
     """Stands for the other gateways where there are none."""
 
     count = 0
+    near_count = 0
 
     def tell_loads(self):
         """Tells nobody."""
 
+    def report_failure(self, endpoint):
+        """Returns what peers would be told."""
+        return FailureNotice("g1", "dc-a", endpoint)
+
 
 @attrs.define
 class Answer:
@@ -65,6 +72,7 @@
             fleet=Fleet(),
             loads=LoadBook(),
             suspicion=Suspicion(),
+            reports=FailureReports("dc-a"),
             budget=RetryBudget(0.2, 10_000, 100),
             peers=NoPeers(),
             upstream=Upstream(self.platform, self.transport, tracer),
