Runs of one leaving engine are spread over the others

Cause: the gateways of a leaving engine's runs choose new homes in the same millisecond, each the emptiest engine. Change: each gateway plans places for all runs that leave, and takes one of them by chance.

--- a/rhubarbwinch/gateway/carrying.py
+++ b/rhubarbwinch/gateway/carrying.py
@@ -102,6 +102,7 @@
             source,
             tokens,
             context.rng,
+            context.loads.total(source.id).runs,
         )
         if chosen is None:
             return None
