Revert "Runs of one leaving engine are spread over the others"

Copies to several engines wait for the links of both ends, and more of them go to other data centres, where they take twice as long.

--- a/rhubarbwinch/gateway/carrying.py
+++ b/rhubarbwinch/gateway/carrying.py
@@ -102,7 +102,6 @@
             source,
             tokens,
             context.rng,
-            context.loads.total(source.id).runs,
         )
         if chosen is None:
             return None
--- a/rhubarbwinch/gateway/moving.py
+++ b/rhubarbwinch/gateway/moving.py
@@ -7,7 +7,6 @@
 read again, some milliseconds of work.
 """
 
-import collections
 import random
 
 from rhubarbwinch.gateway.endpoints import Endpoint
@@ -24,7 +23,7 @@
 BACKUP_POOL_SHARE = 0.5
 # A copy to another data centre takes twice as long, and every run on the
 # leaving engine waits for it, so it has to be much emptier there.
-CROSS_RUNS = 6.0
+CROSS_RUNS = 4.0
 # What came after the copy is read again before the run goes on, so the copy is
 # kept young: it takes some milliseconds of the link, and the pause of the
 # stream stays short.
@@ -36,41 +35,17 @@
     source: Endpoint,
     tokens: int,
     rng: random.Random,
-    leaving_runs: int = 1,
     memory_share: float = MOVE_MEMORY_SHARE,
 ) -> Candidate | None:
-    """Returns the engine that takes over a run, or None without room.
-
-    The gateways of a leaving engine's runs choose at the same moment, each
-    without knowing what the others choose. So each spreads all the runs over
-    the engines, and takes one of the places by chance.
-
-    Args:
-        candidates: The engines that take new work, the run's own left out.
-        source: The engine that leaves.
-        tokens: The memory that the run is expected to need, in tokens.
-        rng: Picks the place.
-        leaving_runs: How many runs leave together.
-        memory_share: The share of an engine's memory that may be filled.
-    """
-    there = [c for c in candidates if c.failure_share < MAX_FAILURE_SHARE]
-    places: list[Candidate] = []
-    taken: collections.Counter[str] = collections.Counter()
-    for _ in range(max(1, leaving_runs)):
-        chosen = min(
-            (
-                (_cost(c, source) + taken[c.endpoint.id], rng.random(), c)
-                for c in there
-                if c.fits((taken[c.endpoint.id] + 1) * tokens, memory_share)
-            ),
-            default=None,
-            key=lambda found: found[:2],
-        )
-        if chosen is None:
-            break
-        places.append(chosen[2])
-        taken[chosen[2].endpoint.id] += 1
-    return rng.choice(places) if places else None
+    """Returns the engine that takes over a run, or None without room."""
+    fitting = [
+        c
+        for c in candidates
+        if c.fits(tokens, memory_share) and c.failure_share < MAX_FAILURE_SHARE
+    ]
+    if not fitting:
+        return None
+    return min(fitting, key=lambda c: (_cost(c, source), rng.random()))
 
 
 def choose_backup(
@@ -91,9 +66,7 @@
     there_is = sum(c.capacity_tokens for c in candidates)
     if used > there_is * BACKUP_POOL_SHARE:
         return None
-    return choose_home(
-        candidates, source, tokens, rng, memory_share=BACKUP_MEMORY_SHARE
-    )
+    return choose_home(candidates, source, tokens, rng, BACKUP_MEMORY_SHARE)
 
 
 def _cost(candidate: Candidate, source: Endpoint) -> float:
