A copy that is far behind its run is renewed at once

Cause: a copy holds what the run had when the copy began. Ruled out: the stop call (0 to 5 ms) and the sending of the request. Change: while a copy is more than ten events behind it is renewed after 40 ms. Test: tests.gateway.test_placing.

--- a/rhubarbwinch/gateway/carrying.py
+++ b/rhubarbwinch/gateway/carrying.py
@@ -126,16 +126,19 @@
         made = self._new_copy(run, source, room)
         try:
             while True:
+                wait_ms = moving.REFRESH_MS
                 result = await copies.renew(made, False, run.events)
                 if result.state is MoveState.COPIED:
                     copy = MemoryCopy(source.address, result.handle)
                     run.home = NewHome(room, copy, source)
                     run.has_copy.set()
+                    behind = run.events - result.events
+                    wait_ms = moving.refresh_after_ms(behind)
                 elif run.home is None:
                     return result.state
                 # A copy that could not be made again is still good: the engine
                 # that left it may just be ending.
-                if await self._leaves(room.endpoint, moving.REFRESH_MS):
+                if await self._leaves(room.endpoint, wait_ms):
                     return MoveState.NO_ROOM
         finally:
             if run.home is not None and run.home.room is room:
--- a/rhubarbwinch/gateway/moving.py
+++ b/rhubarbwinch/gateway/moving.py
@@ -28,6 +28,11 @@
 # kept young: it takes some milliseconds of the link, and the pause of the
 # stream stays short.
 REFRESH_MS = 400
+# A copy that took long is behind by what its run has made meanwhile. From about
+# so many events on the pause may pass what routes allow, so that it is renewed
+# soon.
+MAX_EVENTS_BEHIND = 10
+CATCH_UP_MS = 40
 
 
 def choose_home(
@@ -69,6 +74,15 @@
     return choose_home(candidates, source, tokens, rng, BACKUP_MEMORY_SHARE)
 
 
+def refresh_after_ms(events_behind: int) -> int:
+    """Returns how long a copy is kept before it is renewed.
+
+    Args:
+        events_behind: Events that its run has made since it was taken.
+    """
+    return CATCH_UP_MS if events_behind > MAX_EVENTS_BEHIND else REFRESH_MS
+
+
 def _cost(candidate: Candidate, source: Endpoint) -> float:
     cost = candidate.load.runs + FAILING_RUNS * candidate.failure_share
     if candidate.endpoint.data_center != source.data_center:
--- a/tests/gateway/test_placing.py
+++ b/tests/gateway/test_placing.py
@@ -102,6 +102,15 @@
         self.assertIsNone(self._choose(candidate("e1", failure_share=0.4)))
 
 
+class RefreshTest(unittest.TestCase):
+    """When a copy is renewed."""
+
+    def test_a_copy_that_is_far_behind_is_renewed_soon(self):
+        # A first copy that took 1.4 s while its run made 50 events.
+        self.assertEqual(moving.refresh_after_ms(50), moving.CATCH_UP_MS)
+        self.assertEqual(moving.refresh_after_ms(2), moving.REFRESH_MS)
+
+
 class ChooseBackupTest(unittest.TestCase):
     """Engines that follow a run."""
 
