Short failures of the store are no outage, and lapsed engines are asked

Cause: after each failed call of 190 ms, as when the store drops its history, entries that went away within 2.5 s were taken as lapsed and believed in for 2.3 s more. A store that turned a third of the gateways away was taken for an outage by all of them, again and again. Ruled out: late news; all gateways had the removal within 30 ms. Change: only a failure of 0.8 s or more makes leases lapse, since an engine misses three heartbeats before; engines whose entries have lapsed are asked whether they leave; there is an outage when the store fails all watchers.

--- a/rhubarbwinch/gateway/feed.py
+++ b/rhubarbwinch/gateway/feed.py
@@ -49,6 +49,9 @@
 # Leases that lapsed while the store was away come back within two seconds of
 # its return; a deletion in that time may be one of them.
 LAPSE_GRACE_MS = 2_500
+# Leases lapse after three heartbeats that failed, more than two seconds; a call
+# that fails is noticed up to a second late.
+MIN_OUTAGE_MS = 800
 
 FETCH_TIMEOUT_MS = 500
 # A batch fits a datagram; what a change takes beside its key and value.
@@ -313,9 +316,11 @@
         if self._failing_since is None:
             return
         now = self._clock.now()
-        events.STORE_UP.log(down_ms=now - self._failing_since)
+        down_ms = now - self._failing_since
+        events.STORE_UP.log(down_ms=down_ms)
         self._failing_since = None
-        self._recovered_at = now
+        if down_ms >= MIN_OUTAGE_MS:
+            self._recovered_at = now
 
     def _note_failure(self, error: StoreError) -> None:
         if self._failing_since is None:
--- a/rhubarbwinch/gateway/outage.py
+++ b/rhubarbwinch/gateway/outage.py
@@ -1,7 +1,8 @@
-"""What a gateway does while no gateway has a fresh answer of the store.
+"""What a gateway does while the store can't tell which engines leave.
 
 It answers outages in which engines go on leaving: their notices do not reach
-the store. Each engine is asked by one gateway, which tells the others.
+the store. Each engine is asked by one gateway, which tells the others. After
+the outage those are asked whose entries have lapsed: some of them leave.
 """
 
 from collections.abc import Callable
@@ -32,7 +33,8 @@
         calls: Calls engines.
         stale_ms: Returns how old the newest answer of the store is.
         is_failing: Tells whether the store fails any gateway's calls.
-        engines: Returns the engines that this gateway asks.
+        engines: Returns the engines that this gateway asks in an outage.
+        lapsed: Returns those of them whose entries have lapsed.
         on_leaving: Takes an engine that leaves.
     """
 
@@ -43,6 +45,7 @@
         stale_ms: Callable[[], int],
         is_failing: Callable[[], bool],
         engines: Callable[[], list[Endpoint]],
+        lapsed: Callable[[], list[Endpoint]],
         on_leaving: Callable[[Endpoint], None],
     ) -> None:
         self._clock = clock
@@ -50,6 +53,7 @@
         self._stale_ms = stale_ms
         self._is_failing = is_failing
         self._engines = engines
+        self._lapsed = lapsed
         self._on_leaving = on_leaving
         self._is_outage = False
 
@@ -62,13 +66,11 @@
             if is_outage != self._is_outage:
                 self._is_outage = is_outage
                 events.OUTAGE_CHANGED.log(outage=is_outage, stale_ms=stale_ms)
-            if not is_outage:
-                await self._clock.sleep(CHECK_MS)
-                continue
+            doubtful = self._engines() if is_outage else self._lapsed()
             async with anyio.create_task_group() as tasks:
-                for endpoint in self._engines():
+                for endpoint in doubtful:
                     tasks.start_soon(self._ask, endpoint)
-            await self._clock.sleep(ASK_MS)
+            await self._clock.sleep(ASK_MS if doubtful else CHECK_MS)
 
     async def _ask(self, endpoint: Endpoint) -> None:
         try:
--- a/rhubarbwinch/gateway/peers.py
+++ b/rhubarbwinch/gateway/peers.py
@@ -184,9 +184,11 @@
 
         The first of the gateways by a hash of their names do.
         """
+        return self._me.name in self._watchers()
+
+    def _watchers(self) -> list[str]:
         names = [h.name for h in self._alive() if not h.is_leaving]
-        first = rendezvous.ranking("feed", [*names, self._me.name])[:WATCHERS]
-        return self._me.name in first
+        return rendezvous.ranking("feed", [*names, self._me.name])[:WATCHERS]
 
     def should_watch(self) -> bool:
         """Tells whether this gateway watches the store itself.
@@ -213,10 +215,17 @@
         """The highest revision of the store that a living peer knows."""
         return max((h.revision for h in self._alive()), default=0)
 
-    @property
-    def is_store_failing(self) -> bool:
-        """Whether the store fails the calls of any peer that lives."""
-        return any(heartbeat.is_store_failing for heartbeat in self._alive())
+    def is_store_failing(self, fails_here: bool) -> bool:
+        """Tells whether the store fails the calls of all watchers.
+
+        It may turn single gateways away and serve the others.
+
+        Args:
+            fails_here: Whether it fails the calls of this gateway.
+        """
+        failing = {h.name: h.is_store_failing for h in self._alive()}
+        failing[self._me.name] = fails_here
+        return all(failing.get(name, False) for name in self._watchers())
 
     def owns(self, key: str) -> bool:
         """Tells whether a task that one gateway does for all falls to this."""
--- a/rhubarbwinch/gateway/program.py
+++ b/rhubarbwinch/gateway/program.py
@@ -17,7 +17,7 @@
 from rhubarbwinch.gateway.endpoints import Endpoint
 from rhubarbwinch.gateway.failurereports import FailureReports
 from rhubarbwinch.gateway.feed import Feed
-from rhubarbwinch.gateway.fleet import Fleet
+from rhubarbwinch.gateway.fleet import Fleet, Known
 from rhubarbwinch.gateway.hops import Tracer
 from rhubarbwinch.gateway.loads import LoadBook
 from rhubarbwinch.gateway.messages import (
@@ -180,8 +180,9 @@
             clock,
             outside.engine_calls,
             lambda: min(self._feed.confirmed_ms, self._peers.confirmed_ms),
-            lambda: self._feed.is_failing or self._peers.is_store_failing,
-            self._own_engines,
+            lambda: self._peers.is_store_failing(self._feed.is_failing),
+            lambda: [known.endpoint for known in self._own_engines()],
+            self._own_lapsed,
             self._tell_leaving,
         )
         self._front = EdgeServer(settings.front, router.handle, clock)
@@ -284,12 +285,16 @@
         snapshot = await self._feed.answer_snapshot(call)
         return attrs.evolve(snapshot, leaving=self._beliefs.leaving_notices())
 
-    def _own_engines(self) -> list[Endpoint]:
+    def _own_lapsed(self) -> list[Endpoint]:
+        """Returns the engines of these whose entries have lapsed."""
+        return [k.endpoint for k in self._own_engines() if k.lapse_due_ms]
+
+    def _own_engines(self) -> list[Known]:
         """Returns the engines that this gateway asks for all."""
         table = self._context.table
         services = table.services if table is not None else {}
         return [
-            known.endpoint
+            known
             for known in self._context.fleet.all_taking_work()
             if (spec := services.get(known.endpoint.service)) is not None
             and spec.engine is not None
--- /dev/null
+++ b/tests/gateway/test_peers.py
@@ -0,0 +1,86 @@
+"""What a gateway believes of the others from their heartbeats."""
+
+import unittest
+
+import attrs
+
+from rhubarbwinch.gateway.loads import LoadBook
+from rhubarbwinch.gateway.messages import Heartbeat
+from rhubarbwinch.gateway.peers import ALIVE_MS, Peers
+from rhubarbwinch.shared.clock import ManualClock
+
+
+class Silence:
+    """A broadcast that nobody hears."""
+
+    def __init__(self):
+        self.sent = []
+        self.send = self.sent.append
+
+    def on(self, kind, handle):
+        """Takes no messages."""
+
+    def add(self, address):
+        """Knows no peers."""
+
+
+def _heartbeat(number, sequence=1, **fields):
+    name = f"g{number}"
+    here = f"127.0.0.{number}"
+    base = Heartbeat(
+        name, 1, sequence, f"{here}:1", f"{here}:2", f"{here}:3", "dc-a"
+    )
+    return attrs.evolve(base, is_serving=True, **fields)
+
+
+class PeersTest(unittest.TestCase):
+    """The first of six gateways."""
+
+    def setUp(self):
+        self.clock = ManualClock(1)
+        self.broadcast = Silence()
+        self.peers = Peers(
+            _heartbeat(1),
+            self.broadcast,
+            None,
+            self.clock,
+            LoadBook(),
+            lambda heartbeat: heartbeat,
+        )
+
+    def _hear(self, sequence=1, **by_name):
+        """Hears of g2 to g6; `by_name` has fields of single ones."""
+        for number in range(2, 7):
+            fields = by_name.get(f"g{number}", {})
+            self.peers.take(_heartbeat(number, sequence, **fields))
+
+    def _watchers(self):
+        self._hear()
+        return self.peers._watchers()
+
+    def test_two_gateways_watch_the_store_for_all(self):
+        self.assertEqual(len(self._watchers()), 2)
+
+    def test_the_store_is_away_when_it_fails_all_watchers(self):
+        watchers = self._watchers()
+        failing = {"is_store_failing": True}
+        here = "g1" in watchers
+        self._hear(2, **dict.fromkeys(watchers, failing))
+        self.assertTrue(self.peers.is_store_failing(here))
+
+    def test_the_store_is_not_away_when_it_turns_some_gateways_away(self):
+        watchers = self._watchers()
+        failing = {"is_store_failing": True}
+        others = {f"g{i}" for i in range(2, 7)} - set(watchers)
+        self._hear(2, **dict.fromkeys([*others, watchers[0]], failing))
+        self.assertFalse(self.peers.is_store_failing(watchers[0] == "g1"))
+
+    def test_a_gateway_that_hears_of_no_other_goes_by_its_own_calls(self):
+        self._hear()
+        self.clock.set(ALIVE_MS + 2)
+        self.assertTrue(self.peers.is_store_failing(True))
+        self.assertFalse(self.peers.is_store_failing(False))
+
+    def test_gateways_of_the_own_data_center_are_counted(self):
+        self._hear(g2={"data_center": "dc-b"}, g3={"data_center": "dc-b"})
+        self.assertEqual((self.peers.count, self.peers.near_count), (5, 3))
