Reported failures are compared with those of the other endpoints

Cause: found by reading. When all endpoints of a service are too slow, all gateways report all of them, and half would be avoided, which halves what is left to serve. Test: tests.gateway.test_failurereports; it failed before.

--- a/rhubarbwinch/gateway/context.py
+++ b/rhubarbwinch/gateway/context.py
@@ -117,7 +117,6 @@
                     self.suspicion.failure_share(endpoint_id), 2
                 ),
             )
-
         if self._is_reported(service, outcome):
             self.take_failure(self.peers.report_failure(endpoint_id))
 
@@ -139,6 +138,7 @@
             self.suspicion.calls_each(service, WINDOW_MS),
             self.peers.near_count + 1,
             self.peers.count + 1,
+            frozenset(k.endpoint.id for k in self.fleet.of_service(service)),
         )
         if not self.reports.note(notice, traffic, now):
             return
--- a/tests/gateway/test_failurereports.py
+++ b/tests/gateway/test_failurereports.py
@@ -2,6 +2,8 @@
 
 import unittest
 
+import attrs
+
 from rhubarbwinch.gateway.failurereports import (
     TRIAL_MS,
     WINDOW_MS,
@@ -59,6 +61,17 @@
         found = self._note(*third, traffic=PLAIN_CALLS, step_ms=WINDOW_MS // 7)
         self.assertIsNotNone(found)
 
+    def test_a_service_whose_endpoints_are_all_too_slow_keeps_them(self):
+        # Half of all calls get no answer in time, at whatever endpoint.
+        names = [f"e{i}" for i in range(1, 5)]
+        traffic = attrs.evolve(PLAIN_CALLS, endpoints=frozenset(names))
+        late = [
+            _notice(i % 33, f"dc-{'abc'[i % 3]}", names[i % 4])
+            for i in range(400)
+        ]
+        found = self._note(*late, traffic=traffic, step_ms=WINDOW_MS // 40)
+        self.assertIsNone(found)
+
     def test_failures_far_apart_do_not_add_up(self):
         rare = [_notice(i) for i in range(1, 9)]
         self.assertIsNone(self._note(*rare, step_ms=WINDOW_MS + 1))
