A copy that a run goes on from is the run's own before the stop call

Cause: found by reading. While the old engine was told to stop a run, up to 40 ms, the task that keeps its copy could see the new engine leave too, and now would have freed the copy that the run was about to use. Change: the run takes the room over first. A count of events that is no whole number no longer ends the task of a copy call. Tests: tests.gateway.test_streams pass; the window itself has no test, since it is shorter than the period of the check.

--- a/rhubarbwinch/gateway/continuing.py
+++ b/rhubarbwinch/gateway/continuing.py
@@ -80,10 +80,11 @@
         self, run: Run, home: NewHome, how: str
     ) -> Answer | None:
         """Goes on at the engine that has the copy."""
+        # From here on the copy is the run's own, and nobody frees it.
+        self._settle(run, home.room)
         await self._carrier.stop(
             run, home.source, home.room.endpoint, is_copy_used=how == MOVE
         )
-        self._settle(run, home.room)
         answer = await self._resume(run, home.room.endpoint, home.copy, how)
         if answer is not None:
             self._carrier.copy_if_leaving(run)
--- a/rhubarbwinch/platform/enginecalls.py
+++ b/rhubarbwinch/platform/enginecalls.py
@@ -63,10 +63,11 @@
         state = _STATES.get(response.status_code, MoveState.FAILED)
         if not isinstance(found, dict):
             found = {}
+        created = found.get("created")
         return MoveResult(
             state,
             str(found.get("handle") or ""),
-            int(found.get("created") or 0),
+            created if isinstance(created, int) else 0,
         )
 
     async def free_copy(self, address: str, handle: str) -> FreeState:
