--- a/lab/soak/engines.py
+++ b/lab/soak/engines.py
@@ -1,6 +1,7 @@
 """Engines of the soak: they run requests, copy memory, and can be harmed."""
 
 import random
+import urllib.parse
 from collections.abc import Iterator
 from contextlib import contextmanager
 
@@ -35,10 +36,12 @@
     Attributes:
         engine: The address of the engine that holds it.
         made: The events that it covers.
+        source: The address of the engine that runs it.
     """
 
     engine: str
     made: int
+    source: str
 
 
 @attrs.define
@@ -177,7 +180,7 @@
         self._work[run.id] = work
         address = names.get(headers.BACKUP.decode())
         if address in self._fabric.engines:
-            work.backup = Copy(str(address), 0)
+            work.backup = Copy(str(address), 0, self.address)
             self._fabric.copies[run.id] = work.backup
         try:
             with work.scope:
@@ -215,6 +218,14 @@
         if not self.proxy.is_sound and request_id in self._work:
             self._work[request_id].run.is_cut_off = True
 
+    def _free(self, handle: str) -> int:
+        name = urllib.parse.unquote(handle)
+        copy = self._fabric.copies.get(name)
+        if copy is None or self.address not in (copy.source, copy.engine):
+            return NOT_FOUND
+        del self._fabric.copies[name]
+        return 200
+
     async def _move(
         self, request: EdgeRequest, responder: EdgeResponder
     ) -> None:
@@ -243,5 +254,5 @@
         finally:
             work.is_moving = False
         handle = f"h-{request_id}-{to}"
-        self._fabric.copies[handle] = Copy(to, work.made)
+        self._fabric.copies[handle] = Copy(to, work.made, self.address)
         return 200, {"handle": handle, "created": work.made}
--- a/lab/standins/platformengine.py
+++ b/lab/standins/platformengine.py
@@ -121,8 +121,8 @@
             await self._move(request, responder)
             return
         if request.target.startswith(FREE_PATH):
-            self.freed.append(request.target.removeprefix(FREE_PATH).decode())
-            await responder.send(200, [], b"{}")
+            handle = request.target.removeprefix(FREE_PATH).decode()
+            await responder.send(self._free(handle), [], b"{}")
             return
         if request.target == b"/report":
             report = {"state": "ready", "leaves_ms": self.leaves_ms}
@@ -139,6 +139,11 @@
             self.left += 1
             raise
 
+    def _free(self, handle: str) -> int:
+        """Frees a copy; returns the status of the answer."""
+        self.freed.append(handle)
+        return 200
+
     async def _move(
         self, request: EdgeRequest, responder: EdgeResponder
     ) -> None:
