A test that is red: SIGHUP after a gateway's last line

The receiver of signals had given the default action back by then, which ends the process: status -1 instead of 0. Nothing was open, no promise to callers or engines was broken. Ruled out: a cut request; all answers of that gateway were complete. The test fails on any machine.

--- a/tests/gateway/test_gateway.py
+++ b/tests/gateway/test_gateway.py
@@ -44,7 +44,7 @@
             "last": base + 15,
         }
 
-    def start(self, number):
+    def start(self, number, program="rhubarbwinch gateway"):
         """Starts a gateway on an address of its own."""
         ip = f"127.0.7.{number}"
         ports = self.ports
@@ -62,7 +62,7 @@
         path.write_text(text)
         self.processes.start(
             f"g{number}",
-            "rhubarbwinch gateway",
+            program,
             "--metrics-port",
             str(self.ports["last"]),
             env={"RHUBARBWINCH_SETTINGS": str(path)},
@@ -208,6 +208,16 @@
     async def test_signals_while_it_ends_leave_what_is_open_alone(self):
         await self._end_under_an_open_request(signal.SIGHUP, signal.SIGTERM)
 
+    @asynchronous
+    async def test_a_signal_after_all_is_done_does_not_change_the_status(self):
+        async with deployment() as d:
+            d.start(1, "tests.latesignal gateway")
+            await d.until(lambda: d.is_ready(1))
+            d.processes.signal("g1", signal.SIGTERM)
+            status = await anyio.to_thread.run_sync(d.processes.wait, "g1")
+            self.assertEqual(d.events(1)[-1]["name"], "stopped")
+            self.assertEqual(status, 0)
+
     async def _end_under_an_open_request(self, *later):
         """Ends a gateway that waits for an answer, by more than one signal."""
         go_on = anyio.Event()
