Gateway: a signal after its last line no longer changes the exit status

Cause: anyio's receiver restores the default handlers when it is closed, and SIGHUP by default ends a process. Between that and the end of the process, about 0.1 s, a SIGHUP gave status -1. Ruled out: SIG_IGN after the receiver, which leaves a gap of the same kind. Change: SIGHUP, SIGTERM and SIGINT are blocked while the receiver is still open.

--- a/rhubarbwinch/gateway/program.py
+++ b/rhubarbwinch/gateway/program.py
@@ -70,6 +70,7 @@
 # Timeout of the last call to the store, which removes the registration. If the
 # call fails, the lease expires.
 DEREGISTER_TIMEOUT_MS = 300
+_HANDLED_SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
 
 
 @attrs.frozen
@@ -256,9 +257,7 @@
         supervisor.add("settings", self._watch_settings)
         events.STARTED.log(name=settings.name, settings=attrs.asdict(settings))
         # The receiver stays open until the end because late signals may come.
-        with anyio.open_signal_receiver(
-            signal.SIGTERM, signal.SIGINT, signal.SIGHUP
-        ) as signals:
+        with anyio.open_signal_receiver(*_HANDLED_SIGNALS) as signals:
             try:
                 async with anyio.create_task_group() as tasks:
                     tasks.start_soon(self._watch_signals, signals, tasks)
@@ -267,6 +266,9 @@
                 # The task group wraps the supervisor's exception in a group.
                 raise group.exceptions[0] from None
             finally:
+                # After the receiver is closed a signal would end the process
+                # with a status of failure. A blocked signal stays pending.
+                signal.pthread_sigmask(signal.SIG_BLOCK, _HANDLED_SIGNALS)
                 with (
                     anyio.CancelScope(shield=True),
                     anyio.move_on_after(DEREGISTER_TIMEOUT_MS / 1000),
