Gateway: its own cut from the store is not taken for an outage

Ruled out: asking the engine, since one whose entry is deleted without a notice may not report that it leaves. Change: heartbeats say for how long the store has answered the sender without an outage. A deletion is no lapse if any live gateway had responses for the 2.5 s before it; marks of peers are corrected in the same way, and an entry that counts as lapsed makes its endpoint leave as soon as such a heartbeat arrives.

--- a/rhubarbwinch/gateway/clusterview.py
+++ b/rhubarbwinch/gateway/clusterview.py
@@ -64,10 +64,15 @@
             for known in self._context.fleet.all_leaving()
         ]
 
-    def expire_endpoints(self) -> None:
-        """Treats endpoints whose expired entries weren't renewed as leaving."""
+    def expire_endpoints(self, reliable_since_ms: int | None) -> None:
+        """Treats endpoints whose expired entries weren't renewed as leaving.
+
+        Args:
+            reliable_since_ms: Deletions from this time on do not come from
+                expired leases; None if any may.
+        """
         for known in self._context.fleet.expire_endpoints(
-            self._context.clock.now()
+            self._context.clock.now(), reliable_since_ms
         ):
             self._log_endpoint_change(known.endpoint.id, "lapsed", 0, True)
             self._handle_leaving(known.endpoint.id)
--- a/rhubarbwinch/gateway/fleet.py
+++ b/rhubarbwinch/gateway/fleet.py
@@ -123,18 +123,30 @@
             known for known in self._known.values() if known.accepts_requests
         ]
 
-    def expire_endpoints(self, now_ms: int) -> list[KnownEndpoint]:
+    def expire_endpoints(
+        self, now_ms: int, reliable_since_ms: int | None = None
+    ) -> list[KnownEndpoint]:
         """Marks endpoints as leaving if their expired entries weren't renewed.
 
         Endpoints that left longer ago than `LEFT_RETENTION_MS` are dropped.
 
+        Args:
+            now_ms: The current time.
+            reliable_since_ms: Entries deleted from this time on have not
+                expired, so their endpoints leave; None if all may have
+                expired.
+
         Returns:
-            The endpoints whose renewal deadline has passed.
+            The endpoints that now leave.
         """
         due = [
             known
             for known in self._known.values()
-            if known.expiry_deadline_ms and now_ms >= known.expiry_deadline_ms
+            if known.expiry_deadline_ms
+            and (
+                now_ms >= known.expiry_deadline_ms
+                or _is_deleted_since(known, reliable_since_ms)
+            )
         ]
         for known in due:
             known.expiry_deadline_ms = 0
@@ -155,3 +167,10 @@
         known.is_leaving = True
         known.leaving_since_ms = now_ms
         return True
+
+
+def _is_deleted_since(known: KnownEndpoint, since_ms: int | None) -> bool:
+    """Returns whether an expired entry was deleted at a time or later."""
+    if since_ms is None:
+        return False
+    return known.expiry_deadline_ms - EXPIRED_ENTRY_GRACE_MS >= since_ms
--- a/rhubarbwinch/gateway/messages.py
+++ b/rhubarbwinch/gateway/messages.py
@@ -52,6 +52,8 @@
         confirmed_ms: Milliseconds since the store confirmed that revision to
             the sender.
         is_store_failing: Whether the sender's last call to the store failed.
+        store_available_ms: Milliseconds for which the store has answered the
+            sender without an outage; 0 if the sender does not call it.
         loads: The sender's loads at endpoints.
     """
 
@@ -67,6 +69,7 @@
     revision: int = 0
     confirmed_ms: int = 1 << 40
     is_store_failing: bool = False
+    store_available_ms: int = 0
     loads: list[EndpointLoad] = attrs.field(factory=list)
 
     @property
--- a/rhubarbwinch/gateway/peers.py
+++ b/rhubarbwinch/gateway/peers.py
@@ -221,6 +221,13 @@
             default=NEVER_MS,
         )
 
+    @property
+    def store_available_ms(self) -> int:
+        """The longest time for which the store has answered a live peer."""
+        return max(
+            (h.store_available_ms for h in self._live_heartbeats()), default=0
+        )
+
     @property
     def revision(self) -> int:
         """The highest store revision that a live peer has reached."""
--- a/rhubarbwinch/gateway/program.py
+++ b/rhubarbwinch/gateway/program.py
@@ -183,6 +183,7 @@
             self._peers.should_watch,
             self._peers.is_watcher,
             lambda: self._peers.revision,
+            lambda: self._peers.store_available_ms,
             self._peers.broadcast_changes,
             self._cluster_view.apply_changes,
             self._links,
@@ -285,6 +286,7 @@
             revision=self._replica.revision,
             confirmed_ms=self._store_feed.confirmed_ms,
             is_store_failing=self._store_feed.is_failing,
+            store_available_ms=self._store_feed.available_ms,
         )
 
     def _apply_limits(self, table: RoutingTable) -> None:
@@ -340,7 +342,9 @@
         """Runs the periodic work every `TICK_MS`."""
         while True:
             await self._clock.sleep(TICK_MS)
-            self._cluster_view.expire_endpoints()
+            self._cluster_view.expire_endpoints(
+                self._store_feed.reliable_since_ms
+            )
             gatewaymetrics.OPEN_REQUESTS.set(self._front.status.open_requests)
             self._streams.handle_capacity_change()
             if self._store_feed.is_failing != self._was_failing:
--- a/rhubarbwinch/gateway/storefeed.py
+++ b/rhubarbwinch/gateway/storefeed.py
@@ -47,6 +47,9 @@
 # billed.
 RETRY_MS = 150
 MAX_RETRY_MS = 1_200
+# A gap of this length between two responses counts as an outage: two watch
+# timeouts, so that a response may be late.
+MAX_RESPONSE_GAP_MS = 2 * WATCH_TIMEOUT_MS
 # A watcher whose last response from the store is older than this is not relied
 # on. The bound is the watch timeout plus the heartbeat interval plus a margin.
 # A new configuration must be active within two seconds.
@@ -84,6 +87,8 @@
         is_watcher: Returns whether the other gateways rely on its watch.
         peer_revision: Returns the highest store revision that a peer has
             reached.
+        peer_available_ms: Returns for how long the store has answered a peer
+            without an outage.
         broadcast_batch: Broadcasts a batch to all peers.
         on_change: Called with changes, and with whether they may result from
             an outage.
@@ -99,6 +104,7 @@
         should_watch: Callable[[], bool],
         is_watcher: Callable[[], bool],
         peer_revision: Callable[[], int],
+        peer_available_ms: Callable[[], int],
         broadcast_batch: Callable[[SharedBatch], None],
         on_change: ChangeHandler,
         links: PeerCaller,
@@ -110,6 +116,7 @@
         self._should_watch = should_watch
         self._is_watcher = is_watcher
         self._peer_revision = peer_revision
+        self._peer_available_ms = peer_available_ms
         self._behind_since_ms: int | None = None
         self._broadcast_batch = broadcast_batch
         self._on_change = on_change
@@ -120,6 +127,7 @@
         self._confirmed_at_ms: int | None = None
         self._failing_since_ms: int | None = None
         self._recovered_at_ms: int | None = None
+        self._available_since_ms: int | None = None
         self._is_synced = False
 
     @property
@@ -134,9 +142,40 @@
         """Whether the last call to the store failed."""
         return self._failing_since_ms is not None
 
+    @property
+    def available_ms(self) -> int:
+        """Milliseconds for which the store has answered without an outage.
+
+        0 if the store does not answer, or if this gateway does not call it.
+        """
+        if (
+            self._available_since_ms is None
+            or self.confirmed_ms > MAX_RESPONSE_GAP_MS
+        ):
+            return 0
+        return self._clock.now() - self._available_since_ms
+
+    @property
+    def reliable_since_ms(self) -> int | None:
+        """The time since which no deletion comes from an expired lease.
+
+        None if the store may have had an outage recently. An outage is one of
+        the store only if no gateway had responses all the while: a gateway that
+        was cut off alone sees the same failures.
+        """
+        available_ms = max(self.available_ms, self._peer_available_ms())
+        if available_ms < LEASE_RENEWAL_GRACE_MS:
+            return None
+        return self._clock.now() - available_ms + LEASE_RENEWAL_GRACE_MS
+
     @property
     def is_after_outage(self) -> bool:
         """Whether the store is unavailable or was until recently."""
+        return self._has_failed_recently and self.reliable_since_ms is None
+
+    @property
+    def _has_failed_recently(self) -> bool:
+        """Whether the store is or was unavailable to this gateway."""
         if self._failing_since_ms is not None:
             return True
         if self._recovered_at_ms is None:
@@ -256,7 +295,8 @@
                 ChangeBatch(0, self._replica.revision, changes)
             )
         if applied:
-            self._on_change(applied, batch.after_outage)
+            after_outage = batch.after_outage and self.reliable_since_ms is None
+            self._on_change(applied, after_outage)
 
     async def run_fetches(self) -> None:
         """Fetches values that were too large for batches, until cancelled."""
@@ -327,8 +367,12 @@
         )
 
     def _record_response(self) -> None:
-        self._confirmed_at_ms = self._clock.now()
+        now = self._clock.now()
+        has_gap = self.confirmed_ms > MAX_RESPONSE_GAP_MS
+        self._confirmed_at_ms = now
         self._record_recovery()
+        if has_gap or self._available_since_ms is None:
+            self._available_since_ms = now
 
     def _record_recovery(self) -> None:
         if self._failing_since_ms is None:
@@ -339,6 +383,7 @@
         self._failing_since_ms = None
         if down_ms >= MIN_OUTAGE_MS:
             self._recovered_at_ms = now
+            self._available_since_ms = None
 
     def _record_failure(self, error: StoreError) -> None:
         if self._failing_since_ms is None:
--- a/tests/gateway/test_fleet.py
+++ b/tests/gateway/test_fleet.py
@@ -47,6 +47,15 @@
         )
         self.assertEqual(self._names(), ["e1", "e2"])
 
+    def test_an_entry_that_cannot_have_expired_makes_its_endpoint_leave(self):
+        # A peer that had responses from the store all the while is heard only
+        # after the deletion.
+        self.fleet.remove("e1", 100, after_outage=True)
+        self.assertEqual(self.fleet.expire_endpoints(150, 101), [])
+        due = self.fleet.expire_endpoints(200, 100)
+        self.assertEqual([k.endpoint.id for k in due], ["e1"])
+        self.assertEqual(self._names(), ["e2"])
+
     def test_an_endpoint_whose_expired_entry_is_not_renewed_leaves(self):
         self.fleet.remove("e1", 100, after_outage=True)
         due = self.fleet.expire_endpoints(100 + EXPIRED_ENTRY_GRACE_MS)
--- a/tests/gateway/test_peers.py
+++ b/tests/gateway/test_peers.py
@@ -81,6 +81,14 @@
         self.assertTrue(self.peers.is_store_failing(True))
         self.assertFalse(self.peers.is_store_failing(False))
 
+    def test_the_store_is_as_available_as_to_the_best_served_live_peer(self):
+        self._receive(
+            g2={"store_available_ms": 9_000}, g3={"store_available_ms": 300}
+        )
+        self.assertEqual(self.peers.store_available_ms, 9_000)
+        self.clock.set(ALIVE_TIMEOUT_MS + 2)
+        self.assertEqual(self.peers.store_available_ms, 0)
+
     def test_gateways_of_the_own_data_center_are_counted(self):
         self._receive(g2={"data_center": "dc-b"}, g3={"data_center": "dc-b"})
         self.assertEqual(
--- a/tests/gateway/test_storefeed.py
+++ b/tests/gateway/test_storefeed.py
@@ -14,6 +14,7 @@
     MAX_RETRY_MS,
     MIN_OUTAGE_MS,
     RETRY_MS,
+    WATCH_TIMEOUT_MS,
     StoreFeed,
     _to_shared,
     split_batch,
@@ -37,6 +38,7 @@
     def __init__(self, scans, polls):
         self.scans, self.polls = list(scans), list(polls)
         self.calls = []
+        self.delay = anyio.lowlevel.checkpoint
 
     async def scan(self, prefix):
         self.calls.append("scan")
@@ -47,7 +49,7 @@
         return await self._next(self.polls)
 
     async def _next(self, results):
-        await anyio.lowlevel.checkpoint()
+        await self.delay()
         if not results:
             await anyio.sleep_forever()
         result = results.pop(0)
@@ -81,6 +83,7 @@
         self.is_watcher = is_watcher
         self.is_cut_off = False
         self.peer_revision = 0
+        self.peer_available_ms = 0
         self.store_feed = StoreFeed(
             self.store,
             Replica(),
@@ -88,6 +91,7 @@
             lambda: self.is_watcher or self.is_cut_off,
             lambda: self.is_watcher,
             lambda: self.peer_revision,
+            lambda: self.peer_available_ms,
             self.broadcast_batches.append,
             lambda changes, after: self.reported.append(
                 ([(c.key, c.revision) for c in changes], after)
@@ -154,6 +158,47 @@
         await self._run(MIN_OUTAGE_MS)
         self.assertEqual(self.reported[-1], ([("a", 4)], False))
 
+    @asynchronous
+    async def test_a_cut_of_this_gateway_alone_does_not_mark_deletions(self):
+        # A peer had responses all the while, so no lease of a live endpoint
+        # has expired.
+        self._make(
+            [Listing([write("a", 2).entry], 3)],
+            [
+                *[StoreUnavailable("cut")] * (MIN_OUTAGE_MS // RETRY_MS + 1),
+                ChangeBatch(3, 4, [deletion("a", 4)]),
+            ],
+        )
+        self.peer_available_ms = 20_000
+        await self._run(2 * MIN_OUTAGE_MS)
+        self.assertEqual(self.reported[-1], ([("a", 4)], False))
+        self.assertFalse(self.broadcast_batches[-1].after_outage)
+
+    @asynchronous
+    async def test_a_deletion_that_a_cut_off_peer_marks_is_not_marked(self):
+        polls = [ChangeBatch(3, 3, [])] * 60
+        self._make([Listing([write("a", 2).entry], 3)], polls)
+        self.store.delay = lambda: self.clock.sleep(WATCH_TIMEOUT_MS)
+        await self._run(LEASE_RENEWAL_GRACE_MS + 2 * WATCH_TIMEOUT_MS)
+        deleted = SharedBatch("p", 3, 4, [SharedChange("a", 4)], True)
+        self.store_feed.receive_batch(deleted)
+        self.assertEqual(self.reported[-1], ([("a", 4)], False))
+
+    @asynchronous
+    async def test_the_store_is_available_since_the_end_of_its_last_outage(
+        self,
+    ):
+        down = [StoreUnavailable("down")] * (MIN_OUTAGE_MS // RETRY_MS + 1)
+        polls = [ChangeBatch(3, 3, [])] * 4
+        self._make([Listing([], 3)], [*polls, *down, *polls])
+        self.store.delay = lambda: self.clock.sleep(WATCH_TIMEOUT_MS)
+        await self._run(3 * WATCH_TIMEOUT_MS)
+        self.assertGreater(self.store_feed.available_ms, WATCH_TIMEOUT_MS)
+        await self._run(13 * WATCH_TIMEOUT_MS)
+        self.assertLess(self.store_feed.available_ms, 5 * WATCH_TIMEOUT_MS)
+        await self._run(10 * WATCH_TIMEOUT_MS)
+        self.assertEqual(self.store_feed.available_ms, 0)
+
     @asynchronous
     async def test_a_follower_makes_no_calls_after_its_first_scan(self):
         self._make([Listing([], 3)], [], is_watcher=False)
