--- a/rhubarbwinch/gateway/program.py
+++ b/rhubarbwinch/gateway/program.py
@@ -70,6 +70,7 @@
 # Timeout of the last call to the store, which removes the registration. If the
 # call fails, the lease expires.
 DEREGISTER_TIMEOUT_MS = 300
+_HANDLED_SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
 
 
 @attrs.frozen
@@ -182,6 +183,7 @@
             self._peers.should_watch,
             self._peers.is_watcher,
             lambda: self._peers.revision,
+            lambda: self._peers.store_available_ms,
             self._peers.broadcast_changes,
             self._cluster_view.apply_changes,
             self._links,
@@ -256,9 +258,7 @@
         supervisor.add("settings", self._watch_settings)
         events.STARTED.log(name=settings.name, settings=attrs.asdict(settings))
         # The receiver stays open until the end because late signals may come.
-        with anyio.open_signal_receiver(
-            signal.SIGTERM, signal.SIGINT, signal.SIGHUP
-        ) as signals:
+        with anyio.open_signal_receiver(*_HANDLED_SIGNALS) as signals:
             try:
                 async with anyio.create_task_group() as tasks:
                     tasks.start_soon(self._watch_signals, signals, tasks)
@@ -267,6 +267,9 @@
                 # The task group wraps the supervisor's exception in a group.
                 raise group.exceptions[0] from None
             finally:
+                # After the receiver is closed a signal would end the process
+                # with a status of failure. A blocked signal stays pending.
+                signal.pthread_sigmask(signal.SIG_BLOCK, _HANDLED_SIGNALS)
                 with (
                     anyio.CancelScope(shield=True),
                     anyio.move_on_after(DEREGISTER_TIMEOUT_MS / 1000),
@@ -283,6 +286,7 @@
             revision=self._replica.revision,
             confirmed_ms=self._store_feed.confirmed_ms,
             is_store_failing=self._store_feed.is_failing,
+            store_available_ms=self._store_feed.available_ms,
         )
 
     def _apply_limits(self, table: RoutingTable) -> None:
@@ -338,7 +342,9 @@
         """Runs the periodic work every `TICK_MS`."""
         while True:
             await self._clock.sleep(TICK_MS)
-            self._cluster_view.expire_endpoints()
+            self._cluster_view.expire_endpoints(
+                self._store_feed.reliable_since_ms
+            )
             gatewaymetrics.OPEN_REQUESTS.set(self._front.status.open_requests)
             self._streams.handle_capacity_change()
             if self._store_feed.is_failing != self._was_failing:
