--- a/rhubarbwinch/gateway/fleet.py
+++ b/rhubarbwinch/gateway/fleet.py
@@ -40,6 +40,11 @@
     expiry_deadline_ms: int = 0
     is_readable: bool = True
 
+    @property
+    def has_expired(self) -> bool:
+        """Whether its entry expired in an outage and may be renewed."""
+        return bool(self.expiry_deadline_ms)
+
     @property
     def accepts_requests(self) -> bool:
         """Whether new requests may be placed at the endpoint."""
--- a/rhubarbwinch/gateway/peers.py
+++ b/rhubarbwinch/gateway/peers.py
@@ -35,6 +35,8 @@
 # Number of gateways that watch the store for the others; one is a spare.
 WATCHER_COUNT = 2
 SNAPSHOT_TIMEOUT_MS = 1_000
+# A gateway that is behind asks this many peers before it tries the store again.
+NEWEST_SNAPSHOT_TRIES = 2
 # Longer than the lifetime of any process.
 NEVER_MS = 1 << 40
 
@@ -90,6 +92,8 @@
         self._peers: dict[str, Peer] = {}
         self._wakeup = anyio.Event()
         self._announced_version = -1
+        self._owner_names: tuple[str, ...] = ()
+        self._owners: dict[str, str | None] = {}
         broadcast.on(Heartbeat, self.receive)
 
     async def run(self) -> None:
@@ -145,7 +149,8 @@
             return
         self.add(heartbeat.address)
         peer = self._peers[heartbeat.link]
-        previous = peer.last_heartbeat if self._is_alive(peer) else None
+        now = self._clock.now()
+        previous = peer.last_heartbeat if _is_alive(peer, now) else None
         position = (heartbeat.incarnation, heartbeat.sequence)
         if (
             peer.last_heartbeat is not None
@@ -153,7 +158,6 @@
         ):
             if peer.last_heartbeat.sequence >= heartbeat.sequence:
                 return
-        now = self._clock.now()
         peer.last_heartbeat = heartbeat
         peer.last_arrival_ms = now
         self._loads.receive(heartbeat.name, position, heartbeat.loads, now)
@@ -195,10 +199,12 @@
         return self._own.name in self._watchers()
 
     def _watchers(self) -> list[str]:
+        return rendezvous.ranking("feed", self._staying_names())[:WATCHER_COUNT]
+
+    def _staying_names(self) -> list[str]:
+        """Returns the names of the gateways that are not leaving."""
         names = [h.name for h in self._live_heartbeats() if not h.is_leaving]
-        return rendezvous.ranking("feed", [*names, self._own.name])[
-            :WATCHER_COUNT
-        ]
+        return [*names, self._own.name]
 
     def should_watch(self) -> bool:
         """Returns whether this gateway has to watch the store itself.
@@ -252,16 +258,42 @@
         Args:
             key: Identifies the task; rendezvous hashing selects its owner.
         """
-        names = [h.name for h in self._live_heartbeats() if not h.is_leaving]
-        return rendezvous.owner(key, [*names, self._own.name]) == self._own.name
+        names = tuple(self._staying_names())
+        if names != self._owner_names:
+            self._owner_names = names
+            self._owners = {}
+        if key not in self._owners:
+            self._owners[key] = rendezvous.owner(key, names)
+        return self._owners[key] == self._own.name
+
+    async def fetch_newest_snapshot(self) -> Snapshot | None:
+        """Requests a snapshot from the live peers that know most changes.
+
+        Returns:
+            The first response that is not empty; None if there is none.
+        """
+        ordered = sorted(
+            self._live_heartbeats(), key=lambda h: h.revision, reverse=True
+        )
+        return await self._fetch_snapshot(
+            [h.link for h in ordered[:NEWEST_SNAPSHOT_TRIES]]
+        )
 
     async def fetch_snapshot(self) -> Snapshot | None:
         """Requests a snapshot of the store from one peer after another.
 
+        Each gateway asks in another order, so that the calls of gateways that
+        start together are spread.
+
         Returns:
             The first that is not empty; None if no peer has one.
         """
-        for link in list(self._peers):
+        return await self._fetch_snapshot(
+            rendezvous.ranking(self._own.name, self._peers)
+        )
+
+    async def _fetch_snapshot(self, links: list[str]) -> Snapshot | None:
+        for link in links:
             try:
                 snapshot = await self._links.call(
                     link,
@@ -278,23 +310,19 @@
 
     def _live_heartbeats(self) -> list[Heartbeat]:
         """Returns the last heartbeats of the live peers."""
+        now = self._clock.now()
         return [
             peer.last_heartbeat
             for peer in self._peers.values()
-            if peer.last_heartbeat is not None and self._is_alive(peer)
+            if peer.last_heartbeat is not None and _is_alive(peer, now)
         ]
 
-    def _is_alive(self, peer: Peer) -> bool:
-        if peer.last_heartbeat is None:
-            return False
-        return self._clock.now() - peer.last_arrival_ms <= ALIVE_TIMEOUT_MS
-
     def _check_liveness(self) -> None:
         """Logs peers that fell silent and forgets those silent for long."""
         now = self._clock.now()
         self._loads.drop_silent_peers(now)
         for link, peer in list(self._peers.items()):
-            is_alive = self._is_alive(peer)
+            is_alive = _is_alive(peer, now)
             if peer.was_alive and not is_alive:
                 events.GATEWAY_LOST.log(
                     peer=link, silent_ms=now - peer.last_arrival_ms
@@ -304,3 +332,10 @@
                 del self._peers[link]
                 self._broadcast.forget(peer.address.broadcast)
                 self._links.forget(link)
+
+
+def _is_alive(peer: Peer, now_ms: int) -> bool:
+    """Returns whether a peer's last heartbeat is recent."""
+    if peer.last_heartbeat is None:
+        return False
+    return now_ms - peer.last_arrival_ms <= ALIVE_TIMEOUT_MS
--- a/rhubarbwinch/gateway/program.py
+++ b/rhubarbwinch/gateway/program.py
@@ -59,6 +59,7 @@
 # An endpoint whose VM acknowledges no data for this time is unreachable.
 ENDPOINT_ACK_TIMEOUT_MS = 2_000
 TICK_MS = 100
+BOOTSTRAP_DELAY_MS = 200
 SETTINGS_CHECK_MS = 5_000
 # How long a draining gateway still accepts connections of callers that have
 # resolved its address before.
@@ -184,6 +185,7 @@
             self._peers.is_watcher,
             lambda: self._peers.revision,
             lambda: self._peers.store_available_ms,
+            self._peers.fetch_newest_snapshot,
             self._peers.broadcast_changes,
             self._cluster_view.apply_changes,
             self._links,
@@ -201,7 +203,9 @@
                 self._store_feed.confirmed_ms, self._peers.confirmed_ms
             ),
             lambda: self._peers.is_store_failing(self._store_feed.is_failing),
-            lambda: [known.endpoint for known in self._own_engines()],
+            lambda: [
+                known.endpoint for known in self._own_engines(lambda _: True)
+            ],
             self._own_expired_engines,
             self._announce_leaving,
         )
@@ -295,6 +299,9 @@
 
     async def _bootstrap(self) -> None:
         """Fetches a snapshot from peers until there is a configuration."""
+        # Usually the store responds first. Gateways that start together would
+        # otherwise all ask each other for the same snapshot.
+        await self._clock.sleep(BOOTSTRAP_DELAY_MS)
         while self._context.table is None:
             snapshot = await self._peers.fetch_snapshot()
             if snapshot is not None and self._context.table is None:
@@ -313,16 +320,19 @@
 
     def _own_expired_engines(self) -> list[Endpoint]:
         """Returns those of the polled engines whose lease has expired."""
-        return [k.endpoint for k in self._own_engines() if k.expiry_deadline_ms]
+        return [k.endpoint for k in self._own_engines(lambda k: k.has_expired)]
 
-    def _own_engines(self) -> list[KnownEndpoint]:
-        """Returns the engines that this gateway polls for all peers."""
+    def _own_engines(
+        self, is_wanted: Callable[[KnownEndpoint], bool]
+    ) -> list[KnownEndpoint]:
+        """Returns the wanted engines that this gateway polls for all peers."""
         table = self._context.table
         services = table.services if table is not None else {}
         return [
             known
             for known in self._context.fleet.all_accepting()
-            if (spec := services.get(known.endpoint.service)) is not None
+            if is_wanted(known)
+            and (spec := services.get(known.endpoint.service)) is not None
             and spec.engine is not None
             and self._peers.owns(known.endpoint.id)
         ]
--- a/rhubarbwinch/gateway/storefeed.py
+++ b/rhubarbwinch/gateway/storefeed.py
@@ -6,7 +6,7 @@
 number of gateways.
 """
 
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 import anyio
 
@@ -31,6 +31,7 @@
     Change,
     ChangeBatch,
     KeyValue,
+    Listing,
     PollingStore,
 )
 
@@ -89,6 +90,7 @@
             reached.
         peer_available_ms: Returns for how long the store has answered a peer
             without an outage.
+        fetch_snapshot: Returns a peer's replica, or None.
         broadcast_batch: Broadcasts a batch to all peers.
         on_change: Called with changes, and with whether they may result from
             an outage.
@@ -105,6 +107,7 @@
         is_watcher: Callable[[], bool],
         peer_revision: Callable[[], int],
         peer_available_ms: Callable[[], int],
+        fetch_snapshot: Callable[[], Awaitable[Snapshot | None]],
         broadcast_batch: Callable[[SharedBatch], None],
         on_change: ChangeHandler,
         links: PeerCaller,
@@ -118,6 +121,7 @@
         self._peer_revision = peer_revision
         self._peer_available_ms = peer_available_ms
         self._behind_since_ms: int | None = None
+        self._fetch_snapshot = fetch_snapshot
         self._broadcast_batch = broadcast_batch
         self._on_change = on_change
         self._links = links
@@ -129,6 +133,8 @@
         self._recovered_at_ms: int | None = None
         self._available_since_ms: int | None = None
         self._is_synced = False
+        self._has_gap = False
+        self._started_ms = clock.now()
 
     @property
     def confirmed_ms(self) -> int:
@@ -206,8 +212,30 @@
             except StoreError as error:
                 self._record_failure(error)
                 failures += 1
+                await self._catch_up()
                 await self._clock.sleep(self._retry_ms(failures))
 
+    async def _catch_up(self) -> None:
+        """Reads a peer's replica if the store serves peers but not this one."""
+        if self._peer_revision() <= self._replica.revision:
+            return
+        snapshot = await self._fetch_snapshot()
+        if snapshot is None or snapshot.revision <= self._replica.revision:
+            return
+        entries = [
+            KeyValue(change.key, change.value, change.revision)
+            for change in snapshot.changes
+            if change.value is not None
+        ]
+        changes = self._replica.merge_listing(
+            Listing(entries, snapshot.revision)
+        )
+        self._is_synced = True
+        self._has_gap = False
+        events.CAUGHT_UP.log(revision=snapshot.revision, changes=len(changes))
+        if changes:
+            self._on_change(changes, self.is_after_outage)
+
     def _retry_ms(self, failures: int) -> int:
         if self._is_watcher():
             return RETRY_MS
@@ -215,7 +243,7 @@
 
     def _must_call_store(self) -> bool:
         """Returns whether this gateway has to call the store now."""
-        return self._should_watch() or self._is_behind()
+        return self._should_watch() or self._has_gap or self._is_behind()
 
     def _is_behind(self) -> bool:
         """Returns whether a datagram of a peer seems to be lost."""
@@ -231,6 +259,7 @@
         """Reads all entries, at the start or after a gap in the history."""
         listing = await self._store.scan("")
         self._record_response()
+        self._has_gap = False
         previous_revision = self._replica.revision
         changes = self._replica.merge_listing(listing)
         self._is_synced = True
@@ -239,25 +268,41 @@
             keys=len(listing.entries),
             changes=len(changes),
         )
-        self._publish(
-            changes, ChangeBatch(previous_revision, listing.revision, changes)
-        )
+        if changes:
+            self._on_change(changes, self.is_after_outage)
+        if previous_revision and self._should_broadcast():
+            self._broadcast(
+                ChangeBatch(previous_revision, listing.revision, changes),
+                changes,
+            )
 
     async def _poll(self) -> None:
         batch = await self._store.poll(
             "", self._replica.revision, WATCH_TIMEOUT_MS
         )
         self._record_response()
+        self._has_gap = False
         changes = self._replica.merge_batch(batch)
         if changes:
-            self._publish(changes, batch)
+            self._on_change(changes, self.is_after_outage)
+            if self._should_broadcast():
+                self._broadcast(batch, changes)
         if batch.changes:
             await self._clock.sleep(COALESCE_MS)
 
-    def _publish(self, changes: list[Change], batch: ChangeBatch) -> None:
-        if not changes:
-            return
-        self._on_change(changes, self.is_after_outage)
+    def _should_broadcast(self) -> bool:
+        """Returns whether the peers rely on this gateway for changes.
+
+        At a start many gateways read the store before they know each other. If
+        each broadcast what it read, the messages would grow with the square of
+        the gateways times the endpoints.
+        """
+        if self._is_watcher():
+            return True
+        is_starting = self._clock.now() - self._started_ms < MAX_FRESH_AGE_MS
+        return not is_starting and self._should_watch()
+
+    def _broadcast(self, batch: ChangeBatch, changes: list[Change]) -> None:
         for part in split_batch(batch, changes):
             self._broadcast_batch(
                 SharedBatch(
@@ -283,14 +328,14 @@
             ChangeBatch(batch.after, batch.revision, changes)
         )
         if applied is None:
-            # The changes between the two revisions are unknown and need a
-            # scan. The changes of this batch can be applied already.
+            # The changes between the two revisions are unknown and have to be
+            # read. The changes of this batch can be applied already.
             events.FEED_GAP.log(
                 sender=batch.sender,
                 known=self._replica.revision,
                 after=batch.after,
             )
-            self._is_synced = False
+            self._has_gap = True
             applied = self._replica.merge_batch(
                 ChangeBatch(0, self._replica.revision, changes)
             )
--- a/rhubarbwinch/shared/events.py
+++ b/rhubarbwinch/shared/events.py
@@ -463,6 +463,12 @@
     logging.WARNING,
     "An endpoint fails too many calls and is temporarily avoided.",
 )
+CAUGHT_UP = Event(
+    709,
+    "caught-up",
+    logging.INFO,
+    "The store's changes were read from a peer, as the store rejects calls.",
+)
 RELOADED = Event(716, "reloaded", logging.INFO, "The settings were reloaded.")
 SETTINGS_UNREADABLE = Event(
     717,
--- a/tests/gateway/test_peers.py
+++ b/tests/gateway/test_peers.py
@@ -89,6 +89,16 @@
         self.clock.set(ALIVE_TIMEOUT_MS + 2)
         self.assertEqual(self.peers.store_available_ms, 0)
 
+    def test_a_key_has_one_owner_until_that_gateway_leaves(self):
+        self._receive()
+        keys = [f"e{i}" for i in range(60)]
+        owned = {key for key in keys if self.peers.owns(key)}
+        self.assertEqual({key for key in keys if self.peers.owns(key)}, owned)
+        self._receive(2, g2={"is_leaving": True}, g3={"is_leaving": True})
+        more = {key for key in keys if self.peers.owns(key)}
+        self.assertLess(owned, more)
+        self.assertLess(len(more), len(keys))
+
     def test_gateways_of_the_own_data_center_are_counted(self):
         self._receive(g2={"data_center": "dc-b"}, g3={"data_center": "dc-b"})
         self.assertEqual(
