Gateway: runs reserve the KV cache that they occupy on average

Nearly every request then waited for exactly the wait limit, 0.9 or 1.08 s, was placed in excess after that, and had its first event 0.4 to 1 s later, past its objective; short requests waited behind runs of ten seconds. Ruled out: prices, lookups of the directory. Change: a run reserves its prompt and half of its output, and engines may be reserved to 100% of that instead of 92% of whole outputs; the shares of standbys and targets are about the same ones in this unit. A request waits for 35% of the time to its objective instead of 60%, since prefill takes longest in such times.

--- a/rhubarbwinch/gateway/migration.py
+++ b/rhubarbwinch/gateway/migration.py
@@ -100,7 +100,7 @@
     ) -> Reservation | None:
         """Reserves capacity at a migration target; None without a target."""
         context = self._context
-        tokens = run.expected_tokens
+        tokens = run.mean_tokens
         chosen = migrationtargets.choose_target(
             context.candidates(run.job.service, refused_ids),
             source,
--- a/rhubarbwinch/gateway/migrationtargets.py
+++ b/rhubarbwinch/gateway/migrationtargets.py
@@ -13,16 +13,16 @@
 from rhubarbwinch.gateway.endpoints import Endpoint
 from rhubarbwinch.gateway.placement import FAILING_RUNS, Candidate
 
-# Migrations may fill an engine further than new generations, since the work
-# done for a run would be lost.
-TARGET_KV_CACHE_SHARE = 1.0
+# A migrated run has generated a part of its output, so it soon occupies more
+# than its reservation.
+TARGET_KV_CACHE_SHARE = 0.9
 # An engine with a larger share of recent failures is no migration target.
 MAX_FAILURE_SHARE = 0.25
 # Replicas of runs are a precaution, so a standby engine keeps KV cache free for
 # runs of its own. The second bound holds for all engines together: a burst or
 # the loss of engines needs their KV cache for runs.
-STANDBY_KV_CACHE_SHARE = 0.7
-STANDBY_TOTAL_SHARE = 0.5
+STANDBY_KV_CACHE_SHARE = 0.62
+STANDBY_TOTAL_SHARE = 0.44
 # Cost in runs of a target in another data centre. A copy to there takes twice
 # as long, and all other runs on the leaving engine wait for it, so such a
 # target must have a much lower load.
--- a/rhubarbwinch/gateway/placement.py
+++ b/rhubarbwinch/gateway/placement.py
@@ -13,9 +13,11 @@
 from rhubarbwinch.gateway.endpoints import Endpoint
 from rhubarbwinch.gateway.loads import Load
 
-# Share of an engine's KV cache that new generations may reserve. The rest is
-# for outputs that become longer than predicted.
-MAX_KV_CACHE_SHARE = 0.92
+# Share of an engine's KV cache that new generations may reserve. They reserve
+# what they occupy on average: some have generated little while others are near
+# their end. If all were counted with their whole output, short requests would
+# wait for KV cache that long runs have not filled yet.
+MAX_KV_CACHE_SHARE = 1.0
 # Share of an engine's slots that is used. With more runs the events would come
 # too slowly.
 MAX_SLOT_SHARE = 1.0
@@ -32,12 +34,32 @@
 PLAIN_FAILURE_FACTOR = 4.0
 PLAIN_WARMUP_FACTOR = 2.0
 PLAIN_OTHER_DATA_CENTER_FACTOR = 1.1
-# Cost in runs of an engine in another data centre, for latency and traffic.
-OTHER_DATA_CENTER_RUNS = 0.3
 # Cost in runs of an engine that is still warming up.
 WARMUP_RUNS = 4.0
 
 
+@attrs.frozen
+class LoadFreshness:
+    """What the age of the known loads means for the choice of an engine.
+
+    Attributes:
+        spread_runs: Engines whose cost is within this many runs of the lowest
+            one count as equals. If the latest placements of other gateways are
+            not known yet, all would else choose the same engine.
+        other_data_center_runs: Cost in runs of an engine in another data
+            centre, for latency and traffic, and for loads known later.
+    """
+
+    spread_runs: float
+    other_data_center_runs: float
+
+
+# Each gateway hears of each placement from the gateway that placed it.
+DIRECT_LOADS = LoadFreshness(0.0, 0.3)
+# Relays forward the loads of other data centres with a delay.
+RELAYED_LOADS = LoadFreshness(0.5, 1.5)
+
+
 @attrs.frozen
 class Candidate:
     """An endpoint that could serve a request.
@@ -75,17 +97,32 @@
     data_center: str,
     rng: random.Random,
     kv_cache_share: float = MAX_KV_CACHE_SHARE,
+    freshness: LoadFreshness = DIRECT_LOADS,
 ) -> Candidate | None:
-    """Returns the engine for a generation, or None if none has capacity."""
-    fitting = [c for c in candidates if c.fits(tokens, kv_cache_share)]
-    if not fitting:
+    """Returns the engine for a generation, or None if none has capacity.
+
+    Args:
+        candidates: The engines that accept new requests.
+        tokens: The KV cache that the run occupies on average, in tokens.
+        data_center: The data centre of this gateway.
+        rng: Chooses among equals.
+        kv_cache_share: The share of a KV cache that may be reserved.
+        freshness: How current the loads of the candidates are.
+    """
+    costs = [
+        (_engine_cost(c, data_center, freshness), c)
+        for c in candidates
+        if c.fits(tokens, kv_cache_share)
+    ]
+    if not costs:
         return None
-    return min(
-        fitting, key=lambda c: (_engine_cost(c, data_center), rng.random())
-    )
+    limit = min(cost for cost, _ in costs) + freshness.spread_runs
+    return rng.choice([c for cost, c in costs if cost <= limit])
 
 
-def _engine_cost(candidate: Candidate, data_center: str) -> float:
+def _engine_cost(
+    candidate: Candidate, data_center: str, freshness: LoadFreshness
+) -> float:
     load = candidate.load
     cost = load.runs + load.prefill / PREFILL_TOKENS_PER_RUN
     if candidate.capacity_tokens:
@@ -93,7 +130,7 @@
     if not candidate.is_warm:
         cost += WARMUP_RUNS
     if candidate.endpoint.data_center != data_center:
-        cost += OTHER_DATA_CENTER_RUNS
+        cost += freshness.other_data_center_runs
     return cost + FAILING_RUNS * candidate.failure_share
 
 
--- a/rhubarbwinch/gateway/runplacement.py
+++ b/rhubarbwinch/gateway/runplacement.py
@@ -15,7 +15,7 @@
 # When the wait limit is reached, a KV cache may be overcommitted up to this
 # share while slots are free: engines have a queue of their own, and a refusal
 # would help no other request.
-OVERCOMMIT_KV_CACHE_SHARE = 1.25
+OVERCOMMIT_KV_CACHE_SHARE = 1.1
 
 
 class RunPlacer:
@@ -88,10 +88,14 @@
     ) -> bool:
         """Reserves capacity now; returns False if no engine has enough."""
         context, job = self._context, run.job
-        tokens = run.expected_tokens
+        tokens = run.mean_tokens
         candidates = context.candidates(job.service, job.tried)
         chosen = placement.choose_engine(
-            candidates, tokens, context.data_center, context.rng, kv_cache_share
+            candidates,
+            tokens,
+            context.data_center,
+            context.rng,
+            kv_cache_share,
         )
         if chosen is None:
             return False
@@ -119,7 +123,7 @@
         if job.route.is_resumable:
             # The run is short and can be restarted at another engine.
             return
-        tokens = run.expected_tokens
+        tokens = run.mean_tokens
         chosen = migrationtargets.choose_standby(
             context.candidates(job.service, {run.reservation.endpoint.id}),
             run.reservation.endpoint,
--- a/rhubarbwinch/gateway/runs.py
+++ b/rhubarbwinch/gateway/runs.py
@@ -68,13 +68,17 @@
         return self.job.call.request_id
 
     @property
-    def expected_tokens(self) -> int:
-        """The KV cache that the whole run is predicted to need, in tokens."""
+    def mean_tokens(self) -> int:
+        """The KV cache that the run is predicted to occupy on average.
+
+        In tokens: the prompt, and half of the output, which grows from nothing
+        to its whole length.
+        """
         call = self.job.call
         output_tokens = call.estimated_output_tokens or call.max_output_tokens
         if call.max_output_tokens:
             output_tokens = min(output_tokens, call.max_output_tokens)
-        return call.prompt_tokens + output_tokens
+        return call.prompt_tokens + output_tokens // 2
 
     def release(self) -> None:
         """Releases the reservations at the engine and at the standby."""
--- a/rhubarbwinch/gateway/waitqueue.py
+++ b/rhubarbwinch/gateway/waitqueue.py
@@ -13,8 +13,9 @@
 from rhubarbwinch.shared.clock import Clock
 
 # Share of the time to the objective that may be spent waiting. The rest is for
-# prefill.
-MAX_WAIT_SHARE = 0.6
+# the prefill, which takes longest when many wait: then each engine has several
+# prompts to read.
+MAX_WAIT_SHARE = 0.35
 # Weight of the newest value in the moving average of the time between
 # admissions.
 GAP_AVERAGE_WEIGHT = 0.1
