--- a/rhubarbwinch/gateway/loads.py
+++ b/rhubarbwinch/gateway/loads.py
@@ -132,6 +132,12 @@
             self._add_peer_loads(before, -1)
             self._add_peer_loads(loads, 1)
 
+    def refresh(self, peer: str, now_ms: int) -> None:
+        """Records that a peer is alive and that its loads are unchanged."""
+        last = self._last_by_peer.get(peer)
+        if last is not None:
+            last.at_ms = now_ms
+
     def drop_silent_peers(self, now_ms: int) -> None:
         """Drops the loads of gateways that have become silent."""
         silent = [
--- a/rhubarbwinch/gateway/messages.py
+++ b/rhubarbwinch/gateway/messages.py
@@ -28,10 +28,12 @@
     Attributes:
         link: The address for calls.
         broadcast: The address for broadcast datagrams.
+        data_center: The gateway's data centre; empty if it is not known.
     """
 
     link: str
     broadcast: str
+    data_center: str = ""
 
 
 @attrs.frozen
@@ -75,7 +77,41 @@
     @property
     def address(self) -> PeerAddress:
         """The sender's addresses for calls and broadcasts."""
-        return PeerAddress(self.link, self.broadcast)
+        return PeerAddress(self.link, self.broadcast, self.data_center)
+
+
+@attrs.frozen
+class BeatNotice:
+    """A heartbeat whose state is the same as that of an earlier one.
+
+    Attributes:
+        name: The name of the gateway.
+        incarnation: The number of the gateway's start.
+        sequence: The number of the heartbeat.
+    """
+
+    name: str
+    incarnation: int
+    sequence: int
+
+
+@attrs.frozen
+class HeartbeatDigest:
+    """Heartbeats that a relay forwards, the newest of each gateway.
+
+    Attributes:
+        sender: The name of the relay.
+        data_center: The data centre of the relay.
+        is_urgent: Whether it has changes, which are forwarded without delay.
+        heartbeats: Heartbeats with the whole state of their senders.
+        notices: Heartbeats without a change.
+    """
+
+    sender: str
+    data_center: str
+    is_urgent: bool = False
+    heartbeats: list[Heartbeat] = attrs.field(factory=list)
+    notices: list[BeatNotice] = attrs.field(factory=list)
 
 
 @attrs.frozen
--- a/rhubarbwinch/gateway/platforminterface.py
+++ b/rhubarbwinch/gateway/platforminterface.py
@@ -5,6 +5,7 @@
 
 import attrs
 
+from rhubarbwinch.gateway.directory import DirectoryLookup
 from rhubarbwinch.gateway.endpoints import Endpoint
 from rhubarbwinch.gateway.routes import RoutingTable
 from rhubarbwinch.shared.registry import Registry
@@ -192,6 +193,7 @@
     config_key: str
     endpoint_prefix: str
     member_prefix: str
+    max_directory_addresses: int
 
     def decode_call(
         self, method: str, target: bytes, headers: Headers
@@ -243,8 +245,8 @@
         """
         ...
 
-    def directory_lookup_host(self, target: bytes) -> str | None:
-        """Returns the host name of a lookup; None for other requests."""
+    def decode_directory_lookup(self, target: bytes) -> DirectoryLookup | None:
+        """Returns a directory lookup; None for other requests."""
         ...
 
     def encode_directory_response(
--- a/rhubarbwinch/gateway/program.py
+++ b/rhubarbwinch/gateway/program.py
@@ -193,7 +193,7 @@
         )
         key = dependencies.platform.member_prefix + settings.name
         self._registration = GatewayRegistration(
-            dependencies.store, clock, key, settings.address
+            dependencies.store, clock, key, heartbeat.address
         )
         router = Router(self._context, PlainCalls(self._context), self._streams)
         self._outage = OutageMonitor(
@@ -243,6 +243,7 @@
         supervisor.add("link-server", self._server.run)
         supervisor.add("broadcast", self._broadcast.run)
         supervisor.add("peers", self._peers.run)
+        supervisor.add("heartbeat-relay", self._peers.run_relay)
         supervisor.add("feed", self._store_feed.run)
         supervisor.add("fetches", self._store_feed.run_fetches)
         supervisor.add("bootstrap", self._bootstrap)
--- a/rhubarbwinch/gateway/runplacement.py
+++ b/rhubarbwinch/gateway/runplacement.py
@@ -96,6 +96,9 @@
             context.data_center,
             context.rng,
             kv_cache_share,
+            placement.RELAYED_LOADS
+            if context.peers.uses_relays
+            else placement.DIRECT_LOADS,
         )
         if chosen is None:
             return False
--- a/rhubarbwinch/gateway/statusapi.py
+++ b/rhubarbwinch/gateway/statusapi.py
@@ -3,6 +3,11 @@
 from collections.abc import Callable
 
 from rhubarbwinch.gateway import gatewaymetrics
+from rhubarbwinch.gateway.directory import (
+    DirectoryLookup,
+    ServingGateway,
+    choose_gateways,
+)
 from rhubarbwinch.gateway.edge import EdgeRequest, EdgeResponder
 from rhubarbwinch.gateway.peers import Peers
 from rhubarbwinch.gateway.platforminterface import Platform
@@ -43,8 +48,9 @@
         if platform.is_readiness_probe(request.target):
             await responder.send(200 if self._is_ready() else 503, [], b"")
             return
-        if platform.directory_lookup_host(request.target) is not None:
-            await self._send_directory(responder)
+        lookup = platform.decode_directory_lookup(request.target)
+        if lookup is not None:
+            await self._send_directory(lookup, responder)
             return
         if request.target.startswith(b"/metrics"):
             content_type = (b"Content-Type", b"text/plain; version=0.0.4")
@@ -52,13 +58,19 @@
             return
         await responder.send(404, [], b"")
 
-    async def _send_directory(self, responder: EdgeResponder) -> None:
-        addresses = self._peers.front_addresses()
+    async def _send_directory(
+        self, lookup: DirectoryLookup, responder: EdgeResponder
+    ) -> None:
+        settings = self._settings
+        serving = self._peers.serving_gateways()
         if self._is_ready():
-            addresses.append(self._settings.front)
-        if not addresses:
+            serving.append(ServingGateway(settings.front, settings.data_center))
+        if not serving:
             await responder.send(503, [], b"no gateway serves")
             return
+        addresses = choose_gateways(
+            serving, lookup, self._platform.max_directory_addresses
+        )
         ttl = min(DIRECTORY_TTL_MS, self._settings.directory_ttl_max_ms)
         body = self._platform.encode_directory_response(addresses, ttl)
         content_type = (b"Content-Type", b"application/json")
--- a/rhubarbwinch/links/broadcast.py
+++ b/rhubarbwinch/links/broadcast.py
@@ -6,7 +6,7 @@
 """
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import Any, TypeVar
 
 import anyio
@@ -50,12 +50,24 @@
 
     def send(self, message: Any) -> None:
         """Sends a message to all peers without blocking."""
+        self.send_to(message, self._peers)
+
+    def send_to(self, message: Any, addresses: Iterable[str]) -> None:
+        """Sends a message to some of the peers without blocking.
+
+        Args:
+            message: The message.
+            addresses: The addresses of the receivers; those of unknown peers
+                are left out.
+        """
         if self._transport is None:
             return
         kind = type(message).__name__.encode()
         data = kind + _SEPARATOR + codec.encode(message)
-        for address in self._peers.values():
-            self._transport.sendto(data, address)
+        for address in addresses:
+            peer = self._peers.get(address)
+            if peer is not None:
+                self._transport.sendto(data, peer)
 
     async def run(self) -> None:
         """Receives messages until cancelled."""
--- a/rhubarbwinch/platform/adapter.py
+++ b/rhubarbwinch/platform/adapter.py
@@ -4,6 +4,7 @@
 
 import orjson
 
+from rhubarbwinch.gateway.directory import DirectoryLookup
 from rhubarbwinch.gateway.platforminterface import PLATFORMS
 from rhubarbwinch.platform import documents, headers
 
@@ -17,6 +18,7 @@
     # The prefix of the gateway's own keys; the platform reserves `op/` and
     # `servers/` for itself.
     member_prefix = "rhubarbwinch/members/"
+    max_directory_addresses = 64
 
     decode_call = staticmethod(headers.decode_call)
     endpoint_headers = staticmethod(headers.endpoint_headers)
@@ -28,12 +30,15 @@
     decode_endpoint = staticmethod(documents.decode_endpoint)
 
     @staticmethod
-    def directory_lookup_host(target: bytes) -> str | None:
-        """Returns the host name of a lookup; None for other requests."""
+    def decode_directory_lookup(target: bytes) -> DirectoryLookup | None:
+        """Returns a directory lookup; None for other requests."""
         path, _, query = target.decode("latin-1").partition("?")
         if path != "/resolve":
             return None
-        return parse_qs(query).get("name", [""])[0]
+        fields = parse_qs(query)
+        return DirectoryLookup(
+            fields.get("name", [""])[0], fields.get("zone", [""])[0]
+        )
 
     @staticmethod
     def encode_directory_response(addresses: list[str], ttl_ms: int) -> bytes:
--- /dev/null
+++ b/tests/gateway/test_heartbeatrelay.py
@@ -0,0 +1,150 @@
+"""Heartbeats of many gateways, forwarded by relays."""
+
+import unittest
+
+import anyio
+
+from rhubarbwinch.gateway.heartbeatrelay import (
+    MAX_DIRECT_PEERS,
+    choose_relays,
+)
+from rhubarbwinch.gateway.peers import ALIVE_TIMEOUT_MS, HEARTBEAT_MS
+from rhubarbwinch.links.broadcast import MAX_MESSAGE_BYTES
+from rhubarbwinch.shared.clock import ManualClock
+from tests.helpers import asynchronous
+from tests.peernetwork import PeerNetwork
+
+# Each gateway has heard of all others after this time.
+SETTLED_MS = 3_000
+STEP_MS = 50
+
+
+class HeartbeatRelayTest(unittest.TestCase):
+    """Gateways in three data centres that start at the same time."""
+
+    async def _settle(self, network, tasks):
+        network.start(tasks)
+        await network.clock.advance(SETTLED_MS)
+
+    def _assert_all_alive(self, network, when):
+        for node in network.running:
+            self.assertEqual(
+                node.peers.live_count,
+                len(network.running) - 1,
+                f"{node.name}, {when}",
+            )
+
+    async def _assert_all_stay_alive(self, network, ms):
+        """Checks that no running gateway counts as dead at any time."""
+        fronts = {f"{node.name}:3" for node in network.running}
+        for at_ms in range(0, ms, STEP_MS):
+            await network.clock.advance(STEP_MS)
+            for node in network.running:
+                missing = fronts - {
+                    g.front for g in node.peers.serving_gateways()
+                }
+                self.assertEqual(
+                    missing - {f"{node.name}:3"},
+                    set(),
+                    f"{node.name} after {at_ms} ms",
+                )
+
+    async def _datagrams_a_second(self, count):
+        network = PeerNetwork(ManualClock(1), count, 3)
+        async with anyio.create_task_group() as tasks:
+            await self._settle(network, tasks)
+            self._assert_all_alive(network, f"{count} gateways")
+            before = sum(node.received for node in network.running)
+            await network.clock.advance(5_000)
+            after = sum(node.received for node in network.running)
+            tasks.cancel_scope.cancel()
+        largest = max(node.largest for node in network.nodes.values())
+        self.assertLess(largest, MAX_MESSAGE_BYTES)
+        return (after - before) / count / 5
+
+    @asynchronous
+    async def test_datagrams_of_a_gateway_grow_less_than_the_deployment(self):
+        small = await self._datagrams_a_second(18)
+        large = await self._datagrams_a_second(72)
+        # Four times as many gateways.
+        self.assertLess(large, 2 * small)
+        # Heartbeats to all would be 101 a second.
+        self.assertLess(large, 72 * 1_000 / HEARTBEAT_MS / 3)
+
+    @asynchronous
+    async def test_few_gateways_send_their_heartbeats_to_each_other(self):
+        rate = await self._datagrams_a_second(MAX_DIRECT_PEERS)
+        expected = (MAX_DIRECT_PEERS - 1) * 1_000 / HEARTBEAT_MS
+        self.assertAlmostEqual(rate, expected, delta=1.5)
+
+    @asynchronous
+    async def test_a_burst_at_one_gateway_is_soon_known_to_all(self):
+        network = PeerNetwork(ManualClock(1), 30, 3)
+        async with anyio.create_task_group() as tasks:
+            await self._settle(network, tasks)
+            node = network.running[7]
+            for _ in range(5):
+                node.loads.add("e1", 4_000, 3_000)
+            node.peers.announce_loads()
+            await network.clock.advance(120)
+            for other in network.running:
+                self.assertEqual(other.loads.total("e1").runs, 5, other.name)
+            node.loads.remove("e1", 4_000)
+            node.peers.announce_loads()
+            await network.clock.advance(120)
+            for other in network.running:
+                self.assertEqual(other.loads.total("e1").runs, 4, other.name)
+            tasks.cancel_scope.cancel()
+
+    @asynchronous
+    async def test_the_loss_of_a_relay_makes_no_other_gateway_look_dead(self):
+        network = PeerNetwork(ManualClock(1), 30, 3)
+        async with anyio.create_task_group() as tasks:
+            await self._settle(network, tasks)
+            network.stop(network.relays("dc-0")[0])
+            await self._assert_all_stay_alive(network, 5_000)
+            self._assert_all_alive(network, "after the loss")
+            tasks.cancel_scope.cancel()
+
+    @asynchronous
+    async def test_the_loss_of_both_relays_makes_no_other_one_look_dead(self):
+        network = PeerNetwork(ManualClock(1), 30, 3)
+        async with anyio.create_task_group() as tasks:
+            await self._settle(network, tasks)
+            for relay in network.relays("dc-1"):
+                network.stop(relay)
+            await self._assert_all_stay_alive(network, 5_000)
+            self._assert_all_alive(network, "after the loss")
+            tasks.cancel_scope.cancel()
+
+    @asynchronous
+    async def test_a_gateway_that_stops_is_soon_known_to_be_dead(self):
+        network = PeerNetwork(ManualClock(1), 30, 3)
+        async with anyio.create_task_group() as tasks:
+            await self._settle(network, tasks)
+            relays = {
+                n.name for i in range(3) for n in network.relays(f"dc-{i}")
+            }
+            lost = next(n for n in network.running if n.name not in relays)
+            network.stop(lost)
+            await network.clock.advance(ALIVE_TIMEOUT_MS + 500)
+            self._assert_all_alive(network, "after the loss")
+            tasks.cancel_scope.cancel()
+
+    @asynchronous
+    async def test_a_gateway_that_starts_later_soon_knows_all_others(self):
+        network = PeerNetwork(ManualClock(1), 30, 3)
+        async with anyio.create_task_group() as tasks:
+            await self._settle(network, tasks)
+            network.stop(network.running[4])
+            await network.clock.advance(SETTLED_MS)
+            late = network.restart(tasks, network.nodes["g4:2"])
+            await network.clock.advance(HEARTBEAT_MS + 100)
+            self.assertEqual(late.peers.live_count, 29)
+            tasks.cancel_scope.cancel()
+
+    def test_all_gateways_choose_the_same_relays(self):
+        links = [f"g{i}:1" for i in range(12)]
+        self.assertEqual(choose_relays(links), choose_relays(links[::-1]))
+        rest = [link for link in links if link != choose_relays(links)[0]]
+        self.assertEqual(choose_relays(rest)[0], choose_relays(links)[1])
--- a/tests/gatewayharness.py
+++ b/tests/gatewayharness.py
@@ -34,6 +34,7 @@
 
     live_count = 0
     data_center_count = 0
+    uses_relays = False
 
     def announce_loads(self):
         """Does nothing."""
