Gateway: calls to the store in an outage do not grow with the gateways

Change: gateways that are no watchers wait so long that all of them together make about one call in 50 ms, and end the wait when a peer has a fresh response; registration backs off up to 4 s, as peers know each other by heartbeats. Result: the test plays 60 s of an outage with 24 and 340 gateways; their calls together grow by less than 2.5 times.

--- a/rhubarbwinch/gateway/program.py
+++ b/rhubarbwinch/gateway/program.py
@@ -185,6 +185,7 @@
             self._peers.is_watcher,
             lambda: self._peers.revision,
             lambda: self._peers.store_available_ms,
+            lambda: self._peers.live_count + 1,
             self._peers.fetch_newest_snapshot,
             self._peers.broadcast_changes,
             self._cluster_view.apply_changes,
--- a/rhubarbwinch/gateway/registration.py
+++ b/rhubarbwinch/gateway/registration.py
@@ -10,7 +10,10 @@
 # only bounds how long the address of a dead gateway stays in the store.
 LEASE_MS = 9_000
 RENEW_MS = 3_000
+# In an outage of the store each gateway retries, and each call is billed. Peers
+# know each other by heartbeats, so a late registration does no harm.
 RETRY_MS = 500
+MAX_RETRY_MS = 4_000
 
 
 class GatewayRegistration:
@@ -31,20 +34,20 @@
         self._key = key
         self._address = address
         self._lease = 0
-        self._is_failing = False
 
     async def run(self) -> None:
         """Renews the registration until cancelled."""
+        retry_ms = RETRY_MS
         while True:
             try:
                 await self._renew()
-                self._is_failing = False
+                retry_ms = RETRY_MS
                 await self._clock.sleep(RENEW_MS)
             except StoreError as error:
-                if not self._is_failing:
+                if retry_ms == RETRY_MS:
                     events.REGISTRATION_FAILED.log(error=str(error))
-                self._is_failing = True
-                await self._clock.sleep(RETRY_MS)
+                await self._clock.sleep(retry_ms)
+                retry_ms = min(MAX_RETRY_MS, 2 * retry_ms)
 
     async def close(self) -> None:
         """Revokes the lease; if the store is unavailable, the lease expires."""
--- a/rhubarbwinch/gateway/storefeed.py
+++ b/rhubarbwinch/gateway/storefeed.py
@@ -48,6 +48,9 @@
 # billed.
 RETRY_MS = 150
 MAX_RETRY_MS = 1_200
+# All gateways together make one call in this time, at the most.
+RETRY_MS_PER_GATEWAY = 50
+MAX_DOUBLINGS = 10
 # A gap of this length between two responses counts as an outage: two watch
 # timeouts, so that a response may be late.
 MAX_RESPONSE_GAP_MS = 2 * WATCH_TIMEOUT_MS
@@ -90,6 +93,7 @@
             reached.
         peer_available_ms: Returns for how long the store has answered a peer
             without an outage.
+        gateway_count: Returns the number of live gateways.
         fetch_snapshot: Returns a peer's replica, or None.
         broadcast_batch: Broadcasts a batch to all peers.
         on_change: Called with changes, and with whether they may result from
@@ -107,6 +111,7 @@
         is_watcher: Callable[[], bool],
         peer_revision: Callable[[], int],
         peer_available_ms: Callable[[], int],
+        gateway_count: Callable[[], int],
         fetch_snapshot: Callable[[], Awaitable[Snapshot | None]],
         broadcast_batch: Callable[[SharedBatch], None],
         on_change: ChangeHandler,
@@ -121,6 +126,7 @@
         self._peer_revision = peer_revision
         self._peer_available_ms = peer_available_ms
         self._behind_since_ms: int | None = None
+        self._gateway_count = gateway_count
         self._fetch_snapshot = fetch_snapshot
         self._broadcast_batch = broadcast_batch
         self._on_change = on_change
@@ -213,7 +219,7 @@
                 self._record_failure(error)
                 failures += 1
                 await self._catch_up()
-                await self._clock.sleep(self._retry_ms(failures))
+                await self._wait_to_retry(self._retry_ms(failures))
 
     async def _catch_up(self) -> None:
         """Reads a peer's replica if the store serves peers but not this one."""
@@ -239,7 +245,20 @@
     def _retry_ms(self, failures: int) -> int:
         if self._is_watcher():
             return RETRY_MS
-        return min(MAX_RETRY_MS, RETRY_MS << (failures - 1))
+        limit_ms = max(
+            MAX_RETRY_MS, RETRY_MS_PER_GATEWAY * self._gateway_count()
+        )
+        first_ms = max(RETRY_MS, limit_ms >> 3)
+        return min(limit_ms, first_ms << min(failures - 1, MAX_DOUBLINGS))
+
+    async def _wait_to_retry(self, retry_ms: int) -> None:
+        """Waits for a time, or until a watcher has a fresh response."""
+        end = self._clock.now() + retry_ms
+        while self._clock.now() < end:
+            left_ms = end - self._clock.now()
+            await self._clock.sleep(min(left_ms, FOLLOWER_POLL_MS))
+            if self._is_synced and not self._should_watch():
+                return
 
     def _must_call_store(self) -> bool:
         """Returns whether this gateway has to call the store now."""
--- a/tests/gateway/test_storefeed.py
+++ b/tests/gateway/test_storefeed.py
@@ -87,6 +87,7 @@
         self.peer_available_ms = 0
         self.snapshot = None
         self.snapshots_fetched = 0
+        self.gateway_count = 4
         self.store_feed = StoreFeed(
             self.store,
             Replica(),
@@ -95,6 +96,7 @@
             lambda: self.is_watcher,
             lambda: self.peer_revision,
             lambda: self.peer_available_ms,
+            lambda: self.gateway_count,
             self._fetch_snapshot,
             self.broadcast_batches.append,
             lambda changes, after: self.reported.append(
@@ -229,6 +231,18 @@
             len(self.store.calls), 8_000 // MAX_RETRY_MS + watcher_calls // 10
         )
 
+    @asynchronous
+    async def test_calls_in_an_outage_do_not_grow_with_the_gateways(self):
+        down = [StoreUnavailable("down") for _ in range(100)]
+        calls_of_all = {}
+        for count in (24, 340):
+            self._make([Listing([], 3)], down, is_watcher=False)
+            self.gateway_count = count
+            self.is_cut_off = True
+            await self._run(60_000)
+            calls_of_all[count] = count * len(self.store.calls)
+        self.assertLess(calls_of_all[340], 2.5 * calls_of_all[24])
+
     @asynchronous
     async def test_an_outage_ends_when_peers_have_fresh_responses(self):
         down = [StoreUnavailable("down") for _ in range(100)]
