--- a/tests/gateway/test_heartbeatrelay.py
+++ b/tests/gateway/test_heartbeatrelay.py
@@ -8,7 +8,8 @@
     MAX_DIRECT_PEERS,
     choose_relays,
 )
-from rhubarbwinch.gateway.peers import ALIVE_TIMEOUT_MS, HEARTBEAT_MS
+from rhubarbwinch.gateway.peers import HEARTBEAT_MS
+from rhubarbwinch.gateway.peertable import ALIVE_TIMEOUT_MS
 from rhubarbwinch.links.broadcast import MAX_MESSAGE_BYTES
 from rhubarbwinch.shared.clock import ManualClock
 from tests.helpers import asynchronous
--- a/tests/gateway/test_peers.py
+++ b/tests/gateway/test_peers.py
@@ -6,7 +6,8 @@
 
 from rhubarbwinch.gateway.loads import LoadTracker
 from rhubarbwinch.gateway.messages import Heartbeat
-from rhubarbwinch.gateway.peers import ALIVE_TIMEOUT_MS, Peers
+from rhubarbwinch.gateway.peers import Peers
+from rhubarbwinch.gateway.peertable import ALIVE_TIMEOUT_MS
 from rhubarbwinch.shared.clock import ManualClock
 
 
