--- a/tests/callers/test_generate.py
+++ b/tests/callers/test_generate.py
@@ -130,6 +130,8 @@
             url = f"http://{fleet.engines[0]}/faults"
             httpx.post(url, json={"refuse": 3})
             text += _describe_requests("one engine refuses with 503", fleet)
+            # Refusals that no request has met would meet later ones.
+            httpx.post(url, json={"refuse": 0})
             text += _describe_logs(fleet)
             text += self._lose_engines(fleet)
         self.assert_gold("streams_engines", text)
