Migration: an engine without room does not delay the next copy

Change: after a refusal for lack of room the next engine is asked at once. Result: the new test of test_streams has one call before the first wait without the change and two with it.

--- a/rhubarbwinch/gateway/migration.py
+++ b/rhubarbwinch/gateway/migration.py
@@ -92,7 +92,10 @@
             if state is MoveState.NO_RUN and run.events:
                 return
             if state is MoveState.NO_ROOM:
+                # Another engine is tried at once, as the link of the leaving
+                # engine serves the copies in the order of the calls.
                 refused_ids.add(reservation.endpoint.id)
+                continue
             await self._context.clock.sleep(RETRY_INTERVAL_MS)
 
     def _reserve(
--- a/tests/gateway/test_streams.py
+++ b/tests/gateway/test_streams.py
@@ -11,6 +11,7 @@
     stream_event,
 )
 from rhubarbwinch.gateway.routes import CallKind
+from rhubarbwinch.shared.clock import SystemClock
 from tests import gatewaybuilders as build
 from tests.gatewayharness import read_response, running_gateway
 from tests.helpers import asynchronous
@@ -58,6 +59,20 @@
     return reader, writer
 
 
+class RecordingClock(SystemClock):
+    """A clock that records a value at each sleep."""
+
+    def __init__(self):
+        self.on_sleep = None
+        self.seen = []
+
+    async def sleep(self, ms):
+        """Records the value and sleeps."""
+        if self.on_sleep is not None:
+            self.seen.append(self.on_sleep())
+        await super().sleep(ms)
+
+
 class StreamCallsTest(unittest.TestCase):
     """One caller, some engines."""
 
@@ -161,6 +176,28 @@
         self.assertEqual(found.body, ALL)
         self.assertTrue(found.is_complete)
 
+    @asynchronous
+    async def test_an_engine_without_room_does_not_delay_the_next_copy(self):
+        # The link of a leaving engine serves copies in the order of the calls.
+        async with running_gateway(engines=3, table=NOT_REPEATABLE) as gateway:
+            clock = gateway.context.clock = RecordingClock()
+            generation = Generation()
+            generation.break_after = 3
+            generation.proceed = anyio.Event()
+            self._script(gateway, generation)
+            reader, writer = await _start(gateway)
+            await generation.reached.wait()
+            source = next(e for e in gateway.engines if e.received)
+            source.migration_status = 503
+            clock.on_sleep = lambda: len(source.migration_requests)
+            gateway.announce_leaving(source)
+            while not clock.seen:
+                await anyio.sleep(0)
+            generation.proceed.set()
+            await read_response(reader)
+            writer.close()
+        self.assertEqual(clock.seen[0], 2)
+
     @asynchronous
     async def test_a_run_without_a_copy_is_never_run_again(self):
         async with running_gateway(table=NOT_REPEATABLE) as gateway:
