Gateway: gateways that start while the store is away find each other and its state

Cause: (1) a gateway that the store rejects knows only its seeds; a seed that is no relay kept its heartbeat for itself, so no relay ever sent it a digest (the new test: 0 of 30 peers). (3) Gateways that start together all watch the store until they know each other, with a call each 60 ms while members and endpoints register. Change: a heartbeat of an unknown gateway goes on to the relays of its data centre; a starting gateway asks live peers that know the newest revision first, spread by rendezvous hashing, and one other address at a time; in the first 1.5 s changes are collected for 300 ms. Result: the new tests fail before.

--- a/rhubarbwinch/gateway/peers.py
+++ b/rhubarbwinch/gateway/peers.py
@@ -82,6 +82,7 @@
         self._first_relay_ms = clock.now()
         self._had_lost_relays = False
         self._last_sent = own
+        self._snapshot_calls = 0
         self._orphans: dict[str, int] = {}
         broadcast.on(Heartbeat, self.receive)
         broadcast.on(HeartbeatDigest, self.receive_digest)
@@ -235,6 +236,13 @@
         self._apply(heartbeat)
         if not self.uses_relays:
             return
+        if is_new and not self._is_relay:
+            # The sender knows no relay: it has not read the store, and has this
+            # address from its settings.
+            relays = self._relays(heartbeat.data_center)
+            self._broadcast.send_to(
+                heartbeat, self._broadcast_addresses(relays)
+            )
         self._relay.collect(heartbeat, self._clock.now())
         is_own = heartbeat.data_center == self._own.data_center
         if not is_own:
@@ -280,24 +288,30 @@
         Returns:
             The first response that is not empty; None if there is none.
         """
-        ordered = sorted(
-            self._live_heartbeats(), key=lambda h: h.revision, reverse=True
-        )
-        return await self._fetch_snapshot(
-            [h.link for h in ordered[:NEWEST_SNAPSHOT_TRIES]]
-        )
+        newest = self.revision
+        links = [
+            heartbeat.link
+            for heartbeat in self._live_heartbeats()
+            if newest and heartbeat.revision == newest
+        ]
+        # Gateways that start together ask different peers.
+        ranked = rendezvous.ranking(self._own.name, links)
+        return await self._fetch_snapshot(ranked[:NEWEST_SNAPSHOT_TRIES])
 
-    async def fetch_snapshot(self) -> Snapshot | None:
-        """Requests a snapshot of the store from one peer after another.
+    async def fetch_any_snapshot(self) -> Snapshot | None:
+        """Requests a snapshot from one known peer, the next one at each call.
 
-        Each gateway asks in another order, so that the calls of gateways that
-        start together are spread.
+        The peer may be dead, and nothing may be known of it but its address.
 
         Returns:
-            The first that is not empty; None if no peer has one.
+            The response; None if it is empty or there is none.
         """
+        ranked = rendezvous.ranking(self._own.name, self._peers)
+        if not ranked:
+            return None
+        self._snapshot_calls += 1
         return await self._fetch_snapshot(
-            rendezvous.ranking(self._own.name, self._peers)
+            [ranked[self._snapshot_calls % len(ranked)]]
         )
 
     async def _fetch_snapshot(self, links: list[str]) -> Snapshot | None:
--- a/rhubarbwinch/gateway/program.py
+++ b/rhubarbwinch/gateway/program.py
@@ -305,7 +305,9 @@
         # otherwise all ask each other for the same snapshot.
         await self._clock.sleep(BOOTSTRAP_DELAY_MS)
         while self._context.table is None:
-            snapshot = await self._peers.fetch_snapshot()
+            snapshot = await self._peers.fetch_newest_snapshot()
+            if snapshot is None:
+                snapshot = await self._peers.fetch_any_snapshot()
             if snapshot is not None and self._context.table is None:
                 self._store_feed.apply_snapshot(snapshot)
                 # In the store these engines may not be marked as leaving yet.
--- a/rhubarbwinch/gateway/storefeed.py
+++ b/rhubarbwinch/gateway/storefeed.py
@@ -42,6 +42,9 @@
 # A watcher waits this long after a batch, so that changes in quick succession
 # share one watch call.
 COALESCE_MS = 60
+# Gateways that start together all watch the store until they know each other,
+# while all of them and the endpoints register.
+START_COALESCE_MS = 300
 # Watchers retry a failed call after a short, constant delay, since all gateways
 # depend on them. The others back off exponentially up to a bound: in an outage
 # every gateway without a fresh response calls the store, and each call is
@@ -307,7 +310,9 @@
             if self._should_broadcast():
                 self._broadcast(batch, changes)
         if batch.changes:
-            await self._clock.sleep(COALESCE_MS)
+            await self._clock.sleep(
+                START_COALESCE_MS if self._is_starting else COALESCE_MS
+            )
 
     def _should_broadcast(self) -> bool:
         """Returns whether the peers rely on this gateway for changes.
@@ -318,8 +323,12 @@
         """
         if self._is_watcher():
             return True
-        is_starting = self._clock.now() - self._started_ms < MAX_FRESH_AGE_MS
-        return not is_starting and self._should_watch()
+        return not self._is_starting and self._should_watch()
+
+    @property
+    def _is_starting(self) -> bool:
+        """Whether this gateway may not know the watchers yet."""
+        return self._clock.now() - self._started_ms < MAX_FRESH_AGE_MS
 
     def _broadcast(self, batch: ChangeBatch, changes: list[Change]) -> None:
         for part in split_batch(batch, changes):
--- a/tests/gateway/test_heartbeatrelay.py
+++ b/tests/gateway/test_heartbeatrelay.py
@@ -144,6 +144,23 @@
             self.assertEqual(late.peers.live_count, 29)
             tasks.cancel_scope.cancel()
 
+    @asynchronous
+    async def test_a_gateway_that_knows_only_a_seed_soon_knows_all_others(self):
+        # The store rejects it at its start, and the seed is no relay.
+        network = PeerNetwork(ManualClock(1), 30, 3)
+        async with anyio.create_task_group() as tasks:
+            await self._settle(network, tasks)
+            relays = {
+                n.name for i in range(3) for n in network.relays(f"dc-{i}")
+            }
+            seed = next(n for n in network.running if n.name not in relays)
+            late = network.add(tasks, "new", "dc-1", seed)
+            await network.clock.advance(3 * HEARTBEAT_MS)
+            self.assertEqual(late.peers.live_count, 30)
+            await network.clock.advance(SETTLED_MS)
+            self._assert_all_alive(network, "later")
+            tasks.cancel_scope.cancel()
+
     def test_all_gateways_choose_the_same_relays(self):
         links = [f"g{i}:1" for i in range(12)]
         self.assertEqual(choose_relays(links), choose_relays(links[::-1]))
--- a/tests/gateway/test_peers.py
+++ b/tests/gateway/test_peers.py
@@ -5,10 +5,12 @@
 import attrs
 
 from rhubarbwinch.gateway.loads import LoadTracker
-from rhubarbwinch.gateway.messages import Heartbeat
+from rhubarbwinch.gateway.messages import Heartbeat, Snapshot
 from rhubarbwinch.gateway.peers import Peers
 from rhubarbwinch.gateway.peertable import ALIVE_TIMEOUT_MS
 from rhubarbwinch.shared.clock import ManualClock
+from rhubarbwinch.shared.exceptions import LinkTimeout
+from tests.helpers import asynchronous
 
 
 class RecordingBroadcast:
@@ -25,6 +27,21 @@
         """Ignores the peer."""
 
 
+class SnapshotLinks:
+    """Links to peers, some of which have a snapshot."""
+
+    def __init__(self):
+        self.snapshots = {}
+        self.calls = []
+
+    async def call(self, address, message, reply_type, timeout_ms):
+        """Returns a peer's snapshot; the other peers do not answer."""
+        self.calls.append(address)
+        if address not in self.snapshots:
+            raise LinkTimeout("no answer")
+        return self.snapshots[address]
+
+
 def _heartbeat(number, sequence=1, **fields):
     name = f"g{number}"
     host = f"127.0.0.{number}"
@@ -40,10 +57,11 @@
     def setUp(self):
         self.clock = ManualClock(1)
         self.broadcast = RecordingBroadcast()
+        self.links = SnapshotLinks()
         self.peers = Peers(
             _heartbeat(1),
             self.broadcast,
-            None,
+            self.links,
             self.clock,
             LoadTracker(),
             lambda heartbeat: heartbeat,
@@ -100,6 +118,33 @@
         self.assertLess(owned, more)
         self.assertLess(len(more), len(keys))
 
+    @asynchronous
+    async def test_the_peers_that_know_most_are_asked_for_a_snapshot(self):
+        self.links.snapshots = {"127.0.0.3:1": Snapshot(9)}
+        self._receive(
+            g2={"revision": 7}, g3={"revision": 9}, g4={"revision": 9}
+        )
+        found = await self.peers.fetch_newest_snapshot()
+        self.assertEqual(found, Snapshot(9))
+        self.assertLessEqual(
+            set(self.links.calls), {"127.0.0.3:1", "127.0.0.4:1"}
+        )
+
+    @asynchronous
+    async def test_without_a_peer_that_knows_a_change_none_is_asked(self):
+        self._receive()
+        self.assertIsNone(await self.peers.fetch_newest_snapshot())
+        self.assertEqual(self.links.calls, [])
+
+    @asynchronous
+    async def test_known_addresses_are_asked_one_after_another(self):
+        # Calls to peers that are down take long, and one that has read the
+        # store may be heard of meanwhile.
+        self._receive()
+        for count in range(1, 6):
+            await self.peers.fetch_any_snapshot()
+            self.assertEqual(len(set(self.links.calls)), count)
+
     def test_gateways_of_the_own_data_center_are_counted(self):
         self._receive(g2={"data_center": "dc-b"}, g3={"data_center": "dc-b"})
         self.assertEqual(
--- a/tests/gateway/test_storefeed.py
+++ b/tests/gateway/test_storefeed.py
@@ -132,6 +132,16 @@
             self.store.calls[:3], ["scan", "poll after 3", "poll after 5"]
         )
 
+    @asynchronous
+    async def test_a_start_while_all_register_takes_few_calls(self):
+        registrations = [
+            ChangeBatch(i, i + 1, [write(f"key-{i}", i + 1)])
+            for i in range(3, 60)
+        ]
+        self._make([Listing([], 3)], registrations)
+        await self._run(MAX_FRESH_AGE_MS)
+        self.assertLessEqual(len(self.store.calls), 7)
+
     @asynchronous
     async def test_compacted_history_leads_to_a_full_scan(self):
         self._make(
--- a/tests/peernetwork.py
+++ b/tests/peernetwork.py
@@ -128,6 +128,21 @@
         self._start(tasks, new)
         return new
 
+    def add(self, tasks, name, data_center, seed):
+        """Starts a gateway that is not registered; returns it.
+
+        Args:
+            tasks: Runs the gateway.
+            name: Its name.
+            data_center: Its data centre.
+            seed: The only gateway that it knows, by its address alone.
+        """
+        new = self._make(name, data_center, 1)
+        self.nodes[new.address.broadcast] = new
+        new.peers.add(attrs.evolve(seed.address, data_center=""))
+        self._start(tasks, new)
+        return new
+
     def _start(self, tasks, node):
         node.scope = anyio.CancelScope()
         tasks.start_soon(self._run, node, node.scope)
