--- a/rhubarbwinch/gateway/heartbeatrelay.py
+++ b/rhubarbwinch/gateway/heartbeatrelay.py
@@ -3,8 +3,8 @@
 Heartbeats from each gateway to all others would grow with the square of the
 number of gateways. Instead each gateway sends its heartbeats to the relays of
 its data centre. A relay forwards what is new, in a few datagrams, to the
-gateways of its data centre and to the relays of the others. So each gateway
-receives about as many datagrams at each size of the deployment.
+gateways of its data centre and to the relays of the others. So the datagrams
+that a gateway receives grow far more slowly than the deployment.
 
 Only the first relay of a data centre forwards. The second one knows the same
 and takes over when the first one is silent.
--- a/rhubarbwinch/gateway/placement.py
+++ b/rhubarbwinch/gateway/placement.py
@@ -44,8 +44,9 @@
 
     Attributes:
         spread_runs: Engines whose cost is within this many runs of the lowest
-            one count as equals. If the latest placements of other gateways are
-            not known yet, all would else choose the same engine.
+            one count as equals, and one of them is chosen at random. Otherwise
+            gateways that do not know each other's latest placements would all
+            choose the same engine.
         other_data_center_runs: Cost in runs of an engine in another data
             centre, for latency and traffic, and for loads known later.
     """
