Gateway: the rate limits that endpoints declare are decoded, logged and counted

Change: the head of a response is decoded into what the endpoint declares about itself (platform/headers.py, DeclaredState); only a signed answer or a refusal of the endpoint itself counts. A change is logged once (752), a malformed value too (751), a send names the limit known of its endpoint, and a gauge counts them. No decision uses it yet.

--- a/rhubarbwinch/gateway/context.py
+++ b/rhubarbwinch/gateway/context.py
@@ -10,7 +10,9 @@
     CrashTracker,
     fingerprint,
 )
+from rhubarbwinch.gateway.declaredlimits import DeclaredLimits
 from rhubarbwinch.gateway.edge import EdgeRequest
+from rhubarbwinch.gateway.endpoints import Endpoint
 from rhubarbwinch.gateway.failurereports import (
     WINDOW_MS,
     FailureReports,
@@ -22,12 +24,16 @@
 from rhubarbwinch.gateway.migratedcopies import CopyManager
 from rhubarbwinch.gateway.peers import Peers
 from rhubarbwinch.gateway.placement import Candidate
-from rhubarbwinch.gateway.platforminterface import CallHead, Platform
+from rhubarbwinch.gateway.platforminterface import (
+    AttemptOptions,
+    CallHead,
+    Platform,
+)
 from rhubarbwinch.gateway.requestspans import Tracer
 from rhubarbwinch.gateway.retrybudget import RetryBudget
 from rhubarbwinch.gateway.routes import EngineSpec, Route, RoutingTable
 from rhubarbwinch.gateway.suspicion import AttemptOutcome, Suspicion
-from rhubarbwinch.gateway.upstream import Upstream
+from rhubarbwinch.gateway.upstream import Upstream, UpstreamResponse
 from rhubarbwinch.shared import events
 from rhubarbwinch.shared.clock import Clock
 
@@ -50,6 +56,7 @@
         upstream: Sends requests to endpoints.
         copies: Manages the migrated copies of KV caches.
         crashes: The requests during which endpoints crashed.
+        limits: The rate limits that endpoints have declared.
         tracer: Creates spans of requests; None if tracing is off.
         table: The active configuration; None before the first one.
         is_draining: Whether the gateway is shutting down.
@@ -68,6 +75,7 @@
     upstream: Upstream
     copies: CopyManager
     crashes: CrashTracker
+    limits: DeclaredLimits
     tracer: Tracer | None = None
     table: RoutingTable | None = None
     is_draining: bool = False
@@ -106,6 +114,35 @@
             self.suspicion.failure_share(endpoint.id),
         )
 
+    async def send(
+        self,
+        job: "Job",
+        endpoint: Endpoint,
+        options: AttemptOptions,
+        is_repeatable: bool,
+    ) -> UpstreamResponse:
+        """Sends a request; records what the endpoint declares in its response.
+
+        Raises:
+            EndpointError: No head of a response was received.
+        """
+        response = await self.upstream.send(
+            endpoint, job.call, job.body, options, is_repeatable
+        )
+        declared = response.head.declared
+        if declared is None:
+            return response
+        before = self.limits.rate(endpoint.id)
+        if self.limits.record(endpoint.id, declared, self.clock.now()):
+            gatewaymetrics.RATE_LIMITED_ENDPOINTS.set(len(self.limits))
+            events.RATE_LIMIT_CHANGED.log(
+                request=job.call.request_id,
+                endpoint=endpoint.id,
+                per_second=declared.rate_limit,
+                before=before,
+            )
+        return response
+
     def record_outcome(
         self,
         job: "Job",
--- a/rhubarbwinch/gateway/gatewaymetrics.py
+++ b/rhubarbwinch/gateway/gatewaymetrics.py
@@ -57,6 +57,11 @@
     "The version of the configuration in force.",
     registry=REGISTRY,
 )
+RATE_LIMITED_ENDPOINTS = Gauge(
+    "rhubarbwinch_rate_limited_endpoints",
+    "Endpoints whose last response declared a rate limit.",
+    registry=REGISTRY,
+)
 LOG_LINES_DROPPED = Counter(
     "rhubarbwinch_log_lines_dropped",
     "Log lines that were not written, over the budget or to a slow reader.",
--- a/rhubarbwinch/gateway/generationsender.py
+++ b/rhubarbwinch/gateway/generationsender.py
@@ -65,9 +65,7 @@
         )
         try:
             with anyio.move_on_after(left_ms / 1000):
-                response = await context.upstream.send(
-                    endpoint, job.call, job.body, options, False
-                )
+                response = await context.send(job, endpoint, options, False)
                 return await self._classify(run, endpoint, response, now)
         except EndpointError as error:
             outcome = (
@@ -149,5 +147,6 @@
             send=run.job.sends,
             took_ms=now - started_ms,
             left_ms=run.job.deadline_ms - now,
+            rate_limit=self._context.limits.rate(endpoint.id),
             outcome=outcome,
         )
--- a/rhubarbwinch/gateway/plaincalls.py
+++ b/rhubarbwinch/gateway/plaincalls.py
@@ -154,8 +154,8 @@
         context = self._context
         started_ms = context.clock.now()
         options = AttemptOptions(endpoint.id, job.account, left_ms)
-        response = await context.upstream.send(
-            endpoint, job.call, job.body, options, job.route.is_repeatable
+        response = await context.send(
+            job, endpoint, options, job.route.is_repeatable
         )
         try:
             body = await response.read()
@@ -215,6 +215,7 @@
             send=job.sends,
             took_ms=now - started_ms,
             left_ms=job.deadline_ms - now,
+            rate_limit=self._context.limits.rate(endpoint.id),
             outcome=outcome,
         )
 
--- a/rhubarbwinch/gateway/platforminterface.py
+++ b/rhubarbwinch/gateway/platforminterface.py
@@ -88,6 +88,18 @@
     priority: int | None = None
 
 
+@attrs.frozen
+class DeclaredState:
+    """What an endpoint declares about itself in the head of a response.
+
+    Attributes:
+        rate_limit: The requests a second that it accepts from all gateways
+            together; None if it declares no limit.
+    """
+
+    rate_limit: float | None = None
+
+
 @attrs.frozen
 class ResponseHead:
     """The head of an endpoint's response.
@@ -98,6 +110,8 @@
         is_signed: Whether the response has the endpoint's signature.
         is_altered: Whether the body was changed on the way, such as encoded.
         headers: The headers that are relayed to the caller unchanged.
+        declared: What the endpoint declares about itself; None if the response
+            does not come from the endpoint that was addressed.
     """
 
     status: int
@@ -105,6 +119,7 @@
     is_signed: bool
     is_altered: bool
     headers: Headers
+    declared: DeclaredState | None = None
 
 
 class MoveState(enum.StrEnum):
--- a/rhubarbwinch/gateway/program.py
+++ b/rhubarbwinch/gateway/program.py
@@ -12,6 +12,7 @@
 from rhubarbwinch.gateway.clusterview import ClusterView
 from rhubarbwinch.gateway.context import Context
 from rhubarbwinch.gateway.crashes import CrashTracker
+from rhubarbwinch.gateway.declaredlimits import DeclaredLimits
 from rhubarbwinch.gateway.edge import EdgeServer
 from rhubarbwinch.gateway.endpoints import Endpoint
 from rhubarbwinch.gateway.failurereports import FailureReports
@@ -168,6 +169,7 @@
                 clock,
                 self._broadcast.send,
             ),
+            limits=DeclaredLimits(),
         )
         self._replica = Replica()
         self._streams = StreamCalls(self._context)
--- a/rhubarbwinch/platform/headers.py
+++ b/rhubarbwinch/platform/headers.py
@@ -5,9 +5,11 @@
 from rhubarbwinch.gateway.platforminterface import (
     AttemptOptions,
     CallHead,
+    DeclaredState,
     Headers,
     ResponseHead,
 )
+from rhubarbwinch.shared import events
 from rhubarbwinch.shared.exceptions import BadCallError
 
 # Identifies one attempt of a caller; each retry has an id of its own.
@@ -25,6 +27,8 @@
 STANDBY = b"kv-backup"
 RESUME_FROM = b"kv-from"
 PRIORITY = b"request-priority"
+# The requests a second that an endpoint accepts from all gateways together.
+RATE_LIMIT = b"server-limit"
 AUTHORIZATION = b"authorization"
 BEARER = "bearer "
 
@@ -63,6 +67,7 @@
     }
 )
 _DIGITS = re.compile(r"\d{1,12}")
+_DECIMAL = re.compile(r"\d{1,12}(\.\d{1,12})?")
 MISDIRECTED_REQUEST = 421
 
 
@@ -169,16 +174,40 @@
     """Decodes the head of an endpoint's response."""
     hop_by_hop = _hop_by_hop_names(headers)
     encodings = _values(headers, b"content-encoding")
+    is_refusal = status == MISDIRECTED_REQUEST or bool(
+        _values(headers, NOT_RUN)
+    )
+    is_signed = bool(_first_value(headers, SIGNATURE))
+    # A misdirected request was refused by another endpoint, and a response
+    # that is neither signed nor a refusal may come from anything on the way.
+    is_own = status != MISDIRECTED_REQUEST and (is_signed or is_refusal)
     return ResponseHead(
         status=status,
-        is_refusal=status == MISDIRECTED_REQUEST
-        or bool(_values(headers, NOT_RUN)),
-        is_signed=bool(_first_value(headers, SIGNATURE)),
+        is_refusal=is_refusal,
+        is_signed=is_signed,
         is_altered=any(e.lower() != "identity" for e in encodings),
         headers=[(n, v) for n, v in headers if n.lower() not in hop_by_hop],
+        declared=_decode_declared_state(headers) if is_own else None,
     )
 
 
+def _decode_declared_state(headers: Headers) -> DeclaredState:
+    return DeclaredState(rate_limit=_decode_rate_limit(headers))
+
+
+def _decode_rate_limit(headers: Headers) -> float | None:
+    """Decodes a decimal number; a malformed one counts as no limit."""
+    text = _first_value(headers, RATE_LIMIT)
+    if text is None:
+        return None
+    if not _DECIMAL.fullmatch(text):
+        events.DECLARATION_UNREADABLE.log(
+            header=RATE_LIMIT.decode(), value=text[:40]
+        )
+        return None
+    return float(text)
+
+
 def is_response_to(request_id: str, headers: Headers) -> bool:
     """Returns whether a response belongs to a request.
 
--- a/rhubarbwinch/shared/events.py
+++ b/rhubarbwinch/shared/events.py
@@ -618,3 +618,18 @@
         "dropped."
     ),
 )
+DECLARATION_UNREADABLE = Event(
+    751,
+    "declaration-unreadable",
+    logging.WARNING,
+    "A header in which an endpoint declares its state is malformed.",
+)
+RATE_LIMIT_CHANGED = Event(
+    752,
+    "rate-limit-changed",
+    logging.WARNING,
+    (
+        "An endpoint declared a limit of the requests a second that it accepts,"
+        " another limit, or none any more."
+    ),
+)
--- a/tests/gatewayharness.py
+++ b/tests/gatewayharness.py
@@ -9,6 +9,7 @@
 from lab.standins.platformengine import ScriptedEngine
 from rhubarbwinch.gateway.context import Context
 from rhubarbwinch.gateway.crashes import CrashTracker
+from rhubarbwinch.gateway.declaredlimits import DeclaredLimits
 from rhubarbwinch.gateway.edge import EdgeServer
 from rhubarbwinch.gateway.failurereports import FailureReports
 from rhubarbwinch.gateway.fleet import Fleet
@@ -86,6 +87,7 @@
                 SystemClock(),
                 self.broadcasts.append,
             ),
+            limits=DeclaredLimits(),
             table=table,
         )
         for engine in self.engines:
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -129,6 +129,29 @@
             found = headers.decode_response(status, more)
             self.assertEqual(found.is_refusal, expected, (status, more))
 
+    def test_a_declared_rate_limit_is_read(self):
+        for value, expected in (
+            (b"1.1", 1.1),
+            (b"0", 0.0),
+            (b" 12 ", 12.0),
+            (b"-1", None),
+            (b"nan", None),
+            (b"1e9", None),
+            (b"", None),
+            (b"1,2", None),
+        ):
+            found = headers.decode_response(
+                200, [(b"Server-Signature", b"s"), (b"Server-Limit", value)]
+            )
+            self.assertEqual(found.declared.rate_limit, expected, value)
+            self.assertIn((b"Server-Limit", value), found.headers)
+
+    def test_a_response_of_another_endpoint_declares_nothing(self):
+        limit = (b"Server-Limit", b"1")
+        for status, more in ((421, [(b"Not-Executed", b"1")]), (200, [])):
+            found = headers.decode_response(status, [*more, limit])
+            self.assertIsNone(found.declared, status)
+
     def test_a_response_with_an_encoding_is_altered(self):
         found = headers.decode_response(200, [(b"Content-Encoding", b"gzip")])
         self.assertTrue(found.is_altered)
