--- a/tests/gateway/test_gateway.py
+++ b/tests/gateway/test_gateway.py
@@ -1,127 +1,14 @@
 """Tests gateway processes with stand-ins of the platform."""
 
-import json
-import pathlib
 import signal
-import tempfile
 import unittest
-from contextlib import asynccontextmanager
 
 import anyio
-import httpx
 
-from lab.processes import free_ports
 from lab.standins import platformfiles
-from lab.standins.platformengine import ScriptedEngine, send_ok
-from lab.standins.platformstore import PlatformStoreServer
-from tests.helpers import Processes, asynchronous, free_address
-
-# The part of a configuration that describes the engines of a service.
-ENGINE = {"slots": 24, "kv_tokens": 34_000, "moves": True, "backups": True}
-
-
-def config(version=1, keys=("k1",), engine=None):
-    """Returns a configuration with one idempotent route."""
-    routes = [platformfiles.route("r", "svc", "idempotent")]
-    services = [{"name": "svc", "max_connections": 100, "engine": engine}]
-    return platformfiles.config(version, routes, services, {"t1": keys})
-
-
-class Deployment:
-    """Several gateways, a store and an engine."""
-
-    def __init__(self, folder):
-        self.folder = pathlib.Path(folder)
-        self.processes = Processes(self.folder)
-        self.store = PlatformStoreServer(free_address())
-        self.engine = ScriptedEngine("i-1", free_address(), "svc")
-        base = free_ports(16)
-        self.ports = {
-            "port": base,
-            "ready": base + 1,
-            "directory": base + 2,
-            "link": base + 3,
-            "last": base + 15,
-        }
-
-    def start(self, number, program="rhubarbwinch gateway"):
-        """Starts a gateway on an address of its own."""
-        ip = f"127.0.7.{number}"
-        ports = self.ports
-        path = self.folder / f"g{number}.conf"
-        text = platformfiles.settings_text(
-            node=f"g{number}",
-            ip=ip,
-            listen__front=f"{ip}:{ports['port']}",
-            listen__ready=f"{ip}:{ports['ready']}",
-            listen__directory=f"{ip}:{ports['directory']}",
-            internal_ports=f"{ports['link']},{ports['last']}",
-            seeds=f"127.0.7.1:{ports['port']}",
-            platform__address=self.store.address,
-        )
-        path.write_text(text)
-        self.processes.start(
-            f"g{number}",
-            program,
-            "--metrics-port",
-            str(self.ports["last"]),
-            env={"RHUBARBWINCH_SETTINGS": str(path)},
-        )
-
-    def url(self, number, service="port", path="/"):
-        """Returns the URL of one of a gateway's addresses."""
-        return f"http://127.0.7.{number}:{self.ports[service]}{path}"
-
-    async def get(self, url, **headers):
-        """Returns a response, or None if the connection fails."""
-        try:
-            async with httpx.AsyncClient(timeout=20) as client:
-                return await client.get(url, headers=headers)
-        except httpx.TransportError:
-            return None
-
-    async def call(self, number, request_id, key="k1"):
-        """Sends a caller's request."""
-        return await self.get(
-            self.url(number, path="/r/x"),
-            Host="h.example",
-            Authorization=f"Bearer {key}",
-            **{"Attempt-Id": request_id, "Deadline-Ms": "15000"},
-        )
-
-    async def until(self, check):
-        """Waits until an async check returns true; at most 20 s."""
-        with anyio.fail_after(20):
-            while not await check():
-                await anyio.sleep(0.02)
-
-    async def is_ready(self, number):
-        """Returns whether a gateway reports that it is ready."""
-        found = await self.get(self.url(number, "ready", "/readiness"))
-        return found is not None and found.status_code == httpx.codes.OK
-
-    def events(self, number):
-        """Returns the events that a gateway has logged."""
-        text = (self.folder / f"g{number}.log").read_text()
-        return [json.loads(x) for x in text.splitlines() if x.startswith("{")]
-
-
-@asynccontextmanager
-async def deployment():
-    """Runs the stand-ins. The test starts the gateways."""
-    with tempfile.TemporaryDirectory() as folder:
-        found = Deployment(folder)
-        async with anyio.create_task_group() as tasks:
-            tasks.start_soon(found.store.run)
-            tasks.start_soon(found.engine.run)
-            await anyio.wait_all_tasks_blocked()
-            await found.store.put(platformfiles.CONFIG_KEY, config())
-            await found.store.put(
-                platformfiles.ENDPOINT_PREFIX + "i-1", found.engine.ready_entry
-            )
-            with found.processes:
-                yield found
-            tasks.cancel_scope.cancel()
+from lab.standins.platformengine import send_ok
+from tests.gatewayprocesses import ENGINE, config, deployment
+from tests.helpers import asynchronous
 
 
 class GatewayTest(unittest.TestCase):
