Gateway: gateways share the rate limits that endpoints declare

The choice of an endpoint knows open calls and failures only, and an endpoint in need answers in time. Change: a limit belongs to all gateways together, so it is shared: one gateway coordinates each endpoint and lists its limit in its heartbeats; the others tell it what their responses say otherwise. A few gateways, more for a higher limit, send at an equal share of it each (ratelimits.py, pure). Without a permit an endpoint is no candidate for calls, generations, copies and standbys. If only such endpoints are left, a call waits for its turn up to half of its time, and is refused at once, with the time at which it could be served, when that is longer. A resumed run waits for its permit. Gateways that are told to stop leave limited endpoints to the others. Why it works: what the senders may send together in 4 s is 5.7 times the limit and 2, where 6 times and 5 are allowed; the gateways need not agree on a count.

--- a/rhubarbwinch/gateway/clusterview.py
+++ b/rhubarbwinch/gateway/clusterview.py
@@ -165,6 +165,5 @@
         self._transport.close_idle(known.endpoint.address)
         self._context.suspicion.forget(endpoint_id)
         self._context.reports.forget(endpoint_id)
-        self._context.limits.forget(endpoint_id)
-        gatewaymetrics.RATE_LIMITED_ENDPOINTS.set(len(self._context.limits))
+        self._context.permits.forget(endpoint_id)
         self._streams.handle_leaving_engine(known.endpoint)
--- a/rhubarbwinch/gateway/context.py
+++ b/rhubarbwinch/gateway/context.py
@@ -10,7 +10,6 @@
     CrashTracker,
     fingerprint,
 )
-from rhubarbwinch.gateway.declaredlimits import DeclaredLimits
 from rhubarbwinch.gateway.edge import EdgeRequest
 from rhubarbwinch.gateway.endpoints import Endpoint
 from rhubarbwinch.gateway.failurereports import (
@@ -23,6 +22,7 @@
 from rhubarbwinch.gateway.messages import FailureNotice
 from rhubarbwinch.gateway.migratedcopies import CopyManager
 from rhubarbwinch.gateway.peers import Peers
+from rhubarbwinch.gateway.permits import Permits
 from rhubarbwinch.gateway.placement import Candidate
 from rhubarbwinch.gateway.platforminterface import (
     AttemptOptions,
@@ -56,7 +56,7 @@
         upstream: Sends requests to endpoints.
         copies: Manages the migrated copies of KV caches.
         crashes: The requests during which endpoints crashed.
-        limits: The rate limits that endpoints have declared.
+        permits: Lets requests pass as the rate limits of endpoints allow.
         tracer: Creates spans of requests; None if tracing is off.
         table: The active configuration; None before the first one.
         is_draining: Whether the gateway is shutting down.
@@ -75,7 +75,7 @@
     upstream: Upstream
     copies: CopyManager
     crashes: CrashTracker
-    limits: DeclaredLimits
+    permits: Permits
     tracer: Tracer | None = None
     table: RoutingTable | None = None
     is_draining: bool = False
@@ -97,6 +97,7 @@
             k
             for k in self.fleet.accepting_for_service(service)
             if k.endpoint.id not in excluded
+            and self.permits.is_available(k.endpoint.id)
         ]
         usable = set(self.suspicion.usable([k.endpoint.id for k in known], now))
         return [
@@ -112,6 +113,7 @@
             engine.kv_tokens if engine is not None else 0,
             now >= known.warmed_up_at_ms,
             self.suspicion.failure_share(endpoint.id),
+            self.permits.is_limited(endpoint.id),
         )
 
     async def send(
@@ -129,20 +131,35 @@
         response = await self.upstream.send(
             endpoint, job.call, job.body, options, is_repeatable
         )
-        declared = response.head.declared
-        if declared is None:
-            return response
-        before = self.limits.rate(endpoint.id)
-        if self.limits.record(endpoint.id, declared, self.clock.now()):
-            gatewaymetrics.RATE_LIMITED_ENDPOINTS.set(len(self.limits))
-            events.RATE_LIMIT_CHANGED.log(
-                request=job.call.request_id,
-                endpoint=endpoint.id,
-                per_second=declared.rate_limit,
-                before=before,
+        if response.head.declared is not None:
+            self.permits.record_response(
+                job.call.request_id, endpoint.id, response.head.declared
             )
         return response
 
+    def earliest_permit(
+        self, service: str, excluded: set[str]
+    ) -> tuple[Endpoint, int] | None:
+        """Returns the rate-limited endpoint that may be sent to first, or None.
+
+        Args:
+            service: The service that the request needs.
+            excluded: Ids of endpoints that are left out.
+
+        Returns:
+            The endpoint, and the delay in milliseconds.
+        """
+        return self.permits.earliest(
+            known.endpoint
+            for known in self.fleet.accepting_for_service(service)
+            if known.endpoint.id not in excluded
+        )
+
+    def is_accepting(self, endpoint: Endpoint) -> bool:
+        """Returns whether an endpoint still accepts new requests."""
+        known = self.fleet.get(endpoint.id)
+        return known is not None and known.accepts_requests
+
     def record_outcome(
         self,
         job: "Job",
--- a/rhubarbwinch/gateway/failover.py
+++ b/rhubarbwinch/gateway/failover.py
@@ -18,6 +18,9 @@
 # How long a failover waits for a copy that is in flight when the stream breaks.
 # Without the copy, a run that has no standby must restart or fail.
 COPY_WAIT_MS = 600
+# How long a failover waits for the rate limit of the engine that has the KV
+# cache. Callers abandon a stream after a pause of two seconds.
+MAX_PERMIT_WAIT_MS = 1_200
 # What a run resumes from: a migrated copy, or the KV cache of a hot standby.
 FROM_MIGRATED_COPY = "move"
 FROM_STANDBY = "backup"
@@ -145,6 +148,10 @@
         """Sends a generation to the engine that has its KV cache."""
         if not self._sender.acquire_retry(run):
             return None
+        if not await self._context.permits.acquire(
+            run.id, endpoint, MAX_PERMIT_WAIT_MS
+        ):
+            return None
         result = await self._sender.open(run, endpoint, location)
         is_resumed = isinstance(result, UpstreamResponse)
         gatewaymetrics.CONTINUATIONS.labels(
--- a/rhubarbwinch/gateway/gatewaymetrics.py
+++ b/rhubarbwinch/gateway/gatewaymetrics.py
@@ -59,7 +59,13 @@
 )
 RATE_LIMITED_ENDPOINTS = Gauge(
     "rhubarbwinch_rate_limited_endpoints",
-    "Endpoints whose last response declared a rate limit.",
+    "Endpoints that accept only some requests a second.",
+    registry=REGISTRY,
+)
+PERMIT_WAITS = Counter(
+    "rhubarbwinch_permit_waits",
+    "Requests that waited for the rate limit of an endpoint, by outcome.",
+    ["outcome"],
     registry=REGISTRY,
 )
 LOG_LINES_DROPPED = Counter(
--- a/rhubarbwinch/gateway/generationsender.py
+++ b/rhubarbwinch/gateway/generationsender.py
@@ -147,6 +147,6 @@
             send=run.job.sends,
             took_ms=now - started_ms,
             left_ms=run.job.deadline_ms - now,
-            rate_limit=self._context.limits.rate(endpoint.id),
+            rate_limit=self._context.permits.rate(endpoint.id),
             outcome=outcome,
         )
--- a/rhubarbwinch/gateway/messages.py
+++ b/rhubarbwinch/gateway/messages.py
@@ -21,6 +21,33 @@
     prefill: int = 0
 
 
+@attrs.frozen
+class EndpointLimit:
+    """The rate limit that an endpoint has declared.
+
+    Attributes:
+        endpoint: The endpoint's id.
+        rate: The requests a second that it accepts from all gateways together;
+            None if its limit has ended.
+    """
+
+    endpoint: str
+    rate: float | None = None
+
+
+@attrs.frozen
+class RateLimitNotice:
+    """Tells an endpoint's coordinator what a gateway's response declared.
+
+    Attributes:
+        gateway: The name of the gateway.
+        limit: The limit that the response declared, or its end.
+    """
+
+    gateway: str
+    limit: EndpointLimit
+
+
 @attrs.frozen
 class PeerAddress:
     """The addresses at which other gateways reach a gateway.
@@ -57,6 +84,7 @@
         store_available_ms: Milliseconds for which the store has answered the
             sender without an outage; 0 if the sender does not call it.
         loads: The sender's loads at endpoints.
+        limits: The limits of the endpoints that the sender coordinates.
     """
 
     name: str
@@ -73,6 +101,7 @@
     is_store_failing: bool = False
     store_available_ms: int = 0
     loads: list[EndpointLoad] = attrs.field(factory=list)
+    limits: list[EndpointLimit] = attrs.field(factory=list)
 
     @property
     def address(self) -> PeerAddress:
--- a/rhubarbwinch/gateway/migrationtargets.py
+++ b/rhubarbwinch/gateway/migrationtargets.py
@@ -27,6 +27,9 @@
 # as long, and all other runs on the leaving engine wait for it, so such a
 # target must have a much lower load.
 TARGET_OTHER_DATA_CENTER_RUNS = 4.0
+# Cost in runs of a target that limits its requests a second: a run that resumes
+# there may have to wait.
+RATE_LIMITED_RUNS = 20.0
 # Tokens generated after the copy need prefill before the run resumes. Frequent
 # refreshes keep the pause of the stream short and take only some milliseconds
 # of the network link.
@@ -97,4 +100,6 @@
     cost = candidate.load.runs + FAILING_RUNS * candidate.failure_share
     if candidate.endpoint.data_center != source.data_center:
         cost += TARGET_OTHER_DATA_CENTER_RUNS
+    if candidate.is_rate_limited:
+        cost += RATE_LIMITED_RUNS
     return cost
--- a/rhubarbwinch/gateway/peers.py
+++ b/rhubarbwinch/gateway/peers.py
@@ -14,10 +14,12 @@
 )
 from rhubarbwinch.gateway.loads import LoadTracker
 from rhubarbwinch.gateway.messages import (
+    EndpointLimit,
     FailureNotice,
     Heartbeat,
     HeartbeatDigest,
     PeerAddress,
+    RateLimitNotice,
     SharedBatch,
     Snapshot,
     SnapshotCall,
@@ -84,6 +86,9 @@
         self._last_sent = own
         self._snapshot_calls = 0
         self._orphans: dict[str, int] = {}
+        self._handle_limits: Callable[[str, list[EndpointLimit]], None] = (
+            lambda gateway, limits: None
+        )
         broadcast.on(Heartbeat, self.receive)
         broadcast.on(HeartbeatDigest, self.receive_digest)
 
@@ -212,6 +217,18 @@
         """Schedules a heartbeat within a few milliseconds."""
         self._wakeup.set()
 
+    def on_limits(
+        self, handle: Callable[[str, list[EndpointLimit]], None]
+    ) -> None:
+        """Sets the handler of the limits that a peer lists."""
+        self._handle_limits = handle
+
+    def notify_limit(self, peer: str, notice: RateLimitNotice) -> None:
+        """Sends what an endpoint has declared to the peer with this name."""
+        known = self._peers_by_name.get(peer)
+        if known is not None:
+            self._broadcast.send_to(notice, [known.address.broadcast])
+
     def broadcast_changes(self, batch: SharedBatch) -> None:
         """Broadcasts changes of the store to all peers."""
         self._broadcast.send(batch)
@@ -276,6 +293,10 @@
     def _on_peer_added(self, address: PeerAddress) -> None:
         self._broadcast.add(address.broadcast)
 
+    def _on_heartbeat(self, heartbeat: Heartbeat) -> None:
+        if heartbeat.limits:
+            self._handle_limits(heartbeat.name, heartbeat.limits)
+
     def _on_peer_forgotten(self, peer: Peer) -> None:
         if peer.last_heartbeat is not None:
             self._relay.forget(peer.last_heartbeat.name)
--- a/rhubarbwinch/gateway/peertable.py
+++ b/rhubarbwinch/gateway/peertable.py
@@ -161,6 +161,7 @@
         self._peers_by_name[heartbeat.name] = peer
         peer.last_arrival_ms = now
         self._loads.receive(heartbeat.name, position, heartbeat.loads, now)
+        self._on_heartbeat(heartbeat)
         if previous is None or previous.is_serving != heartbeat.is_serving:
             peer.was_alive = True
             events.GATEWAY_CHANGED.log(
@@ -203,8 +204,11 @@
 
     def _staying_names(self) -> list[str]:
         """Returns the names of the gateways that are not leaving."""
-        names = [h.name for h in self._live_heartbeats() if not h.is_leaving]
-        return [*names, self._own.name]
+        return [*self.staying_peers(), self._own.name]
+
+    def staying_peers(self) -> list[str]:
+        """Returns the names of the live peers that are not leaving."""
+        return [h.name for h in self._live_heartbeats() if not h.is_leaving]
 
     def should_watch(self) -> bool:
         """Returns whether this gateway has to watch the store itself.
@@ -312,5 +316,8 @@
     def _on_peer_added(self, address: PeerAddress) -> None:
         """Called when a peer becomes known."""
 
+    def _on_heartbeat(self, heartbeat: Heartbeat) -> None:
+        """Called with each new heartbeat that has its sender's whole state."""
+
     def _on_peer_forgotten(self, peer: Peer) -> None:
         """Called when a peer has been silent for long."""
--- /dev/null
+++ b/rhubarbwinch/gateway/permits.py
@@ -0,0 +1,171 @@
+"""Lets requests pass as the rate limits of endpoints allow.
+
+It feeds the shared limits with the responses of endpoints and with what other
+gateways say, and waits for this gateway's turn.
+"""
+
+from collections.abc import Iterable
+
+from rhubarbwinch.gateway import gatewaymetrics
+from rhubarbwinch.gateway.endpoints import Endpoint
+from rhubarbwinch.gateway.messages import EndpointLimit, RateLimitNotice
+from rhubarbwinch.gateway.peers import Peers
+from rhubarbwinch.gateway.platforminterface import DeclaredState
+from rhubarbwinch.gateway.ratelimits import LimitChange, RateLimits
+from rhubarbwinch.shared import events
+from rhubarbwinch.shared.clock import Clock
+
+
+class Permits:
+    """Permits requests to endpoints that have declared a rate limit.
+
+    Args:
+        limits: Shares the limits among the gateways.
+        peers: The other gateways.
+        clock: The source of time.
+    """
+
+    def __init__(self, limits: RateLimits, peers: Peers, clock: Clock) -> None:
+        self._limits = limits
+        self._peers = peers
+        self._clock = clock
+
+    def is_limited(self, endpoint_id: str) -> bool:
+        """Returns whether an endpoint has declared a rate limit."""
+        return self._limits.rate(endpoint_id) is not None
+
+    def rate(self, endpoint_id: str) -> float | None:
+        """Returns an endpoint's limit in requests a second, or None."""
+        return self._limits.rate(endpoint_id)
+
+    def is_available(self, endpoint_id: str) -> bool:
+        """Returns whether a request may be sent to an endpoint now."""
+        return self._limits.delay_ms(endpoint_id, self._clock.now()) == 0
+
+    def earliest(
+        self, endpoints: Iterable[Endpoint]
+    ) -> tuple[Endpoint, int] | None:
+        """Returns the limited endpoint that may be sent to first.
+
+        Returns:
+            The endpoint, and the delay in milliseconds; None if this gateway
+            shares no limit of the endpoints.
+        """
+        now = self._clock.now()
+        delays = [
+            (endpoint, delay_ms)
+            for endpoint in endpoints
+            if self.is_limited(endpoint.id)
+            and (delay_ms := self._limits.delay_ms(endpoint.id, now))
+            is not None
+        ]
+        return min(delays, key=lambda found: found[1], default=None)
+
+    def acquire_now(self, endpoint_id: str) -> None:
+        """Counts a request that is sent now."""
+        self._limits.acquire(endpoint_id, self._clock.now())
+
+    async def acquire(
+        self, request_id: str, endpoint: Endpoint, limit_ms: int
+    ) -> bool:
+        """Waits until a request may be sent to an endpoint, and counts it.
+
+        Args:
+            request_id: The id of the request.
+            endpoint: The endpoint.
+            limit_ms: The longest time to wait.
+
+        Returns:
+            False, without a wait, if the wait would be longer or if only other
+            gateways may send to the endpoint.
+        """
+        delay_ms = self._limits.delay_ms(endpoint.id, self._clock.now())
+        if delay_ms is None or delay_ms > limit_ms:
+            self._log_wait("refused", request_id, endpoint, delay_ms)
+            return False
+        self.acquire_now(endpoint.id)
+        if delay_ms:
+            self._log_wait("awaited", request_id, endpoint, delay_ms)
+            await self._clock.sleep(delay_ms)
+        return True
+
+    def record_response(
+        self, request_id: str, endpoint_id: str, declared: DeclaredState
+    ) -> None:
+        """Records what an endpoint declares in a response."""
+        change = self._limits.record_response(
+            endpoint_id, declared, self._clock.now()
+        )
+        if change is not None:
+            self._report(change, "response", request_id)
+            self._send_notices()
+
+    def handle_notice(self, notice: RateLimitNotice) -> None:
+        """Handles what an endpoint has declared to another gateway."""
+        change = self._limits.receive_notice(notice, self._clock.now())
+        if change is not None:
+            self._report(change, notice.gateway)
+
+    def handle_listing(self, gateway: str, limits: list[EndpointLimit]) -> None:
+        """Handles the limits that a peer lists as their coordinator."""
+        for change in self._limits.receive_listing(
+            gateway, limits, self._clock.now()
+        ):
+            self._report(change, gateway)
+
+    def listing(self) -> list[EndpointLimit]:
+        """Returns the limits that this gateway lists as their coordinator."""
+        return self._limits.listing()
+
+    def update(self, is_draining: bool) -> None:
+        """Runs the periodic work.
+
+        Args:
+            is_draining: Whether this gateway is shutting down. It then leaves
+                limited endpoints to the others.
+        """
+        names = self._peers.staying_peers()
+        if not is_draining or not names:
+            names = [*names, self._limits.name]
+        self._limits.set_gateways(names)
+        self._limits.drop_ended(self._clock.now())
+        self._send_notices()
+
+    def forget(self, endpoint_id: str) -> None:
+        """Drops the rate limit of an endpoint that leaves."""
+        self._limits.forget(endpoint_id)
+        gatewaymetrics.RATE_LIMITED_ENDPOINTS.set(len(self._limits))
+
+    def _send_notices(self) -> None:
+        for coordinator, notice in self._limits.pop_notices(self._clock.now()):
+            self._peers.notify_limit(coordinator, notice)
+
+    def _report(
+        self, change: LimitChange, source: str, request_id: str = ""
+    ) -> None:
+        gatewaymetrics.RATE_LIMITED_ENDPOINTS.set(len(self._limits))
+        events.RATE_LIMIT_CHANGED.log(
+            request=request_id,
+            endpoint=change.endpoint,
+            per_second=change.rate,
+            before=change.before,
+            source=source,
+            delay_ms=self._limits.delay_ms(change.endpoint, self._clock.now()),
+        )
+        self._peers.announce()
+
+    def _log_wait(
+        self,
+        outcome: str,
+        request_id: str,
+        endpoint: Endpoint,
+        delay_ms: int | None,
+    ) -> None:
+        gatewaymetrics.PERMIT_WAITS.labels(outcome).inc()
+        events.PERMIT_WAIT.log(
+            request=request_id,
+            endpoint=endpoint.id,
+            outcome=outcome,
+            delay_ms=delay_ms,
+            per_second=self._limits.rate(endpoint.id),
+        )
--- a/rhubarbwinch/gateway/placement.py
+++ b/rhubarbwinch/gateway/placement.py
@@ -71,6 +71,7 @@
         capacity_tokens: The KV cache of an engine in tokens; 0 means no limit.
         is_warm: Whether the warm-up after its start has ended.
         failure_share: The share of recent calls that failed.
+        is_rate_limited: Whether it accepts only some requests a second.
     """
 
     endpoint: Endpoint
@@ -78,6 +79,7 @@
     capacity_tokens: int = 0
     is_warm: bool = True
     failure_share: float = 0.0
+    is_rate_limited: bool = False
 
     def fits(self, tokens: int, kv_cache_share: float) -> bool:
         """Returns whether a run of `tokens` fits beside the other runs.
--- a/rhubarbwinch/gateway/plaincalls.py
+++ b/rhubarbwinch/gateway/plaincalls.py
@@ -23,6 +23,8 @@
 # With less time left, no response can arrive before the deadline.
 MIN_ATTEMPT_MS = 10
 RETRY_AFTER_MS = 200
+# Share of the remaining time that a call may wait for a rate limit.
+MAX_PERMIT_WAIT_SHARE = 0.5
 _SERVER_ERROR = 500
 # Statuses that callers take as a promise that the request did not run.
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
@@ -68,15 +70,11 @@
         may_have_run = 0
         error_response: WholeResponse | None = None
         while job.sends < MAX_ATTEMPTS:
-            left_ms = job.deadline_ms - context.clock.now()
-            if left_ms < MIN_ATTEMPT_MS:
+            if job.deadline_ms - context.clock.now() < MIN_ATTEMPT_MS:
                 break
-            chosen = placement.choose_plain_endpoint(
-                context.candidates(job.service, job.tried),
-                context.data_center,
-                context.rng,
-            )
-            if chosen is None:
+            endpoint = await self._next_endpoint(job, not may_have_run)
+            if isinstance(endpoint, Failure):
+                failure = failure if job.sends else endpoint
                 break
             if job.sends and not context.acquire_retry(job.service):
                 events.RETRY_REFUSED.log(
@@ -84,10 +82,9 @@
                 )
                 break
             job.sends += 1
-            job.tried.add(chosen.endpoint.id)
-            result = await self._send(
-                job, chosen.endpoint, left_ms, may_have_run
-            )
+            job.tried.add(endpoint.id)
+            left_ms = job.deadline_ms - context.clock.now()
+            result = await self._send(job, endpoint, left_ms, may_have_run)
             if isinstance(result, WholeResponse):
                 if result.is_success or not self._may_repeat(job, may_have_run):
                     return result
@@ -105,6 +102,47 @@
             return Failure(Verdict.MAY_HAVE_RUN, failure.reason, failure.detail)
         return failure
 
+    async def _next_endpoint(
+        self, job: Job, may_wait: bool
+    ) -> Endpoint | Failure:
+        """Returns the endpoint of the next attempt, as a rate limit allows.
+
+        Args:
+            job: The call.
+            may_wait: Whether to wait for the rate limit of an endpoint if no
+                other one is left.
+        """
+        context = self._context
+        while True:
+            chosen = placement.choose_plain_endpoint(
+                context.candidates(job.service, job.tried),
+                context.data_center,
+                context.rng,
+            )
+            if chosen is not None:
+                endpoint = chosen.endpoint
+                context.permits.acquire_now(endpoint.id)
+                return endpoint
+            limited = context.earliest_permit(job.service, job.tried)
+            if limited is None:
+                return not_run(
+                    Reason.NO_ENDPOINT, "no endpoint takes work", RETRY_AFTER_MS
+                )
+            endpoint, delay_ms = limited
+            left_ms = job.deadline_ms - context.clock.now()
+            limit_ms = int(left_ms * MAX_PERMIT_WAIT_SHARE) if may_wait else 0
+            if not await context.permits.acquire(
+                job.call.request_id, endpoint, limit_ms
+            ):
+                return not_run(
+                    Reason.RATE_LIMITED,
+                    "the endpoints accept no more requests now",
+                    # Refused callers do not all come back at the same time.
+                    int(delay_ms * (1 + context.rng.random())),
+                )
+            if context.is_accepting(endpoint):
+                return endpoint
+
     def _may_repeat(self, job: Job, runs_before: int) -> bool:
         """Returns whether a call may be executed once more."""
         return (
@@ -215,7 +253,7 @@
             send=job.sends,
             took_ms=now - started_ms,
             left_ms=job.deadline_ms - now,
-            rate_limit=self._context.limits.rate(endpoint.id),
+            rate_limit=self._context.permits.rate(endpoint.id),
             outcome=outcome,
         )
 
--- a/rhubarbwinch/gateway/program.py
+++ b/rhubarbwinch/gateway/program.py
@@ -12,7 +12,6 @@
 from rhubarbwinch.gateway.clusterview import ClusterView
 from rhubarbwinch.gateway.context import Context
 from rhubarbwinch.gateway.crashes import CrashTracker
-from rhubarbwinch.gateway.declaredlimits import DeclaredLimits
 from rhubarbwinch.gateway.edge import EdgeServer
 from rhubarbwinch.gateway.endpoints import Endpoint
 from rhubarbwinch.gateway.failurereports import FailureReports
@@ -23,6 +22,7 @@
     FailureNotice,
     Heartbeat,
     LeavingNotice,
+    RateLimitNotice,
     SharedBatch,
     Snapshot,
     SnapshotCall,
@@ -31,8 +31,10 @@
 from rhubarbwinch.gateway.migratedcopies import CopyManager
 from rhubarbwinch.gateway.outage import OutageMonitor
 from rhubarbwinch.gateway.peers import Peers
+from rhubarbwinch.gateway.permits import Permits
 from rhubarbwinch.gateway.plaincalls import PlainCalls
 from rhubarbwinch.gateway.platforminterface import EngineCalls, Platform
+from rhubarbwinch.gateway.ratelimits import RateLimits
 from rhubarbwinch.gateway.registration import GatewayRegistration
 from rhubarbwinch.gateway.replica import Replica
 from rhubarbwinch.gateway.requestspans import Tracer
@@ -169,7 +171,7 @@
                 clock,
                 self._broadcast.send,
             ),
-            limits=DeclaredLimits(),
+            permits=Permits(RateLimits(settings.name), self._peers, clock),
         )
         self._replica = Replica()
         self._streams = StreamCalls(self._context)
@@ -239,6 +241,8 @@
         )
         self._broadcast.on(CrashNotice, self._handle_crash)
         self._broadcast.on(FailureNotice, self._context.handle_failure)
+        self._broadcast.on(RateLimitNotice, self._context.permits.handle_notice)
+        self._peers.on_limits(self._context.permits.handle_listing)
         self._server.on(SnapshotCall, self._reply_snapshot)
         self._server.on(ValueCall, self._store_feed.handle_value_call)
         supervisor = Supervisor(settings.name, self._clock)
@@ -295,6 +299,7 @@
             confirmed_ms=self._store_feed.confirmed_ms,
             is_store_failing=self._store_feed.is_failing,
             store_available_ms=self._store_feed.available_ms,
+            limits=self._context.permits.listing(),
         )
 
     def _apply_limits(self, table: RoutingTable) -> None:
@@ -361,6 +366,7 @@
             self._cluster_view.expire_endpoints(
                 self._store_feed.reliable_since_ms
             )
+            self._context.permits.update(self._context.is_draining)
             gatewaymetrics.OPEN_REQUESTS.set(self._front.status.open_requests)
             self._streams.handle_capacity_change()
             if self._store_feed.is_failing != self._was_failing:
--- a/rhubarbwinch/gateway/runplacement.py
+++ b/rhubarbwinch/gateway/runplacement.py
@@ -102,6 +102,7 @@
         )
         if chosen is None:
             return False
+        context.permits.acquire_now(chosen.endpoint.id)
         run.reservation = Reservation(
             chosen.endpoint, tokens, job.call.prompt_tokens, 1, context.loads
         ).reserve()
--- a/rhubarbwinch/shared/events.py
+++ b/rhubarbwinch/shared/events.py
@@ -633,3 +633,9 @@
         " another limit, or none any more."
     ),
 )
+PERMIT_WAIT = Event(
+    753,
+    "permit-wait",
+    logging.INFO,
+    "A request waits for the rate limit of an endpoint, or is refused for it.",
+)
--- a/tests/gatewayharness.py
+++ b/tests/gatewayharness.py
@@ -9,14 +9,15 @@
 from lab.standins.platformengine import ScriptedEngine
 from rhubarbwinch.gateway.context import Context
 from rhubarbwinch.gateway.crashes import CrashTracker
-from rhubarbwinch.gateway.declaredlimits import DeclaredLimits
 from rhubarbwinch.gateway.edge import EdgeServer
 from rhubarbwinch.gateway.failurereports import FailureReports
 from rhubarbwinch.gateway.fleet import Fleet
 from rhubarbwinch.gateway.loads import LoadTracker
 from rhubarbwinch.gateway.messages import FailureNotice
 from rhubarbwinch.gateway.migratedcopies import CopyManager
+from rhubarbwinch.gateway.permits import Permits
 from rhubarbwinch.gateway.plaincalls import PlainCalls
+from rhubarbwinch.gateway.ratelimits import RateLimits
 from rhubarbwinch.gateway.retrybudget import RetryBudget
 from rhubarbwinch.gateway.router import Router
 from rhubarbwinch.gateway.streams import StreamCalls
@@ -40,6 +41,9 @@
     def announce_loads(self):
         """Does nothing."""
 
+    def announce(self):
+        """Does nothing."""
+
     def report_failure(self, endpoint):
         """Returns the notice that peers would receive."""
         return FailureNotice("g1", "dc-a", endpoint)
@@ -87,7 +91,7 @@
                 SystemClock(),
                 self.broadcasts.append,
             ),
-            limits=DeclaredLimits(),
+            permits=Permits(RateLimits("g1"), NoPeers(), SystemClock()),
             table=table,
         )
         for engine in self.engines:
