Gateway: software versions and streams that are taken up are decoded and logged

Change: a registration's version is kept with the endpoint and is in the lines of its changes, of placements, sends and resumed runs; the attempt whose stream a caller takes up is decoded and logged with the last event (754). No decision uses them yet.

--- a/rhubarbwinch/gateway/clusterview.py
+++ b/rhubarbwinch/gateway/clusterview.py
@@ -140,20 +140,27 @@
                 context.fleet.mark_unreadable(endpoint_id)
                 return
             known = context.fleet.get(endpoint_id)
-            if known is None or known.endpoint.state is not endpoint.state:
+            is_changed = (
+                known is None
+                or known.endpoint.state is not endpoint.state
+                or known.endpoint.version != endpoint.version
+            )
+            leaves = context.fleet.apply_registration(endpoint, now)
+            if is_changed:
                 self._log_endpoint_change(
                     endpoint_id, endpoint.state, change.revision, after_outage
                 )
-            leaves = context.fleet.apply_registration(endpoint, now)
         if leaves:
             self._handle_leaving(endpoint_id)
 
     def _log_endpoint_change(
         self, endpoint_id: str, state: str, revision: int, after_outage: bool
     ) -> None:
+        known = self._context.fleet.get(endpoint_id)
         events.ENDPOINT_CHANGED.log(
             endpoint=endpoint_id,
             state=state,
+            version=known.endpoint.version if known is not None else "",
             revision=revision,
             after_outage=after_outage,
         )
--- a/rhubarbwinch/gateway/endpoints.py
+++ b/rhubarbwinch/gateway/endpoints.py
@@ -25,6 +25,8 @@
         state: Whether it accepts new requests.
         warmup_ms: How long it is slow after its start.
         started_ms: Unix time of its start; 0 if the registration has none.
+        version: The version of its software; empty if the registration has
+            none. Versions have no order.
     """
 
     id: str
@@ -35,6 +37,7 @@
     state: EndpointState
     warmup_ms: int
     started_ms: int
+    version: str = ""
 
     @property
     def incarnation(self) -> tuple[str, int]:
--- a/rhubarbwinch/gateway/failover.py
+++ b/rhubarbwinch/gateway/failover.py
@@ -160,6 +160,7 @@
         events.CARRIED_ON.log(
             request=run.id,
             endpoint=endpoint.id,
+            version=endpoint.version,
             how=how,
             good=is_resumed,
             after=run.last_event_id,
--- a/rhubarbwinch/gateway/generationsender.py
+++ b/rhubarbwinch/gateway/generationsender.py
@@ -144,6 +144,7 @@
         events.SENT.log(
             request=run.id,
             endpoint=endpoint.id,
+            version=endpoint.version,
             send=run.job.sends,
             took_ms=now - started_ms,
             left_ms=run.job.deadline_ms - now,
--- a/rhubarbwinch/gateway/platforminterface.py
+++ b/rhubarbwinch/gateway/platforminterface.py
@@ -30,6 +30,8 @@
             without one.
         last_event_id: The event after which a stream resumes, or None.
         headers: The headers that are relayed to the endpoint unchanged.
+        resumed_id: The id of the caller's attempt that received the first event
+            of the stream that resumes, or None.
     """
 
     method: str
@@ -43,6 +45,7 @@
     estimated_output_tokens: int
     last_event_id: str | None
     headers: Headers
+    resumed_id: str | None = None
 
     @property
     def path(self) -> str:
--- a/rhubarbwinch/gateway/runplacement.py
+++ b/rhubarbwinch/gateway/runplacement.py
@@ -109,6 +109,7 @@
         events.PLACED.log(
             request=run.id,
             endpoint=chosen.endpoint.id,
+            version=chosen.endpoint.version,
             runs=chosen.load.runs,
             tokens=chosen.load.tokens,
             needed=tokens,
--- a/rhubarbwinch/gateway/streams.py
+++ b/rhubarbwinch/gateway/streams.py
@@ -69,6 +69,13 @@
             self._migrator.handle_leaving_engine(run, endpoint)
 
     async def _serve(self, run: Run) -> None:
+        call = run.job.call
+        if call.last_event_id is not None or call.resumed_id is not None:
+            events.STREAM_TAKEN_UP.log(
+                request=run.id,
+                stream=call.resumed_id,
+                last_event=call.last_event_id,
+            )
         failure = await self._start(run)
         if failure is None:
             return
--- a/rhubarbwinch/platform/documents.py
+++ b/rhubarbwinch/platform/documents.py
@@ -69,14 +69,25 @@
     return value
 
 
+def _text(value: Any) -> str:
+    """Returns `value` if it is a string.
+
+    Raises:
+        ValueError: The value is something else.
+    """
+    if not isinstance(value, str):
+        raise ValueError(f"{value!r} is not a string")
+    return value
+
+
 def _non_empty_text(value: Any) -> str:
     """Returns `value` if it is a non-empty string.
 
     Raises:
         ValueError: The value is something else.
     """
-    if not isinstance(value, str) or not value:
-        raise ValueError(f"{value!r} is not a non-empty string")
+    if not _text(value):
+        raise ValueError("an empty string")
     return value
 
 
@@ -196,6 +207,7 @@
             state=ENDPOINT_STATES[document["state"]],
             warmup_ms=_non_negative_int(document.get("cold_remaining_ms", 0)),
             started_ms=_non_negative_int(document.get("born", 0)),
+            version=_text(document.get("version", "")),
         )
 
     return _decode(build, data)
--- a/rhubarbwinch/platform/headers.py
+++ b/rhubarbwinch/platform/headers.py
@@ -22,6 +22,8 @@
 TOKEN_COUNTS = b"token-usage"
 OUTPUT_ESTIMATE = b"length-hint"
 LAST_EVENT_ID = b"last-event-id"
+# The attempt that received the first event of the stream that resumes.
+RESUMED_ID = b"resumes"
 SIGNATURE = b"server-signature"
 NOT_RUN = b"not-executed"
 STANDBY = b"kv-backup"
@@ -135,6 +137,7 @@
         or 0,
         last_event_id=_first_value(headers, LAST_EVENT_ID),
         headers=[(n, v) for n, v in headers if n.lower() not in skipped],
+        resumed_id=_first_value(headers, RESUMED_ID) or None,
     )
 
 
--- a/rhubarbwinch/shared/events.py
+++ b/rhubarbwinch/shared/events.py
@@ -639,3 +639,9 @@
     logging.INFO,
     "A request waits for the rate limit of an endpoint, or is refused for it.",
 )
+STREAM_TAKEN_UP = Event(
+    754,
+    "stream-taken-up",
+    logging.INFO,
+    "A caller takes up a stream again after its connection broke.",
+)
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -100,6 +100,7 @@
             _bytes(ENDPOINT, service=7),
             _bytes(ENDPOINT, cold_remaining_ms="soon"),
             _bytes(ENDPOINT, born=1.5),
+            _bytes(ENDPOINT, version=3),
             orjson.dumps({"address": "10.0.0.9:80"}),
         ]
         for data in bad:
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -38,7 +38,11 @@
     """Request heads."""
 
     def test_a_head_is_read(self):
-        call = _decode((b"Length-Hint", b"40"), (b"Last-Event-Id", b"9"))
+        call = _decode(
+            (b"Length-Hint", b"40"),
+            (b"Last-Event-Id", b"9"),
+            (b"Resumes", b"a0"),
+        )
         self.assertEqual(call.host, "h.example")
         self.assertEqual(call.path, "/a/b")
         self.assertEqual(call.request_id, "a1")
@@ -49,6 +53,8 @@
         )
         self.assertEqual(call.estimated_output_tokens, 40)
         self.assertEqual(call.last_event_id, "9")
+        self.assertEqual(call.resumed_id, "a0")
+        self.assertIn((b"Resumes", b"a0"), call.headers)
 
     def test_a_head_without_one_id_and_one_host_is_refused(self):
         for change in (
