Tests: streams go on at another software version (known red)

Result on this code: from a standby, from a copy and by a restart the run goes on at the other version, and so does the stream that is taken up.

--- a/lab/standins/platformengine.py
+++ b/lab/standins/platformengine.py
@@ -89,6 +89,7 @@
         self.freed_handles: list[str] = []
         self.migration_status = 200
         self.leaves_ms: int | None = None
+        self.version = "v1"
         self._server = EdgeServer(address, self._handle, SystemClock())
 
     @property
@@ -103,7 +104,7 @@
                 "service": self.service,
                 "address": self.address,
                 "zone": "z1",
-                "version": "v1",
+                "version": self.version,
                 "slots": 24,
                 "state": state,
                 "cold_remaining_ms": 0,
--- a/tests/gatewayprocesses.py
+++ b/tests/gatewayprocesses.py
@@ -19,8 +19,19 @@
 
 
 def config(version=1, keys=("k1",), engine=None):
-    """Returns a configuration with one idempotent route."""
-    routes = [platformfiles.route("r", "svc", "idempotent")]
+    """Returns a configuration with an idempotent and a resumable route."""
+    routes = [
+        platformfiles.route("r", "svc", "idempotent"),
+        platformfiles.route(
+            "s",
+            "svc",
+            "stream",
+            timeout_ms=20_000,
+            sticky=True,
+            resumable=True,
+            max_attempts=2,
+        ),
+    ]
     services = [{"name": "svc", "max_connections": 100, "engine": engine}]
     return platformfiles.config(version, routes, services, {"t1": keys})
 
@@ -96,6 +107,13 @@
             **{"Attempt-Id": request_id, "Deadline-Ms": "15000"},
         )
 
+    async def register(self, endpoint, state="ready"):
+        """Writes the entry of an endpoint to the store."""
+        await self.store.put(
+            platformfiles.ENDPOINT_PREFIX + endpoint.name,
+            endpoint.registration(state),
+        )
+
     async def until(self, check):
         """Waits until an async check returns true; at most 20 s."""
         with anyio.fail_after(20):
@@ -125,10 +143,7 @@
             await anyio.wait_all_tasks_blocked()
             await found.store.put(platformfiles.CONFIG_KEY, config())
             for endpoint in found.endpoints:
-                await found.store.put(
-                    platformfiles.ENDPOINT_PREFIX + endpoint.name,
-                    endpoint.ready_entry,
-                )
+                await found.register(endpoint)
             with found.processes:
                 yield found
             tasks.cancel_scope.cancel()
