Gateway: a run goes on only at the software version that wrote its first event

Change: targets and standbys have the version of the run's engine; a run keeps the version of its first event and is placed again only there, in a queue of its own, so it does not hold up runs that any version can serve. If no engine of the version accepts work it is refused at once. A standby that has restarted counts as lost. Why it works: all three ways of going on pass one of these two choices.

--- a/rhubarbwinch/gateway/context.py
+++ b/rhubarbwinch/gateway/context.py
@@ -85,18 +85,23 @@
         spec = self.table.services.get(service) if self.table else None
         return spec.engine if spec is not None else None
 
-    def candidates(self, service: str, excluded: set[str]) -> list[Candidate]:
+    def candidates(
+        self, service: str, excluded: set[str], version: str | None = None
+    ) -> list[Candidate]:
         """Returns the endpoints to which a request may be sent now.
 
         Args:
             service: The service that the request needs.
             excluded: Ids of endpoints that are left out.
+            version: The only software version that can serve the request; None
+                if all can.
         """
         now = self.clock.now()
         known = [
             k
             for k in self.fleet.accepting_for_service(service)
             if k.endpoint.id not in excluded
+            and version in (None, k.endpoint.version)
             and self.permits.is_available(k.endpoint.id)
         ]
         usable = set(self.suspicion.usable([k.endpoint.id for k in known], now))
@@ -155,6 +160,13 @@
             if known.endpoint.id not in excluded
         )
 
+    def has_version(self, service: str, version: str) -> bool:
+        """Returns whether an endpoint of a version accepts new requests."""
+        return any(
+            known.endpoint.version == version
+            for known in self.fleet.accepting_for_service(service)
+        )
+
     def is_accepting(self, endpoint: Endpoint) -> bool:
         """Returns whether an endpoint still accepts new requests."""
         known = self.fleet.get(endpoint.id)
--- a/rhubarbwinch/gateway/eventrelay.py
+++ b/rhubarbwinch/gateway/eventrelay.py
@@ -148,6 +148,8 @@
     def _record_events(self, run: Run) -> None:
         now = self._context.clock.now()
         job = run.job
+        if run.version is None and run.reservation is not None:
+            run.version = run.reservation.endpoint.version
         if run.events and run.last_event_ms and job.route.max_event_gap_ms:
             pause = now - run.last_event_ms
             if pause > job.route.max_event_gap_ms:
--- a/rhubarbwinch/gateway/migration.py
+++ b/rhubarbwinch/gateway/migration.py
@@ -62,8 +62,14 @@
         """Returns whether a run has a standby engine that is not leaving."""
         if run.standby is None:
             return False
-        known = self._context.fleet.get(run.standby.endpoint.id)
-        return known is not None and known.accepts_requests
+        endpoint = run.standby.endpoint
+        known = self._context.fleet.get(endpoint.id)
+        return (
+            known is not None
+            and known.accepts_requests
+            # An engine that has restarted has lost the KV cache.
+            and known.endpoint.incarnation == endpoint.incarnation
+        )
 
     async def _maintain_copy(self, run: Run, scope: anyio.CancelScope) -> None:
         """Maintains a copy of a run at another engine until cancelled.
--- a/rhubarbwinch/gateway/migrationtargets.py
+++ b/rhubarbwinch/gateway/migrationtargets.py
@@ -5,7 +5,8 @@
 the engine's network link, and the runs are copied one after another. A run is
 not stopped while it is copied. When its engine shuts down, the run resumes at
 the target from the copy; only tokens generated after the copy need prefill,
-which takes some milliseconds.
+which takes some milliseconds. A KV cache is of use only at engines of the
+software version that wrote it.
 """
 
 import random
@@ -48,11 +49,20 @@
     rng: random.Random,
     kv_cache_share: float = TARGET_KV_CACHE_SHARE,
 ) -> Candidate | None:
-    """Returns the migration target of a run, or None without capacity."""
+    """Returns the migration target of a run, or None without capacity.
+
+    Args:
+        candidates: The engines that accept new requests.
+        source: The engine that executes the run.
+        tokens: The KV cache that the run is expected to need, in tokens.
+        rng: Breaks ties.
+        kv_cache_share: The share of a KV cache that may be reserved.
+    """
     fitting = [
         c
         for c in candidates
-        if c.fits(tokens, kv_cache_share)
+        if c.endpoint.version == source.version
+        and c.fits(tokens, kv_cache_share)
         and c.failure_share < MAX_FAILURE_SHARE
     ]
     if not fitting:
@@ -69,7 +79,8 @@
     """Returns the standby engine of a run, or None if KV cache is scarce.
 
     Args:
-        candidates: The engines that accept new requests, without the run's own.
+        candidates: The engines that accept new requests, without the run's own
+            and of all versions.
         source: The run's engine.
         tokens: The KV cache that the run is expected to need, in tokens.
         rng: Breaks ties.
--- a/rhubarbwinch/gateway/runplacement.py
+++ b/rhubarbwinch/gateway/runplacement.py
@@ -12,6 +12,7 @@
 
 # With less time left, a generation cannot produce a useful response.
 MIN_ATTEMPT_MS = 50
+RETRY_AFTER_MS = 300
 # When the wait limit is reached, a KV cache may be overcommitted up to this
 # share while slots are free: engines have a queue of their own, and a refusal
 # would help no other request.
@@ -27,7 +28,8 @@
 
     def __init__(self, context: Context) -> None:
         self._context = context
-        self._queues: dict[str, WaitQueue] = {}
+        # Runs that wait for one version do not delay those that need none.
+        self._queues: dict[tuple[str, str | None], WaitQueue] = {}
 
     def handle_capacity_change(self) -> None:
         """Wakes the queued requests and publishes the loads to the peers."""
@@ -44,9 +46,12 @@
         context, job = self._context, run.job
         now = context.clock.now()
         left_ms = job.deadline_ms - now
-        if left_ms < MIN_ATTEMPT_MS:
-            return not_run(Reason.DEADLINE, "no time is left")
-        queue = self._queues.setdefault(job.service, WaitQueue(context.clock))
+        hopeless = self._find_hopeless(run, left_ms)
+        if hopeless is not None:
+            return hopeless
+        queue = self._queues.setdefault(
+            (job.service, run.version), WaitQueue(context.clock)
+        )
         if queue.is_first(job.priority, job.objective_ms) and self._try_reserve(
             run
         ):
@@ -68,6 +73,20 @@
             return None
         return self._refuse(run, queue, f"no room in {limit_ms} ms")
 
+    def _find_hopeless(self, run: Run, left_ms: int) -> Failure | None:
+        """Returns why a run can't be placed, however long it waits."""
+        if left_ms < MIN_ATTEMPT_MS:
+            return not_run(Reason.DEADLINE, "no time is left")
+        if run.version is None or self._context.has_version(
+            run.job.service, run.version
+        ):
+            return None
+        return not_run(
+            Reason.NO_ENDPOINT,
+            f"no engine of the stream's version {run.version} accepts work",
+            RETRY_AFTER_MS,
+        )
+
     async def _wait_until_reserved(self, run: Run, waiter: Waiter) -> None:
         while True:
             await waiter.may_try.wait()
@@ -89,7 +108,7 @@
         """Reserves capacity now; returns False if no engine has enough."""
         context, job = self._context, run.job
         tokens = run.mean_tokens
-        candidates = context.candidates(job.service, job.tried)
+        candidates = context.candidates(job.service, job.tried, run.version)
         chosen = placement.choose_engine(
             candidates,
             tokens,
--- a/rhubarbwinch/gateway/runs.py
+++ b/rhubarbwinch/gateway/runs.py
@@ -37,6 +37,8 @@
         reservation: The reservation at the engine that executes the run; None
             before the run is placed.
         standby: The reservation at the hot standby, or None.
+        version: The software version whose events the caller has, the only one
+            at which the run can go on; None before the first event.
         last_event_id: The id of the last event sent to the caller, or None.
         events: Number of events sent to the caller.
         head_sent: Whether the response head was sent.
@@ -54,6 +56,7 @@
     tasks: anyio.abc.TaskGroup
     reservation: Reservation | None = None
     standby: Reservation | None = None
+    version: str | None = None
     last_event_id: str | None = None
     events: int = 0
     head_sent: bool = False
