Gateway: streams are taken up at the software version that began them

Cause: a caller names the attempt that brought its first event, but no gateway read that, and where a stream began was known only to the gateway that relayed it, which the caller's retry does not reach when it was killed. Evidence: the listed test, two gateways and two versions: the stream goes on at the other version after the first gateway was killed. Why it works: the origin outlives the gateway, and a gateway never guesses.

--- a/rhubarbwinch/gateway/context.py
+++ b/rhubarbwinch/gateway/context.py
@@ -33,6 +33,7 @@
 from rhubarbwinch.gateway.retrybudget import RetryBudget
 from rhubarbwinch.gateway.routes import EngineSpec, Route, RoutingTable
 from rhubarbwinch.gateway.suspicion import AttemptOutcome, Suspicion
+from rhubarbwinch.gateway.takeups import TakeUps
 from rhubarbwinch.gateway.upstream import Upstream, UpstreamResponse
 from rhubarbwinch.shared import events
 from rhubarbwinch.shared.clock import Clock
@@ -56,6 +57,7 @@
         upstream: Sends requests to endpoints.
         copies: Manages the migrated copies of KV caches.
         crashes: The requests during which endpoints crashed.
+        takeups: Finds where streams began that callers take up again.
         permits: Lets requests pass as the rate limits of endpoints allow.
         tracer: Creates spans of requests; None if tracing is off.
         table: The active configuration; None before the first one.
@@ -76,6 +78,7 @@
     copies: CopyManager
     crashes: CrashTracker
     permits: Permits
+    takeups: TakeUps
     tracer: Tracer | None = None
     table: RoutingTable | None = None
     is_draining: bool = False
--- a/rhubarbwinch/gateway/eventrelay.py
+++ b/rhubarbwinch/gateway/eventrelay.py
@@ -8,6 +8,7 @@
 
 from rhubarbwinch.gateway import gatewaymetrics
 from rhubarbwinch.gateway.context import Context
+from rhubarbwinch.gateway.messages import StreamOrigin
 from rhubarbwinch.gateway.migration import Migrator
 from rhubarbwinch.gateway.runplacement import RunPlacer
 from rhubarbwinch.gateway.runs import Run
@@ -128,6 +129,7 @@
         if new_events:
             self._record_events(run)
             if not run.head_sent:
+                self._record_origin(run)
                 await self._send_head(run, response)
             await run.responder.write(b"".join(new_events))
         if gap:
@@ -148,8 +150,6 @@
     def _record_events(self, run: Run) -> None:
         now = self._context.clock.now()
         job = run.job
-        if run.version is None and run.reservation is not None:
-            run.version = run.reservation.endpoint.version
         if run.events and run.last_event_ms and job.route.max_event_gap_ms:
             pause = now - run.last_event_ms
             if pause > job.route.max_event_gap_ms:
@@ -172,6 +172,18 @@
             self._placer.handle_capacity_change()
             self._migrator.migrate_if_leaving(run)
 
+    def _record_origin(self, run: Run) -> None:
+        """Keeps the version of a stream whose first event is relayed."""
+        if run.version is None and run.reservation is not None:
+            run.version = run.reservation.endpoint.version
+        self._context.takeups.record(
+            StreamOrigin(
+                run.job.call.resumed_id or run.id,
+                run.job.service,
+                run.version or "",
+            )
+        )
+
     async def _send_head(self, run: Run, response: UpstreamResponse) -> None:
         run.head_sent = True
         await run.responder.start_stream(
--- a/rhubarbwinch/gateway/fleet.py
+++ b/rhubarbwinch/gateway/fleet.py
@@ -69,6 +69,17 @@
             if known.endpoint.service == service and known.accepts_requests
         ]
 
+    def versions(self, service: str) -> set[str]:
+        """Returns the software versions of a service's known endpoints.
+
+        They include endpoints that have left recently.
+        """
+        return {
+            known.endpoint.version
+            for known in self._known.values()
+            if known.endpoint.service == service
+        }
+
     def apply_registration(self, endpoint: Endpoint, now_ms: int) -> bool:
         """Applies a registration; returns whether its endpoint now leaves."""
         known = self._known.get(endpoint.id)
--- a/rhubarbwinch/gateway/messages.py
+++ b/rhubarbwinch/gateway/messages.py
@@ -48,6 +48,42 @@
     limit: EndpointLimit
 
 
+@attrs.frozen
+class StreamOrigin:
+    """Where a stream began.
+
+    Attributes:
+        stream: The id of the caller's attempt that received its first event.
+        service: The service of its first engine.
+        version: The software version of its first engine.
+    """
+
+    stream: str
+    service: str
+    version: str
+
+
+@attrs.frozen
+class OriginBatch:
+    """Origins of streams, for gateways that keep them."""
+
+    origins: list[StreamOrigin]
+
+
+@attrs.frozen
+class OriginCall:
+    """Asks for the origin of a stream, by the id of its first attempt."""
+
+    stream: str
+
+
+@attrs.frozen
+class OriginReply:
+    """The reply to an `OriginCall`; None if the gateway does not know it."""
+
+    origin: StreamOrigin | None = None
+
+
 @attrs.frozen
 class PeerAddress:
     """The addresses at which other gateways reach a gateway.
--- a/rhubarbwinch/gateway/peers.py
+++ b/rhubarbwinch/gateway/peers.py
@@ -1,6 +1,7 @@
 """Exchanges heartbeats with the other gateways, directly or by relays."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
+from typing import Any, TypeVar
 
 import anyio
 import attrs
@@ -19,7 +20,6 @@
     Heartbeat,
     HeartbeatDigest,
     PeerAddress,
-    RateLimitNotice,
     SharedBatch,
     Snapshot,
     SnapshotCall,
@@ -35,6 +35,8 @@
 from rhubarbwinch.shared.clock import Clock
 from rhubarbwinch.shared.exceptions import CodecError, LinkError
 
+T = TypeVar("T")
+
 # A change of load or state is announced at once by an extra heartbeat.
 HEARTBEAT_MS = 700
 # Load changes within this time share a heartbeat.
@@ -223,11 +225,33 @@
         """Sets the handler of the limits that a peer lists."""
         self._handle_limits = handle
 
-    def notify_limit(self, peer: str, notice: RateLimitNotice) -> None:
-        """Sends what an endpoint has declared to the peer with this name."""
-        known = self._peers_by_name.get(peer)
-        if known is not None:
-            self._broadcast.send_to(notice, [known.address.broadcast])
+    def send_to(self, names: Iterable[str], message: Any) -> None:
+        """Sends a message to the peers with these names without blocking."""
+        self._broadcast.send_to(
+            message,
+            [
+                self._peers_by_name[name].address.broadcast
+                for name in names
+                if name in self._peers_by_name
+            ],
+        )
+
+    async def call_peer(
+        self, name: str, message: Any, reply_type: type[T], timeout_ms: int
+    ) -> T | None:
+        """Returns a peer's reply to a message; None if there is none."""
+        known = self._peers_by_name.get(name)
+        if known is None:
+            return None
+        try:
+            return await self._links.call(
+                known.address.link, message, reply_type, timeout_ms
+            )
+        except (LinkError, CodecError) as error:
+            events.PEER_CALL_FAILED.log(
+                peer=name, message=type(message).__name__, error=str(error)
+            )
+            return None
 
     def broadcast_changes(self, batch: SharedBatch) -> None:
         """Broadcasts changes of the store to all peers."""
--- a/rhubarbwinch/gateway/peertable.py
+++ b/rhubarbwinch/gateway/peertable.py
@@ -204,11 +204,18 @@
 
     def _staying_names(self) -> list[str]:
         """Returns the names of the gateways that are not leaving."""
-        return [*self.staying_peers(), self._own.name]
+        names = [h.name for h in self._live_heartbeats() if not h.is_leaving]
+        return [*names, self._own.name]
 
-    def staying_peers(self) -> list[str]:
-        """Returns the names of the live peers that are not leaving."""
-        return [h.name for h in self._live_heartbeats() if not h.is_leaving]
+    def sharing_names(self, is_leaving: bool) -> list[str]:
+        """Returns the names of the gateways that share duties.
+
+        Args:
+            is_leaving: Whether this gateway is leaving. It then has no share,
+                unless there is no other gateway.
+        """
+        names = self._staying_names()
+        return names[:-1] if is_leaving and len(names) > 1 else names
 
     def should_watch(self) -> bool:
         """Returns whether this gateway has to watch the store itself.
--- a/rhubarbwinch/gateway/permits.py
+++ b/rhubarbwinch/gateway/permits.py
@@ -117,17 +117,14 @@
         """Returns the limits that this gateway lists as their coordinator."""
         return self._limits.listing()
 
-    def update(self, is_draining: bool) -> None:
+    def update(self, gateways: list[str]) -> None:
         """Runs the periodic work.
 
         Args:
-            is_draining: Whether this gateway is shutting down. It then leaves
-                limited endpoints to the others.
+            gateways: The names of the gateways that are not leaving. Those that
+                are leave limited endpoints to them.
         """
-        names = self._peers.staying_peers()
-        if not is_draining or not names:
-            names = [*names, self._limits.name]
-        self._limits.set_gateways(names)
+        self._limits.set_gateways(gateways)
         self._limits.drop_ended(self._clock.now())
         self._send_notices()
 
@@ -138,7 +135,7 @@
 
     def _send_notices(self) -> None:
         for coordinator, notice in self._limits.pop_notices(self._clock.now()):
-            self._peers.notify_limit(coordinator, notice)
+            self._peers.send_to([coordinator], notice)
 
     def _report(
         self, change: LimitChange, source: str, request_id: str = ""
--- a/rhubarbwinch/gateway/program.py
+++ b/rhubarbwinch/gateway/program.py
@@ -22,6 +22,8 @@
     FailureNotice,
     Heartbeat,
     LeavingNotice,
+    OriginBatch,
+    OriginCall,
     RateLimitNotice,
     SharedBatch,
     Snapshot,
@@ -44,8 +46,10 @@
 from rhubarbwinch.gateway.settings import GatewaySettings
 from rhubarbwinch.gateway.statusapi import StatusApi
 from rhubarbwinch.gateway.storefeed import StoreFeed
+from rhubarbwinch.gateway.streamorigins import StreamOrigins
 from rhubarbwinch.gateway.streams import StreamCalls
 from rhubarbwinch.gateway.suspicion import Suspicion
+from rhubarbwinch.gateway.takeups import TakeUps
 from rhubarbwinch.gateway.upstream import Upstream
 from rhubarbwinch.http.transport import Transport, TransportOptions
 from rhubarbwinch.links.broadcast import Broadcast
@@ -127,6 +131,7 @@
         self._server = LinkServer(settings.address.link)
         self._broadcast = Broadcast(settings.address.broadcast)
         loads = LoadTracker()
+        fleet = Fleet()
         heartbeat = Heartbeat(
             settings.name,
             incarnation,
@@ -149,7 +154,7 @@
             platform=dependencies.platform,
             clock=clock,
             rng=rng,
-            fleet=Fleet(),
+            fleet=fleet,
             loads=loads,
             suspicion=Suspicion(),
             reports=FailureReports(settings.data_center),
@@ -172,6 +177,9 @@
                 self._broadcast.send,
             ),
             permits=Permits(RateLimits(settings.name), self._peers, clock),
+            takeups=TakeUps(
+                StreamOrigins(settings.name), self._peers, fleet, clock
+            ),
         )
         self._replica = Replica()
         self._streams = StreamCalls(self._context)
@@ -242,6 +250,8 @@
         self._broadcast.on(CrashNotice, self._handle_crash)
         self._broadcast.on(FailureNotice, self._context.handle_failure)
         self._broadcast.on(RateLimitNotice, self._context.permits.handle_notice)
+        self._broadcast.on(OriginBatch, self._context.takeups.receive)
+        self._server.on(OriginCall, self._context.takeups.handle_call)
         self._peers.on_limits(self._context.permits.handle_listing)
         self._server.on(SnapshotCall, self._reply_snapshot)
         self._server.on(ValueCall, self._store_feed.handle_value_call)
@@ -366,7 +376,9 @@
             self._cluster_view.expire_endpoints(
                 self._store_feed.reliable_since_ms
             )
-            self._context.permits.update(self._context.is_draining)
+            gateways = self._peers.sharing_names(self._context.is_draining)
+            self._context.permits.update(gateways)
+            self._context.takeups.update(gateways)
             gatewaymetrics.OPEN_REQUESTS.set(self._front.status.open_requests)
             self._streams.handle_capacity_change()
             if self._store_feed.is_failing != self._was_failing:
--- a/rhubarbwinch/gateway/ratelimits.py
+++ b/rhubarbwinch/gateway/ratelimits.py
@@ -87,11 +87,6 @@
         self._rankings: dict[str, list[str]] = {}
         self._limits: dict[str, _Limit] = {}
 
-    @property
-    def name(self) -> str:
-        """The name of this gateway."""
-        return self._name
-
     def __len__(self) -> int:
         return sum(limit.rate is not None for limit in self._limits.values())
 
--- a/rhubarbwinch/gateway/streams.py
+++ b/rhubarbwinch/gateway/streams.py
@@ -69,14 +69,9 @@
             self._migrator.handle_leaving_engine(run, endpoint)
 
     async def _serve(self, run: Run) -> None:
-        call = run.job.call
-        if call.last_event_id is not None or call.resumed_id is not None:
-            events.STREAM_TAKEN_UP.log(
-                request=run.id,
-                stream=call.resumed_id,
-                last_event=call.last_event_id,
-            )
-        failure = await self._start(run)
+        failure = await self._find_origin(run)
+        if failure is None:
+            failure = await self._start(run)
         if failure is None:
             return
         if run.head_sent:
@@ -91,6 +86,24 @@
             return
         await send_job_failure(self._context, run.job, run.responder, failure)
 
+    async def _find_origin(self, run: Run) -> Failure | None:
+        """Finds the version of a stream that its caller takes up again."""
+        job, call = run.job, run.job.call
+        if call.last_event_id is None:
+            return None
+        events.STREAM_TAKEN_UP.log(
+            request=run.id,
+            stream=call.resumed_id,
+            last_event=call.last_event_id,
+        )
+        origin = await self._context.takeups.resolve(
+            run.id, call.resumed_id, job.route
+        )
+        if isinstance(origin, Failure):
+            return origin
+        job.service, run.version = origin.service, origin.version
+        return None
+
     async def _start(self, run: Run) -> Failure | None:
         """Places a generation until an engine accepts it or none can.
 
--- a/rhubarbwinch/shared/events.py
+++ b/rhubarbwinch/shared/events.py
@@ -645,3 +645,18 @@
     logging.INFO,
     "A caller takes up a stream again after its connection broke.",
 )
+STREAM_ORIGIN = Event(
+    755,
+    "stream-origin",
+    logging.INFO,
+    (
+        "Where a stream began that a caller takes up again, and who knew it: "
+        "this gateway, a peer, or the only version that serves."
+    ),
+)
+PEER_CALL_FAILED = Event(
+    756,
+    "peer-call-failed",
+    logging.INFO,
+    "Another gateway did not reply to a call.",
+)
--- a/tests/gateway/test_placement.py
+++ b/tests/gateway/test_placement.py
@@ -185,6 +185,20 @@
         far = candidate("e2", runs=0, data_center="dc-b")
         self.assertEqual(self._choose(near, far), "e2")
 
+    def test_a_target_has_the_version_of_the_source(self):
+        busy = candidate("e1", runs=9, tokens=26_000, version="v1")
+        idle = candidate("e2", version="v2")
+        found = migrationtargets.choose_target(
+            [busy, idle], endpoint("e9", version="v1"), 3_500, rng()
+        )
+        self.assertEqual(_name(found), "e1")
+
+    def test_an_engine_without_a_rate_limit_is_preferred(self):
+        limited = candidate("e1", is_rate_limited=True)
+        busy = candidate("e2", runs=7, tokens=20_000)
+        self.assertEqual(self._choose(limited, busy), "e2")
+        self.assertEqual(self._choose(limited), "e1")
+
     def test_without_capacity_there_is_no_target(self):
         self.assertIsNone(self._choose(candidate("e1", 8, 32_000)))
 
--- a/tests/gateway/test_softwareversions.py
+++ b/tests/gateway/test_softwareversions.py
@@ -29,6 +29,8 @@
 EVENTS = 6
 BREAK_AFTER = 3
 STREAMS = 3
+# Gateways share duties with a new peer after this time.
+SHARED_AFTER_S = 0.3
 
 
 class VersionedGeneration:
@@ -117,9 +119,10 @@
                 await d.register(endpoint)
             for number in (1, 2):
                 d.start(number)
-            for number in (1, 2):
-                await d.until(lambda n=number: d.is_ready(n))
             for number in range(STREAMS):
+                await d.until(lambda: self._knows_peer(d))
+                await d.until(lambda: d.is_ready(2))
+                await anyio.sleep(SHARED_AFTER_S)
                 generation = VersionedGeneration()
                 for endpoint in d.endpoints:
                     endpoint.received.clear()
@@ -133,7 +136,11 @@
                 served = [e.name for e in d.endpoints if e.received]
                 self.assertEqual(served, [generation.first])
                 d.start(1)
-                await d.until(lambda: d.is_ready(1))
+
+    async def _knows_peer(self, d):
+        """Returns whether the first gateway is ready and knows the other."""
+        names = [e["name"] for e in d.events(1)]
+        return "gateway-changed" in names and await d.is_ready(1)
 
     async def _begin(self, d, request_id):
         """Reads the first events of a stream at the first gateway."""
--- a/tests/gatewaybuilders.py
+++ b/tests/gatewaybuilders.py
@@ -5,6 +5,7 @@
 from rhubarbwinch.gateway.context import make_job
 from rhubarbwinch.gateway.edge import EdgeRequest
 from rhubarbwinch.gateway.endpoints import Endpoint, EndpointState
+from rhubarbwinch.gateway.fleet import Fleet
 from rhubarbwinch.gateway.loads import Load
 from rhubarbwinch.gateway.placement import Candidate
 from rhubarbwinch.gateway.platforminterface import CallHead
@@ -80,11 +81,23 @@
     return Endpoint(**(base | fields))
 
 
+def fleet(*endpoints):
+    """Returns a fleet to which these endpoints have registered."""
+    found = Fleet()
+    for item in endpoints:
+        found.apply_registration(item, 0)
+    return found
+
+
 def candidate(name="e1", runs=0, tokens=0, prefill=0, **fields):
     """Returns a candidate with a KV cache of 34,000 tokens."""
     base = {"capacity_tokens": 34_000}
     return Candidate(
-        endpoint(name, data_center=fields.pop("data_center", "dc-a")),
+        endpoint(
+            name,
+            data_center=fields.pop("data_center", "dc-a"),
+            version=fields.pop("version", ""),
+        ),
         Load(runs, tokens, prefill),
         **(base | fields),
     )
--- a/tests/gatewayharness.py
+++ b/tests/gatewayharness.py
@@ -20,8 +20,10 @@
 from rhubarbwinch.gateway.ratelimits import RateLimits
 from rhubarbwinch.gateway.retrybudget import RetryBudget
 from rhubarbwinch.gateway.router import Router
+from rhubarbwinch.gateway.streamorigins import StreamOrigins
 from rhubarbwinch.gateway.streams import StreamCalls
 from rhubarbwinch.gateway.suspicion import Suspicion
+from rhubarbwinch.gateway.takeups import TakeUps
 from rhubarbwinch.gateway.upstream import Upstream
 from rhubarbwinch.http.transport import Transport
 from rhubarbwinch.platform.adapter import KielichowaPlatform
@@ -44,6 +46,9 @@
     def announce(self):
         """Does nothing."""
 
+    def send_to(self, names, message):
+        """Does nothing."""
+
     def report_failure(self, endpoint):
         """Returns the notice that peers would receive."""
         return FailureNotice("g1", "dc-a", endpoint)
@@ -70,12 +75,13 @@
         self.broadcasts = []
         self.platform = KielichowaPlatform()
         self.transport = Transport()
+        fleet = Fleet()
         self.context = Context(
             data_center="dc-a",
             platform=self.platform,
             clock=SystemClock(),
             rng=build.rng(),
-            fleet=Fleet(),
+            fleet=fleet,
             loads=LoadTracker(),
             suspicion=Suspicion(),
             reports=FailureReports("dc-a"),
@@ -92,6 +98,9 @@
                 self.broadcasts.append,
             ),
             permits=Permits(RateLimits("g1"), NoPeers(), SystemClock()),
+            takeups=TakeUps(
+                StreamOrigins("g1"), NoPeers(), fleet, SystemClock()
+            ),
             table=table,
         )
         for engine in self.engines:
