--- a/tests/gateway/test_ratelimits.py
+++ b/tests/gateway/test_ratelimits.py
@@ -132,7 +132,7 @@
         """Runs the gateways for a time."""
         end = self.now + duration_ms
         while self.now < end:
-            for index, limits in enumerate(list(self.gateways.values())):
+            for index, (own, limits) in enumerate(self.gateways.items()):
                 if self.now % TICK_MS == 0:
                     limits.set_gateways(self.gateways)
                 if (self.now + index * STEP_MS) % self.interval_ms == 0:
@@ -140,7 +140,7 @@
                 for coordinator, notice in limits.pop_notices(self.now):
                     self._send(coordinator, notice)
                 if (self.now + index * STEP_MS) % HEARTBEAT_MS == 0:
-                    self._send(None, (limits.name, limits.listing()))
+                    self._send(None, (own, limits.listing()))
             self._deliver()
             self.now += STEP_MS
 
@@ -168,8 +168,8 @@
                 if receiver in self.gateways:
                     self.gateways[receiver].receive_notice(message, self.now)
                 continue
-            for limits in self.gateways.values():
-                if limits.name != message[0]:
+            for own, limits in self.gateways.items():
+                if own != message[0]:
                     limits.receive_listing(*message, self.now)
 
     def largest_window(self, name, start_ms, end_ms):
