Gateway: an outdated read of the store does not bring deleted endpoints back

Cause: a gateway that has just started and has a peer's replica of revision 21 got the answer to its own read of the store, made at revision 19 and delayed on the way. In it stood an endpoint that was deleted at 20. A replica that starts has no tombstone for it, so it took the entry as new, and broadcast it; nothing would ever delete it again. Evidence: store-read revision=19 after feed-gap after=21 at g2, and endpoint-changed of i-2 with revision 3 at all four gateways 11 ms later. The two tests failed before. Change: a replica knows all changes up to its revision, so a key that it does not have and that is not newer is deleted.

--- a/rhubarbwinch/gateway/replica.py
+++ b/rhubarbwinch/gateway/replica.py
@@ -76,7 +76,10 @@
         effective = []
         for change in changes:
             cell = self._cells.get(change.key)
-            if cell is not None and cell.revision >= change.revision:
+            # All changes up to the replica's revision are known, so a key that
+            # is unknown has been deleted by then.
+            known_revision = self.revision if cell is None else cell.revision
+            if change.revision <= known_revision:
                 continue
             self._cells[change.key] = _Cell(change.revision, change.entry)
             if cell is None and change.entry is None:
--- a/tests/gateway/test_replica.py
+++ b/tests/gateway/test_replica.py
@@ -34,6 +34,22 @@
         replica.merge_listing(Listing([write("a", 2).entry], 4))
         self.assertIsNone(replica.get("a"))
 
+    def test_an_outdated_listing_restores_a_key_deleted_before_the_start(self):
+        """A slow read of the store arrives after a peer's newer replica."""
+        replica = Replica()
+        replica.merge_listing(Listing([write("b", 4).entry], 21))
+        outdated = Listing([write("a", 3).entry, write("b", 4).entry], 19)
+        self.assertEqual(replica.merge_listing(outdated), [])
+        self.assertIsNone(replica.get("a"))
+        self.assertEqual(replica.revision, 21)
+
+    def test_an_outdated_batch_restores_a_key_deleted_before_the_start(self):
+        replica = Replica()
+        replica.merge_listing(Listing([], 21))
+        batch = ChangeBatch(0, 19, [write("a", 3)])
+        self.assertEqual(replica.merge_batch(batch), [])
+        self.assertIsNone(replica.get("a"))
+
     def test_a_listing_deletes_missing_keys_that_are_older(self):
         replica = Replica()
         replica.merge_batch(ChangeBatch(0, 7, [write("a", 2), write("b", 7)]))
