Gateway: what is broadcast of the store is complete

Cause: a watcher broadcast only the changes that were new to itself, for the whole range of revisions that it had read. A peer that had not received the datagram of another watcher then took its replica as complete without that change, for good. Found by reading, in the search for the same cause as an outdated read: a position that promises more than is known behind it. Evidence: two tests that failed before: a change that another watcher's datagram had brought is missing in the broadcast; a scan older than the replica is broadcast as revisions 9 to 4. Change: a broadcast has all changes of its range; a scan that is not newer than the replica is not broadcast.

--- a/rhubarbwinch/gateway/replica.py
+++ b/rhubarbwinch/gateway/replica.py
@@ -42,6 +42,14 @@
         """Returns all entries."""
         return [c.entry for c in self._cells.values() if c.entry is not None]
 
+    def changes_since(self, revision: int) -> list[Change]:
+        """Returns the newest change of each key that changed later."""
+        return [
+            Change(key, cell.revision, cell.entry)
+            for key, cell in self._cells.items()
+            if cell.revision > revision
+        ]
+
     def merge_listing(self, listing: Listing) -> list[Change]:
         """Merges a complete listing; returns the effective changes.
 
--- a/rhubarbwinch/gateway/storefeed.py
+++ b/rhubarbwinch/gateway/storefeed.py
@@ -292,10 +292,14 @@
         )
         if changes:
             self._on_change(changes, self.is_after_outage)
-        if previous_revision and self._should_broadcast():
+        is_newer = 0 < previous_revision < listing.revision
+        if is_newer and self._should_broadcast():
             self._broadcast(
-                ChangeBatch(previous_revision, listing.revision, changes),
-                changes,
+                ChangeBatch(
+                    previous_revision,
+                    listing.revision,
+                    self._replica.changes_since(previous_revision),
+                )
             )
 
     async def _poll(self) -> None:
@@ -308,7 +312,7 @@
         if changes:
             self._on_change(changes, self.is_after_outage)
             if self._should_broadcast():
-                self._broadcast(batch, changes)
+                self._broadcast(batch)
         if batch.changes:
             await self._clock.sleep(
                 START_COALESCE_MS if self._is_starting else COALESCE_MS
@@ -330,8 +334,13 @@
         """Whether this gateway may not know the watchers yet."""
         return self._clock.now() - self._started_ms < MAX_FRESH_AGE_MS
 
-    def _broadcast(self, batch: ChangeBatch, changes: list[Change]) -> None:
-        for part in split_batch(batch, changes):
+    def _broadcast(self, batch: ChangeBatch) -> None:
+        """Broadcasts all changes of a batch, also those that were known here.
+
+        A peer that receives it takes its replica as complete up to the batch's
+        revision.
+        """
+        for part in split_batch(batch, batch.changes):
             self._broadcast_batch(
                 SharedBatch(
                     self._link,
--- a/tests/gateway/test_storefeed.py
+++ b/tests/gateway/test_storefeed.py
@@ -132,6 +132,53 @@
             self.store.calls[:3], ["scan", "poll after 3", "poll after 5"]
         )
 
+    @asynchronous
+    async def test_a_broadcast_omits_a_change_that_its_sender_had_before(self):
+        """Another watcher's datagram has reached only this gateway."""
+        changes = [write("a", 4), write("b", 5)]
+        for scans, polls, batch in (
+            (
+                [Listing([], 3)],
+                [ChangeBatch(3, 5, changes)],
+                SharedBatch("p", 3, 4, [SharedChange("a", 4, b"v")]),
+            ),
+            (
+                [Listing([], 3), Listing([c.entry for c in changes], 5)],
+                [StoreCompacted("410")],
+                SharedBatch("p", 4, 5, [SharedChange("b", 5, b"v")]),
+            ),
+        ):
+            self._make(scans, polls)
+            self.store.delay = self._deliver_after_scan(batch)
+            await self._run(500)
+            self.assertEqual(
+                [
+                    (b.after <= 3, b.revision, [c.key for c in b.changes])
+                    for b in self.broadcast_batches
+                ],
+                [(True, 5, ["a", "b"])],
+            )
+
+    def _deliver_after_scan(self, batch):
+        """Returns a delay of the store's replies that delivers a batch."""
+
+        async def delay():
+            await anyio.lowlevel.checkpoint()
+            if len(self.store.calls) == 2:
+                self.store_feed.receive_batch(batch)
+
+        return delay
+
+    @asynchronous
+    async def test_an_outdated_scan_is_not_broadcast(self):
+        self._make(
+            [Listing([], 9), Listing([write("a", 2).entry], 4)],
+            [StoreCompacted("410")],
+        )
+        await self._run(500)
+        self.assertEqual(self.broadcast_batches, [])
+        self.assertEqual(self.reported, [])
+
     @asynchronous
     async def test_a_start_while_all_register_takes_few_calls(self):
         registrations = [
