Soak: engines declare rate limits and have versions, callers take streams up

Change: a fault in which an engine declares a limit for some seconds; engines of two versions; a route whose streams callers take up again when they break, naming the attempt of the first event. Checks in the users' words: requests in 4 s at an engine from gateways that have relayed its limit, and versions in a stream over a caller's tries. The order of events is checked as before, with the line of the version taken out of both sides. Two flaws of the stand-ins: an engine that two faults replace at once went on under a new version, and a second fault could leave an engine with one slot for good.

--- a/lab/soak/callers.py
+++ b/lab/soak/callers.py
@@ -2,6 +2,7 @@
 
 import itertools
 import random
+import re
 from collections.abc import Callable
 
 import anyio
@@ -28,13 +29,24 @@
 MAX_EVENTS = 140
 MAX_BODY_BYTES = 3_000
 INVALID_KEY = "key-of-nobody"
+OK = 200
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 _KINDS = (
     RequestKind.CALL,
     RequestKind.CALL,
     RequestKind.ONCE,
     RequestKind.DRAFT,
+    RequestKind.RESUMABLE,
 )
+_EVENT_ID = re.compile(rb"^id: (\d+)\n.*?\n\n", re.DOTALL | re.MULTILINE)
+
+
+def last_event(attempt: Attempt) -> int:
+    """Returns the last whole event of a stream, with its earlier attempts."""
+    if not attempt.kind.is_stream or attempt.status != OK:
+        return attempt.last_event
+    numbers = _EVENT_ID.findall(attempt.response)
+    return int(numbers[-1]) if numbers else attempt.last_event
 
 
 class CallerContext:
@@ -99,23 +111,28 @@
 
     async def _request(self) -> None:
         kind = self._rng.choice(_KINDS)
+        broken: Attempt | None = None
         for _ in range(MAX_ATTEMPTS):
             address = await self._choose_gateway()
             if address is None:
                 await anyio.sleep(PAUSE_S)
                 continue
-            attempt = await self._attempt(kind, address)
+            attempt = await self._attempt(kind, address, broken)
             if not attempt.status:
                 self._avoided_until[address] = (
                     self._context.clock.now() + AVOID_MS
                 )
             if attempt.has_disconnected or not self._may_retry(attempt):
                 return
+            if last_event(attempt):
+                broken = attempt
 
     def _may_retry(self, attempt: Attempt) -> bool:
         if attempt.status in NOT_RUN_STATUSES:
             return True
-        if attempt.kind is not RequestKind.CALL:
+        if attempt.kind is RequestKind.RESUMABLE and attempt.status == OK:
+            return not attempt.is_complete
+        if attempt.kind not in (RequestKind.CALL, RequestKind.RESUMABLE):
             return False
         return attempt.status == 0 or attempt.status >= 500
 
@@ -144,15 +161,26 @@
                 self._lookup_expires_ms = now + LOOKUP_TTL_MS
                 return
 
-    async def _attempt(self, kind: RequestKind, address: str) -> Attempt:
-        """Sends a request and records its outcome."""
+    async def _attempt(
+        self, kind: RequestKind, address: str, broken: Attempt | None
+    ) -> Attempt:
+        """Sends a request and records its outcome.
+
+        Args:
+            kind: The kind of the request.
+            address: The address of a gateway.
+            broken: The attempt whose stream is taken up again, or None.
+        """
         clock = self._context.clock
         number, proxy_address = self._context.find_gateway(address)
         account, key = self._rng.choice(sorted(self._context.keys().items()))
         is_allowed = self._rng.random() >= INVALID_KEY_SHARE
         body = b"x" * self._rng.randrange(1, MAX_BODY_BYTES)
-        if kind is RequestKind.DRAFT:
+        if kind.is_stream:
             body = b"%d" % self._rng.randrange(1, MAX_EVENTS)
+        if broken is not None:
+            account, body = broken.account, broken.body
+            key = self._context.keys()[account]
         attempt = Attempt(
             id=f"q{self._context.next_number()}",
             kind=kind,
@@ -162,6 +190,8 @@
             body=body,
             sent_ms=clock.now(),
         )
+        attempt.stream = broken.stream if broken else attempt.id
+        attempt.last_event = last_event(broken) if broken else 0
         self._context.records.attempts.append(attempt)
         disconnects = self._rng.random() < DISCONNECT_SHARE
         disconnect_after_s = (
@@ -183,6 +213,9 @@
             headers.DEADLINE.decode(): str(DEADLINE_MS),
             headers.TOKEN_COUNTS.decode(): f"100,{MAX_EVENTS}",
         }
+        if attempt.last_event:
+            fields[headers.RESUMED_ID.decode()] = attempt.stream
+            fields[headers.LAST_EVENT_ID.decode()] = str(attempt.last_event)
         url = f"http://{proxy_address}/{attempt.kind.value}/work"
         try:
             async with self._client.stream(
--- a/lab/soak/check.py
+++ b/lab/soak/check.py
@@ -1,11 +1,14 @@
 """Checks the records of a soak run against the gateway's guarantees."""
 
 import itertools
+import re
 from collections import Counter, defaultdict
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 
 from lab.soak.records import (
+    Arrival,
     Attempt,
+    Declaration,
     RequestKind,
     Run,
     RunRecords,
@@ -17,9 +20,10 @@
 Check = Callable[[RunRecords], list[str]]
 CHECKS: Registry[Check] = Registry("check")
 TIMING_CHECKS = frozenset(
-    {"gone", "grace", "keys", "one at a time", "recovery"}
+    {"gone", "grace", "keys", "one at a time", "rate limits", "recovery"}
 )
 
+REPEATABLE_KINDS = frozenset({RequestKind.CALL, RequestKind.RESUMABLE})
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 OK = 200
 UNAUTHORIZED = 401
@@ -35,6 +39,16 @@
 RETRY_RATIO = 0.2
 RETRY_EXTRA = 56
 MAX_MEMORY_MB = 205
+# An engine may get this many requests in a window: the factor times what its
+# limit allows, and some more. The bound holds from some time after the engine
+# first declared the limit, for gateways that have relayed a declaration.
+LIMIT_WINDOW_MS = 4_000
+LIMIT_FACTOR = 1.5
+LIMIT_EXTRA = 5
+LIMIT_CONVERGENCE_MS = 3_000
+LIMIT_NOTICE_MS = 500
+_VERSION = re.compile(rb"^version: (\w+)$", re.MULTILINE)
+_VERSION_LINE = re.compile(rb"^version: \w*(\n|\Z)", re.MULTILINE)
 
 
 def find_violations(records: RunRecords, *, with_times: bool) -> list[str]:
@@ -90,7 +104,7 @@
     kinds = {attempt.id: attempt.kind for attempt in records.attempts}
     violations = []
     for request_id, runs in _runs_by_id(records).items():
-        if kinds.get(request_id) is RequestKind.CALL:
+        if kinds.get(request_id) in REPEATABLE_KINDS:
             continue
         unresumed = [run for run in runs if not run.is_resumed]
         if len(unresumed) > 1:
@@ -125,7 +139,7 @@
         f"{attempt.id} got status {attempt.status}, but it ran"
         for attempt in records.attempts
         if attempt.status in NOT_RUN_STATUSES
-        and attempt.kind is not RequestKind.CALL
+        and attempt.kind not in REPEATABLE_KINDS
         and attempt.id in ran
     ]
 
@@ -141,7 +155,7 @@
             violations.append(
                 f"{attempt.id}: success without an engine's signature"
             )
-        elif attempt.kind is not RequestKind.DRAFT:
+        elif not attempt.kind.is_stream:
             expected = full_response(attempt.id, attempt.body)
             if attempt.response != expected:
                 violations.append(f"{attempt.id}: {attempt.response[:60]!r}")
@@ -153,19 +167,101 @@
     """Events arrive once and in order; a complete stream has all of them."""
     violations = []
     for attempt in records.attempts:
-        if attempt.kind is not RequestKind.DRAFT or attempt.status != OK:
+        if not attempt.kind.is_stream or attempt.status != OK:
             continue
         total = int(attempt.body)
-        expected = b"".join(event(attempt.id, n) for n in range(1, total + 1))
-        if attempt.is_complete and attempt.response != expected:
+        expected = b"".join(
+            _without_version(event(attempt.id, number))
+            for number in range(attempt.last_event + 1, total + 1)
+        )
+        response = _without_version(attempt.response)
+        if attempt.is_complete and response != expected:
             violations.append(
                 f"{attempt.id}: complete, but not its {total} events"
             )
-        elif not expected.startswith(attempt.response):
+        elif not expected.startswith(response):
             violations.append(f"{attempt.id}: {attempt.response[-60:]!r}")
     return violations
 
 
+def _without_version(data: bytes) -> bytes:
+    """Removes the lines with versions, the last one also if it is cut off."""
+    return _VERSION_LINE.sub(b"", data)
+
+
+@CHECKS.register("versions")
+def check_versions(records: RunRecords) -> list[str]:
+    """All events of a stream come from one software version.
+
+    This includes the streams that callers take up again.
+    """
+    versions: dict[str, set[bytes]] = defaultdict(set)
+    for attempt in records.attempts:
+        if attempt.kind.is_stream and attempt.status == OK:
+            versions[attempt.stream].update(_VERSION.findall(attempt.response))
+    return [
+        f"{stream} has events of {len(found)} versions"
+        for stream, found in versions.items()
+        if len(found) > 1
+    ]
+
+
+@CHECKS.register("rate limits")
+def check_rate_limits(records: RunRecords) -> list[str]:
+    """Engines get few more requests than the rate limits that they declare.
+
+    Counted are the gateways that have relayed a declaration and that had no
+    fault since shortly before.
+    """
+    gateways = {attempt.id: attempt.gateway for attempt in records.attempts}
+    arrivals: dict[str, list[Arrival]] = defaultdict(list)
+    for arrival in records.arrivals:
+        arrivals[arrival.engine].append(arrival)
+    violations = []
+    for engine, declared in _limit_periods(records):
+        first_ms, last_ms = declared[0].at_ms, declared[-1].at_ms
+        disturbed = {
+            d.name
+            for d in records.disturbances
+            if first_ms - LIMIT_CONVERGENCE_MS <= d.at_ms <= last_ms
+        }
+        if engine in disturbed:
+            continue
+        told_ms: dict[int, int] = {}
+        for response in declared:
+            told_ms.setdefault(gateways[response.request], response.at_ms)
+        counted = [
+            arrival.at_ms
+            for arrival in arrivals[engine]
+            if (gateway := gateways[arrival.request]) in told_ms
+            and gateway not in disturbed
+            and arrival.at_ms >= first_ms + LIMIT_CONVERGENCE_MS
+            and told_ms[gateway] + LIMIT_NOTICE_MS <= arrival.at_ms <= last_ms
+        ]
+        rate = declared[0].rate
+        allowed = LIMIT_FACTOR * rate * LIMIT_WINDOW_MS / 1_000 + LIMIT_EXTRA
+        for start in counted:
+            count = sum(start <= at < start + LIMIT_WINDOW_MS for at in counted)
+            if count > allowed:
+                violations.append(
+                    f"{engine} with a limit of {rate:.2f} got {count} requests "
+                    f"in {LIMIT_WINDOW_MS} ms from {start}"
+                )
+                break
+    return violations
+
+
+def _limit_periods(
+    records: RunRecords,
+) -> Iterator[tuple[str, list[Declaration]]]:
+    """Yields each engine with the declarations of one and the same limit."""
+    periods: dict[tuple[str, float], list[Declaration]] = defaultdict(list)
+    for declaration in records.declarations:
+        periods[declaration.engine, declaration.rate].append(declaration)
+    for (engine, _), declared in periods.items():
+        yield engine, declared
+
+
 @CHECKS.register("budget")
 def check_retry_budget(records: RunRecords) -> list[str]:
     """Retries, over all requests, stay within the retry budget."""
--- a/lab/soak/deployment.py
+++ b/lab/soak/deployment.py
@@ -13,7 +13,7 @@
 from lab.processes import Processes, free_address, free_ports
 from lab.soak.engines import EngineContext, SoakEngine
 from lab.soak.proxy import LoopbackProxy
-from lab.soak.records import RequestKind, RunRecords
+from lab.soak.records import Disturbance, RequestKind, RunRecords
 from lab.standins import platformfiles
 from lab.standins.platformstore import PlatformStoreServer
 from rhubarbwinch.shared.clock import Clock, SystemClock
@@ -28,6 +28,8 @@
 INTERPRETER_START_MS = 1_000
 POLL_S = 0.02
 ENGINE_SERVICE, PLAIN_SERVICE = "engines", "plain"
+# Software versions of engines, which serve side by side.
+VERSIONS = ("v1", "v2")
 
 
 @attrs.define
@@ -88,6 +90,7 @@
         self._first_port = free_ports(PORTS)
         self._ip_bytes = rng.randrange(10, 250), rng.randrange(1, 250)
         self._processes = Processes(folder)
+        self._rng = rng
         self._engine_numbers = iter(range(1, 1_000_000))
         context = EngineContext({}, {}, self.records, self.clock, rng)
         self.gateways = [self._new_gateway(i + 1) for i in range(gateways)]
@@ -107,9 +110,11 @@
     def _new_engine(self, service: str, context: EngineContext) -> SoakEngine:
         address = free_address()
         proxy = LoopbackProxy(free_address(), address)
-        return SoakEngine(
+        engine = SoakEngine(
             self.new_engine_id(), address, service, proxy, context
         )
+        engine.version = self._rng.choice(VERSIONS)
+        return engine
 
     def new_engine_id(self) -> str:
         """Returns a new id for an engine."""
@@ -164,6 +169,15 @@
                 target_gap_ms=180,
                 sticky=True,
             ),
+            platformfiles.route(
+                RequestKind.RESUMABLE.value,
+                ENGINE_SERVICE,
+                "stream",
+                target_gap_ms=180,
+                sticky=True,
+                resumable=True,
+                max_attempts=2,
+            ),
         ]
         engine = {
             "slots": 24,
@@ -191,9 +205,13 @@
         await self.store.remove(platformfiles.ENDPOINT_PREFIX + engine.name)
 
     async def replace_engine(self, engine: SoakEngine) -> None:
-        """Starts a new incarnation of an engine at the same address."""
+        """Ends an engine; starts a new incarnation at the same address."""
         await self.deregister_engine(engine)
+        # Another fault may have replaced it before.
+        engine.crash()
         engine.name = self.new_engine_id()
+        engine.version = self._rng.choice(VERSIONS)
+        engine.rate_limit = None
         engine.proxy.heal()
         await self.register_engine(engine)
 
@@ -203,6 +221,7 @@
         gateway.is_told_to_stop = gateway.is_killed = False
         gateway.was_paused = gateway.was_starting = False
         gateway.started_ms = self.clock.now()
+        self.record_disturbance(self.gateways.index(gateway))
         path = self._settings_path(gateway)
         self.record_step(f"start of {gateway.name}")
         self._processes.start(
@@ -234,6 +253,10 @@
         )
         self._settings_path(gateway).write_text(text)
 
+    def record_disturbance(self, name: int | str) -> None:
+        """Records the begin or end of a fault at a gateway or an engine."""
+        self.records.disturbances.append(Disturbance(name, self.clock.now()))
+
     def record_step(self, step: str) -> None:
         """Records a step of a fault."""
         self.records.faults.append(f"{self.clock.now()} {step}")
@@ -253,6 +276,7 @@
         gateway.was_paused |= number is signal.SIGSTOP
         self._record_memory(gateway)
         self.record_step(f"{number.name} to {gateway.name}")
+        self.record_disturbance(self.gateways.index(gateway))
         self._processes.signal(gateway.name, number)
 
     def _is_listening(self, gateway: Gateway) -> bool:
--- a/lab/soak/engines.py
+++ b/lab/soak/engines.py
@@ -11,17 +11,26 @@
 
 from lab.soak import records
 from lab.soak.proxy import LoopbackProxy
-from lab.soak.records import Run, RunRecords
+from lab.soak.records import (
+    Arrival,
+    Declaration,
+    RequestKind,
+    Run,
+    RunRecords,
+)
 from lab.standins.platformengine import (
     ReceivedRequest,
     ScriptedEngine,
     engine_headers,
+    rate_limit_headers,
     send_not_run,
 )
 from rhubarbwinch.gateway.edge import EdgeRequest, EdgeResponder
+from rhubarbwinch.gateway.platforminterface import Headers
 from rhubarbwinch.platform import headers
 from rhubarbwinch.shared.clock import Clock
 
+SLOTS = 24
 EVENT_INTERVAL_MS = 25
 CALL_DURATION_MS = 40
 # The time to copy the KV cache of a run to another engine.
@@ -107,7 +116,8 @@
         self.proxy = proxy
         self.handler = self._serve
         self.failure_rate = 0.0
-        self.slots = 24
+        self.rate_limit: float | None = None
+        self.slots = SLOTS
         self._context = context
         self._active_runs: dict[str, ActiveRun] = {}
         context.engines[self.address] = self
@@ -140,6 +150,9 @@
     async def _serve(
         self, received_request: ReceivedRequest, responder: EdgeResponder
     ) -> None:
+        self._context.records.arrivals.append(
+            Arrival(self.name, received_request.id, self._context.clock.now())
+        )
         first = self._first_event(received_request)
         is_full = (
             len(self._active_runs) >= self.slots
@@ -149,7 +162,7 @@
             await send_not_run(received_request, responder)
             return
         with self._track_run(received_request, first) as active_run:
-            if active_run.run.kind == records.RequestKind.DRAFT.value:
+            if RequestKind(active_run.run.kind).is_stream:
                 await self._stream(received_request, responder, active_run)
             else:
                 await self._respond(received_request, responder)
@@ -157,22 +170,34 @@
     def _first_event(self, received_request: ReceivedRequest) -> int | None:
         """Returns a run's first event; None if this engine lacks its copy."""
         source = received_request.headers.get(headers.RESUME_FROM.decode())
+        last_id = received_request.headers.get(
+            headers.LAST_EVENT_ID.decode(), "0"
+        )
         if source is None:
-            return 1
+            return int(last_id) + 1
         handle = source.partition("/")[2]
         copy = self._context.copies.get(handle)
         if copy is None or copy.engine != self.address:
             return None
         # A copy can be used only once.
         del self._context.copies[handle]
-        return (
-            int(
-                received_request.headers.get(
-                    headers.LAST_EVENT_ID.decode(), "0"
+        return int(last_id) + 1
+
+    def _headers(self, received_request: ReceivedRequest) -> Headers:
+        """Returns the headers of a response, and records a declared limit."""
+        if self.rate_limit is not None:
+            self._context.records.declarations.append(
+                Declaration(
+                    self.name,
+                    received_request.id,
+                    self.rate_limit,
+                    self._context.clock.now(),
                 )
             )
-            + 1
-        )
+        return [
+            *engine_headers(received_request),
+            *rate_limit_headers(self.rate_limit),
+        ]
 
     @contextmanager
     def _track_run(
@@ -211,13 +236,13 @@
         self._record_reachability(received_request.id)
         if self._context.rng.random() < self.failure_rate:
             await responder.send(
-                500, engine_headers(received_request), b"failed"
+                500, self._headers(received_request), b"failed"
             )
             return
         body = records.full_response(
             received_request.id, received_request.request.body
         )
-        await responder.send(200, engine_headers(received_request), body)
+        await responder.send(200, self._headers(received_request), body)
 
     async def _stream(
         self,
@@ -228,7 +253,7 @@
         total = int(received_request.request.body or b"1")
         kind = (b"Content-Type", b"text/event-stream")
         await responder.start_stream(
-            200, [*engine_headers(received_request), kind]
+            200, [*self._headers(received_request), kind]
         )
         while active_run.event_count < total:
             await self._context.clock.sleep(EVENT_INTERVAL_MS)
@@ -237,7 +262,9 @@
             if active_run.standby_copy is not None:
                 active_run.standby_copy.event_count = active_run.event_count
             await responder.write(
-                records.event(received_request.id, active_run.event_count)
+                records.event(
+                    received_request.id, active_run.event_count, self.version
+                )
             )
         self._context.copies.pop(received_request.id, None)
         await responder.end_stream()
--- a/lab/soak/faults.py
+++ b/lab/soak/faults.py
@@ -7,7 +7,7 @@
 import anyio
 
 from lab.soak.deployment import Gateway, SoakDeployment
-from lab.soak.engines import SoakEngine
+from lab.soak.engines import SLOTS, SoakEngine
 from lab.soak.proxy import LoopbackProxy
 from lab.standins import platformfiles
 from rhubarbwinch.shared.registry import Registry
@@ -22,6 +22,9 @@
 # heartbeats after which an engine's entry in the store is removed.
 LEAVING_NOTICE_S = 2.0
 ENTRY_EXPIRY_S = 1.5
+# The range of rate limits in requests a second, and of their durations.
+MIN_RATE, MAX_RATE = 0.5, 8.0
+MIN_LIMITED_S, MAX_LIMITED_S = 5.0, 9.0
 REPEAT_COUNT = 4
 # Further signals for a gateway that was sent SIGTERM.
 STOP_SIGNALS = (signal.SIGTERM, signal.SIGTERM, signal.SIGHUP, signal.SIGKILL)
@@ -66,7 +69,10 @@
     deployment: SoakDeployment, rng: random.Random
 ) -> None:
     """Disturbs the connections from one gateway to the store."""
-    await _disturb(_pick_gateway(deployment, rng).store, rng)
+    gateway = _pick_gateway(deployment, rng)
+    deployment.record_disturbance(deployment.gateways.index(gateway))
+    await _disturb(gateway.store, rng)
+    deployment.record_disturbance(deployment.gateways.index(gateway))
 
 
 @FAULTS.register("store links")
@@ -119,7 +125,10 @@
     deployment: SoakDeployment, rng: random.Random
 ) -> None:
     """Disturbs the connections from the gateways to one engine."""
-    await _disturb(_pick_engine(deployment, rng).proxy, rng)
+    engine = _pick_engine(deployment, rng)
+    deployment.record_disturbance(engine.name)
+    await _disturb(engine.proxy, rng)
+    deployment.record_disturbance(engine.name)
 
 
 @FAULTS.register("late answer")
@@ -173,9 +182,18 @@
 async def fill_engine(deployment: SoakDeployment, rng: random.Random) -> None:
     """An engine has only one slot for a while."""
     engine = _pick_engine(deployment, rng)
-    normal_slots, engine.slots = engine.slots, 1
+    engine.slots = 1
     await _wait_duration(rng)
-    engine.slots = normal_slots
+    engine.slots = SLOTS
+
+
+@FAULTS.register("limiting engine")
+async def limit_engine(deployment: SoakDeployment, rng: random.Random) -> None:
+    """An engine declares a limit of the requests a second that it accepts."""
+    engine = _pick_engine(deployment, rng)
+    engine.rate_limit = rng.uniform(MIN_RATE, MAX_RATE)
+    await anyio.sleep(rng.uniform(MIN_LIMITED_S, MAX_LIMITED_S))
+    engine.rate_limit = None
 
 
 @FAULTS.register("configuration")
--- a/lab/soak/records.py
+++ b/lab/soak/records.py
@@ -11,6 +11,13 @@
     CALL = "call"
     ONCE = "once"
     DRAFT = "draft"
+    # A stream that callers take up again when it breaks.
+    RESUMABLE = "note"
+
+    @property
+    def is_stream(self) -> bool:
+        """Whether the response is a stream of events."""
+        return self in (RequestKind.DRAFT, RequestKind.RESUMABLE)
 
 
 @attrs.define
@@ -31,6 +38,9 @@
         response: The received bytes of the response body.
         is_complete: Whether the response was complete in terms of HTTP.
         has_disconnected: Whether the caller disconnected before the end.
+        stream: The id of the attempt that received the first event of the
+            stream; the attempt's own id if it does not take a stream up.
+        last_event: The last event that earlier attempts received.
     """
 
     id: str
@@ -46,6 +56,47 @@
     response: bytes = b""
     is_complete: bool = False
     has_disconnected: bool = False
+    stream: str = ""
+    last_event: int = 0
+
+
+@attrs.frozen
+class Arrival:
+    """A request that reached an engine, whether it ran or was refused."""
+
+    engine: str
+    request: str
+    at_ms: int
+
+
+@attrs.frozen
+class Declaration:
+    """A response in which an engine declared a rate limit.
+
+    Attributes:
+        engine: The id of the engine.
+        request: The id of the request.
+        rate: The limit in requests a second.
+        at_ms: When the response was sent.
+    """
+
+    engine: str
+    request: str
+    rate: float
+    at_ms: int
+
+
+@attrs.frozen
+class Disturbance:
+    """A fault at a gateway or an engine.
+
+    Attributes:
+        name: The number of the gateway, or the id of the engine.
+        at_ms: When the fault began or ended.
+    """
+
+    name: int | str
+    at_ms: int
 
 
 @attrs.define
@@ -91,6 +142,9 @@
         unexpected_exits: Gateways that exited unexpectedly, with status.
         overdue_gateways: Gateways that still ran after their grace period.
         peak_mb: The highest memory peak of any gateway.
+        arrivals: The requests that reached engines, with those refused.
+        declarations: The responses in which engines declared a limit.
+        disturbances: When faults at single gateways or engines began or ended.
         faults: The steps of the injected faults, as text.
     """
 
@@ -101,12 +155,20 @@
     unexpected_exits: list[str] = attrs.field(factory=list)
     overdue_gateways: list[str] = attrs.field(factory=list)
     peak_mb: float = 0.0
+    arrivals: list[Arrival] = attrs.field(factory=list)
+    declarations: list[Declaration] = attrs.field(factory=list)
+    disturbances: list[Disturbance] = attrs.field(factory=list)
     faults: list[str] = attrs.field(factory=list)
 
 
-def event(request_id: str, number: int) -> bytes:
+def event(request_id: str, number: int, version: str = "v1") -> bytes:
     """Returns one event of the stream for a request."""
-    return b"id: %d\ndata: %s/%d\n\n" % (number, request_id.encode(), number)
+    return b"id: %d\nversion: %s\ndata: %s/%d\n\n" % (
+        number,
+        version.encode(),
+        request_id.encode(),
+        number,
+    )
 
 
 def full_response(request_id: str, body: bytes) -> bytes:
--- a/lab/standins/platformengine.py
+++ b/lab/standins/platformengine.py
@@ -45,6 +45,13 @@
     return [(b"Attempt-Id", received_request.id.encode()), SIGNATURE]
 
 
+def rate_limit_headers(rate_limit: float | None) -> Headers:
+    """Returns the header that declares a limit in requests a second."""
+    if rate_limit is None:
+        return []
+    return [(b"Server-Limit", f"{rate_limit:.2f}".encode())]
+
+
 async def send_ok(
     received_request: ReceivedRequest, responder: EdgeResponder
 ) -> None:
--- a/tests/soak/test_check.py
+++ b/tests/soak/test_check.py
@@ -4,7 +4,10 @@
 
 from lab.soak.check import CHECKS, find_violations
 from lab.soak.records import (
+    Arrival,
     Attempt,
+    Declaration,
+    Disturbance,
     RequestKind,
     Run,
     RunRecords,
@@ -15,9 +18,9 @@
 
 def attempt(request_id="q1", kind=RequestKind.CALL, **fields):
     """Returns an attempt that succeeded."""
-    body = b"3" if kind is RequestKind.DRAFT else b"body"
+    body = b"3" if kind.is_stream else b"body"
     response = full_response(request_id, body)
-    if kind is RequestKind.DRAFT:
+    if kind.is_stream:
         response = b"".join(event(request_id, n) for n in (1, 2, 3))
     base = {
         "account": "a",
@@ -39,7 +42,7 @@
     base = {
         "engine": "i-1",
         "account": "a",
-        "body": b"3" if kind == "draft" else b"body",
+        "body": b"3" if RequestKind(kind).is_stream else b"body",
         "has_key": False,
         "is_resumed": False,
         "first_event": 1,
@@ -120,6 +123,63 @@
                 violated = self.failed_checks([draft], [run(kind="draft")])
                 self.assertEqual(violated, {"order"})
 
+    def test_events_of_two_versions_are_reported(self):
+        one, two, three = (event("q1", n, f"v{n // 3}") for n in (1, 2, 3))
+        mixed = attempt(kind=RequestKind.DRAFT, response=one + two + three)
+        violated = self.failed_checks([mixed], [run(kind="draft")])
+        self.assertEqual(violated, {"versions"})
+
+    def test_a_stream_that_is_taken_up_at_another_version_is_reported(self):
+        for version, expected in (("v1", set()), ("v2", {"versions"})):
+            with self.subTest(version=version):
+                kind = RequestKind.RESUMABLE
+                broken = attempt(
+                    kind=kind,
+                    response=event("q1", 1) + event("q1", 2),
+                    is_complete=False,
+                    stream="q1",
+                )
+                rest = attempt(
+                    "q2",
+                    kind=kind,
+                    response=event("q2", 3, version),
+                    stream="q1",
+                    last_event=2,
+                )
+                runs = [run(kind="note"), run("q2", kind="note", first_event=3)]
+                violated = self.failed_checks(
+                    [broken, rest], runs, recovered_from_ms=1_001
+                )
+                self.assertEqual(violated - {"recovery"}, expected)
+
+    def test_requests_beyond_a_declared_limit_are_reported(self):
+        attempts = [attempt(f"q{i}", gateway=i % 2) for i in range(40)]
+        runs = [run(a.id) for a in attempts]
+        declared = [
+            Declaration("i-1", "q0", 1.0, 1_000),
+            Declaration("i-1", "q1", 1.0, 1_000),
+            Declaration("i-1", "q0", 1.0, 9_000),
+        ]
+        arrivals = [Arrival("i-1", f"q{i}", 4_000 + i) for i in range(12)]
+        for count, gateway, expected in (
+            (12, None, {"rate limits"}),
+            (11, None, set()),
+            (12, 1, set()),
+            (12, "i-1", set()),
+        ):
+            with self.subTest(count=count, disturbed=gateway):
+                disturbances = (
+                    [] if gateway is None else [Disturbance(gateway, 2_000)]
+                )
+                violated = self.failed_checks(
+                    attempts,
+                    runs,
+                    arrivals=arrivals[:count],
+                    declarations=declared,
+                    disturbances=disturbances,
+                )
+                self.assertEqual(violated, expected)
+
     def test_retries_beyond_the_budget_are_reported(self):
         attempts = [attempt(f"q{i}") for i in range(10)]
         runs = [run(f"q{i % 10}") for i in range(10 + 2 + 56 + 1)]
@@ -176,7 +236,9 @@
             "order",
             "own answer",
             "processes",
+            "rate limits",
             "recovery",
             "true refusals",
+            "versions",
         }
         self.assertEqual(set(CHECKS), names)
