Gateway: endpoints that say in a response that they leave or want time are heard

Change: both are decoded into what an endpoint declares (DeclaredState). One that leaves gets nothing new from the first such answer on, its runs are copied, peers are told, and a renewed entry of the same start does not undo it. What a start of an endpoint has declared ends with it. Not covered: headers in answers to calls that copy and free.

--- a/rhubarbwinch/gateway/clusterview.py
+++ b/rhubarbwinch/gateway/clusterview.py
@@ -50,7 +50,10 @@
     def apply_leaving_notice(self, notice: LeavingNotice) -> None:
         """Applies an engine's own notice that it leaves."""
         if self._context.fleet.mark_leaving(
-            notice.endpoint, notice.started_ms, self._context.clock.now()
+            notice.endpoint,
+            notice.started_ms,
+            self._context.clock.now(),
+            notice.is_declared,
         ):
             self._log_endpoint_change(
                 notice.endpoint, "says it leaves", 0, True
@@ -60,7 +63,11 @@
     def leaving_notices(self) -> list[LeavingNotice]:
         """Returns the known leaving endpoints, for a gateway that starts."""
         return [
-            LeavingNotice(known.endpoint.id, known.endpoint.started_ms)
+            LeavingNotice(
+                known.endpoint.id,
+                known.endpoint.started_ms,
+                known.has_declared_leaving,
+            )
             for known in self._context.fleet.all_leaving()
         ]
 
@@ -119,37 +126,47 @@
 
     def _apply_endpoint(self, change: Change, after_outage: bool) -> None:
         context = self._context
-        now = context.clock.now()
         endpoint_id = change.key.removeprefix(context.platform.endpoint_prefix)
-        if change.entry is None:
-            leaves = context.fleet.remove(endpoint_id, now, after_outage)
-            self._log_endpoint_change(
-                endpoint_id, "removed", change.revision, after_outage
+        if change.entry is not None:
+            self._apply_registration(
+                endpoint_id, change.entry.value, change.revision, after_outage
             )
-        else:
-            try:
-                endpoint = context.platform.decode_endpoint(
-                    endpoint_id, change.entry.value
-                )
-            except PlatformFormatError as error:
-                events.ENDPOINT_UNREADABLE.log(
-                    endpoint=endpoint_id,
-                    revision=change.revision,
-                    error=str(error),
-                )
-                context.fleet.mark_unreadable(endpoint_id)
-                return
-            known = context.fleet.get(endpoint_id)
-            is_changed = (
-                known is None
-                or known.endpoint.state is not endpoint.state
-                or known.endpoint.version != endpoint.version
+            return
+        leaves = context.fleet.remove(
+            endpoint_id, context.clock.now(), after_outage
+        )
+        self._log_endpoint_change(
+            endpoint_id, "removed", change.revision, after_outage
+        )
+        if leaves:
+            self._handle_leaving(endpoint_id)
+
+    def _apply_registration(
+        self, endpoint_id: str, value: bytes, revision: int, after_outage: bool
+    ) -> None:
+        context = self._context
+        try:
+            endpoint = context.platform.decode_endpoint(endpoint_id, value)
+        except PlatformFormatError as error:
+            events.ENDPOINT_UNREADABLE.log(
+                endpoint=endpoint_id, revision=revision, error=str(error)
+            )
+            context.fleet.mark_unreadable(endpoint_id)
+            return
+        known = context.fleet.get(endpoint_id)
+        before = known.endpoint if known is not None else None
+        if before is not None and before.incarnation != endpoint.incarnation:
+            # What it has declared ended with its earlier incarnation.
+            context.permits.forget(endpoint_id)
+        leaves = context.fleet.apply_registration(endpoint, context.clock.now())
+        if (
+            before is None
+            or before.state is not endpoint.state
+            or before.version != endpoint.version
+        ):
+            self._log_endpoint_change(
+                endpoint_id, endpoint.state, revision, after_outage
             )
-            leaves = context.fleet.apply_registration(endpoint, now)
-            if is_changed:
-                self._log_endpoint_change(
-                    endpoint_id, endpoint.state, change.revision, after_outage
-                )
         if leaves:
             self._handle_leaving(endpoint_id)
 
--- a/rhubarbwinch/gateway/context.py
+++ b/rhubarbwinch/gateway/context.py
@@ -1,6 +1,7 @@
 """The objects shared by all requests, and the state of one request."""
 
 import random
+from collections.abc import Callable
 
 import attrs
 
@@ -60,6 +61,7 @@
         takeups: Finds where streams began that callers take up again.
         permits: Lets requests pass as the rate limits of endpoints allow.
         tracer: Creates spans of requests; None if tracing is off.
+        on_leaving: Called with an endpoint whose response says that it leaves.
         table: The active configuration; None before the first one.
         is_draining: Whether the gateway is shutting down.
     """
@@ -79,6 +81,7 @@
     crashes: CrashTracker
     permits: Permits
     takeups: TakeUps
+    on_leaving: Callable[[Endpoint], None]
     tracer: Tracer | None = None
     table: RoutingTable | None = None
     is_draining: bool = False
@@ -139,10 +142,16 @@
         response = await self.upstream.send(
             endpoint, job.call, job.body, options, is_repeatable
         )
-        if response.head.declared is not None:
+        declared = response.head.declared
+        if declared is not None:
             self.permits.record_response(
-                job.call.request_id, endpoint.id, response.head.declared
+                job.call.request_id, endpoint.id, declared
             )
+            if declared.is_leaving and self.is_accepting(endpoint):
+                events.LEAVING_DECLARED.log(
+                    request=job.call.request_id, endpoint=endpoint.id
+                )
+                self.on_leaving(endpoint)
         return response
 
     def earliest_permit(
@@ -173,7 +182,11 @@
     def is_accepting(self, endpoint: Endpoint) -> bool:
         """Returns whether an endpoint still accepts new requests."""
         known = self.fleet.get(endpoint.id)
-        return known is not None and known.accepts_requests
+        return (
+            known is not None
+            and known.accepts_requests
+            and known.endpoint.incarnation == endpoint.incarnation
+        )
 
     def record_outcome(
         self,
--- a/rhubarbwinch/gateway/fleet.py
+++ b/rhubarbwinch/gateway/fleet.py
@@ -31,6 +31,7 @@
             expired in a store outage and was not renewed; 0 if the entry is
             there.
         is_readable: Whether its newest entry could be decoded.
+        has_declared_leaving: Whether it has said in a response that it leaves.
     """
 
     endpoint: Endpoint
@@ -39,6 +40,7 @@
     warmed_up_at_ms: int = 0
     expiry_deadline_ms: int = 0
     is_readable: bool = True
+    has_declared_leaving: bool = False
 
     @property
     def has_expired(self) -> bool:
@@ -96,7 +98,7 @@
         known.warmed_up_at_ms = now_ms + endpoint.warmup_ms
         if endpoint.state is EndpointState.DRAINING:
             return self._start_leaving(known, now_ms)
-        if known.is_leaving:
+        if known.is_leaving and not known.has_declared_leaving:
             # The endpoint was marked as leaving, but its entry was renewed.
             known.is_leaving = False
             known.leaving_since_ms = 0
@@ -121,12 +123,25 @@
         return self._start_leaving(known, now_ms)
 
     def mark_leaving(
-        self, endpoint_id: str, started_ms: int, now_ms: int
+        self,
+        endpoint_id: str,
+        started_ms: int,
+        now_ms: int,
+        is_declared: bool = False,
     ) -> bool:
-        """Applies an engine's own notice; returns whether it now leaves."""
+        """Applies an endpoint's own notice; returns whether it now leaves.
+
+        Args:
+            endpoint_id: The endpoint's id.
+            started_ms: Identifies the start of the endpoint that leaves.
+            now_ms: The current time.
+            is_declared: Whether a response of the endpoint said so, which a
+                renewed registration does not undo.
+        """
         known = self._known.get(endpoint_id)
         if known is None or known.endpoint.started_ms != started_ms:
             return False
+        known.has_declared_leaving |= is_declared
         return self._start_leaving(known, now_ms)
 
     def all_leaving(self) -> list[KnownEndpoint]:
--- a/rhubarbwinch/gateway/messages.py
+++ b/rhubarbwinch/gateway/messages.py
@@ -261,16 +261,19 @@
 
 @attrs.frozen
 class LeavingNotice:
-    """Reports that an engine has announced that it will shut down.
+    """Reports that an endpoint has announced that it will shut down.
 
     Attributes:
         endpoint: The engine's id.
         started_ms: Unix time of the engine's start; distinguishes this
             start from others under the same id.
+        is_declared: Whether a response of the engine said so, which a renewed
+            registration does not undo.
     """
 
     endpoint: str
     started_ms: int
+    is_declared: bool = False
 
 
 @attrs.frozen
--- a/rhubarbwinch/gateway/permits.py
+++ b/rhubarbwinch/gateway/permits.py
@@ -1,12 +1,13 @@
-"""Lets requests pass as the rate limits of endpoints allow.
+"""Lets requests pass as endpoints allow in their responses.
 
-It feeds the shared limits with the responses of endpoints and with what other
-gateways say, and waits for this gateway's turn.
+It feeds the shared rate limits with what endpoints declare and other gateways
+say, keeps the pauses that endpoints ask for, and waits for this gateway's turn.
 """
 
 from collections.abc import Iterable
 
 from rhubarbwinch.gateway import gatewaymetrics
+from rhubarbwinch.gateway.endpointpauses import EndpointPauses
 from rhubarbwinch.gateway.endpoints import Endpoint
 from rhubarbwinch.gateway.messages import EndpointLimit, RateLimitNotice
 from rhubarbwinch.gateway.peers import Peers
@@ -17,7 +18,7 @@
 
 
 class Permits:
-    """Permits requests to endpoints that have declared a rate limit.
+    """Permits requests to endpoints that limit them or have asked for time.
 
     Args:
         limits: Shares the limits among the gateways.
@@ -27,6 +28,7 @@
 
     def __init__(self, limits: RateLimits, peers: Peers, clock: Clock) -> None:
         self._limits = limits
+        self._pauses = EndpointPauses()
         self._peers = peers
         self._clock = clock
 
@@ -40,24 +42,33 @@
 
     def is_available(self, endpoint_id: str) -> bool:
         """Returns whether a request may be sent to an endpoint now."""
-        return self._limits.delay_ms(endpoint_id, self._clock.now()) == 0
+        return self._delay_ms(endpoint_id) == 0
+
+    def _delay_ms(self, endpoint_id: str) -> int | None:
+        """Returns after how long a request may be sent to an endpoint.
+
+        Returns:
+            None if other gateways share the endpoint's rate limit.
+        """
+        now = self._clock.now()
+        limited_ms = self._limits.delay_ms(endpoint_id, now)
+        if limited_ms is None:
+            return None
+        return max(limited_ms, self._pauses.left_ms(endpoint_id, now))
 
     def earliest(
         self, endpoints: Iterable[Endpoint]
     ) -> tuple[Endpoint, int] | None:
-        """Returns the limited endpoint that may be sent to first.
+        """Returns the endpoint that may be sent to first, after a delay.
 
         Returns:
-            The endpoint, and the delay in milliseconds; None if this gateway
-            shares no limit of the endpoints.
+            The endpoint, and the delay in milliseconds; None if no endpoint
+            has a delay that ends.
         """
-        now = self._clock.now()
         delays = [
             (endpoint, delay_ms)
             for endpoint in endpoints
-            if self.is_limited(endpoint.id)
-            and (delay_ms := self._limits.delay_ms(endpoint.id, now))
-            is not None
+            if (delay_ms := self._delay_ms(endpoint.id))
         ]
         return min(delays, key=lambda found: found[1], default=None)
 
@@ -79,7 +90,7 @@
             False, without a wait, if the wait would be longer or if only other
             gateways may send to the endpoint.
         """
-        delay_ms = self._limits.delay_ms(endpoint.id, self._clock.now())
+        delay_ms = self._delay_ms(endpoint.id)
         if delay_ms is None or delay_ms > limit_ms:
             self._log_wait("refused", request_id, endpoint, delay_ms)
             return False
@@ -93,6 +104,14 @@
         self, request_id: str, endpoint_id: str, declared: DeclaredState
     ) -> None:
         """Records what an endpoint declares in a response."""
+        if declared.pause_ms and self._pauses.record(
+            endpoint_id, declared.pause_ms, self._clock.now()
+        ):
+            events.PAUSE_DECLARED.log(
+                request=request_id,
+                endpoint=endpoint_id,
+                pause_ms=declared.pause_ms,
+            )
         change = self._limits.record_response(
             endpoint_id, declared, self._clock.now()
         )
@@ -129,8 +148,9 @@
         self._send_notices()
 
     def forget(self, endpoint_id: str) -> None:
-        """Drops the rate limit of an endpoint that leaves."""
+        """Drops what an endpoint that is gone has declared."""
         self._limits.forget(endpoint_id)
+        self._pauses.forget(endpoint_id)
         gatewaymetrics.RATE_LIMITED_ENDPOINTS.set(len(self._limits))
 
     def _send_notices(self) -> None:
--- a/rhubarbwinch/gateway/platforminterface.py
+++ b/rhubarbwinch/gateway/platforminterface.py
@@ -98,9 +98,14 @@
     Attributes:
         rate_limit: The requests a second that it accepts from all gateways
             together; None if it declares no limit.
+        is_leaving: Whether it will shut down and accepts no new requests.
+        pause_ms: For how long it wants no requests of this gateway; 0 if it
+            does not say so.
     """
 
     rate_limit: float | None = None
+    is_leaving: bool = False
+    pause_ms: int = 0
 
 
 @attrs.frozen
--- a/rhubarbwinch/gateway/program.py
+++ b/rhubarbwinch/gateway/program.py
@@ -180,6 +180,7 @@
             takeups=TakeUps(
                 StreamOrigins(settings.name), self._peers, fleet, clock
             ),
+            on_leaving=self._handle_declared_leaving,
         )
         self._replica = Replica()
         self._streams = StreamCalls(self._context)
@@ -359,7 +360,16 @@
         ]
 
     def _announce_leaving(self, endpoint: Endpoint) -> None:
-        notice = LeavingNotice(endpoint.id, endpoint.started_ms)
+        """Applies an engine's report that it leaves, and tells the peers."""
+        self._share_leaving(LeavingNotice(endpoint.id, endpoint.started_ms))
+
+    def _handle_declared_leaving(self, endpoint: Endpoint) -> None:
+        """Applies a response that says that its endpoint leaves."""
+        self._share_leaving(
+            LeavingNotice(endpoint.id, endpoint.started_ms, is_declared=True)
+        )
+
+    def _share_leaving(self, notice: LeavingNotice) -> None:
         self._broadcast.send(notice)
         self._cluster_view.apply_leaving_notice(notice)
 
--- a/rhubarbwinch/platform/headers.py
+++ b/rhubarbwinch/platform/headers.py
@@ -31,6 +31,8 @@
 PRIORITY = b"request-priority"
 # The requests a second that an endpoint accepts from all gateways together.
 RATE_LIMIT = b"server-limit"
+LEAVING = b"server-leaving"
+RETRY_AFTER = b"retry-after"
 AUTHORIZATION = b"authorization"
 BEARER = "bearer "
 
@@ -71,6 +73,9 @@
 _DIGITS = re.compile(r"\d{1,12}")
 _DECIMAL = re.compile(r"\d{1,12}(\.\d{1,12})?")
 MISDIRECTED_REQUEST = 421
+SERVICE_UNAVAILABLE = 503
+# A longer pause is not believed.
+MAX_PAUSE_MS = 60_000
 
 
 def _values(headers: Headers, name: bytes) -> list[str]:
@@ -190,27 +195,40 @@
         is_signed=is_signed,
         is_altered=any(e.lower() != "identity" for e in encodings),
         headers=[(n, v) for n, v in headers if n.lower() not in hop_by_hop],
-        declared=_decode_declared_state(headers) if is_own else None,
+        declared=_decode_declared_state(status, headers) if is_own else None,
     )
 
 
-def _decode_declared_state(headers: Headers) -> DeclaredState:
-    return DeclaredState(rate_limit=_decode_rate_limit(headers))
+def _decode_declared_state(status: int, headers: Headers) -> DeclaredState:
+    pause_s = None
+    if status == SERVICE_UNAVAILABLE:
+        pause_s = _decode_decimal(headers, RETRY_AFTER)
+    return DeclaredState(
+        rate_limit=_decode_decimal(headers, RATE_LIMIT),
+        is_leaving=_first_value(headers, LEAVING) == "1",
+        pause_ms=_limit_pause(int(1_000 * (pause_s or 0))),
+    )
 
 
-def _decode_rate_limit(headers: Headers) -> float | None:
-    """Decodes a decimal number; a malformed one counts as no limit."""
-    text = _first_value(headers, RATE_LIMIT)
+def _decode_decimal(headers: Headers, name: bytes) -> float | None:
+    """Decodes a decimal number; None if there is none or it is malformed."""
+    text = _first_value(headers, name)
     if text is None:
         return None
     if not _DECIMAL.fullmatch(text):
-        events.DECLARATION_UNREADABLE.log(
-            header=RATE_LIMIT.decode(), value=text[:40]
-        )
+        events.DECLARATION_UNREADABLE.log(header=name.decode(), value=text[:40])
         return None
     return float(text)
 
 
+def _limit_pause(pause_ms: int) -> int:
+    if pause_ms > MAX_PAUSE_MS:
+        events.DECLARATION_UNREADABLE.log(
+            header=RETRY_AFTER.decode(), value=pause_ms, used=MAX_PAUSE_MS
+        )
+    return min(pause_ms, MAX_PAUSE_MS)
+
+
 def is_response_to(request_id: str, headers: Headers) -> bool:
     """Returns whether a response belongs to a request.
 
--- a/rhubarbwinch/shared/events.py
+++ b/rhubarbwinch/shared/events.py
@@ -660,3 +660,15 @@
     logging.INFO,
     "Another gateway did not reply to a call.",
 )
+LEAVING_DECLARED = Event(
+    757,
+    "leaving-declared",
+    logging.INFO,
+    "An endpoint has said in a response that it leaves, before the store did.",
+)
+PAUSE_DECLARED = Event(
+    758,
+    "pause-declared",
+    logging.INFO,
+    "An endpoint has turned a request away and wants no other one for a time.",
+)
--- a/tests/gatewayharness.py
+++ b/tests/gatewayharness.py
@@ -73,6 +73,7 @@
             for i in range(1, engines + 1)
         ]
         self.broadcasts = []
+        self.left = []
         self.platform = KielichowaPlatform()
         self.transport = Transport()
         fleet = Fleet()
@@ -101,6 +102,7 @@
             takeups=TakeUps(
                 StreamOrigins("g1"), NoPeers(), fleet, SystemClock()
             ),
+            on_leaving=self._handle_leaving,
             table=table,
         )
         for engine in self.engines:
@@ -119,6 +121,17 @@
             endpoint, self.context.clock.now()
         )
 
+    def _handle_leaving(self, endpoint):
+        """Handles an endpoint whose response says that it leaves."""
+        if self.context.fleet.mark_leaving(
+            endpoint.id,
+            endpoint.started_ms,
+            self.context.clock.now(),
+            is_declared=True,
+        ):
+            self.left.append(endpoint.id)
+            self.streams.handle_leaving_engine(endpoint)
+
     def announce_leaving(self, engine):
         """Delivers the notice that an engine is leaving."""
         assert self.apply_registration(engine, "draining")
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -152,6 +152,32 @@
             self.assertEqual(found.declared.rate_limit, expected, value)
             self.assertIn((b"Server-Limit", value), found.headers)
 
+    def test_a_declared_pause_is_read_and_bounded(self):
+        for status, value, expected in (
+            (503, b"1.5", 1_500),
+            (503, b"0", 0),
+            (503, b"-3", 0),
+            (503, b"Wed, 21 Oct 2026 07:28:00 GMT", 0),
+            (503, b"soon", 0),
+            (503, b"99999999", headers.MAX_PAUSE_MS),
+            (429, b"5", 0),
+        ):
+            found = headers.decode_response(
+                status, [(b"Not-Executed", b"1"), (b"Retry-After", value)]
+            )
+            self.assertEqual(found.declared.pause_ms, expected, value)
+
+    def test_a_declared_leaving_is_read(self):
+        for more, expected in (
+            ([(b"Server-Leaving", b"1")], True),
+            ([(b"Server-Leaving", b"0")], False),
+            ([], False),
+        ):
+            found = headers.decode_response(
+                200, [(b"Server-Signature", b"s"), *more]
+            )
+            self.assertEqual(found.declared.is_leaving, expected, more)
+
     def test_a_response_of_another_endpoint_declares_nothing(self):
         limit = (b"Server-Limit", b"1")
         for status, more in ((421, [(b"Not-Executed", b"1")]), (200, [])):
