Gateway: a store that is restored from a copy does not turn anything back

Callers would see: after a restore no new configuration in force, new endpoints unknown, and endpoints that had left served again. Cause: each key kept the highest revision that anyone had told. A restored store gives revisions out again, so what it holds looked older than what was known, and a watch went on from a revision that meant something else. A response of another era than the one watched is a gap, and the store is read anew by the watchers, who tell the others. What a restored store lacks counts as lapsed for 2.5 s, whatever peers claim. An entry that the gateway had seen before the notice does not undo it; one that was written anew does. Gateways register again at once, with a new lease.

--- a/lab/standins/platformstore.py
+++ b/lab/standins/platformstore.py
@@ -12,9 +12,10 @@
 import orjson
 
 from rhubarbwinch.gateway.edge import EdgeRequest, EdgeResponder, EdgeServer
+from rhubarbwinch.gateway.platforminterface import Headers
 from rhubarbwinch.shared.clock import Clock, SystemClock
 from rhubarbwinch.shared.exceptions import StoreUncertain
-from rhubarbwinch.stores.memstore import MemoryStore
+from rhubarbwinch.stores.memstore import MemoryStore, StoreCopy
 from rhubarbwinch.stores.store import Change, KeyValue, SwapResult
 
 JSON = dict[str, Any]
@@ -70,12 +71,18 @@
         self.memory = MemoryStore(clock or SystemClock())
         self.faults = StoreFaults()
         self.calls: list[str] = []
+        self.era = 1
         self._server = EdgeServer(address, self._handle, SystemClock())
 
     async def run(self) -> None:
         """Serves until cancelled."""
         await self._server.run()
 
+    def restore(self, state: StoreCopy) -> None:
+        """Restores the store from a copy; its era rises."""
+        self.era += 1
+        self.memory.restore(state)
+
     async def put(self, key: str, value: bytes) -> None:
         """Writes a value, as the operator or an engine does."""
         current = await self.memory.get(key)
@@ -96,12 +103,16 @@
         if self.faults.is_hanging:
             await anyio.sleep_forever()
         if self.faults.status:
-            await responder.send(self.faults.status, [], b"")
+            await responder.send(self.faults.status, self._headers, b"")
             return
         params = {k: v[0] for k, v in parse_qs(query).items()}
         body = orjson.loads(request.body or b"{}")
         status, response = await self._route(path, params, body)
-        await responder.send(status, [], orjson.dumps(response))
+        await responder.send(status, self._headers, orjson.dumps(response))
+
+    @property
+    def _headers(self) -> Headers:
+        return [(b"Store-Era", str(self.era).encode())]
 
     async def _route(
         self, path: str, params: dict[str, str], body: JSON
@@ -147,7 +158,8 @@
 
     async def _watch(self, params: dict[str, str]) -> tuple[int, JSON]:
         prefix, after = params.get("prefix", ""), int(params["after"])
-        if after < self.faults.compacted_revision:
+        is_known = after <= self.memory.revision
+        if after < self.faults.compacted_revision or not is_known:
             return 410, {}
         with anyio.move_on_after(int(params["wait_ms"]) / 1000):
             async for _ in self.memory.watch(prefix, after):
--- a/rhubarbwinch/gateway/clusterview.py
+++ b/rhubarbwinch/gateway/clusterview.py
@@ -158,7 +158,9 @@
         if before is not None and before.incarnation != endpoint.incarnation:
             # What it has declared ended with its earlier incarnation.
             context.permits.forget(endpoint_id)
-        leaves = context.fleet.apply_registration(endpoint, context.clock.now())
+        leaves = context.fleet.apply_registration(
+            endpoint, context.clock.now(), revision
+        )
         if (
             before is None
             or before.state is not endpoint.state
--- a/rhubarbwinch/gateway/fleet.py
+++ b/rhubarbwinch/gateway/fleet.py
@@ -8,6 +8,7 @@
 import attrs
 
 from rhubarbwinch.gateway.endpoints import Endpoint, EndpointState
+from rhubarbwinch.stores import positions
 
 # Live endpoints renew expired entries within two seconds after the end of a
 # store outage. An entry that is still missing after this time belongs to an
@@ -32,6 +33,8 @@
             there.
         is_readable: Whether its newest entry could be decoded.
         has_declared_leaving: Whether it has said in a response that it leaves.
+        ready_revision: The store's revision, in any era, of the entry by which
+            it was last ready; 0 if it is not known.
     """
 
     endpoint: Endpoint
@@ -41,6 +44,7 @@
     expiry_deadline_ms: int = 0
     is_readable: bool = True
     has_declared_leaving: bool = False
+    ready_revision: int = 0
 
     @property
     def has_expired(self) -> bool:
@@ -82,8 +86,16 @@
             if known.endpoint.service == service
         }
 
-    def apply_registration(self, endpoint: Endpoint, now_ms: int) -> bool:
-        """Applies a registration; returns whether its endpoint now leaves."""
+    def apply_registration(
+        self, endpoint: Endpoint, now_ms: int, position: int = 0
+    ) -> bool:
+        """Applies a registration; returns whether its endpoint now leaves.
+
+        Args:
+            endpoint: The registration.
+            now_ms: The current time.
+            position: Its position in the store's history; 0 if not known.
+        """
         known = self._known.get(endpoint.id)
         is_new = (
             known is None
@@ -98,7 +110,11 @@
         known.warmed_up_at_ms = now_ms + endpoint.warmup_ms
         if endpoint.state is EndpointState.DRAINING:
             return self._start_leaving(known, now_ms)
-        if known.is_leaving and not known.has_declared_leaving:
+        revision = positions.revision_of(position)
+        # A restored store brings entries back from before the notice.
+        is_renewed = not revision or revision != known.ready_revision
+        known.ready_revision = revision
+        if known.is_leaving and is_renewed and not known.has_declared_leaving:
             # The endpoint was marked as leaving, but its entry was renewed.
             known.is_leaving = False
             known.leaving_since_ms = 0
--- a/rhubarbwinch/gateway/program.py
+++ b/rhubarbwinch/gateway/program.py
@@ -207,7 +207,11 @@
         )
         key = dependencies.platform.member_prefix + settings.name
         self._registration = GatewayRegistration(
-            dependencies.store, clock, key, heartbeat.address
+            dependencies.store,
+            clock,
+            key,
+            heartbeat.address,
+            lambda: self._store_feed.era,
         )
         router = Router(self._context, PlainCalls(self._context), self._streams)
         self._outage = OutageMonitor(
--- a/rhubarbwinch/gateway/registration.py
+++ b/rhubarbwinch/gateway/registration.py
@@ -1,5 +1,7 @@
 """Keeps a gateway registered in the store, so that others can reach it."""
 
+from collections.abc import Callable
+
 from rhubarbwinch.gateway.messages import PeerAddress
 from rhubarbwinch.shared import codec, events
 from rhubarbwinch.shared.clock import Clock
@@ -10,6 +12,8 @@
 # only bounds how long the address of a dead gateway stays in the store.
 LEASE_MS = 9_000
 RENEW_MS = 3_000
+# A restored store lacks the gateways that have registered since the copy.
+ERA_CHECK_MS = 250
 # In an outage of the store each gateway retries, and each call is billed. Peers
 # know each other by heartbeats, so a late registration does no harm.
 RETRY_MS = 500
@@ -24,16 +28,24 @@
         clock: The source of time.
         key: The key of this gateway.
         address: The addresses for other gateways, the key's value.
+        era: Returns the era of the store, which rises when it is restored.
     """
 
     def __init__(
-        self, store: Store, clock: Clock, key: str, address: PeerAddress
+        self,
+        store: Store,
+        clock: Clock,
+        key: str,
+        address: PeerAddress,
+        era: Callable[[], int],
     ) -> None:
         self._store = store
         self._clock = clock
         self._key = key
         self._address = address
+        self._era = era
         self._lease = 0
+        self._lease_era = 0
 
     async def run(self) -> None:
         """Renews the registration until cancelled."""
@@ -42,7 +54,7 @@
             try:
                 await self._renew()
                 retry_ms = RETRY_MS
-                await self._clock.sleep(RENEW_MS)
+                await self._sleep_in_era(RENEW_MS)
             except StoreError as error:
                 if retry_ms == RETRY_MS:
                     events.REGISTRATION_FAILED.log(error=str(error))
@@ -58,9 +70,22 @@
         except StoreError as error:
             events.REGISTRATION_FAILED.log(error=str(error))
 
+    async def _sleep_in_era(self, duration_ms: int) -> None:
+        """Sleeps for a time, or until the store was restored."""
+        end = self._clock.now() + duration_ms
+        while self._clock.now() < end and self._era() == self._lease_era:
+            await self._clock.sleep(min(ERA_CHECK_MS, end - self._clock.now()))
+
     async def _renew(self) -> None:
-        if self._lease and await self._store.renew_lease(self._lease):
+        # After a restore another gateway may have been given the same lease.
+        era, is_same_era = self._era(), self._era() == self._lease_era
+        if (
+            self._lease
+            and is_same_era
+            and await self._store.renew_lease(self._lease)
+        ):
             return
+        self._lease_era = era
         self._lease = await self._store.grant_lease(LEASE_MS)
         entry = await self._store.get(self._key)
         expected = entry.revision if entry is not None else 0
--- a/rhubarbwinch/gateway/storefeed.py
+++ b/rhubarbwinch/gateway/storefeed.py
@@ -27,6 +27,7 @@
     StoreCompacted,
     StoreError,
 )
+from rhubarbwinch.stores import positions
 from rhubarbwinch.stores.store import (
     Change,
     ChangeBatch,
@@ -144,6 +145,12 @@
         self._is_synced = False
         self._has_gap = False
         self._started_ms = clock.now()
+        self._restored_ms: int | None = None
+
+    @property
+    def era(self) -> int:
+        """The era of the store that the replica is of."""
+        return positions.era_of(self._replica.revision)
 
     @property
     def confirmed_ms(self) -> int:
@@ -179,15 +186,25 @@
         was cut off alone sees the same failures.
         """
         available_ms = max(self.available_ms, self._peer_available_ms())
-        if available_ms < LEASE_RENEWAL_GRACE_MS:
+        if available_ms < LEASE_RENEWAL_GRACE_MS or self._is_after_restore:
             return None
         return self._clock.now() - available_ms + LEASE_RENEWAL_GRACE_MS
 
     @property
     def is_after_outage(self) -> bool:
         """Whether the store is unavailable or was until recently."""
+        if self._is_after_restore:
+            return True
         return self._has_failed_recently and self.reliable_since_ms is None
 
+    @property
+    def _is_after_restore(self) -> bool:
+        """Whether entries may be missing because the store was restored."""
+        return (
+            self._restored_ms is not None
+            and self._clock.now() - self._restored_ms < LEASE_RENEWAL_GRACE_MS
+        )
+
     @property
     def _has_failed_recently(self) -> bool:
         """Whether the store is or was unavailable to this gateway."""
@@ -236,9 +253,11 @@
             for change in snapshot.changes
             if change.value is not None
         ]
+        before = self._replica.revision
         changes = self._replica.merge_listing(
             Listing(entries, snapshot.revision)
         )
+        self._note_restore(before)
         self._is_synced = True
         self._has_gap = False
         events.CAUGHT_UP.log(revision=snapshot.revision, changes=len(changes))
@@ -284,6 +303,7 @@
         self._has_gap = False
         previous_revision = self._replica.revision
         changes = self._replica.merge_listing(listing)
+        self._note_restore(previous_revision)
         self._is_synced = True
         events.STORE_READ.log(
             revision=listing.revision,
@@ -361,6 +381,7 @@
         self._apply(batch, [_from_shared(shared) for shared in batch.changes])
 
     def _apply(self, batch: SharedBatch, changes: list[Change]) -> None:
+        before = self._replica.revision
         applied = self._replica.merge_batch(
             ChangeBatch(batch.after, batch.revision, changes)
         )
@@ -376,9 +397,20 @@
             applied = self._replica.merge_batch(
                 ChangeBatch(0, self._replica.revision, changes)
             )
+        self._note_restore(before)
         if applied:
-            after_outage = batch.after_outage and self.reliable_since_ms is None
-            self._on_change(applied, after_outage)
+            is_after_outage = batch.after_outage or self._is_after_restore
+            self._on_change(
+                applied, is_after_outage and self.reliable_since_ms is None
+            )
+
+    def _note_restore(self, before: int) -> None:
+        """Records that the replica has come to a new era of the store."""
+        if before and positions.era_of(before) != self.era:
+            self._restored_ms = self._clock.now()
+            events.STORE_RESTORED.log(
+                before=before, revision=self._replica.revision
+            )
 
     async def run_fetches(self) -> None:
         """Fetches values that were too large for batches, until cancelled."""
--- a/rhubarbwinch/platform/kvstore.py
+++ b/rhubarbwinch/platform/kvstore.py
@@ -1,4 +1,8 @@
-"""The client of the platform's key-value store, as a `store.Store`."""
+"""The client of the platform's key-value store, as a `store.Store`.
+
+The platform's revisions are translated into positions, with the era that each
+response names.
+"""
 
 import base64
 import binascii
@@ -15,6 +19,7 @@
     StoreUnavailable,
     StoreUncertain,
 )
+from rhubarbwinch.stores import positions
 from rhubarbwinch.stores.store import (
     Change,
     ChangeBatch,
@@ -25,6 +30,8 @@
 
 JSON = dict[str, Any]
 
+# Rises by one when the store is restored from a copy.
+ERA_HEADER = "Store-Era"
 # How long the server waits for an event before it responds with none.
 WATCH_WAIT_MS = 1_000
 # A connection on which the store acknowledges no data for this time is closed.
@@ -37,21 +44,30 @@
 )
 
 
-def _decode_entry(item: JSON) -> KeyValue:
+def _era(response: httpx.Response) -> int:
+    """Returns the era that a response names, 0 if it names none."""
+    text = response.headers.get(ERA_HEADER, "")
+    return int(text) if text.isascii() and text.isdigit() else 0
+
+
+def _decode_entry(item: JSON, era: int) -> KeyValue:
     """Decodes an item.
 
     Raises:
         ValueError: The value is not base64.
     """
     value = base64.b64decode(item["value"], validate=True)
-    return KeyValue(item["key"], value, int(item["revision"]))
+    return KeyValue(
+        item["key"], value, positions.position(era, int(item["revision"]))
+    )
 
 
-def _decode_change(event: JSON) -> Change:
+def _decode_change(event: JSON, era: int) -> Change:
     key, revision = event["key"], int(event["revision"])
     if event.get("tombstone"):
-        return Change(key, revision, None)
-    return Change(key, revision, _decode_entry(event))
+        return Change(key, positions.position(era, revision), None)
+    entry = _decode_entry(event, era)
+    return Change(key, entry.revision, entry)
 
 
 class PlatformStore:
@@ -75,22 +91,29 @@
         response = await self._send("GET", "/kv-key", params={"key": key})
         if response.status_code == httpx.codes.NOT_FOUND:
             return None
-        return _parse(response, _decode_entry)
+        era = _era(response)
+        return _parse(response, lambda reply: _decode_entry(reply, era))
 
     async def scan(self, prefix: str) -> Listing:
         """Returns all entries whose keys start with `prefix`, by key.
 
         The pages are read at different revisions. The listing gets the revision
         of the first page, so a watch from there misses no change.
+
+        Raises:
+            StoreUnavailable: The store did not respond, or it was restored
+                between two pages.
         """
         entries: list[KeyValue] = []
         revision = 0
         params = {"prefix": prefix}
         while True:
             response = await self._send("GET", "/kv-range", params=params)
-            page = _parse(response, dict)
-            entries += _decode_entries(page["items"])
-            revision = revision or int(page["at"])
+            page, era = _parse(response, dict), _era(response)
+            if revision and era != positions.era_of(revision):
+                raise StoreUnavailable("the store was restored during a scan")
+            entries += _decode_entries(page["items"], era)
+            revision = revision or positions.position(era, int(page["at"]))
             if not page.get("has_more") or not page["items"]:
                 return Listing(entries, revision)
             params = {"prefix": prefix, "after": page["items"][-1]["key"]}
@@ -136,12 +159,13 @@
             wait_ms: How long the store waits for the first change.
 
         Raises:
-            StoreCompacted: The store no longer has these changes.
+            StoreCompacted: The store no longer has these changes, or was
+                restored after that revision.
             StoreUnavailable: The store did not respond.
         """
         params = {
             "prefix": prefix,
-            "after": str(after),
+            "after": str(positions.revision_of(after)),
             "wait_ms": str(wait_ms),
         }
         response = await self._send(
@@ -154,13 +178,17 @@
             raise StoreCompacted(
                 f"the changes after revision {after} were compacted"
             )
-        reply = _parse(response, dict)
+        reply, era = _parse(response, dict), _era(response)
+        if after and era != positions.era_of(after):
+            raise StoreCompacted(f"era {era} lacks the changes after {after}")
         changes = [
             change
-            for change in map(_decode_change_or_none, reply["events"])
-            if change is not None
+            for event in reply["events"]
+            if (change := _decode_change_or_none(event, era)) is not None
         ]
-        return ChangeBatch(after, int(reply["at"]), changes)
+        return ChangeBatch(
+            after, positions.position(era, int(reply["at"])), changes
+        )
 
     async def watch(self, prefix: str, after: int) -> AsyncIterator[Change]:
         """Yields every change under `prefix` after the revision `after`."""
@@ -178,7 +206,9 @@
         self, key: str, expected: int, writes: list[JSON], deletes: list[str]
     ) -> SwapResult:
         body = {
-            "expected_rev": [{"key": key, "revision": expected}],
+            "expected_rev": [
+                {"key": key, "revision": positions.revision_of(expected)}
+            ],
             "writes": writes,
             "deletes": deletes,
         }
@@ -186,11 +216,13 @@
             "POST", "/kv-txn", content=body, is_write=True
         )
         reply = _parse(response, dict, accepted_status=_PRECONDITION_FAILED)
+        era = _era(response)
         if response.status_code == httpx.codes.OK:
-            return SwapResult(True, int(reply["revision"]))
+            revision = positions.position(era, int(reply["revision"]))
+            return SwapResult(True, revision)
         # An absent key has the revision 0.
         rows = [row for row in reply.get("items", []) if row.get("revision")]
-        current = _decode_entry(rows[0]) if rows else None
+        current = _decode_entry(rows[0], era) if rows else None
         return SwapResult(False, current.revision if current else 0, current)
 
     async def _send(
@@ -252,26 +284,25 @@
         raise StoreError(f"{path}: malformed response: {error!r}") from error
 
 
-def _decode_entries(items: list[JSON]) -> list[KeyValue]:
+def _decode_entries(items: list[JSON], era: int) -> list[KeyValue]:
     """Returns the entries of items; skips those without key or revision."""
-    changes = [_decode_change_or_none(item) for item in items]
+    changes = [_decode_change_or_none(item, era) for item in items]
     return [c.entry for c in changes if c is not None and c.entry is not None]
 
 
-def _decode_change_or_none(event: JSON) -> Change | None:
+def _decode_change_or_none(event: JSON, era: int) -> Change | None:
     """Decodes an event; None if it has no valid key and revision.
 
     Other writers may store malformed values. Such an event is returned with an
     empty value, because its key still shows which entry has changed.
     """
     try:
-        return _decode_change(event)
+        return _decode_change(event, era)
     except (KeyError, TypeError, ValueError, binascii.Error):
         if not isinstance(event, dict) or not isinstance(event.get("key"), str):
             return None
         revision = event.get("revision")
         if not isinstance(revision, int):
             return None
-        return Change(
-            event["key"], revision, KeyValue(event["key"], b"", revision)
-        )
+        at = positions.position(era, revision)
+        return Change(event["key"], at, KeyValue(event["key"], b"", at))
--- a/rhubarbwinch/shared/events.py
+++ b/rhubarbwinch/shared/events.py
@@ -672,3 +672,12 @@
     logging.INFO,
     "An endpoint has turned a request away and wants no other one for a time.",
 )
+STORE_RESTORED = Event(
+    759,
+    "store-restored",
+    logging.WARNING,
+    (
+        "The store was restored from a copy; the fields have the positions, "
+        "with their eras, before and after."
+    ),
+)
--- a/rhubarbwinch/stores/memstore.py
+++ b/rhubarbwinch/stores/memstore.py
@@ -1,5 +1,6 @@
 """An in-memory store, for tests and for programs that embed this package."""
 
+import copy
 import itertools
 from collections.abc import AsyncIterator
 
@@ -34,6 +35,16 @@
     keys: set[str] = attrs.field(factory=set)
 
 
+@attrs.frozen
+class StoreCopy:
+    """The state of a store at some time."""
+
+    revision: int
+    entries: dict[str, KeyValue]
+    leases: dict[int, _Lease]
+    history: list[Change]
+
+
 class MemoryStore:
     """A key-value store in the memory of this process.
 
@@ -152,6 +163,23 @@
     async def close(self) -> None:
         """Does nothing; there are no connections."""
 
+    def make_copy(self) -> StoreCopy:
+        """Returns a copy from which the store can be restored."""
+        return StoreCopy(
+            self._revision,
+            dict(self._entries),
+            copy.deepcopy(self._leases),
+            list(self._history),
+        )
+
+    def restore(self, state: StoreCopy) -> None:
+        """Replaces the state; later changes and leases are lost."""
+        self._revision = state.revision
+        self._entries = dict(state.entries)
+        self._leases = copy.deepcopy(state.leases)
+        self._history = list(state.history)
+        self.notify_watches()
+
     def expire_leases(self) -> None:
         """Ends the expired leases; every call to the store does so as well."""
         now = self._clock.now()
--- a/tests/gateway/test_fleet.py
+++ b/tests/gateway/test_fleet.py
@@ -8,6 +8,7 @@
     LEFT_RETENTION_MS,
     Fleet,
 )
+from rhubarbwinch.stores import positions
 from tests.gatewaybuilders import endpoint
 
 
@@ -78,6 +79,21 @@
         self.fleet.apply_registration(endpoint("e1", started_ms=2), 60)
         self.assertEqual(self._names(), ["e1", "e2"])
 
+    def test_an_entry_from_before_its_notice_does_not_undo_it(self):
+        """A restored store lists an endpoint as it was in the copy."""
+        first, notice = positions.position(1, 30), positions.position(1, 50)
+        copied, renewed = positions.position(2, 30), positions.position(2, 44)
+        draining = endpoint("e1", state=EndpointState.DRAINING)
+        self.fleet.apply_registration(endpoint("e1"), 10, first)
+        self.fleet.apply_registration(draining, 20, notice)
+        self.fleet.apply_registration(endpoint("e1"), 30, copied)
+        self.fleet.apply_registration(endpoint("e2"), 10, first + 1)
+        self.fleet.remove("e2", 20, after_outage=False)
+        self.fleet.apply_registration(endpoint("e2"), 30, copied + 1)
+        self.assertEqual(self._names(), [])
+        self.fleet.apply_registration(endpoint("e2"), 40, renewed)
+        self.assertEqual(self._names(), ["e2"])
+
     def test_an_endpoint_with_an_unreadable_entry_gets_no_new_work(self):
         self.fleet.mark_unreadable("e1")
         self.assertEqual(self._names(), ["e2"])
--- a/tests/gateway/test_storefeed.py
+++ b/tests/gateway/test_storefeed.py
@@ -28,6 +28,7 @@
     StoreCompacted,
     StoreUnavailable,
 )
+from rhubarbwinch.stores import positions
 from rhubarbwinch.stores.store import ChangeBatch, Listing
 from tests.gatewaybuilders import deletion, write
 from tests.helpers import asynchronous
@@ -202,6 +203,32 @@
         self.assertEqual(self.reported[-1], ([("a", 9)], False))
         self.assertEqual([b.after for b in self.broadcast_batches], [3])
 
+    @asynchronous
+    async def test_deletions_by_a_restored_store_are_marked(self):
+        """Peers that have not noticed the restore claim a long uptime."""
+        old, new = positions.position(1, 40), positions.position(2, 30)
+        copied = positions.position(2, 20)
+        self._make(
+            [
+                Listing([write("a", 20).entry, write("b", old).entry], old),
+                Listing([write("a", copied).entry], new),
+            ],
+            [StoreCompacted("410")],
+        )
+        self.peer_available_ms = 60_000
+        await self._run(500)
+        self.assertEqual(self.reported[-1], ([("b", new), ("a", copied)], True))
+        self.assertIsNone(self.store_feed.reliable_since_ms)
+        self.assertEqual(self.store.calls[-1], f"poll after {new}")
+        # A gateway of the earlier era changes nothing.
+        batch = SharedBatch(
+            "p", old, old + 1, [SharedChange("b", old + 1, b"")]
+        )
+        self.store_feed.receive_batch(batch)
+        self.assertEqual(len(self.reported), 2)
+        await self._run(LEASE_RENEWAL_GRACE_MS)
+        self.assertIsNotNone(self.store_feed.reliable_since_ms)
+
     @asynchronous
     async def test_deletions_after_an_outage_are_marked(self):
         self._make(
--- a/tests/platform/test_kvstore.py
+++ b/tests/platform/test_kvstore.py
@@ -75,6 +75,63 @@
             with self.assertRaises(StoreCompacted):
                 await store.poll("", 0, 1_000)
 
+    @asynchronous
+    async def test_a_restored_store_has_higher_positions(self):
+        async with platform() as (server, store):
+            await server.put("a", b"1")
+            copy = server.memory.make_copy()
+            for value in (b"2", b"3", b"4"):
+                await server.put("a", value)
+            before = await store.scan("")
+            server.restore(copy)
+            after = await store.scan("")
+            self.assertEqual(after.entries[0].value, b"1")
+            self.assertGreater(after.revision, before.revision)
+            self.assertGreater(
+                after.entries[0].revision, before.entries[0].revision
+            )
+            swapped = await store.swap("a", after.entries[0].revision, b"5")
+            self.assertTrue(swapped.succeeded)
+            self.assertGreater(swapped.revision, after.revision)
+            lost = await store.swap("a", before.entries[0].revision, b"6")
+            self.assertEqual(lost.current.revision, swapped.revision)
+
+    @asynchronous
+    async def test_a_poll_from_before_a_restore_has_a_gap(self):
+        async with platform() as (server, store):
+            await server.put("a", b"1")
+            copy = server.memory.make_copy()
+            await server.put("a", b"2")
+            before = await store.scan("")
+            # The revision of the poll is unknown, then is given out again.
+            for _ in range(2):
+                server.restore(copy)
+                with self.assertRaises(StoreCompacted):
+                    await store.poll("", before.revision, 1)
+                await server.put("b", b"1")
+                await server.put("b", b"2")
+                with self.assertRaises(StoreCompacted):
+                    await store.poll("", before.revision, 1)
+
+    @asynchronous
+    async def test_a_scan_across_a_restore_fails(self):
+        async with platform() as (server, store):
+            server.faults.page = 1
+            for key in ("a", "b", "c"):
+                await server.put(key, b"1")
+            copy = server.memory.make_copy()
+            send, calls = store._client.request, []
+
+            async def restore_before_the_second_call(*args, **more):
+                calls.append(args)
+                if len(calls) == 2:
+                    server.restore(copy)
+                return await send(*args, **more)
+
+            store._client.request = restore_before_the_second_call
+            with self.assertRaises(StoreUnavailable):
+                await store.scan("")
+
     @asynchronous
     async def test_leases_are_renewed_until_they_end(self):
         async with platform() as (_server, store):
