Soak: engines that leave or want time by their responses, a store that is restored

Change: three faults, overlapping with the others; checks of requests to engines that have said that they leave and of requests in a time that an engine asked for, in the users' words, by gateway; checks of what engines declare are a module of their own.

--- a/lab/soak/check.py
+++ b/lab/soak/check.py
@@ -3,24 +3,29 @@
 import itertools
 import re
 from collections import Counter, defaultdict
-from collections.abc import Callable, Iterator
 
+from lab.soak import declarationchecks  # noqa: F401, registers its checks
+from lab.soak.checkregistry import CHECKS
 from lab.soak.records import (
-    Arrival,
     Attempt,
-    Declaration,
     RequestKind,
     Run,
     RunRecords,
     event,
     full_response,
 )
-from rhubarbwinch.shared.registry import Registry
 
-Check = Callable[[RunRecords], list[str]]
-CHECKS: Registry[Check] = Registry("check")
 TIMING_CHECKS = frozenset(
-    {"gone", "grace", "keys", "one at a time", "rate limits", "recovery"}
+    {
+        "gone",
+        "grace",
+        "keys",
+        "left engines",
+        "one at a time",
+        "pauses",
+        "rate limits",
+        "recovery",
+    }
 )
 
 REPEATABLE_KINDS = frozenset({RequestKind.CALL, RequestKind.RESUMABLE})
@@ -39,14 +44,6 @@
 RETRY_RATIO = 0.2
 RETRY_EXTRA = 56
 MAX_MEMORY_MB = 205
-# An engine may get this many requests in a window: the factor times what its
-# limit allows, and some more. The bound holds from some time after the engine
-# first declared the limit, for gateways that have relayed a declaration.
-LIMIT_WINDOW_MS = 4_000
-LIMIT_FACTOR = 1.5
-LIMIT_EXTRA = 5
-LIMIT_CONVERGENCE_MS = 3_000
-LIMIT_NOTICE_MS = 500
 _VERSION = re.compile(rb"^version: (\w+)$", re.MULTILINE)
 _VERSION_LINE = re.compile(rb"^version: \w*(\n|\Z)", re.MULTILINE)
 
@@ -206,62 +203,6 @@
     ]
 
 
-@CHECKS.register("rate limits")
-def check_rate_limits(records: RunRecords) -> list[str]:
-    """Engines get few more requests than the rate limits that they declare.
-
-    Counted are the gateways that have relayed a declaration and that had no
-    fault since shortly before.
-    """
-    gateways = {attempt.id: attempt.gateway for attempt in records.attempts}
-    arrivals: dict[str, list[Arrival]] = defaultdict(list)
-    for arrival in records.arrivals:
-        arrivals[arrival.engine].append(arrival)
-    violations = []
-    for engine, declared in _limit_periods(records):
-        first_ms, last_ms = declared[0].at_ms, declared[-1].at_ms
-        disturbed = {
-            d.name
-            for d in records.disturbances
-            if first_ms - LIMIT_CONVERGENCE_MS <= d.at_ms <= last_ms
-        }
-        if engine in disturbed:
-            continue
-        told_ms: dict[int, int] = {}
-        for response in declared:
-            told_ms.setdefault(gateways[response.request], response.at_ms)
-        counted = [
-            arrival.at_ms
-            for arrival in arrivals[engine]
-            if (gateway := gateways[arrival.request]) in told_ms
-            and gateway not in disturbed
-            and arrival.at_ms >= first_ms + LIMIT_CONVERGENCE_MS
-            and told_ms[gateway] + LIMIT_NOTICE_MS <= arrival.at_ms <= last_ms
-        ]
-        rate = declared[0].rate
-        allowed = LIMIT_FACTOR * rate * LIMIT_WINDOW_MS / 1_000 + LIMIT_EXTRA
-        for start in counted:
-            count = sum(start <= at < start + LIMIT_WINDOW_MS for at in counted)
-            if count > allowed:
-                violations.append(
-                    f"{engine} with a limit of {rate:.2f} got {count} requests "
-                    f"in {LIMIT_WINDOW_MS} ms from {start}"
-                )
-                break
-    return violations
-
-
-def _limit_periods(
-    records: RunRecords,
-) -> Iterator[tuple[str, list[Declaration]]]:
-    """Yields each engine with the declarations of one and the same limit."""
-    periods: dict[tuple[str, float], list[Declaration]] = defaultdict(list)
-    for declaration in records.declarations:
-        periods[declaration.engine, declaration.rate].append(declaration)
-    for (engine, _), declared in periods.items():
-        yield engine, declared
-
-
 @CHECKS.register("budget")
 def check_retry_budget(records: RunRecords) -> list[str]:
     """Retries, over all requests, stay within the retry budget."""
--- a/lab/soak/deployment.py
+++ b/lab/soak/deployment.py
@@ -197,13 +197,22 @@
         self, engine: SoakEngine, state: str = "ready"
     ) -> None:
         """Writes an engine's entry to the store."""
+        engine.registered_state = state
         key = platformfiles.ENDPOINT_PREFIX + engine.name
         await self.store.put(key, engine.registration(state))
 
     async def deregister_engine(self, engine: SoakEngine) -> None:
         """Removes an engine's entry from the store."""
+        engine.registered_state = ""
         await self.store.remove(platformfiles.ENDPOINT_PREFIX + engine.name)
 
+    async def rewrite_entries(self) -> None:
+        """Writes what the operator and the engines write after a restore."""
+        await self.publish_configuration()
+        for engine in self.engines:
+            if engine.registered_state:
+                await self.register_engine(engine, engine.registered_state)
+
     async def replace_engine(self, engine: SoakEngine) -> None:
         """Ends an engine; starts a new incarnation at the same address."""
         await self.deregister_engine(engine)
@@ -212,6 +221,7 @@
         engine.name = self.new_engine_id()
         engine.version = self._rng.choice(VERSIONS)
         engine.rate_limit = None
+        engine.says_leaving, engine.pause_s = False, 0.0
         engine.proxy.heal()
         await self.register_engine(engine)
 
--- a/lab/soak/engines.py
+++ b/lab/soak/engines.py
@@ -14,16 +14,20 @@
 from lab.soak.records import (
     Arrival,
     Declaration,
+    LeavingResponse,
+    PauseResponse,
     RequestKind,
     Run,
     RunRecords,
 )
 from lab.standins.platformengine import (
+    LEAVING,
     ReceivedRequest,
     ScriptedEngine,
     engine_headers,
     rate_limit_headers,
     send_not_run,
+    send_pause,
 )
 from rhubarbwinch.gateway.edge import EdgeRequest, EdgeResponder
 from rhubarbwinch.gateway.platforminterface import Headers
@@ -117,6 +121,9 @@
         self.handler = self._serve
         self.failure_rate = 0.0
         self.rate_limit: float | None = None
+        self.says_leaving = False
+        self.pause_s = 0.0
+        self.registered_state = ""
         self.slots = SLOTS
         self._context = context
         self._active_runs: dict[str, ActiveRun] = {}
@@ -153,6 +160,9 @@
         self._context.records.arrivals.append(
             Arrival(self.name, received_request.id, self._context.clock.now())
         )
+        if self.pause_s:
+            await self._ask_for_time(received_request, responder)
+            return
         first = self._first_event(received_request)
         is_full = (
             len(self._active_runs) >= self.slots
@@ -183,8 +193,30 @@
         del self._context.copies[handle]
         return int(last_id) + 1
 
+    async def _ask_for_time(
+        self, received_request: ReceivedRequest, responder: EdgeResponder
+    ) -> None:
+        now = self._context.clock.now()
+        self._context.records.pauses.append(
+            PauseResponse(
+                self.name,
+                received_request.id,
+                now,
+                now + int(1_000 * self.pause_s),
+            )
+        )
+        await send_pause(received_request, responder, self.pause_s)
+
     def _headers(self, received_request: ReceivedRequest) -> Headers:
-        """Returns the headers of a response, and records a declared limit."""
+        """Returns the headers of a response, and records what they declare."""
+        leaving = []
+        if self.says_leaving:
+            leaving = [LEAVING]
+            self._context.records.leaving.append(
+                LeavingResponse(
+                    self.name, received_request.id, self._context.clock.now()
+                )
+            )
         if self.rate_limit is not None:
             self._context.records.declarations.append(
                 Declaration(
@@ -197,6 +229,7 @@
         return [
             *engine_headers(received_request),
             *rate_limit_headers(self.rate_limit),
+            *leaving,
         ]
 
     @contextmanager
--- a/lab/soak/faults.py
+++ b/lab/soak/faults.py
@@ -196,6 +196,42 @@
     engine.rate_limit = None
 
 
+@FAULTS.register("engine says it leaves")
+async def leave_by_response(
+    deployment: SoakDeployment, rng: random.Random
+) -> None:
+    """An engine says in its responses that it leaves, and ends later."""
+    engine = _pick_engine(deployment, rng)
+    engine.says_leaving = True
+    await anyio.sleep(2 * LEAVING_NOTICE_S)
+    engine.crash()
+    await _wait_duration(rng)
+    await deployment.replace_engine(engine)
+
+
+@FAULTS.register("engine asks for time")
+async def pause_engine(deployment: SoakDeployment, rng: random.Random) -> None:
+    """An engine refuses all requests for some time and asks for a pause."""
+    engine = _pick_engine(deployment, rng)
+    engine.pause_s = rng.uniform(MIN_DURATION_S, MAX_DURATION_S)
+    await _wait_duration(rng)
+    engine.pause_s = 0.0
+
+
+@FAULTS.register("store restored")
+async def restore_store(deployment: SoakDeployment, rng: random.Random) -> None:
+    """The store is away for a moment and comes back from an older copy."""
+    copy = deployment.store.memory.make_copy()
+    await _wait_duration(rng)
+    faults = deployment.store.faults
+    faults.status = 503
+    await anyio.sleep(rng.uniform(0, MIN_DURATION_S))
+    deployment.store.restore(copy)
+    faults.status = 0
+    await anyio.sleep(rng.uniform(0, MIN_DURATION_S))
+    await deployment.rewrite_entries()
+
+
 @FAULTS.register("configuration")
 async def change_configuration(
     deployment: SoakDeployment, rng: random.Random
--- a/lab/soak/records.py
+++ b/lab/soak/records.py
@@ -86,6 +86,32 @@
     at_ms: int
 
 
+@attrs.frozen
+class LeavingResponse:
+    """A response in which an engine said that it leaves."""
+
+    engine: str
+    request: str
+    at_ms: int
+
+
+@attrs.frozen
+class PauseResponse:
+    """A refusal in which an engine asked for time.
+
+    Attributes:
+        engine: The id of the engine.
+        request: The id of the refused request.
+        at_ms: When the response was sent.
+        end_ms: Until when the engine wants no requests of the gateway.
+    """
+
+    engine: str
+    request: str
+    at_ms: int
+    end_ms: int
+
+
 @attrs.frozen
 class Disturbance:
     """A fault at a gateway or an engine.
@@ -144,6 +170,8 @@
         peak_mb: The highest memory peak of any gateway.
         arrivals: The requests that reached engines, with those refused.
         declarations: The responses in which engines declared a limit.
+        leaving: The responses in which engines said that they leave.
+        pauses: The refusals in which engines asked for time.
         disturbances: When faults at single gateways or engines began or ended.
         faults: The steps of the injected faults, as text.
     """
@@ -157,6 +185,8 @@
     peak_mb: float = 0.0
     arrivals: list[Arrival] = attrs.field(factory=list)
     declarations: list[Declaration] = attrs.field(factory=list)
+    leaving: list[LeavingResponse] = attrs.field(factory=list)
+    pauses: list[PauseResponse] = attrs.field(factory=list)
     disturbances: list[Disturbance] = attrs.field(factory=list)
     faults: list[str] = attrs.field(factory=list)
 
--- a/lab/standins/platformengine.py
+++ b/lab/standins/platformengine.py
@@ -52,6 +52,24 @@
     return [(b"Server-Limit", f"{rate_limit:.2f}".encode())]
 
 
+LEAVING = (b"Server-Leaving", b"1")
+
+
+async def send_pause(
+    received_request: ReceivedRequest, responder: EdgeResponder, pause_s: float
+) -> None:
+    """Refuses a request and asks for time, in seconds."""
+    await responder.send(
+        503,
+        [
+            (b"Attempt-Id", received_request.id.encode()),
+            (b"Not-Executed", b"1"),
+            (b"Retry-After", f"{pause_s:.1f}".encode()),
+        ],
+        b"",
+    )
+
+
 async def send_ok(
     received_request: ReceivedRequest, responder: EdgeResponder
 ) -> None:
--- a/tests/gateway/test_declarations.py
+++ b/tests/gateway/test_declarations.py
@@ -4,14 +4,19 @@
 
 import anyio
 
-from lab.standins.platformengine import engine_headers, send_ok, stream_event
+from lab.standins.platformengine import (
+    LEAVING,
+    engine_headers,
+    send_ok,
+    send_pause,
+    stream_event,
+)
 from rhubarbwinch.gateway.fleet import Fleet
 from rhubarbwinch.gateway.routes import CallKind
 from tests import gatewaybuilders as build
 from tests.gatewayharness import running_gateway
 from tests.helpers import asynchronous
 
-LEAVING = (b"Server-Leaving", b"1")
 CALLS = 12
 STREAM = build.table(build.route(CallKind.STREAM, timeout_ms=20_000))
 
@@ -28,16 +33,11 @@
     await responder.send(500, head, b"no")
 
 
-def pausing(value):
+def pausing(pause_s):
     """Returns a handler that refuses requests and asks for time."""
 
     async def run(received_request, responder):
-        head = [
-            (b"Attempt-Id", received_request.id.encode()),
-            (b"Not-Executed", b"1"),
-            (b"Retry-After", value),
-        ]
-        await responder.send(503, head, b"")
+        await send_pause(received_request, responder, pause_s)
 
     return run
 
@@ -122,7 +122,7 @@
     async def _refuse_first(self, gateway):
         """Lets the first endpoint ask for time, and the other one serve."""
         first = gateway.engines[0]
-        first.handler = pausing(b"30")
+        first.handler = pausing(30)
         number = 0
         while not first.received:
             number += 1
@@ -152,9 +152,7 @@
         self,
     ):
         async with running_gateway() as gateway:
-            for engine, value in zip(
-                gateway.engines, (b"30", b"20"), strict=True
-            ):
+            for engine, value in zip(gateway.engines, (30, 20), strict=True):
                 engine.handler = pausing(value)
             await gateway.call("q1", Deadline_Ms="5000")
             hints = []
@@ -169,7 +167,7 @@
     @asynchronous
     async def test_a_call_waits_for_an_endpoint_that_asked_for_a_moment(self):
         async with running_gateway(engines=1) as gateway:
-            gateway.engines[0].handler = pausing(b"0.3")
+            gateway.engines[0].handler = pausing(0.3)
             self.assertEqual((await gateway.call("q1")).status, 503)
             gateway.engines[0].handler = send_ok
             self.assertEqual((await gateway.call("q2")).status, 200)
--- a/tests/soak/test_check.py
+++ b/tests/soak/test_check.py
@@ -8,6 +8,8 @@
     Attempt,
     Declaration,
     Disturbance,
+    LeavingResponse,
+    PauseResponse,
     RequestKind,
     Run,
     RunRecords,
@@ -180,6 +182,45 @@
                 )
                 self.assertEqual(violated, expected)
 
+    def test_a_new_request_to_an_engine_that_said_it_leaves_is_reported(self):
+        told = LeavingResponse("i-1", "q0", 1_000)
+        for sent_ms, gateway, disturbed, expected in (
+            (3_001, 0, None, {"left engines"}),
+            (3_000, 0, None, set()),
+            (3_001, 1, None, set()),
+            (3_001, 0, 2_000, set()),
+        ):
+            with self.subTest(sent_ms=sent_ms, gateway=gateway):
+                late = attempt("q1", sent_ms=sent_ms, gateway=gateway)
+                violated = self.failed_checks(
+                    [attempt("q0"), late],
+                    [run("q0"), run("q1")],
+                    arrivals=[Arrival("i-1", "q1", sent_ms + 5)],
+                    leaving=[told],
+                    disturbances=[Disturbance(0, disturbed or 0)],
+                )
+                self.assertEqual(violated, expected)
+
+    def test_requests_to_an_engine_that_wants_none_are_reported(self):
+        asked = PauseResponse("i-1", "q0", 1_000, 4_000)
+        attempts = [attempt(f"q{i}") for i in range(4)]
+        for count, at_ms, expected in (
+            (3, 1_500, {"pauses"}),
+            (2, 1_500, set()),
+            (3, 1_499, set()),
+            (3, 4_000, set()),
+        ):
+            with self.subTest(count=count, at_ms=at_ms):
+                violated = self.failed_checks(
+                    attempts,
+                    [run(a.id) for a in attempts],
+                    arrivals=[
+                        Arrival("i-1", f"q{i + 1}", at_ms) for i in range(count)
+                    ],
+                    pauses=[asked],
+                )
+                self.assertEqual(violated, expected)
+
     def test_retries_beyond_the_budget_are_reported(self):
         attempts = [attempt(f"q{i}") for i in range(10)]
         runs = [run(f"q{i % 10}") for i in range(10 + 2 + 56 + 1)]
@@ -231,10 +272,12 @@
             "gone",
             "grace",
             "keys",
+            "left engines",
             "once",
             "one at a time",
             "order",
             "own answer",
+            "pauses",
             "processes",
             "rate limits",
             "recovery",
