Gateway: limits of endpoints that are gone are dropped, a failed grant keeps no lease

A limit that was heard of after its endpoint had left was kept for good, and listed if this gateway became its coordinator. A grant of a lease that failed after a restore left the lease of the earlier era in use; and at the start each gateway registered twice, as the era was not known yet. Change: limits of unknown endpoints are dropped after ten seconds; the lease is forgotten before a new one is asked for; the first era that is known is adopted.

--- a/rhubarbwinch/gateway/permits.py
+++ b/rhubarbwinch/gateway/permits.py
@@ -4,7 +4,7 @@
 say, keeps the pauses that endpoints ask for, and waits for this gateway's turn.
 """
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 from rhubarbwinch.gateway import gatewaymetrics
 from rhubarbwinch.gateway.endpointpauses import EndpointPauses
@@ -136,15 +136,18 @@
         """Returns the limits that this gateway lists as their coordinator."""
         return self._limits.listing()
 
-    def update(self, gateways: list[str]) -> None:
+    def update(
+        self, gateways: list[str], is_known: Callable[[str], bool]
+    ) -> None:
         """Runs the periodic work.
 
         Args:
             gateways: The names of the gateways that are not leaving. Those that
                 are leave limited endpoints to them.
+            is_known: Returns whether this gateway knows an endpoint.
         """
         self._limits.set_gateways(gateways)
-        self._limits.drop_ended(self._clock.now())
+        self._limits.drop_outdated(is_known, self._clock.now())
         self._send_notices()
 
     def forget(self, endpoint_id: str) -> None:
--- a/rhubarbwinch/gateway/program.py
+++ b/rhubarbwinch/gateway/program.py
@@ -391,7 +391,9 @@
                 self._store_feed.reliable_since_ms
             )
             gateways = self._peers.sharing_names(self._context.is_draining)
-            self._context.permits.update(gateways)
+            self._context.permits.update(
+                gateways, lambda e: self._context.fleet.get(e) is not None
+            )
             self._context.takeups.update(gateways)
             gatewaymetrics.OPEN_REQUESTS.set(self._front.status.open_requests)
             self._streams.handle_capacity_change()
--- a/rhubarbwinch/gateway/ratelimits.py
+++ b/rhubarbwinch/gateway/ratelimits.py
@@ -10,7 +10,7 @@
 coordinator and the senders by rendezvous hashing, without a message.
 """
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 import attrs
 
@@ -32,7 +32,8 @@
 # since for this time, in which a notice reaches the coordinator.
 OWN_RESPONSE_TRUST_MS = 3_000
 # The end of a limit is listed for this time, for gateways that miss heartbeats.
-END_RETENTION_MS = 10_000
+# A limit may be heard of this long before its endpoint's registration.
+RETENTION_MS = 10_000
 NOTICE_INTERVAL_MS = 500
 
 
@@ -192,15 +193,22 @@
             notices.append((ranking[0], RateLimitNotice(self._name, known)))
         return notices
 
-    def drop_ended(self, now_ms: int) -> None:
-        """Drops limits that ended some time ago."""
-        ended = [
+    def drop_outdated(
+        self, is_known: Callable[[str], bool], now_ms: int
+    ) -> None:
+        """Drops limits that ended, or whose endpoints went, some time ago.
+
+        Args:
+            is_known: Returns whether this gateway knows an endpoint.
+            now_ms: The current time.
+        """
+        outdated = [
             endpoint
             for endpoint, limit in self._limits.items()
-            if limit.rate is None
-            and now_ms - limit.changed_ms > END_RETENTION_MS
+            if now_ms - limit.changed_ms > RETENTION_MS
+            and (limit.rate is None or not is_known(endpoint))
         ]
-        for endpoint in ended:
+        for endpoint in outdated:
             self.forget(endpoint)
 
     def forget(self, endpoint: str) -> None:
--- a/rhubarbwinch/gateway/registration.py
+++ b/rhubarbwinch/gateway/registration.py
@@ -73,18 +73,21 @@
     async def _sleep_in_era(self, duration_ms: int) -> None:
         """Sleeps for a time, or until the store was restored."""
         end = self._clock.now() + duration_ms
-        while self._clock.now() < end and self._era() == self._lease_era:
+        while self._clock.now() < end:
+            # At the start the era is not known yet.
+            self._lease_era = self._lease_era or self._era()
+            if self._era() != self._lease_era:
+                return
             await self._clock.sleep(min(ERA_CHECK_MS, end - self._clock.now()))
 
     async def _renew(self) -> None:
-        # After a restore another gateway may have been given the same lease.
-        era, is_same_era = self._era(), self._era() == self._lease_era
-        if (
-            self._lease
-            and is_same_era
-            and await self._store.renew_lease(self._lease)
-        ):
+        era = self._era()
+        if era != self._lease_era:
+            # After a restore another gateway may have been given this lease.
+            self._lease = 0
+        if self._lease and await self._store.renew_lease(self._lease):
             return
+        self._lease = 0
         self._lease_era = era
         self._lease = await self._store.grant_lease(LEASE_MS)
         entry = await self._store.get(self._key)
--- a/tests/gateway/test_ratelimits.py
+++ b/tests/gateway/test_ratelimits.py
@@ -8,7 +8,7 @@
 from lab.standins.platformengine import engine_headers
 from rhubarbwinch.gateway.messages import EndpointLimit, RateLimitNotice
 from rhubarbwinch.gateway.platforminterface import DeclaredState
-from rhubarbwinch.gateway.ratelimits import END_RETENTION_MS, RateLimits
+from rhubarbwinch.gateway.ratelimits import RETENTION_MS, RateLimits
 from rhubarbwinch.shared.clock import SystemClock
 from tests.gatewayharness import running_gateway
 from tests.gatewayprocesses import deployment
@@ -275,9 +275,18 @@
         limits.record_response("e1", DeclaredState(1.0), 0)
         limits.record_response("e1", DeclaredState(None), 1_000)
         self.assertEqual(limits.listing(), [EndpointLimit("e1", None)])
-        limits.drop_ended(1_001 + END_RETENTION_MS)
+        limits.drop_outdated(lambda _: True, 1_001 + RETENTION_MS)
         self.assertEqual(limits.listing(), [])
 
+    def test_the_limit_of_an_endpoint_that_is_gone_is_dropped(self):
+        limits = RateLimits("g1")
+        limits.record_response("e1", DeclaredState(1.0), 0)
+        limits.record_response("e2", DeclaredState(1.0), 0)
+        limits.drop_outdated(lambda name: name == "e1", RETENTION_MS)
+        self.assertEqual(len(limits.listing()), 2)
+        limits.drop_outdated(lambda name: name == "e1", RETENTION_MS + 1)
+        self.assertEqual(limits.listing(), [EndpointLimit("e1", 1.0)])
+
     def _coordinator(self, endpoint, names):
         for name in names:
             limits = RateLimits(name)
