Gateway: callers get the true time to return, generations are refused at once

A call that all endpoints had turned away was told to return after 0.2 s though each of them wanted 20 s or more; a generation waited a third of its objective for engines that would not accept one in that time. A limit with many digits behind the point was not understood. The bound of a pause was in the adapter, which decides nothing. Change: the refusal has the time of the endpoint that is back first, spread over callers; a generation that no engine accepts within its wait is refused at once. Up to thirty digits behind the point. The bound is with the pauses.

--- a/rhubarbwinch/gateway/context.py
+++ b/rhubarbwinch/gateway/context.py
@@ -157,14 +157,15 @@
     def earliest_permit(
         self, service: str, excluded: set[str]
     ) -> tuple[Endpoint, int] | None:
-        """Returns the rate-limited endpoint that may be sent to first, or None.
+        """Returns the endpoint that may be sent to first after a delay.
 
         Args:
             service: The service that the request needs.
             excluded: Ids of endpoints that are left out.
 
         Returns:
-            The endpoint, and the delay in milliseconds.
+            The endpoint, and the delay in milliseconds; None if no endpoint
+            has a delay that ends.
         """
         return self.permits.earliest(
             known.endpoint
@@ -172,6 +173,30 @@
             if known.endpoint.id not in excluded
         )
 
+    def permit_delay_ms(self, service: str, version: str | None) -> int | None:
+        """Returns after how long a service accepts a request of this gateway.
+
+        Args:
+            service: The service that the request needs.
+            version: The only software version that can serve the request; None
+                if all can.
+
+        Returns:
+            0 if an endpoint accepts one now, or if there is no endpoint; None
+            if only other gateways may send to the endpoints.
+        """
+        endpoints = [
+            known.endpoint
+            for known in self.fleet.accepting_for_service(service)
+            if version in (None, known.endpoint.version)
+        ]
+        if not endpoints or any(
+            self.permits.is_available(endpoint.id) for endpoint in endpoints
+        ):
+            return 0
+        earliest = self.permits.earliest(endpoints)
+        return earliest[1] if earliest is not None else None
+
     def has_version(self, service: str, version: str) -> bool:
         """Returns whether an endpoint of a version accepts new requests."""
         return any(
--- a/rhubarbwinch/gateway/endpointpauses.py
+++ b/rhubarbwinch/gateway/endpointpauses.py
@@ -4,6 +4,9 @@
 turn a request away and say for how long they want no other one.
 """
 
+# A longer pause may be an error of the endpoint, which would be out of use.
+MAX_PAUSE_MS = 60_000
+
 
 class EndpointPauses:
     """When each endpoint accepts requests of this gateway again."""
@@ -13,7 +16,7 @@
 
     def record(self, endpoint: str, pause_ms: int, now_ms: int) -> bool:
         """Records a request for time; returns whether it extends a pause."""
-        end = now_ms + pause_ms
+        end = now_ms + min(pause_ms, MAX_PAUSE_MS)
         if end <= self._ends_ms.get(endpoint, now_ms):
             return False
         self._ends_ms[endpoint] = end
--- a/rhubarbwinch/gateway/permits.py
+++ b/rhubarbwinch/gateway/permits.py
@@ -111,6 +111,7 @@
                 request=request_id,
                 endpoint=endpoint_id,
                 pause_ms=declared.pause_ms,
+                used_ms=self._pauses.left_ms(endpoint_id, self._clock.now()),
             )
         change = self._limits.record_response(
             endpoint_id, declared, self._clock.now()
--- a/rhubarbwinch/gateway/plaincalls.py
+++ b/rhubarbwinch/gateway/plaincalls.py
@@ -74,7 +74,11 @@
                 break
             endpoint = await self._next_endpoint(job, not may_have_run)
             if isinstance(endpoint, Failure):
-                failure = failure if job.sends else endpoint
+                if not job.sends or (
+                    failure.verdict is Verdict.NOT_RUN
+                    and endpoint.reason is Reason.RATE_LIMITED
+                ):
+                    failure = endpoint
                 break
             if job.sends and not context.acquire_retry(job.service):
                 events.RETRY_REFUSED.log(
@@ -123,26 +127,36 @@
                 endpoint = chosen.endpoint
                 context.permits.acquire_now(endpoint.id)
                 return endpoint
-            limited = context.earliest_permit(job.service, job.tried)
-            if limited is None:
-                return not_run(
-                    Reason.NO_ENDPOINT, "no endpoint takes work", RETRY_AFTER_MS
-                )
-            endpoint, delay_ms = limited
+            earliest = context.earliest_permit(job.service, job.tried)
+            if earliest is None:
+                return self._why_no_endpoint(job)
+            endpoint, delay_ms = earliest
             left_ms = job.deadline_ms - context.clock.now()
             limit_ms = int(left_ms * MAX_PERMIT_WAIT_SHARE) if may_wait else 0
             if not await context.permits.acquire(
                 job.call.request_id, endpoint, limit_ms
             ):
-                return not_run(
-                    Reason.RATE_LIMITED,
-                    "the endpoints accept no more requests now",
-                    # Refused callers do not all come back at the same time.
-                    int(delay_ms * (1 + context.rng.random())),
-                )
+                return self._refuse_until(delay_ms)
             if context.is_accepting(endpoint):
                 return endpoint
 
+    def _why_no_endpoint(self, job: Job) -> Failure:
+        """Returns why no endpoint is left that the call has not tried."""
+        delay_ms = self._context.permit_delay_ms(job.service, None)
+        if delay_ms:
+            return self._refuse_until(delay_ms)
+        return not_run(
+            Reason.NO_ENDPOINT, "no endpoint takes work", RETRY_AFTER_MS
+        )
+
+    def _refuse_until(self, delay_ms: int) -> Failure:
+        return not_run(
+            Reason.RATE_LIMITED,
+            "the endpoints accept no more requests now",
+            # Refused callers do not all come back at the same time.
+            int(delay_ms * (1 + self._context.rng.random())),
+        )
+
     def _may_repeat(self, job: Job, runs_before: int) -> bool:
         """Returns whether a call may be executed once more."""
         return (
--- a/rhubarbwinch/gateway/runplacement.py
+++ b/rhubarbwinch/gateway/runplacement.py
@@ -46,7 +46,10 @@
         context, job = self._context, run.job
         now = context.clock.now()
         left_ms = job.deadline_ms - now
-        hopeless = self._find_hopeless(run, left_ms)
+        limit_ms = int((job.objective_ms - now) * MAX_WAIT_SHARE)
+        if limit_ms <= 0:
+            limit_ms = left_ms // 4
+        hopeless = self._find_hopeless(run, left_ms, limit_ms)
         if hopeless is not None:
             return hopeless
         queue = self._queues.setdefault(
@@ -56,9 +59,6 @@
             run
         ):
             return None
-        limit_ms = int((job.objective_ms - now) * MAX_WAIT_SHARE)
-        if limit_ms <= 0:
-            limit_ms = left_ms // 4
         if queue.exceeds_wait_limit(job.priority, job.objective_ms, limit_ms):
             return self._refuse(run, queue, "too many wait before it")
         waiter = queue.enqueue(job.priority, job.objective_ms)
@@ -73,19 +73,30 @@
             return None
         return self._refuse(run, queue, f"no room in {limit_ms} ms")
 
-    def _find_hopeless(self, run: Run, left_ms: int) -> Failure | None:
-        """Returns why a run can't be placed, however long it waits."""
+    def _find_hopeless(
+        self, run: Run, left_ms: int, limit_ms: int
+    ) -> Failure | None:
+        """Returns why a run can't be placed if it waits for `limit_ms`."""
+        context, service = self._context, run.job.service
         if left_ms < MIN_ATTEMPT_MS:
             return not_run(Reason.DEADLINE, "no time is left")
-        if run.version is None or self._context.has_version(
-            run.job.service, run.version
+        if run.version is not None and not context.has_version(
+            service, run.version
         ):
+            return not_run(
+                Reason.NO_ENDPOINT,
+                f"no engine of the stream's version {run.version} accepts work",
+                RETRY_AFTER_MS,
+            )
+        delay_ms = context.permit_delay_ms(service, run.version)
+        if delay_ms is not None and delay_ms <= limit_ms:
             return None
-        return not_run(
-            Reason.NO_ENDPOINT,
-            f"no engine of the stream's version {run.version} accepts work",
-            RETRY_AFTER_MS,
-        )
+        detail = "the engines accept no more requests now"
+        if delay_ms is None:
+            return not_run(Reason.RATE_LIMITED, detail, RETRY_AFTER_MS)
+        # Refused callers do not all come back at the same time.
+        retry_hint_ms = int(delay_ms * (1 + context.rng.random()))
+        return not_run(Reason.RATE_LIMITED, detail, retry_hint_ms)
 
     async def _wait_until_reserved(self, run: Run, waiter: Waiter) -> None:
         while True:
--- a/rhubarbwinch/platform/headers.py
+++ b/rhubarbwinch/platform/headers.py
@@ -71,11 +71,9 @@
     }
 )
 _DIGITS = re.compile(r"\d{1,12}")
-_DECIMAL = re.compile(r"\d{1,12}(\.\d{1,12})?")
+_DECIMAL = re.compile(r"\d{1,12}(\.\d{0,30})?|\.\d{1,30}")
 MISDIRECTED_REQUEST = 421
 SERVICE_UNAVAILABLE = 503
-# A longer pause is not believed.
-MAX_PAUSE_MS = 60_000
 
 
 def _values(headers: Headers, name: bytes) -> list[str]:
@@ -206,7 +204,7 @@
     return DeclaredState(
         rate_limit=_decode_decimal(headers, RATE_LIMIT),
         is_leaving=_first_value(headers, LEAVING) == "1",
-        pause_ms=_limit_pause(int(1_000 * (pause_s or 0))),
+        pause_ms=int(1_000 * (pause_s or 0)),
     )
 
 
@@ -221,14 +219,6 @@
     return float(text)
 
 
-def _limit_pause(pause_ms: int) -> int:
-    if pause_ms > MAX_PAUSE_MS:
-        events.DECLARATION_UNREADABLE.log(
-            header=RETRY_AFTER.decode(), value=pause_ms, used=MAX_PAUSE_MS
-        )
-    return min(pause_ms, MAX_PAUSE_MS)
-
-
 def is_response_to(request_id: str, headers: Headers) -> bool:
     """Returns whether a response belongs to a request.
 
--- a/tests/gateway/test_declarations.py
+++ b/tests/gateway/test_declarations.py
@@ -11,6 +11,7 @@
     send_pause,
     stream_event,
 )
+from rhubarbwinch.gateway.endpointpauses import MAX_PAUSE_MS, EndpointPauses
 from rhubarbwinch.gateway.fleet import Fleet
 from rhubarbwinch.gateway.routes import CallKind
 from tests import gatewaybuilders as build
@@ -154,7 +155,6 @@
         async with running_gateway() as gateway:
             for engine, value in zip(gateway.engines, (30, 20), strict=True):
                 engine.handler = pausing(value)
-            await gateway.call("q1", Deadline_Ms="5000")
             hints = []
             for number in range(5):
                 found = await gateway.call(f"r{number}", Deadline_Ms="5000")
@@ -164,6 +164,20 @@
         self.assertGreater(min(hints), 15)
         self.assertGreater(len(set(hints)), 1)
 
+    @asynchronous
+    async def test_a_generation_waits_in_vain_for_engines_that_asked_for_time(
+        self,
+    ):
+        async with running_gateway(table=STREAM) as gateway:
+            for engine, pause_s in zip(gateway.engines, (30, 20), strict=True):
+                engine.handler = pausing(pause_s)
+            for number in range(4):
+                found = await gateway.call(f"q{number}")
+                self.assertEqual(found.status, 503)
+            hint = float(found.headers["retry-after"])
+        self.assertEqual(len(gateway.received), 2)
+        self.assertGreater(hint, 15)
+
     @asynchronous
     async def test_a_call_waits_for_an_endpoint_that_asked_for_a_moment(self):
         async with running_gateway(engines=1) as gateway:
@@ -171,3 +185,10 @@
             self.assertEqual((await gateway.call("q1")).status, 503)
             gateway.engines[0].handler = send_ok
             self.assertEqual((await gateway.call("q2")).status, 200)
+
+    def test_an_endless_pause_is_bounded(self):
+        pauses = EndpointPauses()
+        self.assertTrue(pauses.record("e1", 1 << 60, 1_000))
+        self.assertEqual(pauses.left_ms("e1", 1_000), MAX_PAUSE_MS)
+        self.assertFalse(pauses.record("e1", 5_000, 2_000))
+        self.assertEqual(pauses.left_ms("e1", 1_000 + MAX_PAUSE_MS), 0)
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -138,6 +138,9 @@
     def test_a_declared_rate_limit_is_read(self):
         for value, expected in (
             (b"1.1", 1.1),
+            (b"1.0833333333333333", 1.0833333333333333),
+            (b".5", 0.5),
+            (b"3.", 3.0),
             (b"0", 0.0),
             (b" 12 ", 12.0),
             (b"-1", None),
@@ -152,14 +155,14 @@
             self.assertEqual(found.declared.rate_limit, expected, value)
             self.assertIn((b"Server-Limit", value), found.headers)
 
-    def test_a_declared_pause_is_read_and_bounded(self):
+    def test_a_declared_pause_is_read(self):
         for status, value, expected in (
             (503, b"1.5", 1_500),
             (503, b"0", 0),
             (503, b"-3", 0),
             (503, b"Wed, 21 Oct 2026 07:28:00 GMT", 0),
             (503, b"soon", 0),
-            (503, b"99999999", headers.MAX_PAUSE_MS),
+            (503, b"99999999", 99_999_999_000),
             (429, b"5", 0),
         ):
             found = headers.decode_response(
