--- a/tests/gateway/test_storerestore.py
+++ b/tests/gateway/test_storerestore.py
@@ -1,5 +1,6 @@
 """Tests gateway processes whose store is restored from an older copy."""
 
+import signal
 import unittest
 
 import anyio
@@ -109,3 +110,68 @@
                 while not await registered():
                     await anyio.sleep(0.02)
             await self._until_all(d, "k1", 200)
+
+    @asynchronous
+    async def test_a_second_restore_turns_the_first_one_back(self):
+        async with deployment() as d:
+            await self._start(d)
+            copy = d.store.memory.make_copy()
+            await self._lose_writes(d)
+            for version in (2, 3):
+                await d.store.put(
+                    platformfiles.CONFIG_KEY,
+                    config(version, keys=("k1", f"k{version}")),
+                )
+                await self._until_all(d, f"k{version}", 200)
+                d.store.restore(copy)
+            d.store.restore(copy)
+            await d.store.put(
+                platformfiles.CONFIG_KEY, config(4, keys=("k1", "k4"))
+            )
+            await self._until_all(d, "k4", 200)
+            await self._until_all(d, "k3", 401)
+
+    @asynchronous
+    async def test_a_gateway_paused_through_a_restore_stays_behind(self):
+        async with deployment() as d:
+            await self._start(d)
+            copy = d.store.memory.make_copy()
+            await self._lose_writes(d)
+            d.processes.signal("g3", signal.SIGSTOP)
+            d.store.restore(copy)
+            await d.store.put(
+                platformfiles.CONFIG_KEY, config(2, keys=("k1", "k2"))
+            )
+            await anyio.sleep(1.5)
+            d.processes.signal("g3", signal.SIGCONT)
+            await self._until_all(d, "k2", 200)
+            await d.store.put(
+                platformfiles.CONFIG_KEY, config(3, keys=("k1", "k3"))
+            )
+            await self._until_all(d, "k3", 200)
+
+    @asynchronous
+    async def test_a_gateway_that_starts_during_a_restore_knows_too_little(
+        self,
+    ):
+        """It gets a replica of the earlier era from a peer."""
+        async with deployment() as d:
+            d.start(1)
+            await d.until(lambda: d.is_ready(1))
+            copy = d.store.memory.make_copy()
+            await self._lose_writes(d)
+            await d.store.put(
+                platformfiles.CONFIG_KEY, config(2, keys=("k1", "k2"))
+            )
+            d.store.faults.status = 503
+            for number in GATEWAYS[1:]:
+                d.start(number)
+            for number in GATEWAYS[1:]:
+                await d.until(lambda n=number: d.is_ready(n))
+            d.store.restore(copy)
+            d.store.faults.status = 0
+            await d.store.put(
+                platformfiles.CONFIG_KEY, config(3, keys=("k1", "k3"))
+            )
+            await self._until_all(d, "k3", 200)
+            await self._until_all(d, "k2", 401)
