Soak: entries of dead engines expire after a restore, a pause is what its header says

Change: entries that no engine has written since a restore are removed after the time in which leases expire; the time asked for has one digit. No check is changed.

--- a/lab/soak/deployment.py
+++ b/lab/soak/deployment.py
@@ -27,6 +27,7 @@
 # default effect. On a busy machine, the interpreter starts within this time.
 INTERPRETER_START_MS = 1_000
 POLL_S = 0.02
+ENGINE_ID_PREFIX = "i-"
 ENGINE_SERVICE, PLAIN_SERVICE = "engines", "plain"
 # Software versions of engines, which serve side by side.
 VERSIONS = ("v1", "v2")
@@ -118,7 +119,7 @@
 
     def new_engine_id(self) -> str:
         """Returns a new id for an engine."""
-        return f"i-{next(self._engine_numbers)}"
+        return f"{ENGINE_ID_PREFIX}{next(self._engine_numbers)}"
 
     @property
     def proxies(self) -> Iterator[LoopbackProxy]:
@@ -213,6 +214,15 @@
             if engine.registered_state:
                 await self.register_engine(engine, engine.registered_state)
 
+    async def remove_expired_entries(self) -> None:
+        """Removes the entries that no engine has written since a restore."""
+        written = {e.name for e in self.engines if e.registered_state}
+        listing = await self.store.memory.scan(platformfiles.ENDPOINT_PREFIX)
+        for entry in listing.entries:
+            name = entry.key.removeprefix(platformfiles.ENDPOINT_PREFIX)
+            if name.startswith(ENGINE_ID_PREFIX) and name not in written:
+                await self.store.remove(entry.key)
+
     async def replace_engine(self, engine: SoakEngine) -> None:
         """Ends an engine; starts a new incarnation at the same address."""
         await self.deregister_engine(engine)
--- a/lab/soak/faults.py
+++ b/lab/soak/faults.py
@@ -213,7 +213,8 @@
 async def pause_engine(deployment: SoakDeployment, rng: random.Random) -> None:
     """An engine refuses all requests for some time and asks for a pause."""
     engine = _pick_engine(deployment, rng)
-    engine.pause_s = rng.uniform(MIN_DURATION_S, MAX_DURATION_S)
+    # The header has one digit behind the point.
+    engine.pause_s = round(rng.uniform(MIN_DURATION_S, MAX_DURATION_S), 1)
     await _wait_duration(rng)
     engine.pause_s = 0.0
 
@@ -230,6 +231,8 @@
     faults.status = 0
     await anyio.sleep(rng.uniform(0, MIN_DURATION_S))
     await deployment.rewrite_entries()
+    await anyio.sleep(ENTRY_EXPIRY_S)
+    await deployment.remove_expired_entries()
 
 
 @FAULTS.register("configuration")
