Gateway: the log of a crash names the parts of the prompt and the events before it

Change: the ids of the parts of a prompt are decoded into `CallHead.prompt_parts`; `crashed-under` has `events` and `parts`. No decision changes. Result: tests.platform.test_headers and tests.gateway.test_crashes pass.

--- a/rhubarbwinch/gateway/context.py
+++ b/rhubarbwinch/gateway/context.py
@@ -272,14 +272,28 @@
             pause_ms=until_ms - now,
         )
 
-    def check_crash(self, job: "Job", endpoint_id: str, address: str) -> None:
-        """Starts the check whether an endpoint crashed during a request."""
+    def check_crash(
+        self, job: "Job", endpoint_id: str, address: str, events_received: int
+    ) -> None:
+        """Starts the check whether an endpoint crashed during a request.
+
+        Args:
+            job: The request whose response was broken off.
+            endpoint_id: The id of the endpoint.
+            address: The address of the endpoint.
+            events_received: Number of events of the response that came before.
+        """
         known = self.fleet.get(endpoint_id)
         if known is None or known.is_leaving:
             return
         self.crashes.check_endpoint(
             BrokenResponse(
-                job.call.request_id, job.fingerprint, endpoint_id, address
+                job.call.request_id,
+                job.fingerprint,
+                endpoint_id,
+                address,
+                events_received,
+                job.call.prompt_parts,
             )
         )
 
--- a/rhubarbwinch/gateway/crashes.py
+++ b/rhubarbwinch/gateway/crashes.py
@@ -49,12 +49,16 @@
         fingerprint: The digest that identifies the request.
         endpoint: The endpoint's id.
         address: The endpoint's address.
+        events: Number of events of the response that were received before.
+        prompt_parts: The ids of the parts of the request's prompt.
     """
 
     request_id: str
     fingerprint: str
     endpoint: str
     address: str
+    events: int = 0
+    prompt_parts: tuple[str, ...] = ()
 
 
 class CrashTracker:
@@ -128,5 +132,7 @@
             endpoint=broken.endpoint,
             fingerprint=broken.fingerprint,
             crashes=count,
+            events=broken.events,
+            parts=",".join(broken.prompt_parts),
         )
         self._broadcast(CrashNotice(broken.fingerprint, broken.endpoint))
--- a/rhubarbwinch/gateway/generationsender.py
+++ b/rhubarbwinch/gateway/generationsender.py
@@ -76,7 +76,9 @@
             context.record_outcome(job, job.service, endpoint.id, outcome)
             self._log_attempt(run, endpoint, now, str(error))
             if error.sent:
-                context.check_crash(job, endpoint.id, endpoint.address)
+                context.check_crash(
+                    job, endpoint.id, endpoint.address, run.events
+                )
                 return Failure(
                     Verdict.MAY_HAVE_RUN, Reason.ENDPOINT_FAILED, str(error)
                 )
--- a/rhubarbwinch/gateway/plaincalls.py
+++ b/rhubarbwinch/gateway/plaincalls.py
@@ -179,7 +179,7 @@
         except EndpointError as error:
             failure = self._record_failure(job, endpoint, started_ms, error)
             if error.sent:
-                context.check_crash(job, endpoint.id, endpoint.address)
+                context.check_crash(job, endpoint.id, endpoint.address, 0)
             return failure
         finally:
             context.loads.add_unannounced(endpoint.id, -1)
--- a/rhubarbwinch/gateway/platforminterface.py
+++ b/rhubarbwinch/gateway/platforminterface.py
@@ -32,6 +32,8 @@
         headers: The headers that are relayed to the endpoint unchanged.
         resumed_id: The id of the caller's attempt that received the first event
             of the stream that resumes, or None.
+        prompt_parts: The ids of the parts of the prompt, in order. Requests
+            share parts, except the last one.
     """
 
     method: str
@@ -46,6 +48,7 @@
     last_event_id: str | None
     headers: Headers
     resumed_id: str | None = None
+    prompt_parts: tuple[str, ...] = ()
 
     @property
     def path(self) -> str:
--- a/rhubarbwinch/gateway/streams.py
+++ b/rhubarbwinch/gateway/streams.py
@@ -153,7 +153,9 @@
                 return Failure(
                     Verdict.MAY_HAVE_RUN, Reason.DEADLINE, "out of time"
                 )
-            self._context.check_crash(run.job, source.id, source.address)
+            self._context.check_crash(
+                run.job, source.id, source.address, run.events
+            )
             next_response = await self._failover.resume(run, source)
             if next_response is None:
                 return Failure(
--- a/rhubarbwinch/platform/headers.py
+++ b/rhubarbwinch/platform/headers.py
@@ -21,6 +21,8 @@
 # The sizes announced by the caller: prompt tokens, maximum output tokens.
 TOKEN_COUNTS = b"token-usage"
 OUTPUT_ESTIMATE = b"length-hint"
+# The parts of the prompt, as a list of ID:TOKENS with the id in hexadecimal.
+PROMPT_PARTS = b"prefix-hash"
 LAST_EVENT_ID = b"last-event-id"
 # The attempt that received the first event of the stream that resumes.
 RESUMED_ID = b"resumes"
@@ -141,9 +143,17 @@
         last_event_id=_first_value(headers, LAST_EVENT_ID),
         headers=[(n, v) for n, v in headers if n.lower() not in skipped],
         resumed_id=_first_value(headers, RESUMED_ID) or None,
+        prompt_parts=_prompt_parts(headers),
     )
 
 
+def _prompt_parts(headers: Headers) -> tuple[str, ...]:
+    """Returns the ids of the parts of the prompt, in order."""
+    items = (_first_value(headers, PROMPT_PARTS) or "").split(",")
+    ids = (item.partition(":")[0].strip().lower() for item in items)
+    return tuple(part for part in ids if part)
+
+
 def _api_key(headers: Headers) -> str | None:
     value = _first_value(headers, AUTHORIZATION)
     if value is None or not value.lower().startswith(BEARER):
--- a/rhubarbwinch/shared/events.py
+++ b/rhubarbwinch/shared/events.py
@@ -607,7 +607,11 @@
     746,
     "crashed-under",
     logging.WARNING,
-    "An endpoint is gone after it aborted the response to a request.",
+    (
+        "An endpoint is gone after it aborted the response to a request; the "
+        "fields have the number of events received before and the parts of the "
+        "prompt."
+    ),
 )
 LOG_LINES_LEFT_OUT = Event(
     750,
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -53,9 +53,20 @@
         )
         self.assertEqual(call.estimated_output_tokens, 40)
         self.assertEqual(call.last_event_id, "9")
+        self.assertEqual(call.prompt_parts, ("aa", "bb"))
         self.assertEqual(call.resumed_id, "a0")
         self.assertIn((b"Resumes", b"a0"), call.headers)
 
+    def test_parts_of_a_prompt_that_are_malformed_are_left_out(self):
+        for text, parts in (
+            ("", ()),
+            (" 5C:8 , 91 ,:7,", ("5c", "91")),
+        ):
+            call = _decode(
+                (b"Prefix-Hash", text.encode()), without=(b"Prefix-Hash",)
+            )
+            self.assertEqual(call.prompt_parts, parts)
+
     def test_a_head_without_one_id_and_one_host_is_refused(self):
         for change in (
             {"without": (b"Attempt-Id",)},
