Gateway: a part of a prompt under which endpoints crash is refused

Cause: a request was recognised by a digest of account, target and body. Requests that differ in any of these and share the one part that ends engines were counted apart, so each could end three. Change: a crash counts against the request and against each shared part of its prompt, if the endpoint had not begun to answer (fewer than two events). A part with which an answer begins anywhere is harmless: it is cleared at all gateways. Of several parts with enough crashes the one that is known least as harmless is refused, and explains the crashes of the others, so that the account and the other parts are served on. Crashes under requests that were all sent before the first of them count once, as they may have one cause. Heartbeats list what is refused, for gateways that start or missed a notice. A refusal ends in a trial by one gateway, not at all gateways at once, which holds for whole requests too. Requests that waited are checked again before they are sent. An address that several responses broke off at is probed once.

--- a/rhubarbwinch/gateway/context.py
+++ b/rhubarbwinch/gateway/context.py
@@ -7,10 +7,12 @@
 
 from rhubarbwinch.gateway import gatewaymetrics
 from rhubarbwinch.gateway.crashes import (
+    HARMLESS_EVENTS,
     BrokenResponse,
     CrashTracker,
     fingerprint,
 )
+from rhubarbwinch.gateway.crashsuspects import Crash, part_key, request_key
 from rhubarbwinch.gateway.edge import EdgeRequest
 from rhubarbwinch.gateway.endpoints import Endpoint
 from rhubarbwinch.gateway.failurereports import (
@@ -38,6 +40,7 @@
 from rhubarbwinch.gateway.upstream import Upstream, UpstreamResponse
 from rhubarbwinch.shared import events
 from rhubarbwinch.shared.clock import Clock
+from rhubarbwinch.shared.verdict import Failure, Reason, not_run
 
 
 @attrs.define
@@ -286,17 +289,31 @@
         known = self.fleet.get(endpoint_id)
         if known is None or known.is_leaving:
             return
+        has_begun = events_received >= HARMLESS_EVENTS
+        crash = Crash(
+            known.endpoint.incarnation,
+            job.request_key,
+            () if has_begun else job.part_keys,
+            job.sent_ms,
+            self.clock.now(),
+        )
         self.crashes.check_endpoint(
-            BrokenResponse(
-                job.call.request_id,
-                job.fingerprint,
-                endpoint_id,
-                address,
-                events_received,
-                job.call.prompt_parts,
-            )
+            BrokenResponse(job.call.request_id, address, crash, events_received)
         )
 
+    def record_send(self, job: "Job") -> None:
+        """Records that a request is sent to an endpoint."""
+        job.sends += 1
+        job.sent_ms = self.clock.now()
+        self.crashes.record_send(job.call.request_id, job.suspect_keys)
+
+    def refuse_suspect(self, job: "Job") -> Failure | None:
+        """Returns the refusal of a request under which endpoints crash."""
+        refused = self.crashes.find_refused(job.suspect_keys)
+        if refused is None:
+            return None
+        return not_run(Reason.QUARANTINED, f"endpoints crash under {refused}")
+
     def acquire_retry(self, service: str) -> bool:
         """Takes one attempt from the retry budget; False if it is used up."""
         return self.budget.try_acquire(
@@ -318,8 +335,10 @@
         received_ms: When the first byte of the request was read.
         deadline_ms: The deadline of the response.
         objective_ms: Until when the response meets the latency target.
-        fingerprint: Identifies equal requests, such as retries.
+        request_key: Identifies equal requests, such as retries.
+        part_keys: Identify the parts of the prompt that requests share.
         sends: Number of attempts at endpoints.
+        sent_ms: When the last of them began.
         tried: Ids of endpoints that were tried and are left out from now on.
     """
 
@@ -332,10 +351,17 @@
     received_ms: int
     deadline_ms: int
     objective_ms: int
-    fingerprint: str
+    request_key: str
+    part_keys: tuple[str, ...] = ()
     sends: int = 0
+    sent_ms: int = 0
     tried: set[str] = attrs.field(factory=set)
 
+    @property
+    def suspect_keys(self) -> tuple[str, ...]:
+        """What is counted against the request when its endpoint crashes."""
+        return (self.request_key, *self.part_keys)
+
 
 def make_job(
     request: EdgeRequest,
@@ -359,5 +385,8 @@
         received_ms=request.received_ms,
         deadline_ms=request.received_ms + allowed_ms,
         objective_ms=request.received_ms + route.objective_ms,
-        fingerprint=fingerprint(account, call.target, request.body),
+        request_key=request_key(
+            fingerprint(account, call.target, request.body)
+        ),
+        part_keys=tuple(part_key(part) for part in call.prompt_parts[:-1]),
     )
--- a/rhubarbwinch/gateway/eventrelay.py
+++ b/rhubarbwinch/gateway/eventrelay.py
@@ -8,6 +8,7 @@
 
 from rhubarbwinch.gateway import gatewaymetrics
 from rhubarbwinch.gateway.context import Context
+from rhubarbwinch.gateway.crashes import HARMLESS_EVENTS
 from rhubarbwinch.gateway.messages import StreamOrigin
 from rhubarbwinch.gateway.migration import Migrator
 from rhubarbwinch.gateway.runplacement import RunPlacer
@@ -150,6 +151,9 @@
     def _record_events(self, run: Run) -> None:
         now = self._context.clock.now()
         job = run.job
+        if run.events >= HARMLESS_EVENTS and not run.is_harmless:
+            run.is_harmless = True
+            self._context.crashes.record_harmless(run.id, job.part_keys)
         if run.events and run.last_event_ms and job.route.max_event_gap_ms:
             pause = now - run.last_event_ms
             if pause > job.route.max_event_gap_ms:
--- a/rhubarbwinch/gateway/gatewaymetrics.py
+++ b/rhubarbwinch/gateway/gatewaymetrics.py
@@ -68,6 +68,11 @@
     ["outcome"],
     registry=REGISTRY,
 )
+REFUSED_SUSPECTS = Gauge(
+    "rhubarbwinch_refused_suspects",
+    "Requests and parts of prompts that are refused as endpoints crash.",
+    registry=REGISTRY,
+)
 LOG_LINES_DROPPED = Counter(
     "rhubarbwinch_log_lines_dropped",
     "Log lines that were not written, over the budget or to a slow reader.",
--- a/rhubarbwinch/gateway/generationsender.py
+++ b/rhubarbwinch/gateway/generationsender.py
@@ -51,7 +51,11 @@
             return Failure(
                 Verdict.MAY_HAVE_RUN, Reason.DEADLINE, "no time left"
             )
-        job.sends += 1
+        refusal = context.refuse_suspect(job)
+        if refusal is not None:
+            # Endpoints crashed under the request while it waited.
+            return refusal
+        context.record_send(job)
         last_id = run.last_event_id or job.call.last_event_id
         options = AttemptOptions(
             endpoint.id,
--- a/rhubarbwinch/gateway/messages.py
+++ b/rhubarbwinch/gateway/messages.py
@@ -121,6 +121,8 @@
             sender without an outage; 0 if the sender does not call it.
         loads: The sender's loads at endpoints.
         limits: The limits of the endpoints that the sender coordinates.
+        refused_suspects: The keys of requests and parts of prompts that the
+            sender refuses, as endpoints crash under them.
     """
 
     name: str
@@ -138,6 +140,7 @@
     store_available_ms: int = 0
     loads: list[EndpointLoad] = attrs.field(factory=list)
     limits: list[EndpointLimit] = attrs.field(factory=list)
+    refused_suspects: list[str] = attrs.field(factory=list)
 
     @property
     def address(self) -> PeerAddress:
@@ -236,12 +239,34 @@
     """Reports that an endpoint crashed while serving a request.
 
     Attributes:
-        request: The fingerprint of the request.
+        request: The key of the request.
         endpoint: The endpoint's id.
+        started_ms: Unix time of the endpoint's start.
+        parts: The keys of the shared parts of the request's prompt, if the
+            endpoint had just begun to answer.
+        sent_ago_ms: Milliseconds since the request was sent to the endpoint.
+        ago_ms: Milliseconds since the endpoint broke off the response.
     """
 
     request: str
     endpoint: str
+    started_ms: int = 0
+    parts: list[str] = attrs.field(factory=list)
+    sent_ago_ms: int = 0
+    ago_ms: int = 0
+
+
+@attrs.frozen
+class HarmlessNotice:
+    """Reports that requests with these suspects did not crash their endpoints.
+
+    Attributes:
+        keys: The keys of requests and parts of prompts.
+        ago_ms: Milliseconds since that was seen last.
+    """
+
+    keys: list[str]
+    ago_ms: int = 0
 
 
 @attrs.frozen
--- a/rhubarbwinch/gateway/peers.py
+++ b/rhubarbwinch/gateway/peers.py
@@ -91,6 +91,9 @@
         self._handle_limits: Callable[[str, list[EndpointLimit]], None] = (
             lambda gateway, limits: None
         )
+        self._handle_suspects: Callable[[str, list[str]], None] = (
+            lambda gateway, keys: None
+        )
         broadcast.on(Heartbeat, self.receive)
         broadcast.on(HeartbeatDigest, self.receive_digest)
 
@@ -225,6 +228,12 @@
         """Sets the handler of the limits that a peer lists."""
         self._handle_limits = handle
 
+    def on_refused_suspects(
+        self, handle: Callable[[str, list[str]], None]
+    ) -> None:
+        """Sets the handler of the suspects that a peer refuses."""
+        self._handle_suspects = handle
+
     def send_to(self, names: Iterable[str], message: Any) -> None:
         """Sends a message to the peers with these names without blocking."""
         self._broadcast.send_to(
@@ -320,6 +329,8 @@
     def _on_heartbeat(self, heartbeat: Heartbeat) -> None:
         if heartbeat.limits:
             self._handle_limits(heartbeat.name, heartbeat.limits)
+        if heartbeat.refused_suspects:
+            self._handle_suspects(heartbeat.name, heartbeat.refused_suspects)
 
     def _on_peer_forgotten(self, peer: Peer) -> None:
         if peer.last_heartbeat is not None:
--- a/rhubarbwinch/gateway/plaincalls.py
+++ b/rhubarbwinch/gateway/plaincalls.py
@@ -85,7 +85,12 @@
                     request=job.call.request_id, service=job.service
                 )
                 break
-            job.sends += 1
+            refusal = context.refuse_suspect(job)
+            if refusal is not None:
+                # Endpoints crashed under the request while it waited.
+                failure = failure if job.sends else refusal
+                break
+            context.record_send(job)
             job.tried.add(endpoint.id)
             left_ms = job.deadline_ms - context.clock.now()
             result = await self._send(job, endpoint, left_ms, may_have_run)
@@ -234,7 +239,7 @@
         outcome = (
             AttemptOutcome.GOOD if whole.is_success else AttemptOutcome.ERROR
         )
-        context.crashes.clear(job.fingerprint)
+        context.crashes.record_harmless(job.call.request_id, job.suspect_keys)
         context.record_outcome(job, job.service, endpoint.id, outcome)
         self._log_attempt(job, endpoint, started_ms, str(head.status))
         return whole
--- a/rhubarbwinch/gateway/program.py
+++ b/rhubarbwinch/gateway/program.py
@@ -12,6 +12,7 @@
 from rhubarbwinch.gateway.clusterview import ClusterView
 from rhubarbwinch.gateway.context import Context
 from rhubarbwinch.gateway.crashes import CrashTracker
+from rhubarbwinch.gateway.crashsuspects import CrashSuspects
 from rhubarbwinch.gateway.edge import EdgeServer
 from rhubarbwinch.gateway.endpoints import Endpoint
 from rhubarbwinch.gateway.failurereports import FailureReports
@@ -20,6 +21,7 @@
 from rhubarbwinch.gateway.messages import (
     CrashNotice,
     FailureNotice,
+    HarmlessNotice,
     Heartbeat,
     LeavingNotice,
     OriginBatch,
@@ -172,6 +174,7 @@
             tracer=dependencies.tracer,
             copies=CopyManager(dependencies.engine_calls, clock),
             crashes=CrashTracker(
+                CrashSuspects(self._peers.owns),
                 dependencies.transport.is_unreachable,
                 clock,
                 self._broadcast.send,
@@ -252,7 +255,10 @@
         self._broadcast.on(
             LeavingNotice, self._cluster_view.apply_leaving_notice
         )
-        self._broadcast.on(CrashNotice, self._handle_crash)
+        crashes = self._context.crashes
+        self._broadcast.on(CrashNotice, crashes.handle_crash_notice)
+        self._broadcast.on(HarmlessNotice, crashes.handle_harmless_notice)
+        self._peers.on_refused_suspects(crashes.handle_listing)
         self._broadcast.on(FailureNotice, self._context.handle_failure)
         self._broadcast.on(RateLimitNotice, self._context.permits.handle_notice)
         self._broadcast.on(OriginBatch, self._context.takeups.receive)
@@ -315,6 +321,7 @@
             is_store_failing=self._store_feed.is_failing,
             store_available_ms=self._store_feed.available_ms,
             limits=self._context.permits.listing(),
+            refused_suspects=self._context.crashes.listing(),
         )
 
     def _apply_limits(self, table: RoutingTable) -> None:
@@ -377,12 +384,6 @@
         self._broadcast.send(notice)
         self._cluster_view.apply_leaving_notice(notice)
 
-    def _handle_crash(self, notice: CrashNotice) -> None:
-        """Handles a crash that another gateway has observed."""
-        self._context.crashes.record_crash(
-            notice.request, notice.endpoint, self._clock.now()
-        )
-
     async def _tick(self) -> None:
         """Runs the periodic work every `TICK_MS`."""
         while True:
--- a/rhubarbwinch/gateway/router.py
+++ b/rhubarbwinch/gateway/router.py
@@ -68,9 +68,9 @@
         job = make_job(
             request, call, route, account, priority, self._choose_service(route)
         )
-        if context.crashes.is_refused(job.fingerprint, context.clock.now()):
-            failure = not_run(Reason.QUARANTINED, "endpoints crash under it")
-            await send_job_failure(context, job, responder, failure)
+        refusal = context.refuse_suspect(job)
+        if refusal is not None:
+            await send_job_failure(context, job, responder, refusal)
             return
         context.budget.add_request(job.service, context.clock.now())
         try:
--- a/rhubarbwinch/gateway/runs.py
+++ b/rhubarbwinch/gateway/runs.py
@@ -43,6 +43,7 @@
         events: Number of events sent to the caller.
         head_sent: Whether the response head was sent.
         last_event_ms: When the last event was received.
+        is_harmless: Whether its engine has begun to answer it without a crash.
         target: Where the run resumes if its engine ends; None without a
             migrated copy.
         migration_scope: Cancels the task that maintains the migrated copy; None
@@ -61,6 +62,7 @@
     events: int = 0
     head_sent: bool = False
     last_event_ms: int = 0
+    is_harmless: bool = False
     target: MigrationTarget | None = None
     migration_scope: anyio.CancelScope | None = None
     first_copy_settled: anyio.Event = attrs.field(factory=anyio.Event)
--- a/rhubarbwinch/gateway/streams.py
+++ b/rhubarbwinch/gateway/streams.py
@@ -129,9 +129,7 @@
                 return None
             failure = result
             job.tried.add(run.reservation.endpoint.id)
-            if failure.verdict is not Verdict.NOT_RUN and not (
-                job.route.is_repeatable and job.sends < job.route.max_attempts
-            ):
+            if not _may_try_again(job, failure):
                 return failure
         return failure
 
@@ -147,7 +145,9 @@
                     self._context.record_outcome(
                         run.job, run.job.service, source.id, AttemptOutcome.GOOD
                     )
-                    self._context.crashes.clear(run.job.fingerprint)
+                    self._context.crashes.record_harmless(
+                        run.id, run.job.suspect_keys
+                    )
                     return None
             if self._left_ms(run) <= 0:
                 return Failure(
@@ -167,3 +167,12 @@
 
     def _left_ms(self, run: Run) -> int:
         return run.job.deadline_ms - self._context.clock.now()
+
+
+def _may_try_again(job: Job, failure: Failure) -> bool:
+    """Returns whether a generation may be sent once more after a failure."""
+    if failure.reason is Reason.QUARANTINED:
+        return False
+    return failure.verdict is Verdict.NOT_RUN or (
+        job.route.is_repeatable and job.sends < job.route.max_attempts
+    )
--- a/rhubarbwinch/shared/events.py
+++ b/rhubarbwinch/shared/events.py
@@ -685,3 +685,24 @@
         "with their eras, before and after."
     ),
 )
+SUSPECT_REFUSED = Event(
+    760,
+    "suspect-refused",
+    logging.ERROR,
+    (
+        "A request, or each request with a part of a prompt, is refused from "
+        "now on, because endpoints crash under it."
+    ),
+)
+SUSPECT_TRIED = Event(
+    761,
+    "suspect-tried",
+    logging.WARNING,
+    "A refusal has ended, and one request with the suspect is sent.",
+)
+SUSPECTS_CLEARED = Event(
+    762,
+    "suspects-cleared",
+    logging.INFO,
+    "Endpoints that answered a request with these suspects are alive.",
+)
--- a/tests/gateway/test_crashes.py
+++ b/tests/gateway/test_crashes.py
@@ -5,52 +5,29 @@
 import anyio
 
 from rhubarbwinch.gateway.crashes import (
-    MAX_CRASHES,
-    MAX_SUSPECTS,
-    SUSPECT_RETENTION_MS,
+    BrokenResponse,
     CrashTracker,
     fingerprint,
 )
+from rhubarbwinch.gateway.crashsuspects import (
+    MAX_CRASHES,
+    Crash,
+    CrashSuspects,
+    part_key,
+)
+from rhubarbwinch.gateway.messages import CrashNotice, HarmlessNotice
 from rhubarbwinch.gateway.routes import CallKind
+from rhubarbwinch.shared import codec
 from rhubarbwinch.shared.clock import ManualClock
 from tests import gatewaybuilders as build
 from tests.gatewayharness import running_gateway
 from tests.helpers import asynchronous
 
+FIRST, FATAL = part_key("a1"), part_key("bad1")
 
-class CrashTrackerTest(unittest.TestCase):
-    """When a request is refused after recorded crashes."""
-
-    def setUp(self):
-        self.tracker = CrashTracker(None, ManualClock(), None)
-
-    def _crash(self, request, endpoints, now=0):
-        for endpoint in endpoints:
-            self.tracker.record_crash(request, endpoint, now)
 
-    def test_a_request_is_refused_after_crashes_of_several_endpoints(self):
-        self._crash("r", ["e1", "e2", "e2", "e1"])
-        self.assertFalse(self.tracker.is_refused("r", 1))
-        self._crash("r", ["e3"])
-        self.assertTrue(self.tracker.is_refused("r", 1))
-        self.assertFalse(self.tracker.is_refused("other", 1))
-
-    def test_success_clears_a_request(self):
-        self._crash("r", ["e1", "e2"])
-        self.tracker.clear("r")
-        self._crash("r", ["e3"])
-        self.assertFalse(self.tracker.is_refused("r", 1))
-
-    def test_crashes_of_long_ago_do_not_count(self):
-        self._crash("r", ["e1", "e2", "e3"])
-        self.assertFalse(self.tracker.is_refused("r", SUSPECT_RETENTION_MS + 1))
-        self._crash("r", ["e4"], SUSPECT_RETENTION_MS + 2)
-        self.assertFalse(self.tracker.is_refused("r", SUSPECT_RETENTION_MS + 2))
-
-    def test_the_number_of_suspects_is_bounded(self):
-        for i in range(MAX_SUSPECTS + 50):
-            self._crash(f"r{i}", ["e1"], i)
-        self.assertEqual(len(self.tracker._suspects), MAX_SUSPECTS)
+class FingerprintTest(unittest.TestCase):
+    """What identifies a request."""
 
     def test_requests_that_differ_in_any_part_have_other_fingerprints(self):
         parts = [("a", b"/x", b"b"), ("a", b"/", b"xb"), ("ax", b"/", b"b")]
@@ -88,3 +65,113 @@
         self.assertEqual(statuses[:3], [502] * 3)
         self.assertEqual(statuses[-1], 503)
         self.assertEqual(len(gateway.broadcasts), MAX_CRASHES)
+
+
+class CrashNetwork:
+    """The crash trackers of several gateways, and the notices between them."""
+
+    def __init__(self, gateways):
+        self.clock = ManualClock()
+        self.cut_off = set()
+        self.notices = 0
+        self.trackers = [
+            CrashTracker(
+                CrashSuspects(lambda key, own=i: own == 0),
+                self._is_gone,
+                self.clock,
+                lambda notice, own=i: self._broadcast(notice, own),
+            )
+            for i in range(gateways)
+        ]
+
+    async def _is_gone(self, address):
+        return True
+
+    def _broadcast(self, notice, sender):
+        self.notices += 1
+        notice = codec.decode(codec.encode(notice), type(notice))
+        for i, tracker in enumerate(self.trackers):
+            if i == sender or i in self.cut_off:
+                continue
+            if isinstance(notice, CrashNotice):
+                tracker.handle_crash_notice(notice)
+            else:
+                tracker.handle_harmless_notice(notice)
+
+    async def crash(self, gateway, number, *parts):
+        """Lets an endpoint crash under a request of a gateway."""
+        sent_ms = self.clock.now()
+        await self.clock.advance(700)
+        crash = Crash(
+            (f"e{number}", 1),
+            f"request:r{number}",
+            parts,
+            sent_ms,
+            self.clock.now(),
+        )
+        broken = BrokenResponse(f"q{number}", "10.0.0.1:1", crash, 0)
+        await self.trackers[gateway]._check(broken.address, [broken])
+
+    def refusing(self, *keys):
+        """Returns the gateways that refuse a request with these keys."""
+        return [i for i, t in enumerate(self.trackers) if t.find_refused(keys)]
+
+    async def send_heartbeats(self):
+        """Delivers the listing of each gateway to all others."""
+        listings = [tracker.listing() for tracker in self.trackers]
+        for i, tracker in enumerate(self.trackers):
+            for j, listing in enumerate(listings):
+                if i != j and listing:
+                    tracker.handle_listing(f"g{j}", listing)
+
+
+class CrashNoticesTest(unittest.TestCase):
+    """Several gateways, each of which sees some of the crashes."""
+
+    @asynchronous
+    async def test_crashes_at_several_gateways_count_together(self):
+        network = CrashNetwork(4)
+        for number in range(MAX_CRASHES):
+            await network.crash(number, number, FIRST, FATAL)
+            network.trackers[3].record_harmless("q", [FIRST])
+        self.assertEqual(network.refusing(FATAL), [0, 1, 2, 3])
+        self.assertEqual(network.refusing(FIRST), [])
+
+    @asynchronous
+    async def test_a_gateway_that_missed_the_crashes_refuses_the_part(self):
+        network = CrashNetwork(3)
+        network.cut_off = {2}
+        for number in range(MAX_CRASHES):
+            await network.crash(0, number, FATAL)
+        network.cut_off = set()
+        self.assertEqual(network.refusing(FATAL), [0, 1])
+        await network.send_heartbeats()
+        self.assertEqual(network.refusing(FATAL), [0, 1, 2])
+
+    @asynchronous
+    async def test_a_gateway_that_missed_a_success_hears_of_it_again(self):
+        network = CrashNetwork(3)
+        for number in range(MAX_CRASHES):
+            await network.crash(0, number, FATAL)
+        network.cut_off = {1}
+        network.trackers[0].record_harmless("q", [FATAL])
+        network.cut_off = set()
+        self.assertEqual(network.refusing(FATAL), [1])
+        await network.clock.advance(700)
+        await network.send_heartbeats()
+        self.assertEqual(network.refusing(FATAL), [])
+
+    @asynchronous
+    async def test_harmless_requests_send_no_notices(self):
+        network = CrashNetwork(2)
+        for _ in range(50):
+            network.trackers[0].record_harmless("q", [FIRST, "request:r"])
+        self.assertEqual(network.notices, 0)
+
+    def test_notices_are_encoded(self):
+        for notice in (
+            CrashNotice("request:r", "e1", 7, [FATAL]),
+            HarmlessNotice([FATAL], 40),
+        ):
+            data = codec.encode(notice)
+            self.assertEqual(codec.decode(data, type(notice)), notice)
--- a/tests/gateway/test_fatalparts.py
+++ b/tests/gateway/test_fatalparts.py
@@ -16,7 +16,7 @@
     )
 )
 FATAL = "bad1"
-# A service may lose five engines to a part, and get three more requests with it.
+# Five engines may be lost to a part, and three more requests with it be sent.
 MAX_ARRIVALS = 5 + 3
 
 
--- a/tests/gatewayharness.py
+++ b/tests/gatewayharness.py
@@ -9,6 +9,7 @@
 from lab.standins.platformengine import ScriptedEngine
 from rhubarbwinch.gateway.context import Context
 from rhubarbwinch.gateway.crashes import CrashTracker
+from rhubarbwinch.gateway.crashsuspects import CrashSuspects
 from rhubarbwinch.gateway.edge import EdgeServer
 from rhubarbwinch.gateway.failurereports import FailureReports
 from rhubarbwinch.gateway.fleet import Fleet
@@ -94,6 +95,7 @@
                 PlatformEngineCalls(self.transport), SystemClock()
             ),
             crashes=CrashTracker(
+                CrashSuspects(lambda key: True),
                 self.transport.is_unreachable,
                 SystemClock(),
                 self.broadcasts.append,
