Gateway: tells whether endpoints are down or it is cut off from them

Change: `isolation-changed` (763) and `rhubarbwinch_isolated_services`. No request is served in another way. Result: tests.gateway.test_isolation passes, with a single endpoint that is down, all that are down for everybody, and all that only this gateway fails to reach.

--- a/rhubarbwinch/gateway/context.py
+++ b/rhubarbwinch/gateway/context.py
@@ -21,6 +21,8 @@
     ServiceTraffic,
 )
 from rhubarbwinch.gateway.fleet import Fleet, KnownEndpoint
+from rhubarbwinch.gateway.isolation import Isolation
+from rhubarbwinch.gateway.isolationmonitor import IsolationMonitor
 from rhubarbwinch.gateway.loads import LoadTracker
 from rhubarbwinch.gateway.messages import FailureNotice
 from rhubarbwinch.gateway.migratedcopies import CopyManager
@@ -62,6 +64,8 @@
         copies: Manages the migrated copies of KV caches.
         crashes: The requests during which endpoints crashed.
         takeups: Finds where streams began that callers take up again.
+        isolation: Knows from which services this gateway is cut off.
+        isolation_monitor: Probes endpoints to which connections fail.
         permits: Lets requests pass as the rate limits of endpoints allow.
         tracer: Creates spans of requests; None if tracing is off.
         on_leaving: Called with an endpoint whose response says that it leaves.
@@ -82,12 +86,15 @@
     upstream: Upstream
     copies: CopyManager
     crashes: CrashTracker
+    isolation: Isolation
+    isolation_monitor: IsolationMonitor
     permits: Permits
     takeups: TakeUps
     on_leaving: Callable[[Endpoint], None]
     tracer: Tracer | None = None
     table: RoutingTable | None = None
     is_draining: bool = False
+    _last_response_ms: dict[str, int] = attrs.field(factory=dict)
 
     def engine_spec(self, service: str) -> EngineSpec | None:
         """Returns the capabilities of a service's engines, or None."""
@@ -145,6 +152,7 @@
         response = await self.upstream.send(
             endpoint, job.call, job.body, options, is_repeatable
         )
+        self._last_response_ms[endpoint.service] = self.clock.now()
         declared = response.head.declared
         if declared is not None:
             self.permits.record_response(
@@ -235,9 +243,23 @@
                     self.suspicion.failure_share(endpoint_id), 2
                 ),
             )
+        if outcome is AttemptOutcome.UNREACHABLE:
+            self.isolation_monitor.record_unreachable(service, endpoint_id)
+        elif outcome is AttemptOutcome.BROKEN:
+            self._check_silence(job, service, endpoint_id)
         if self._is_shared(service, outcome):
             self.handle_failure(self.peers.report_failure(endpoint_id))
 
+    def _check_silence(
+        self, job: "Job", service: str, endpoint_id: str
+    ) -> None:
+        """Has an endpoint probed if its whole service has been silent."""
+        known = self.fleet.get(endpoint_id)
+        if known is None or known.is_leaving:
+            return
+        if self._last_response_ms.get(service, 0) < job.sent_ms:
+            self.isolation_monitor.check_endpoint(known.endpoint)
+
     def _is_shared(self, service: str, outcome: AttemptOutcome) -> bool:
         """Returns whether an outcome is reported to the other gateways."""
         if outcome is AttemptOutcome.ERROR:
--- a/rhubarbwinch/gateway/gatewaymetrics.py
+++ b/rhubarbwinch/gateway/gatewaymetrics.py
@@ -73,6 +73,11 @@
     "Requests and parts of prompts that are refused as endpoints crash.",
     registry=REGISTRY,
 )
+ISOLATED_SERVICES = Gauge(
+    "rhubarbwinch_isolated_services",
+    "Services whose endpoints other gateways reach, and this one does not.",
+    registry=REGISTRY,
+)
 LOG_LINES_DROPPED = Counter(
     "rhubarbwinch_log_lines_dropped",
     "Log lines that were not written, over the budget or to a slow reader.",
--- a/rhubarbwinch/gateway/messages.py
+++ b/rhubarbwinch/gateway/messages.py
@@ -256,6 +256,24 @@
     ago_ms: int = 0
 
 
+@attrs.frozen
+class ReachabilityCall:
+    """Asks a gateway whether it can connect to an endpoint.
+
+    Attributes:
+        address: The endpoint's address.
+    """
+
+    address: str
+
+
+@attrs.frozen
+class ReachabilityReply:
+    """The reply to a `ReachabilityCall`."""
+
+    is_reachable: bool
+
+
 @attrs.frozen
 class HarmlessNotice:
     """Reports that requests with these suspects did not crash their endpoints.
--- a/rhubarbwinch/gateway/peers.py
+++ b/rhubarbwinch/gateway/peers.py
@@ -20,6 +20,8 @@
     Heartbeat,
     HeartbeatDigest,
     PeerAddress,
+    ReachabilityCall,
+    ReachabilityReply,
     SharedBatch,
     Snapshot,
     SnapshotCall,
@@ -42,6 +44,9 @@
 # Load changes within this time share a heartbeat.
 COALESCE_MS = 3
 SNAPSHOT_TIMEOUT_MS = 1_000
+# A gateway that can't connect to an endpoint notices that within 400 ms.
+REACHABILITY_TIMEOUT_MS = 700
+MAX_ASKED_PEERS = 4
 # A gateway that is behind asks this many peers before it tries the store again.
 NEWEST_SNAPSHOT_TRIES = 2
 # A gateway that sends its heartbeats to the relays of another data centre gets
@@ -262,6 +267,42 @@
             )
             return None
 
+    async def is_reached_elsewhere(self, address: str) -> bool | None:
+        """Returns whether another gateway can connect to an endpoint.
+
+        Gateways of all data centres are asked, as a fault of the network may
+        concern one of them.
+
+        Returns:
+            None if none replies.
+        """
+        by_data_center: dict[str, list[str]] = {}
+        for heartbeat in self._live_heartbeats():
+            by_data_center.setdefault(heartbeat.data_center, []).append(
+                heartbeat.name
+            )
+        asked = [
+            rendezvous.ranking(f"{self._own.name}\0{address}", names)[0]
+            for names in by_data_center.values()
+        ]
+        replies: list[ReachabilityReply | None] = []
+
+        async def ask(name: str) -> None:
+            replies.append(
+                await self.call_peer(
+                    name,
+                    ReachabilityCall(address),
+                    ReachabilityReply,
+                    REACHABILITY_TIMEOUT_MS,
+                )
+            )
+
+        async with anyio.create_task_group() as tasks:
+            for name in asked[:MAX_ASKED_PEERS]:
+                tasks.start_soon(ask, name)
+        found = [reply.is_reachable for reply in replies if reply is not None]
+        return any(found) if found else None
+
     def broadcast_changes(self, batch: SharedBatch) -> None:
         """Broadcasts changes of the store to all peers."""
         self._broadcast.send(batch)
--- a/rhubarbwinch/gateway/program.py
+++ b/rhubarbwinch/gateway/program.py
@@ -17,6 +17,8 @@
 from rhubarbwinch.gateway.endpoints import Endpoint
 from rhubarbwinch.gateway.failurereports import FailureReports
 from rhubarbwinch.gateway.fleet import Fleet, KnownEndpoint
+from rhubarbwinch.gateway.isolation import Isolation
+from rhubarbwinch.gateway.isolationmonitor import IsolationMonitor
 from rhubarbwinch.gateway.loads import LoadTracker
 from rhubarbwinch.gateway.messages import (
     CrashNotice,
@@ -27,6 +29,8 @@
     OriginBatch,
     OriginCall,
     RateLimitNotice,
+    ReachabilityCall,
+    ReachabilityReply,
     SharedBatch,
     Snapshot,
     SnapshotCall,
@@ -151,6 +155,7 @@
             loads,
             self._complete_heartbeat,
         )
+        isolation = Isolation()
         self._context = Context(
             data_center=settings.data_center,
             platform=dependencies.platform,
@@ -179,6 +184,15 @@
                 clock,
                 self._broadcast.send,
             ),
+            isolation=isolation,
+            isolation_monitor=IsolationMonitor(
+                isolation,
+                clock,
+                self._accepting_endpoints,
+                dependencies.transport.is_unreachable,
+                self._peers.is_reached_elsewhere,
+                self._peers.announce,
+            ),
             permits=Permits(RateLimits(settings.name), self._peers, clock),
             takeups=TakeUps(
                 StreamOrigins(settings.name), self._peers, fleet, clock
@@ -265,6 +279,7 @@
         self._server.on(OriginCall, self._context.takeups.handle_call)
         self._peers.on_limits(self._context.permits.handle_listing)
         self._server.on(SnapshotCall, self._reply_snapshot)
+        self._server.on(ReachabilityCall, self._reply_reachability)
         self._server.on(ValueCall, self._store_feed.handle_value_call)
         supervisor = Supervisor(settings.name, self._clock)
         supervisor.add("links", self._links.run)
@@ -286,6 +301,7 @@
             supervisor.add(name, server.run)
         supervisor.add("copies", self._context.copies.run)
         supervisor.add("crashes", self._context.crashes.run)
+        supervisor.add("isolation", self._context.isolation_monitor.run)
         supervisor.add("tick", self._tick)
         supervisor.add("outage", self._outage.run)
         supervisor.add("settings", self._watch_settings)
@@ -351,6 +367,20 @@
             snapshot, leaving=self._cluster_view.leaving_notices()
         )
 
+    async def _reply_reachability(
+        self, call: ReachabilityCall
+    ) -> ReachabilityReply:
+        """Returns whether this gateway can connect to an endpoint."""
+        transport = self._dependencies.transport
+        return ReachabilityReply(
+            not await transport.is_unreachable(call.address)
+        )
+
+    def _accepting_endpoints(self, service: str) -> list[Endpoint]:
+        """Returns the endpoints of a service that accept requests."""
+        fleet = self._context.fleet
+        return [k.endpoint for k in fleet.accepting_for_service(service)]
+
     def _own_expired_engines(self) -> list[Endpoint]:
         """Returns those of the polled engines whose lease has expired."""
         return [k.endpoint for k in self._own_engines(lambda k: k.has_expired)]
--- a/rhubarbwinch/shared/events.py
+++ b/rhubarbwinch/shared/events.py
@@ -706,3 +706,12 @@
     logging.INFO,
     "Endpoints that answered a request with these suspects are alive.",
 )
+ISOLATION_CHANGED = Event(
+    763,
+    "isolation-changed",
+    logging.WARNING,
+    (
+        "No endpoint of a service accepts connections of this gateway, or one "
+        "does again; whether other gateways reach them."
+    ),
+)
--- a/tests/gatewayharness.py
+++ b/tests/gatewayharness.py
@@ -13,6 +13,8 @@
 from rhubarbwinch.gateway.edge import EdgeServer
 from rhubarbwinch.gateway.failurereports import FailureReports
 from rhubarbwinch.gateway.fleet import Fleet
+from rhubarbwinch.gateway.isolation import Isolation
+from rhubarbwinch.gateway.isolationmonitor import IsolationMonitor
 from rhubarbwinch.gateway.loads import LoadTracker
 from rhubarbwinch.gateway.messages import FailureNotice
 from rhubarbwinch.gateway.migratedcopies import CopyManager
@@ -47,6 +49,10 @@
     def announce(self):
         """Does nothing."""
 
+    async def is_reached_elsewhere(self, address):
+        """Returns what peers would reply; None, as there is none."""
+        return
+
     def send_to(self, names, message):
         """Does nothing."""
 
@@ -68,7 +74,7 @@
 class GatewayHarness:
     """A gateway's router with scripted engines behind it."""
 
-    def __init__(self, engines, table, tracer=None):
+    def __init__(self, engines, table, tracer=None, peers=None):
         self.engines = [
             ScriptedEngine(f"e{i}", free_address(), "svc")
             for i in range(1, engines + 1)
@@ -78,6 +84,8 @@
         self.platform = KielichowaPlatform()
         self.transport = Transport()
         fleet = Fleet()
+        isolation = Isolation()
+        peers = peers or NoPeers()
         self.context = Context(
             data_center="dc-a",
             platform=self.platform,
@@ -88,7 +96,7 @@
             suspicion=Suspicion(),
             reports=FailureReports("dc-a"),
             budget=RetryBudget(0.2, 10_000, 100),
-            peers=NoPeers(),
+            peers=peers,
             upstream=Upstream(self.platform, self.transport, tracer),
             tracer=tracer,
             copies=CopyManager(
@@ -100,6 +108,17 @@
                 SystemClock(),
                 self.broadcasts.append,
             ),
+            isolation=isolation,
+            isolation_monitor=IsolationMonitor(
+                isolation,
+                SystemClock(),
+                lambda service: [
+                    k.endpoint for k in fleet.accepting_for_service(service)
+                ],
+                self.transport.is_unreachable,
+                peers.is_reached_elsewhere,
+                peers.announce,
+            ),
             permits=Permits(RateLimits("g1"), NoPeers(), SystemClock()),
             takeups=TakeUps(
                 StreamOrigins("g1"), NoPeers(), fleet, SystemClock()
@@ -208,15 +227,18 @@
 
 
 @asynccontextmanager
-async def running_gateway(engines=2, table=None, tracer=None):
+async def running_gateway(engines=2, table=None, tracer=None, peers=None):
     """Runs a gateway's request path and its engines."""
-    found = GatewayHarness(engines, table or build.table(build.route()), tracer)
+    found = GatewayHarness(
+        engines, table or build.table(build.route()), tracer, peers
+    )
     async with anyio.create_task_group() as tasks:
         for engine in found.engines:
             tasks.start_soon(engine.run)
         tasks.start_soon(found.edge.run)
         tasks.start_soon(found.context.crashes.run)
         tasks.start_soon(found.context.copies.run)
+        tasks.start_soon(found.context.isolation_monitor.run)
         await anyio.wait_all_tasks_blocked()
         try:
             yield found
