--- a/tests/gatewayprocesses.py
+++ b/tests/gatewayprocesses.py
@@ -62,7 +62,7 @@
             "last": base + 15,
         }
 
-    def start(self, number, program="rhubarbwinch gateway"):
+    def start(self, number, program="rhubarbwinch gateway", **env):
         """Starts a gateway on an address of its own."""
         ip = f"127.0.7.{number}"
         ports = self.ports
@@ -83,7 +83,7 @@
             program,
             "--metrics-port",
             str(self.ports["last"]),
-            env={"RHUBARBWINCH_SETTINGS": str(path)},
+            env={"RHUBARBWINCH_SETTINGS": str(path)} | env,
         )
 
     def url(self, number, service="port", path="/"):
