Gateway: a stream that may have run is not refused as one that has not

Callers saw: 503, a promise that the request has not run, for a resumable stream whose first engine had broken off and whose second one was full. Cause: the failure of the last attempt replaced that of the attempts before, verdict and all. Plain calls kept the verdict, streams did not; found while reading what a refusal after a crash says. Change: the failures of a generation's attempts are combined. Result: test_a_stream_that_may_have_run_is_refused_as_not_run failed before (503) and passes (502, no Retry-After).

--- a/rhubarbwinch/gateway/streams.py
+++ b/rhubarbwinch/gateway/streams.py
@@ -127,7 +127,7 @@
             run.release()
             if result is None:
                 return None
-            failure = result
+            failure = _combine(failure, result)
             job.tried.add(run.reservation.endpoint.id)
             if not _may_try_again(job, failure):
                 return failure
@@ -169,6 +169,13 @@
         return run.job.deadline_ms - self._context.clock.now()
 
 
+def _combine(before: Failure | None, failure: Failure) -> Failure:
+    """Returns a failure with the verdict of all attempts so far."""
+    if before is None or before.verdict is Verdict.NOT_RUN:
+        return failure
+    return Failure(before.verdict, failure.reason, failure.detail)
+
+
 def _may_try_again(job: Job, failure: Failure) -> bool:
     """Returns whether a generation may be sent once more after a failure."""
     if failure.reason is Reason.QUARANTINED:
--- a/tests/gateway/test_streams.py
+++ b/tests/gateway/test_streams.py
@@ -54,6 +54,10 @@
         await responder.end_stream()
 
 
+async def _break_off(received_request, responder):
+    """Closes the connection without a response."""
+
+
 async def _start(gateway, *args, **more):
     reader, writer = await gateway.open(*args, **more)
     return reader, writer
@@ -76,6 +80,21 @@
 class StreamCallsTest(unittest.TestCase):
     """One caller, some engines."""
 
+    @asynchronous
+    async def test_a_stream_that_may_have_run_is_refused_as_not_run(self):
+        async with running_gateway(table=RESUMABLE) as gateway:
+            handlers = [_break_off, send_not_run]
+
+            async def serve(received_request, responder):
+                await handlers.pop(0)(received_request, responder)
+
+            for engine in gateway.engines:
+                engine.handler = serve
+            found = await gateway.call()
+        self.assertEqual(handlers, [])
+        self.assertEqual(found.status, 502)
+        self.assertNotIn("retry-after", found.headers)
+
     def _script(self, gateway, generation):
         for engine in gateway.engines:
             engine.handler = generation.run
