--- a/rhubarbwinch/gateway/streams.py
+++ b/rhubarbwinch/gateway/streams.py
@@ -129,7 +129,7 @@
                 return None
             failure = _combine(failure, result)
             job.tried.add(run.reservation.endpoint.id)
-            if not _may_try_again(job, failure):
+            if not _may_try_again(job, result):
                 return failure
         return failure
 
