--- a/rhubarbwinch/gateway/context.py
+++ b/rhubarbwinch/gateway/context.py
@@ -244,6 +244,7 @@
                 ),
             )
         if outcome is AttemptOutcome.UNREACHABLE:
+            job.unreachable += 1
             self.isolation_monitor.record_unreachable(service, endpoint_id)
         elif outcome is AttemptOutcome.BROKEN:
             self._check_silence(job, service, endpoint_id)
@@ -349,6 +350,7 @@
 
     Attributes:
         call: The head of the request.
+        request: The request as it was received.
         body: The body of the request.
         route: The route of the request.
         account: The caller's client account, or None.
@@ -361,10 +363,13 @@
         part_keys: Identify the parts of the prompt that requests share.
         sends: Number of attempts at endpoints.
         sent_ms: When the last of them began.
+        unreachable: Number of attempts for which no connection could be made.
+        is_forwarded: Whether another gateway has passed the request on.
         tried: Ids of endpoints that were tried and are left out from now on.
     """
 
     call: CallHead
+    request: EdgeRequest
     body: bytes
     route: Route
     account: str | None
@@ -377,6 +382,8 @@
     part_keys: tuple[str, ...] = ()
     sends: int = 0
     sent_ms: int = 0
+    unreachable: int = 0
+    is_forwarded: bool = False
     tried: set[str] = attrs.field(factory=set)
 
     @property
@@ -399,6 +406,7 @@
         allowed_ms = min(allowed_ms, call.deadline_ms)
     return Job(
         call=call,
+        request=request,
         body=request.body,
         route=route,
         account=account,
--- a/rhubarbwinch/gateway/gatewaymetrics.py
+++ b/rhubarbwinch/gateway/gatewaymetrics.py
@@ -78,6 +78,12 @@
     "Services whose endpoints other gateways reach, and this one does not.",
     registry=REGISTRY,
 )
+FORWARDED = Counter(
+    "rhubarbwinch_forwarded",
+    "Requests passed on to another gateway, by how that ended.",
+    ["outcome"],
+    registry=REGISTRY,
+)
 LOG_LINES_DROPPED = Counter(
     "rhubarbwinch_log_lines_dropped",
     "Log lines that were not written, over the budget or to a slow reader.",
--- a/rhubarbwinch/gateway/isolation.py
+++ b/rhubarbwinch/gateway/isolation.py
@@ -23,7 +23,7 @@
 
     Attributes:
         failures: When the last connection to each endpoint failed.
-        is_isolated: Whether only this gateway fails to reach the endpoints.
+        is_isolated: Whether this gateway reaches none of the endpoints.
         probes: The number of endpoints probed while it is isolated.
     """
 
@@ -65,7 +65,7 @@
         return state is not None and state.is_isolated
 
     def mark_isolated(self, service: str) -> None:
-        """Records that others reach the endpoints that this gateway can't."""
+        """Records that this gateway reaches no endpoint of a service."""
         self._states.setdefault(service, _ServiceState()).is_isolated = True
 
     def is_suspected(
@@ -84,10 +84,16 @@
         if not endpoints:
             return []
         if self.is_isolated(service):
-            # Each time another one, as the endpoint itself may be down.
+            # Each time other ones, as some endpoints may be down.
             state = self._states[service]
-            state.probes += 1
-            return [endpoints[state.probes % len(endpoints)]]
+            first = state.probes
+            state.probes += MIN_ENDPOINTS
+            return [
+                endpoints[i % len(endpoints)]
+                for i in range(
+                    first, first + min(MIN_ENDPOINTS, len(endpoints))
+                )
+            ]
         failed = self._failed(service, endpoints, now_ms)
         if not failed:
             return []
--- a/rhubarbwinch/gateway/isolationmonitor.py
+++ b/rhubarbwinch/gateway/isolationmonitor.py
@@ -1,4 +1,4 @@
-"""Probes endpoints when connections fail, to tell who is cut off."""
+"""Probes endpoints when connections to some of them fail."""
 
 from collections.abc import Awaitable, Callable, Iterable
 
@@ -84,6 +84,7 @@
         while probes:
             if await self._connect_to_any(service, [known[p] for p in probes]):
                 if self._isolation.record_connection(service):
+                    self._on_change()
                     self._report(service, False, None)
                 return
             if was_isolated:
@@ -92,7 +93,10 @@
         if not was_isolated and self._isolation.is_suspected(
             service, list(known), self._clock.now()
         ):
-            await self._ask_peers(service, list(known.values()))
+            self._isolation.mark_isolated(service)
+            self._on_change()
+            reached = await self._ask_peers(list(known.values()))
+            self._report(service, True, reached)
 
     def _next_probes(self, service: str, known: Iterable[str]) -> list[str]:
         return self._isolation.next_probes(
@@ -118,16 +122,14 @@
                 tasks.start_soon(probe, endpoint)
         return bool(reached)
 
-    async def _ask_peers(self, service: str, endpoints: list[Endpoint]) -> None:
-        """Asks other gateways whether they reach the endpoints of a service."""
+    async def _ask_peers(self, endpoints: list[Endpoint]) -> bool | None:
+        """Asks other gateways whether they reach any of the endpoints."""
         reached: bool | None = None
         for endpoint in endpoints[:MAX_ASKED]:
             reached = await self._is_reached_elsewhere(endpoint.address)
             if reached is not False:
                 break
-        if reached:
-            self._isolation.mark_isolated(service)
-        self._report(service, bool(reached), reached)
+        return reached
 
     def _report(
         self, service: str, is_isolated: bool, reached: bool | None
@@ -136,4 +138,3 @@
             service=service, isolated=is_isolated, reached_elsewhere=reached
         )
         gatewaymetrics.ISOLATED_SERVICES.set(len(self._isolation.services))
-        self._on_change()
--- a/rhubarbwinch/gateway/messages.py
+++ b/rhubarbwinch/gateway/messages.py
@@ -121,6 +121,9 @@
             sender without an outage; 0 if the sender does not call it.
         loads: The sender's loads at endpoints.
         limits: The limits of the endpoints that the sender coordinates.
+        forward: The sender's address for requests that other gateways pass on;
+            empty if it takes none.
+        isolated_from: The services whose endpoints the sender does not reach.
         refused_suspects: The keys of requests and parts of prompts that the
             sender refuses, as endpoints crash under them.
     """
@@ -140,6 +143,8 @@
     store_available_ms: int = 0
     loads: list[EndpointLoad] = attrs.field(factory=list)
     limits: list[EndpointLimit] = attrs.field(factory=list)
+    forward: str = ""
+    isolated_from: list[str] = attrs.field(factory=list)
     refused_suspects: list[str] = attrs.field(factory=list)
 
     @property
--- a/rhubarbwinch/gateway/peers.py
+++ b/rhubarbwinch/gateway/peers.py
@@ -1,5 +1,6 @@
 """Exchanges heartbeats with the other gateways, directly or by relays."""
 
+from collections import Counter
 from collections.abc import Callable, Iterable
 from typing import Any, TypeVar
 
@@ -270,37 +271,39 @@
     async def is_reached_elsewhere(self, address: str) -> bool | None:
         """Returns whether another gateway can connect to an endpoint.
 
-        Gateways of all data centres are asked, as a fault of the network may
-        concern one of them.
+        Gateways of different data centres are asked, as a fault of the network
+        may concern one of them.
 
         Returns:
             None if none replies.
         """
-        by_data_center: dict[str, list[str]] = {}
-        for heartbeat in self._live_heartbeats():
-            by_data_center.setdefault(heartbeat.data_center, []).append(
-                heartbeat.name
-            )
-        asked = [
-            rendezvous.ranking(f"{self._own.name}\0{address}", names)[0]
-            for names in by_data_center.values()
-        ]
-        replies: list[ReachabilityReply | None] = []
+        data_centers = {h.name: h.data_center for h in self._live_heartbeats()}
+        names = rendezvous.ranking(
+            f"{self._own.name}\0{address}", list(data_centers)
+        )
+        # The first of each data centre, then the second ones.
+        seen: Counter[str] = Counter()
+        rounds: dict[str, int] = {}
+        for name in names:
+            rounds[name] = seen[data_centers[name]]
+            seen[data_centers[name]] += 1
+        found: list[bool] = []
 
         async def ask(name: str) -> None:
-            replies.append(
-                await self.call_peer(
-                    name,
-                    ReachabilityCall(address),
-                    ReachabilityReply,
-                    REACHABILITY_TIMEOUT_MS,
-                )
+            reply = await self.call_peer(
+                name,
+                ReachabilityCall(address),
+                ReachabilityReply,
+                REACHABILITY_TIMEOUT_MS,
             )
+            if reply is not None:
+                found.append(reply.is_reachable)
+            if any(found):
+                tasks.cancel_scope.cancel()
 
         async with anyio.create_task_group() as tasks:
-            for name in asked[:MAX_ASKED_PEERS]:
+            for name in sorted(names, key=rounds.__getitem__)[:MAX_ASKED_PEERS]:
                 tasks.start_soon(ask, name)
-        found = [reply.is_reachable for reply in replies if reply is not None]
         return any(found) if found else None
 
     def broadcast_changes(self, batch: SharedBatch) -> None:
--- a/rhubarbwinch/gateway/peertable.py
+++ b/rhubarbwinch/gateway/peertable.py
@@ -178,6 +178,16 @@
             if heartbeat.is_serving
         ]
 
+    def forward_targets(self, service: str) -> list[Heartbeat]:
+        """Returns the peers that can send requests to a service."""
+        return [
+            heartbeat
+            for heartbeat in self._live_heartbeats()
+            if heartbeat.is_serving
+            and heartbeat.forward
+            and service not in heartbeat.isolated_from
+        ]
+
     @property
     def live_count(self) -> int:
         """The number of live peers, leaving ones included."""
--- a/rhubarbwinch/gateway/plaincalls.py
+++ b/rhubarbwinch/gateway/plaincalls.py
@@ -53,13 +53,13 @@
     def __init__(self, context: Context) -> None:
         self._context = context
 
-    async def serve(self, job: Job, responder: EdgeResponder) -> None:
-        """Serves a call and sends the response."""
+    async def serve(self, job: Job, responder: EdgeResponder) -> Failure | None:
+        """Serves a call; returns the failure if there is no response."""
         result = await self._run(job)
         if isinstance(result, Failure):
-            await send_job_failure(self._context, job, responder, result)
-            return
+            return result
         await relay_response(self._context, job, responder, result)
+        return None
 
     async def _run(self, job: Job) -> WholeResponse | Failure:
         """Sends a call until a response or a verdict is final."""
--- a/rhubarbwinch/gateway/platforminterface.py
+++ b/rhubarbwinch/gateway/platforminterface.py
@@ -237,6 +237,22 @@
         """Returns the headers of a request to an endpoint."""
         ...
 
+    def forwarded_headers(
+        self, headers: Headers, time_left_ms: int, body_bytes: int
+    ) -> Headers:
+        """Returns the headers of a caller's request to another gateway.
+
+        Args:
+            headers: The headers as the caller sent them.
+            time_left_ms: The time until the caller's deadline.
+            body_bytes: The size of the body.
+        """
+        ...
+
+    def retry_after_ms(self, headers: Headers) -> int | None:
+        """Returns when a gateway's failure asks the caller to come back."""
+        ...
+
     def decode_response(self, status: int, headers: Headers) -> ResponseHead:
         """Decodes the head of an endpoint's response."""
         ...
--- a/rhubarbwinch/gateway/program.py
+++ b/rhubarbwinch/gateway/program.py
@@ -146,6 +146,7 @@
             settings.address.broadcast,
             settings.front,
             settings.data_center,
+            forward=settings.forward,
         )
         self._peers = Peers(
             heartbeat,
@@ -245,6 +246,9 @@
             self._announce_leaving,
         )
         self._front = EdgeServer(settings.front, router.handle, clock)
+        self._forwarded = EdgeServer(
+            settings.forward, router.handle_forwarded, clock
+        )
         self._status_api = StatusApi(
             dependencies.platform, self._peers, settings, lambda: self.is_ready
         )
@@ -256,6 +260,14 @@
         """Whether the gateway accepts new callers."""
         return self._context.table is not None and not self._context.is_draining
 
+    @property
+    def _open_requests(self) -> int:
+        """The number of requests that are being served."""
+        return (
+            self._front.status.open_requests
+            + self._forwarded.status.open_requests
+        )
+
     async def run(self) -> None:
         """Runs until SIGTERM, then drains and returns.
 
@@ -265,22 +277,7 @@
         settings = self._settings
         for seed in settings.seeds:
             self._peers.add(seed)
-        self._broadcast.on(SharedBatch, self._store_feed.receive_batch)
-        self._broadcast.on(
-            LeavingNotice, self._cluster_view.apply_leaving_notice
-        )
-        crashes = self._context.crashes
-        self._broadcast.on(CrashNotice, crashes.handle_crash_notice)
-        self._broadcast.on(HarmlessNotice, crashes.handle_harmless_notice)
-        self._peers.on_refused_suspects(crashes.handle_listing)
-        self._broadcast.on(FailureNotice, self._context.handle_failure)
-        self._broadcast.on(RateLimitNotice, self._context.permits.handle_notice)
-        self._broadcast.on(OriginBatch, self._context.takeups.receive)
-        self._server.on(OriginCall, self._context.takeups.handle_call)
-        self._peers.on_limits(self._context.permits.handle_listing)
-        self._server.on(SnapshotCall, self._reply_snapshot)
-        self._server.on(ReachabilityCall, self._reply_reachability)
-        self._server.on(ValueCall, self._store_feed.handle_value_call)
+        self._handle_messages()
         supervisor = Supervisor(settings.name, self._clock)
         supervisor.add("links", self._links.run)
         supervisor.add("link-server", self._server.run)
@@ -292,6 +289,7 @@
         supervisor.add("bootstrap", self._bootstrap)
         supervisor.add("registration", self._registration.run)
         supervisor.add("front", self._front.run)
+        supervisor.add("forwarded", self._forwarded.run)
         for name, address in (
             ("ready", settings.ready),
             ("directory", settings.directory),
@@ -326,6 +324,25 @@
                     await self._registration.close()
         events.STOPPED.log(name=settings.name)
 
+    def _handle_messages(self) -> None:
+        """Sets the handlers of the messages of other gateways."""
+        self._broadcast.on(SharedBatch, self._store_feed.receive_batch)
+        self._broadcast.on(
+            LeavingNotice, self._cluster_view.apply_leaving_notice
+        )
+        crashes = self._context.crashes
+        self._broadcast.on(CrashNotice, crashes.handle_crash_notice)
+        self._broadcast.on(HarmlessNotice, crashes.handle_harmless_notice)
+        self._peers.on_refused_suspects(crashes.handle_listing)
+        self._broadcast.on(FailureNotice, self._context.handle_failure)
+        self._broadcast.on(RateLimitNotice, self._context.permits.handle_notice)
+        self._broadcast.on(OriginBatch, self._context.takeups.receive)
+        self._server.on(OriginCall, self._context.takeups.handle_call)
+        self._peers.on_limits(self._context.permits.handle_listing)
+        self._server.on(SnapshotCall, self._reply_snapshot)
+        self._server.on(ReachabilityCall, self._reply_reachability)
+        self._server.on(ValueCall, self._store_feed.handle_value_call)
+
     def _complete_heartbeat(self, heartbeat: Heartbeat) -> Heartbeat:
         """Fills in the fields of a heartbeat that change over time."""
         return attrs.evolve(
@@ -337,12 +354,14 @@
             is_store_failing=self._store_feed.is_failing,
             store_available_ms=self._store_feed.available_ms,
             limits=self._context.permits.listing(),
+            isolated_from=self._context.isolation.services,
             refused_suspects=self._context.crashes.listing(),
         )
 
     def _apply_limits(self, table: RoutingTable) -> None:
         """Applies the HTTP limits of a configuration to the front server."""
-        self._front.status.limits = table.limits
+        for server in (self._front, self._forwarded):
+            server.status.limits = table.limits
 
     async def _bootstrap(self) -> None:
         """Fetches a snapshot from peers until there is a configuration."""
@@ -426,7 +445,7 @@
                 gateways, lambda e: self._context.fleet.get(e) is not None
             )
             self._context.takeups.update(gateways)
-            gatewaymetrics.OPEN_REQUESTS.set(self._front.status.open_requests)
+            gatewaymetrics.OPEN_REQUESTS.set(self._open_requests)
             self._streams.handle_capacity_change()
             if self._store_feed.is_failing != self._was_failing:
                 self._was_failing = self._store_feed.is_failing
@@ -481,17 +500,17 @@
     async def _drain(self) -> None:
         """Announces the shutdown and waits for the open requests."""
         started_ms = self._clock.now()
-        status = self._front.status
-        events.DRAINING.log(name=self._settings.name, open=status.open_requests)
+        events.DRAINING.log(name=self._settings.name, open=self._open_requests)
         self._context.is_draining = True
-        status.is_closing = True
+        for server in (self._front, self._forwarded):
+            server.status.is_closing = True
         self._peers.announce()
         end = started_ms + self._settings.grace_ms - GRACE_MARGIN_MS
         accept_until = started_ms + min(
             DRAIN_ACCEPT_MS, self._settings.grace_ms // 2
         )
         while self._clock.now() < end:
-            if self._clock.now() >= accept_until and not status.open_requests:
+            if self._clock.now() >= accept_until and not self._open_requests:
                 return
             await self._clock.sleep(DRAIN_CHECK_MS)
-        events.DRAIN_LIMIT.log(open=status.open_requests)
+        events.DRAIN_LIMIT.log(open=self._open_requests)
--- a/rhubarbwinch/gateway/router.py
+++ b/rhubarbwinch/gateway/router.py
@@ -3,21 +3,25 @@
 import anyio
 
 from rhubarbwinch.gateway import requestspans
-from rhubarbwinch.gateway.context import Context, make_job
+from rhubarbwinch.gateway.context import Context, Job, make_job
 from rhubarbwinch.gateway.edge import EdgeRequest, EdgeResponder
 from rhubarbwinch.gateway.failureresponses import send_failure
+from rhubarbwinch.gateway.forwarding import MAX_OPEN_FORWARDED, Forwarder
 from rhubarbwinch.gateway.plaincalls import PlainCalls, send_job_failure
 from rhubarbwinch.gateway.platforminterface import CallHead
 from rhubarbwinch.gateway.routes import CallKind, Route, RoutingTable
 from rhubarbwinch.gateway.streams import StreamCalls
 from rhubarbwinch.shared import events
 from rhubarbwinch.shared.exceptions import BadCallError
-from rhubarbwinch.shared.verdict import Failure, Reason, not_run
+from rhubarbwinch.shared.verdict import Failure, Reason, Verdict, not_run
 
 RETRY_AFTER_MS = 300
 # While draining, this process may end before a generation would, so callers
 # should soon retry it at another gateway.
 DRAIN_RETRY_AFTER_MS = 50
+# Why a request is passed on to another gateway.
+CUT_OFF = "cut off from the endpoints"
+UNREACHABLE = "no endpoint accepted a connection"
 
 
 class Router:
@@ -35,11 +39,39 @@
         self._context = context
         self._plain = plain
         self._streams = streams
+        self._forwarder = Forwarder(context)
+        self._open_forwarded = 0
 
     async def handle(
         self, request: EdgeRequest, responder: EdgeResponder
     ) -> None:
-        """Handles one request."""
+        """Handles one request of a caller."""
+        await self._handle(request, responder, False)
+
+    async def handle_forwarded(
+        self, request: EdgeRequest, responder: EdgeResponder
+    ) -> None:
+        """Handles one request that another gateway passes on."""
+        if self._open_forwarded >= MAX_OPEN_FORWARDED:
+            failure = not_run(
+                Reason.QUEUE_FULL,
+                "too many requests of other gateways",
+                RETRY_AFTER_MS,
+            )
+            await send_failure(self._context.platform, responder, "", failure)
+            return
+        self._open_forwarded += 1
+        try:
+            await self._handle(request, responder, True)
+        finally:
+            self._open_forwarded -= 1
+
+    async def _handle(
+        self,
+        request: EdgeRequest,
+        responder: EdgeResponder,
+        is_forwarded: bool,
+    ) -> None:
         context = self._context
         try:
             call = context.platform.decode_call(
@@ -52,10 +84,14 @@
         with requestspans.request_span(
             context.tracer, call.headers, call.request_id
         ):
-            await self._handle_call(request, call, responder)
+            await self._handle_call(request, call, responder, is_forwarded)
 
     async def _handle_call(
-        self, request: EdgeRequest, call: CallHead, responder: EdgeResponder
+        self,
+        request: EdgeRequest,
+        call: CallHead,
+        responder: EdgeResponder,
+        is_forwarded: bool,
     ) -> None:
         context = self._context
         admitted = self._admit(call)
@@ -72,12 +108,14 @@
         if refusal is not None:
             await send_job_failure(context, job, responder, refusal)
             return
-        context.budget.add_request(job.service, context.clock.now())
+        job.is_forwarded = is_forwarded
+        if not is_forwarded:
+            # The gateway that has passed it on has counted it.
+            context.budget.add_request(job.service, context.clock.now())
         try:
-            if route.kind is CallKind.STREAM:
-                await self._streams.serve(job, responder)
-            else:
-                await self._plain.serve(job, responder)
+            failure = await self._serve(job, responder)
+            if failure is not None:
+                await send_job_failure(context, job, responder, failure)
         except anyio.get_cancelled_exc_class():
             events.CALLER_LEFT.log(
                 request=call.request_id,
@@ -86,6 +124,38 @@
             )
             raise
 
+    async def _serve(
+        self, job: Job, responder: EdgeResponder
+    ) -> Failure | None:
+        """Serves a request, or has another gateway serve it.
+
+        Returns:
+            None if the caller got a response, else why there is none.
+        """
+        if not job.is_forwarded and self._context.isolation.is_isolated(
+            job.service
+        ):
+            failure = await self._forwarder.forward(job, responder, CUT_OFF)
+            if failure is None or failure.verdict is not Verdict.NOT_RUN:
+                return failure
+            # Connections that were open before may still serve it.
+        if job.route.kind is CallKind.STREAM:
+            failure = await self._streams.serve(job, responder)
+        else:
+            failure = await self._plain.serve(job, responder)
+        if failure is not None and self._can_others_serve(job, failure):
+            return await self._forwarder.forward(job, responder, UNREACHABLE)
+        return failure
+
+    def _can_others_serve(self, job: Job, failure: Failure) -> bool:
+        """Returns whether another gateway may serve what this one can't."""
+        return (
+            not job.is_forwarded
+            and failure.verdict is Verdict.NOT_RUN
+            and failure.reason is Reason.NO_ENDPOINT
+            and bool(job.unreachable)
+        )
+
     def _admit(self, call: CallHead) -> tuple[Route, str | None, int] | Failure:
         """Returns the route, the account and the priority of a request."""
         table = self._context.table
--- a/rhubarbwinch/gateway/settings.py
+++ b/rhubarbwinch/gateway/settings.py
@@ -16,6 +16,7 @@
         ready: The address for the platform's readiness checks.
         directory: The address at which callers look up gateway addresses.
         address: The addresses for other gateways.
+        forward: The address for requests that other gateways pass on.
         metrics: The address for reading metrics.
         seeds: Addresses of some peers, which may be gone.
         store: The address of the platform's store.
@@ -35,6 +36,7 @@
     ready: str
     directory: str
     address: PeerAddress
+    forward: str
     metrics: str
     seeds: tuple[PeerAddress, ...]
     store: str
--- a/rhubarbwinch/gateway/streams.py
+++ b/rhubarbwinch/gateway/streams.py
@@ -10,7 +10,6 @@
 from rhubarbwinch.gateway.failover import Failover
 from rhubarbwinch.gateway.generationsender import GenerationSender
 from rhubarbwinch.gateway.migration import Migrator
-from rhubarbwinch.gateway.plaincalls import send_job_failure
 from rhubarbwinch.gateway.runplacement import RunPlacer
 from rhubarbwinch.gateway.runs import Run
 from rhubarbwinch.gateway.suspicion import AttemptOutcome
@@ -40,14 +39,20 @@
         )
         self._runs: set[Run] = set()
 
-    async def serve(self, job: Job, responder: EdgeResponder) -> None:
-        """Serves one generation."""
+    async def serve(self, job: Job, responder: EdgeResponder) -> Failure | None:
+        """Serves one generation.
+
+        Returns:
+            None if the caller got a response, complete or broken off, else why
+            there is none.
+        """
         failed: list[Exception] = []
+        failure: Failure | None = None
         async with anyio.create_task_group() as tasks:
             run = Run(job, responder, tasks)
             self._runs.add(run)
             try:
-                await self._serve(run)
+                failure = await self._serve(run)
             except Exception as error:
                 # The task group would wrap the exception in a group.
                 failed.append(error)
@@ -58,6 +63,7 @@
                 tasks.cancel_scope.cancel()
         if failed:
             raise failed[0]
+        return failure
 
     def handle_capacity_change(self) -> None:
         """Wakes the queued requests and publishes the loads to the peers."""
@@ -68,13 +74,11 @@
         for run in list(self._runs):
             self._migrator.handle_leaving_engine(run, endpoint)
 
-    async def _serve(self, run: Run) -> None:
+    async def _serve(self, run: Run) -> Failure | None:
         failure = await self._find_origin(run)
         if failure is None:
             failure = await self._start(run)
-        if failure is None:
-            return
-        if run.head_sent:
+        if failure is not None and run.head_sent:
             # The caller detects the failure by the incomplete stream.
             events.STREAM_BROKEN.log(
                 request=run.id,
@@ -83,8 +87,8 @@
                 took_ms=self._context.clock.now() - run.job.received_ms,
             )
             gatewaymetrics.REQUESTS.labels(run.job.route.name, "broken").inc()
-            return
-        await send_job_failure(self._context, run.job, run.responder, failure)
+            return None
+        return failure
 
     async def _find_origin(self, run: Run) -> Failure | None:
         """Finds the version of a stream that its caller takes up again."""
--- a/rhubarbwinch/gateway/upstream.py
+++ b/rhubarbwinch/gateway/upstream.py
@@ -6,6 +6,7 @@
 import httpx
 
 from rhubarbwinch.gateway import requestspans
+from rhubarbwinch.gateway.edge import EdgeRequest
 from rhubarbwinch.gateway.endpoints import Endpoint
 from rhubarbwinch.gateway.platforminterface import (
     AttemptOptions,
@@ -24,6 +25,9 @@
 # such a close is lost, so a request that may not be repeated only reuses a
 # connection that was idle for less than this.
 NOT_REPEATABLE_MAX_IDLE_S = 0.3
+# Another gateway closes idle connections as the configuration says, at the
+# earliest after some seconds.
+FORWARD_MAX_IDLE_S = 1.0
 MAX_RESPONSE_BYTES = 8 << 20
 
 
@@ -70,6 +74,11 @@
         except httpx.HTTPError as error:
             raise EndpointError(repr(error), sent=True) from error
 
+    @property
+    def has_length(self) -> bool:
+        """Whether the head states the length of the body."""
+        return "content-length" in self._response.headers
+
     async def close(self) -> None:
         """Returns the connection to the pool; closes it on a partial body."""
         await self._response.aclose()
@@ -109,38 +118,69 @@
                 whether a byte was sent.
         """
         with requestspans.attempt_span(self._tracer, endpoint.id):
-            request = self._request(endpoint, call, body, options)
+            headers = self._platform.endpoint_headers(call, options, len(body))
+            request = httpx.Request(
+                call.method,
+                f"http://{endpoint.address}/",
+                headers=requestspans.with_traceparent(self._tracer, headers),
+                stream=httpx.ByteStream(body),
+                extensions={
+                    "target": call.target,
+                    "is_answer": lambda head: self._platform.is_response_to(
+                        call.request_id, list(head.headers.raw_items())
+                    ),
+                },
+            )
             if not is_repeatable:
                 request.extensions["max_idle_s"] = NOT_REPEATABLE_MAX_IDLE_S
-            try:
-                response = await self._transport.handle_async_request(request)
-            except (httpx.ConnectError, httpx.ConnectTimeout) as error:
-                raise EndpointError(repr(error), sent=False) from error
-            except httpx.HTTPError as error:
-                raise EndpointError(repr(error), sent=True) from error
+            return await self._exchange(request)
+
+    async def forward(
+        self,
+        address: str,
+        request: EdgeRequest,
+        time_left_ms: int,
+        is_repeatable: bool,
+    ) -> UpstreamResponse:
+        """Passes a caller's request to another gateway.
+
+        Args:
+            address: The address of the gateway for such requests.
+            request: The request as it was received.
+            time_left_ms: The time until the caller's deadline.
+            is_repeatable: Whether the request may be repeated.
+
+        Raises:
+            EndpointError: No head was received. Its attribute `sent` says
+                whether a byte was sent.
+        """
+        headers = self._platform.forwarded_headers(
+            request.headers, time_left_ms, len(request.body)
+        )
+        return await self._exchange(
+            httpx.Request(
+                request.method,
+                f"http://{address}/",
+                headers=headers,
+                stream=httpx.ByteStream(request.body),
+                extensions={
+                    "target": request.target,
+                    "max_idle_s": FORWARD_MAX_IDLE_S
+                    if is_repeatable
+                    else NOT_REPEATABLE_MAX_IDLE_S,
+                },
+            )
+        )
+
+    async def _exchange(self, request: httpx.Request) -> UpstreamResponse:
+        request.extensions["timeout"] = {"connect": CONNECT_TIMEOUT_S}
+        try:
+            response = await self._transport.handle_async_request(request)
+        except (httpx.ConnectError, httpx.ConnectTimeout) as error:
+            raise EndpointError(repr(error), sent=False) from error
+        except httpx.HTTPError as error:
+            raise EndpointError(repr(error), sent=True) from error
         head = self._platform.decode_response(
             response.status_code, response.headers.raw
         )
         return UpstreamResponse(head, response)
-
-    def _request(
-        self,
-        endpoint: Endpoint,
-        call: CallHead,
-        body: bytes,
-        options: AttemptOptions,
-    ) -> httpx.Request:
-        headers = self._platform.endpoint_headers(call, options, len(body))
-        return httpx.Request(
-            call.method,
-            f"http://{endpoint.address}/",
-            headers=requestspans.with_traceparent(self._tracer, headers),
-            stream=httpx.ByteStream(body),
-            extensions={
-                "target": call.target,
-                "timeout": {"connect": CONNECT_TIMEOUT_S},
-                "is_answer": lambda head: self._platform.is_response_to(
-                    call.request_id, list(head.headers.raw_items())
-                ),
-            },
-        )
--- a/rhubarbwinch/platform/adapter.py
+++ b/rhubarbwinch/platform/adapter.py
@@ -22,6 +22,8 @@
 
     decode_call = staticmethod(headers.decode_call)
     endpoint_headers = staticmethod(headers.endpoint_headers)
+    forwarded_headers = staticmethod(headers.forwarded_headers)
+    retry_after_ms = staticmethod(headers.retry_after_ms)
     decode_response = staticmethod(headers.decode_response)
     is_response_to = staticmethod(headers.is_response_to)
     failure_headers = staticmethod(headers.failure_headers)
--- a/rhubarbwinch/platform/headers.py
+++ b/rhubarbwinch/platform/headers.py
@@ -186,6 +186,23 @@
     return result
 
 
+def forwarded_headers(
+    headers: Headers, time_left_ms: int, body_bytes: int
+) -> Headers:
+    """Returns the headers of a caller's request to another gateway."""
+    skipped = _hop_by_hop_names(headers) | {DEADLINE}
+    result = [(n, v) for n, v in headers if n.lower() not in skipped]
+    result.append((b"Deadline-Ms", str(time_left_ms).encode()))
+    result.append((b"Content-Length", str(body_bytes).encode()))
+    return result
+
+
+def retry_after_ms(headers: Headers) -> int | None:
+    """Returns when a gateway's failure asks the caller to come back."""
+    seconds = _decode_decimal(headers, RETRY_AFTER)
+    return None if seconds is None else int(1_000 * seconds)
+
+
 def decode_response(status: int, headers: Headers) -> ResponseHead:
     """Decodes the head of an endpoint's response."""
     hop_by_hop = _hop_by_hop_names(headers)
--- a/rhubarbwinch/platform/settingsfile.py
+++ b/rhubarbwinch/platform/settingsfile.py
@@ -61,8 +61,8 @@
         """
         ip = self._text("ip")
         ports = self._list("internal_ports")
-        if len(ports) < 2:
-            raise SettingError("internal_ports", ports, "two ports")
+        if len(ports) < 2 or int(ports[1]) - int(ports[0]) < 2:
+            raise SettingError("internal_ports", ports, "three ports or more")
         link_port = int(ports[0])
         seeds = [
             netaddress.parse_address(seed)[0] for seed in self._list("seeds")
@@ -74,6 +74,7 @@
             ready=self._address("listen.ready"),
             directory=self._address("listen.directory"),
             address=_peer_address(ip, link_port),
+            forward=f"{ip}:{link_port + 2}",
             metrics=f"{ip}:{metrics_port}",
             # All VMs use the same ports.
             seeds=tuple(
--- a/rhubarbwinch/shared/events.py
+++ b/rhubarbwinch/shared/events.py
@@ -715,3 +715,9 @@
         "does again; whether other gateways reach them."
     ),
 )
+FORWARDED = Event(
+    764,
+    "forwarded",
+    logging.INFO,
+    "A request was passed on to another gateway, and how that ended.",
+)
--- /dev/null
+++ b/tests/gateway/test_forwarding.py
@@ -0,0 +1,277 @@
+"""Tests requests that a gateway passes on to another one."""
+
+import unittest
+from contextlib import asynccontextmanager
+
+import anyio
+
+from lab.standins.platformengine import (
+    engine_headers,
+    send_not_run,
+    send_ok,
+    stream_event,
+)
+from rhubarbwinch.gateway import router as routers
+from rhubarbwinch.gateway.edge import EdgeServer
+from rhubarbwinch.gateway.forwarding import MAX_TARGETS, choose_target
+from rhubarbwinch.gateway.messages import Heartbeat
+from rhubarbwinch.gateway.routes import CallKind
+from rhubarbwinch.shared.clock import SystemClock
+from tests import gatewaybuilders as build
+from tests.gatewayharness import NoPeers, running_gateway
+from tests.helpers import asynchronous, free_address
+
+CALLS = build.table(build.route())
+ONCE = build.table(build.route(CallKind.NON_IDEMPOTENT))
+STREAMS = build.table(build.route(CallKind.STREAM, timeout_ms=20_000))
+
+
+def heartbeat(name, forward):
+    """Returns the heartbeat of a gateway that takes requests of others."""
+    return Heartbeat(
+        name, 1, 1, name, name, name, "dc-b", is_serving=True, forward=forward
+    )
+
+
+class OtherGateways(NoPeers):
+    """Peers to which requests can be passed."""
+
+    def __init__(self, *addresses):
+        self.targets = [
+            heartbeat(f"g{i}", address) for i, address in enumerate(addresses)
+        ]
+
+    def forward_targets(self, service):
+        """Returns the peers that can send requests to a service."""
+        return self.targets
+
+
+@asynccontextmanager
+async def cut_off_gateway(*addresses, table=CALLS):
+    """Runs a gateway that reaches other gateways and no endpoint."""
+    peers = OtherGateways(*addresses)
+    async with running_gateway(0, table, peers=peers) as gateway:
+        gateway.context.isolation.mark_isolated("svc")
+        yield gateway
+
+
+@asynccontextmanager
+async def two_gateways(table=CALLS, engines=1):
+    """Runs a gateway that is cut off, and one that is not."""
+    async with (
+        running_gateway(engines, table) as target,
+        cut_off_gateway(target.forward_address, table=table) as gateway,
+    ):
+        yield gateway, target
+
+
+@asynccontextmanager
+async def server(handle):
+    """Runs a stand-in of another gateway; yields its address."""
+    address = free_address()
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(EdgeServer(address, handle, SystemClock()).run)
+        await anyio.wait_all_tasks_blocked()
+        yield address
+        tasks.cancel_scope.cancel()
+
+
+class ForwardingTest(unittest.TestCase):
+    """A gateway that is cut off from the endpoints."""
+
+    @asynchronous
+    async def test_a_call_is_served_by_another_gateway(self):
+        async with two_gateways() as (gateway, target):
+            found = await gateway.call(X_Own="kept", Deadline_Ms="3000")
+        self.assertEqual((found.status, found.body), (200, b"q1"))
+        self.assertEqual(found.headers["server-signature"], "sig")
+        (received,) = target.engines[0].received
+        self.assertEqual(received.id, "q1")
+        self.assertEqual(received.headers["x-own"], "kept")
+        self.assertEqual(received.headers["tenant"], "acme")
+        self.assertNotIn("authorization", received.headers)
+        self.assertLessEqual(int(received.headers["deadline-ms"]), 3_000)
+
+    @asynchronous
+    async def test_a_stream_is_relayed_event_by_event(self):
+        proceed = anyio.Event()
+
+        async def generate(received_request, responder):
+            await responder.start_stream(200, engine_headers(received_request))
+            await responder.write(stream_event(1))
+            await proceed.wait()
+            await responder.write(stream_event(2))
+            await responder.end_stream()
+
+        async with two_gateways(STREAMS) as (gateway, target):
+            target.engines[0].handler = generate
+            reader, writer = await gateway.open()
+            received = b""
+            while stream_event(1) not in received:
+                received += await reader.read(65_536)
+            self.assertNotIn(stream_event(2), received)
+            proceed.set()
+            rest = await reader.read()
+            writer.close()
+        self.assertIn(stream_event(2), rest)
+        self.assertTrue(rest.endswith(b"0\r\n\r\n"))
+
+    @asynchronous
+    async def test_a_stream_that_breaks_does_not_look_complete(self):
+        async def break_off(received_request, responder):
+            await responder.start_stream(200, engine_headers(received_request))
+            await responder.write(stream_event(1))
+
+        async with two_gateways(STREAMS) as (gateway, target):
+            target.engines[0].handler = break_off
+            found = await gateway.call()
+        self.assertEqual(found.status, 200)
+        self.assertFalse(found.is_complete)
+
+    @asynchronous
+    async def test_the_verdict_of_the_other_gateway_is_passed_back(self):
+        async def break_off(received_request, responder):
+            """Closes the connection without a response."""
+
+        for handler, status in ((send_not_run, 503), (break_off, 502)):
+            async with two_gateways(ONCE) as (gateway, target):
+                target.engines[0].handler = handler
+                found = await gateway.call()
+                self.assertEqual(found.status, status)
+                self.assertEqual("retry-after" in found.headers, status == 503)
+                self.assertEqual(len(target.engines[0].received), 1)
+
+    @asynchronous
+    async def test_a_request_is_passed_on_once(self):
+        async with (
+            cut_off_gateway() as last,
+            cut_off_gateway(last.forward_address) as gateway,
+        ):
+            # The second gateway would pass it back, if it passed it on at all.
+            last.context.peers = OtherGateways(gateway.forward_address)
+            found = await gateway.call()
+        self.assertEqual(found.status, 503)
+
+    @asynchronous
+    async def test_what_a_gateway_has_not_run_goes_to_a_second_one(self):
+        calls = []
+
+        async def refuse(request, responder):
+            calls.append(request)
+            await responder.send(503, [], b"draining")
+
+        async with (
+            server(refuse) as first,
+            server(refuse) as second,
+            server(refuse) as third,
+            cut_off_gateway(first, second, third, table=ONCE) as gateway,
+        ):
+            found = await gateway.call()
+        self.assertEqual(len(calls), MAX_TARGETS)
+        self.assertEqual(found.status, 503)
+
+    @asynchronous
+    async def test_a_gateway_that_ends_during_a_call_leaves_it_unknown(self):
+        calls = []
+
+        async def end(request, responder):
+            calls.append(request)
+
+        async with (
+            server(end) as first,
+            server(end) as second,
+            cut_off_gateway(first, second, table=ONCE) as gateway,
+        ):
+            found = await gateway.call()
+        self.assertEqual(len(calls), 1)
+        self.assertEqual(found.status, 502)
+
+    @asynchronous
+    async def test_a_gateway_that_is_gone_has_not_run_it(self):
+        async with (
+            running_gateway(1) as target,
+            cut_off_gateway(free_address(), target.forward_address) as gateway,
+        ):
+            statuses = {(await gateway.call(f"q{i}")).status for i in range(8)}
+        self.assertEqual(statuses, {200})
+
+    @asynchronous
+    async def test_an_older_configuration_elsewhere_is_no_answer(self):
+        async def not_found(request, responder):
+            await responder.send(404, [], b"no such route")
+
+        async with (
+            server(not_found) as address,
+            cut_off_gateway(address) as gateway,
+        ):
+            found = await gateway.call()
+        self.assertEqual(found.status, 503)
+
+    @asynchronous
+    async def test_a_caller_that_leaves_ends_the_work_elsewhere(self):
+        started = anyio.Event()
+
+        async def work(received_request, responder):
+            started.set()
+            await anyio.sleep_forever()
+
+        async with two_gateways() as (gateway, target):
+            target.engines[0].handler = work
+            _, writer = await gateway.open()
+            await started.wait()
+            writer.close()
+            while not target.engines[0].disconnects:
+                await anyio.sleep(0)
+
+    @asynchronous
+    async def test_the_requests_of_others_are_bounded(self):
+        async with two_gateways() as (gateway, target):
+            target.router._open_forwarded = routers.MAX_OPEN_FORWARDED
+            found = await gateway.call()
+            self.assertEqual(found.status, 503)
+            self.assertEqual(target.received, [])
+            own = await target.call("q2")
+            self.assertEqual(own.status, 200)
+
+    @asynchronous
+    async def test_endpoints_that_refuse_connections_are_reached_elsewhere(
+        self,
+    ):
+        async with running_gateway(1) as target:
+            peers = OtherGateways(target.forward_address)
+            async with running_gateway(0, CALLS, peers=peers) as gateway:
+                for name in ("e1", "e2", "e3"):
+                    gateway.context.fleet.apply_registration(
+                        build.endpoint(name, address=free_address()), 0
+                    )
+                found = await gateway.call()
+        self.assertEqual(found.status, 200)
+        self.assertEqual(len(target.received), 1)
+
+    @asynchronous
+    async def test_open_connections_serve_if_no_gateway_can(self):
+        async with running_gateway(1) as gateway:
+            gateway.engines[0].handler = send_ok
+            gateway.context.isolation.mark_isolated("svc")
+            found = await gateway.call()
+        self.assertEqual(found.status, 200)
+
+    def test_targets_are_chosen_at_random_among_those_not_tried(self):
+        targets = [heartbeat(f"g{i}", "a") for i in range(8)]
+        rng = build.rng()
+        chosen = {choose_target(targets, ["g3"], rng).name for _ in range(200)}
+        self.assertEqual(chosen, {t.name for t in targets} - {"g3"})
+        self.assertIsNone(choose_target(targets[:1], ["g0"], rng))
+
+    @asynchronous
+    async def test_an_error_of_an_endpoint_keeps_its_status(self):
+        async def fail(received_request, responder):
+            await responder.send(
+                500, engine_headers(received_request), b"broken"
+            )
+
+        async with two_gateways(ONCE) as (gateway, target):
+            target.engines[0].handler = fail
+            found = await gateway.call()
+        self.assertEqual((found.status, found.body), (500, b"broken"))
+        self.assertEqual(found.headers["server-signature"], "sig")
