Gateway: a gateway that is cut off does not take its endpoints for crashed

Callers would see: sound requests refused at all gateways for a minute, after one gateway had lost its links to several endpoints while their answers were under way. Cause: a crash was concluded from one gateway's view, a broken answer and an address that accepts no connection. A partition looks the same. Change: gateways of other data centres are asked whether they reach the address; if one does, nothing is counted, and `endpoint-alive` (765) is logged. Result: test_a_gateway_that_is_cut_off_accuses_its_requests failed before (refused at all three gateways) and passes; tests.gateway.test_fatalparts passes.

--- a/rhubarbwinch/gateway/crashes.py
+++ b/rhubarbwinch/gateway/crashes.py
@@ -54,6 +54,8 @@
         is_gone: Returns whether an endpoint address accepts no connections.
         clock: The source of time.
         broadcast: Broadcasts a notice to all gateways.
+        is_reached_elsewhere: Returns whether another gateway reaches an
+            address; None if none replies.
     """
 
     def __init__(
@@ -62,11 +64,13 @@
         is_gone: Callable[[str], Awaitable[bool]],
         clock: Clock,
         broadcast: Callable[[CrashNotice | HarmlessNotice], None],
+        is_reached_elsewhere: Callable[[str], Awaitable[bool | None]],
     ) -> None:
         self._suspects = suspects
         self._is_gone = is_gone
         self._clock = clock
         self._broadcast = broadcast
+        self._is_reached_elsewhere = is_reached_elsewhere
         self._unchecked: list[BrokenResponse] = []
         self._has_unchecked = anyio.Event()
 
@@ -148,6 +152,10 @@
     ) -> None:
         if not await self._is_gone(address):
             return
+        if await self._is_reached_elsewhere(address):
+            # This gateway is cut off, and the endpoint is alive.
+            events.ENDPOINT_ALIVE.log(address=address, responses=len(responses))
+            return
         for broken in responses:
             crash = broken.crash
             endpoint, started_ms = crash.endpoint
--- a/rhubarbwinch/gateway/program.py
+++ b/rhubarbwinch/gateway/program.py
@@ -184,6 +184,7 @@
                 dependencies.transport.is_unreachable,
                 clock,
                 self._broadcast.send,
+                self._peers.is_reached_elsewhere,
             ),
             isolation=isolation,
             isolation_monitor=IsolationMonitor(
--- a/rhubarbwinch/shared/events.py
+++ b/rhubarbwinch/shared/events.py
@@ -721,3 +721,12 @@
     logging.INFO,
     "A request was passed on to another gateway, and how that ended.",
 )
+ENDPOINT_ALIVE = Event(
+    765,
+    "endpoint-alive",
+    logging.INFO,
+    (
+        "Responses of an endpoint broke off that only this gateway does not "
+        "reach; its requests are not suspected."
+    ),
+)
--- a/tests/gateway/test_crashes.py
+++ b/tests/gateway/test_crashes.py
@@ -73,6 +73,7 @@
     def __init__(self, gateways):
         self.clock = ManualClock()
         self.cut_off = set()
+        self.reached_elsewhere = None
         self.notices = 0
         self.trackers = [
             CrashTracker(
@@ -80,6 +81,7 @@
                 self._is_gone,
                 self.clock,
                 lambda notice, own=i: self._broadcast(notice, own),
+                self._is_reached_elsewhere,
             )
             for i in range(gateways)
         ]
@@ -87,6 +89,9 @@
     async def _is_gone(self, address):
         return True
 
+    async def _is_reached_elsewhere(self, address):
+        return self.reached_elsewhere
+
     def _broadcast(self, notice, sender):
         self.notices += 1
         notice = codec.decode(codec.encode(notice), type(notice))
@@ -161,6 +166,20 @@
         await network.send_heartbeats()
         self.assertEqual(network.refusing(FATAL), [])
 
+    @asynchronous
+    async def test_a_gateway_that_is_cut_off_accuses_its_requests(self):
+        # Its connections break, and it can't open new ones.
+        network = CrashNetwork(3)
+        network.reached_elsewhere = True
+        for number in range(2 * MAX_CRASHES):
+            await network.crash(0, number, FATAL)
+        self.assertEqual(network.refusing(FATAL), [])
+        self.assertEqual(network.notices, 0)
+        network.reached_elsewhere = False
+        for number in range(MAX_CRASHES):
+            await network.crash(0, number, FATAL)
+        self.assertEqual(network.refusing(FATAL), [0, 1, 2])
+
     @asynchronous
     async def test_harmless_requests_send_no_notices(self):
         network = CrashNetwork(2)
--- a/tests/gatewayharness.py
+++ b/tests/gatewayharness.py
@@ -111,6 +111,7 @@
                 self.transport.is_unreachable,
                 SystemClock(),
                 self.broadcasts.append,
+                peers.is_reached_elsewhere,
             ),
             isolation=isolation,
             isolation_monitor=IsolationMonitor(
