Gateway: a stream without framing that has no event is not complete

Callers would see: 200 with an empty stream that looks whole, when an engine that sends neither a length nor chunks crashes before its first event. Cause: such a body ends with its connection, and a crash may close it as an answer's end does. Change: a stream with neither a length nor chunks must have had an event; one that ends inside an event was taken as broken before, and is logged as `stream-cut` now.

--- a/rhubarbwinch/gateway/eventrelay.py
+++ b/rhubarbwinch/gateway/eventrelay.py
@@ -58,6 +58,11 @@
             ) as chunk_stream:
                 async for chunk in chunk_stream:
                     await self._relay_chunk(run, response, splitter, chunk)
+            if splitter.rest:
+                raise EndpointError("the stream ended in an event", sent=True)
+            if not run.events and not response.is_framed:
+                # The engine may have crashed before its first event.
+                raise EndpointError("the stream has no event", sent=True)
         except EndpointError as error:
             events.STREAM_CUT.log(
                 request=run.id,
@@ -69,8 +74,6 @@
             return False
         finally:
             await response.close()
-        if splitter.rest:
-            return False
         await self._finish(run, response)
         return True
 
--- a/rhubarbwinch/gateway/upstream.py
+++ b/rhubarbwinch/gateway/upstream.py
@@ -79,6 +79,11 @@
         """Whether the head states the length of the body."""
         return "content-length" in self._response.headers
 
+    @property
+    def is_framed(self) -> bool:
+        """Whether a body that was cut off can be told from a whole one."""
+        return self.has_length or "transfer-encoding" in self._response.headers
+
     async def close(self) -> None:
         """Returns the connection to the pool; closes it on a partial body."""
         await self._response.aclose()
--- a/tests/gateway/test_streams.py
+++ b/tests/gateway/test_streams.py
@@ -80,6 +80,32 @@
 class StreamCallsTest(unittest.TestCase):
     """One caller, some engines."""
 
+    @asynchronous
+    async def test_a_stream_that_ends_with_its_connection_is_taken_whole(self):
+        # Without a length nothing tells an engine that crashed before its first
+        # event from one that is done, but that a stream has an event.
+        head = b"HTTP/1.1 200 OK\r\nServer-Signature: sig\r\n\r\n"
+        for body, is_whole in (
+            (b"", False),
+            (stream_event(1)[:-3], False),
+            (stream_event(1), True),
+        ):
+            async with running_gateway(table=NOT_REPEATABLE) as gateway:
+
+                async def send(received_request, responder, body=body):
+                    connection = responder._connection
+                    await connection.write(head + body)
+                    responder.is_complete = True
+                    connection._transport.close()
+
+                for engine in gateway.engines:
+                    engine.handler = send
+                found = await gateway.call()
+            with self.subTest(body=body):
+                self.assertEqual(
+                    found.status == 200 and found.is_complete, is_whole
+                )
+
     @asynchronous
     async def test_a_stream_that_may_have_run_is_refused_as_not_run(self):
         async with running_gateway(table=RESUMABLE) as gateway:
