--- a/rhubarbwinch/gateway/program.py
+++ b/rhubarbwinch/gateway/program.py
@@ -69,8 +69,8 @@
 from rhubarbwinch.shared.supervisor import Supervisor
 from rhubarbwinch.stores.store import PollingStore
 
-# An endpoint whose VM acknowledges no data for this time is unreachable. A sound
-# one may be silent for a second or so.
+# An endpoint whose VM acknowledges no data for this time is unreachable. Sound
+# ones may be silent for a second or so.
 ENDPOINT_ACK_TIMEOUT_MS = 2_500
 TICK_MS = 100
 BOOTSTRAP_DELAY_MS = 200
