Gateway: endpoints that fall over when they refuse are not made to refuse

Callers would see: endpoints that are gone for seconds, one after another, in a burst. Cause: `Server-Brittle` passed through unread. The gateways choose plain endpoints by their own open calls, so together they fill the queues and are refused. Change: a service whose responses say so is brittle to all gateways (heartbeats). They divide the slots of plain endpoints by rendezvous hashing, and a call waits for one at its gateway; at engines they keep 15% of the slots free and do not overcommit. An endpoint that refuses all the same is paused at all gateways for 1 to 2 s.

--- a/lab/standins/platformengine.py
+++ b/lab/standins/platformengine.py
@@ -55,6 +55,15 @@
 LEAVING = (b"Server-Leaving", b"1")
 
 
+def brittle_header(max_refusals: int) -> tuple[bytes, bytes]:
+    """Returns the header of an engine that falls over after more refusals.
+
+    Args:
+        max_refusals: The refusals in a second that it bears.
+    """
+    return (b"Server-Brittle", str(max_refusals).encode())
+
+
 async def send_pause(
     received_request: ReceivedRequest, responder: EdgeResponder, pause_s: float
 ) -> None:
@@ -115,6 +124,7 @@
         self.migration_status = 200
         self.leaves_ms: int | None = None
         self.version = "v1"
+        self.slots = 24
         self._server = EdgeServer(address, self._handle, SystemClock())
 
     @property
@@ -130,7 +140,7 @@
                 "address": self.address,
                 "zone": "z1",
                 "version": self.version,
-                "slots": 24,
+                "slots": self.slots,
                 "state": state,
                 "cold_remaining_ms": 0,
                 "sequence": 1,
--- a/rhubarbwinch/gateway/clusterview.py
+++ b/rhubarbwinch/gateway/clusterview.py
@@ -191,5 +191,6 @@
         self._transport.close_idle(known.endpoint.address)
         self._context.suspicion.forget(endpoint_id)
         self._context.reports.forget(endpoint_id)
+        self._context.slots.shares.forget(endpoint_id)
         self._context.permits.forget(endpoint_id)
         self._streams.handle_leaving_engine(known.endpoint)
--- a/rhubarbwinch/gateway/context.py
+++ b/rhubarbwinch/gateway/context.py
@@ -24,7 +24,7 @@
 from rhubarbwinch.gateway.isolation import Isolation
 from rhubarbwinch.gateway.isolationmonitor import IsolationMonitor
 from rhubarbwinch.gateway.loads import LoadTracker
-from rhubarbwinch.gateway.messages import FailureNotice
+from rhubarbwinch.gateway.messages import FailureNotice, FullNotice
 from rhubarbwinch.gateway.migratedcopies import CopyManager
 from rhubarbwinch.gateway.peers import Peers
 from rhubarbwinch.gateway.permits import Permits
@@ -37,6 +37,7 @@
 from rhubarbwinch.gateway.requestspans import Tracer
 from rhubarbwinch.gateway.retrybudget import RetryBudget
 from rhubarbwinch.gateway.routes import EngineSpec, Route, RoutingTable
+from rhubarbwinch.gateway.slotgate import SlotGate
 from rhubarbwinch.gateway.suspicion import AttemptOutcome, Suspicion
 from rhubarbwinch.gateway.takeups import TakeUps
 from rhubarbwinch.gateway.upstream import Upstream, UpstreamResponse
@@ -44,6 +45,10 @@
 from rhubarbwinch.shared.clock import Clock
 from rhubarbwinch.shared.verdict import Failure, Reason, not_run
 
+# For at least this time no gateway sends to a brittle endpoint that has refused
+# a request for want of room. It falls over after some refusals in a second.
+BRITTLE_PAUSE_MS = 1_000
+
 
 @attrs.define
 class Context:
@@ -66,6 +71,7 @@
         takeups: Finds where streams began that callers take up again.
         isolation: Knows from which services this gateway is cut off.
         isolation_monitor: Probes endpoints to which connections fail.
+        slots: Holds calls to brittle endpoints back until a slot is free.
         permits: Lets requests pass as the rate limits of endpoints allow.
         tracer: Creates spans of requests; None if tracing is off.
         on_leaving: Called with an endpoint whose response says that it leaves.
@@ -88,6 +94,7 @@
     crashes: CrashTracker
     isolation: Isolation
     isolation_monitor: IsolationMonitor
+    slots: SlotGate
     permits: Permits
     takeups: TakeUps
     on_leaving: Callable[[Endpoint], None]
@@ -119,12 +126,31 @@
             if k.endpoint.id not in excluded
             and version in (None, k.endpoint.version)
             and self.permits.is_available(k.endpoint.id)
+            and self.has_room(k.endpoint)
         ]
         usable = set(self.suspicion.usable([k.endpoint.id for k in known], now))
         return [
             self._candidate(k, now) for k in known if k.endpoint.id in usable
         ]
 
+    def has_room(self, endpoint: Endpoint) -> bool:
+        """Returns whether an endpoint that refuses requests would be harmed.
+
+        Of engines the gateways know all runs, so their slots are not divided.
+        """
+        return self.engine_spec(
+            endpoint.service
+        ) is not None or self.slots.has_free_slot(endpoint)
+
+    def waits_for_slot(self, service: str, excluded: set[str]) -> bool:
+        """Returns whether a slot of an endpoint has to become free."""
+        return self.slots.is_brittle(service) and any(
+            known.endpoint.id not in excluded
+            and self.permits.is_available(known.endpoint.id)
+            and self.slots.shares.share(known.endpoint)
+            for known in self.fleet.accepting_for_service(service)
+        )
+
     def _candidate(self, known: KnownEndpoint, now: int) -> Candidate:
         endpoint = known.endpoint
         engine = self.engine_spec(endpoint.service)
@@ -135,6 +161,7 @@
             now >= known.warmed_up_at_ms,
             self.suspicion.failure_share(endpoint.id),
             self.permits.is_limited(endpoint.id),
+            self.slots.is_brittle(endpoint.service),
         )
 
     async def send(
@@ -158,6 +185,9 @@
             self.permits.record_response(
                 job.call.request_id, endpoint.id, declared
             )
+            self._record_brittleness(endpoint, declared.is_brittle)
+            if response.head.is_refusal and declared.is_brittle:
+                self._pause_full(job, endpoint)
             if declared.is_leaving and self.is_accepting(endpoint):
                 events.LEAVING_DECLARED.log(
                     request=job.call.request_id, endpoint=endpoint.id
@@ -165,6 +195,31 @@
                 self.on_leaving(endpoint)
         return response
 
+    def _pause_full(self, job: "Job", endpoint: Endpoint) -> None:
+        """Keeps all gateways from a brittle endpoint that has no room."""
+        # Gateways return to the endpoint one after another.
+        pause_ms = int(BRITTLE_PAUSE_MS * (1 + self.rng.random()))
+        if not self.permits.pause(endpoint.id, pause_ms):
+            return
+        events.BRITTLE_ENDPOINT_FULL.log(
+            request=job.call.request_id,
+            endpoint=endpoint.id,
+            pause_ms=pause_ms,
+        )
+        self.peers.report_full(FullNotice(endpoint.id, pause_ms))
+
+    def _record_brittleness(self, endpoint: Endpoint, is_brittle: bool) -> None:
+        was_brittle = self.slots.is_brittle(endpoint.service)
+        now = self.clock.now()
+        self.slots.shares.record_response(endpoint.service, is_brittle, now)
+        if was_brittle != is_brittle:
+            events.BRITTLENESS_CHANGED.log(
+                service=endpoint.service,
+                endpoint=endpoint.id,
+                brittle=is_brittle,
+                share=self.slots.shares.share(endpoint),
+            )
+
     def earliest_permit(
         self, service: str, excluded: set[str]
     ) -> tuple[Endpoint, int] | None:
--- a/rhubarbwinch/gateway/gatewaymetrics.py
+++ b/rhubarbwinch/gateway/gatewaymetrics.py
@@ -84,6 +84,11 @@
     ["outcome"],
     registry=REGISTRY,
 )
+SLOT_WAITS = Counter(
+    "rhubarbwinch_slot_waits",
+    "Plain calls that waited for a slot of a brittle endpoint.",
+    registry=REGISTRY,
+)
 LOG_LINES_DROPPED = Counter(
     "rhubarbwinch_log_lines_dropped",
     "Log lines that were not written, over the budget or to a slow reader.",
--- a/rhubarbwinch/gateway/loads.py
+++ b/rhubarbwinch/gateway/loads.py
@@ -83,6 +83,10 @@
         """
         self._plain_calls[endpoint] = self._plain_calls.get(endpoint, 0) + runs
 
+    def own_plain_calls(self, endpoint: str) -> int:
+        """Returns the number of this gateway's plain calls at an endpoint."""
+        return self._plain_calls.get(endpoint, 0)
+
     def end_prefill(self, endpoint: str, prefill: int) -> None:
         """Records that a request's prefill has ended."""
         load = self._own.get(endpoint)
--- a/rhubarbwinch/gateway/messages.py
+++ b/rhubarbwinch/gateway/messages.py
@@ -121,6 +121,8 @@
             sender without an outage; 0 if the sender does not call it.
         loads: The sender's loads at endpoints.
         limits: The limits of the endpoints that the sender coordinates.
+        brittle_services: The services whose responses to the sender say that
+            their endpoints are brittle.
         forward: The sender's address for requests that other gateways pass on;
             empty if it takes none.
         isolated_from: The services whose endpoints the sender does not reach.
@@ -143,6 +145,7 @@
     store_available_ms: int = 0
     loads: list[EndpointLoad] = attrs.field(factory=list)
     limits: list[EndpointLimit] = attrs.field(factory=list)
+    brittle_services: list[str] = attrs.field(factory=list)
     forward: str = ""
     isolated_from: list[str] = attrs.field(factory=list)
     refused_suspects: list[str] = attrs.field(factory=list)
@@ -307,6 +310,19 @@
     endpoint: str
 
 
+@attrs.frozen
+class FullNotice:
+    """Reports that a brittle endpoint has refused a request for want of room.
+
+    Attributes:
+        endpoint: The endpoint's id.
+        pause_ms: For how long no gateway is to send it requests.
+    """
+
+    endpoint: str
+    pause_ms: int
+
+
 @attrs.frozen
 class LeavingNotice:
     """Reports that an endpoint has announced that it will shut down.
--- a/rhubarbwinch/gateway/peers.py
+++ b/rhubarbwinch/gateway/peers.py
@@ -18,6 +18,7 @@
 from rhubarbwinch.gateway.messages import (
     EndpointLimit,
     FailureNotice,
+    FullNotice,
     Heartbeat,
     HeartbeatDigest,
     PeerAddress,
@@ -97,6 +98,9 @@
         self._handle_limits: Callable[[str, list[EndpointLimit]], None] = (
             lambda gateway, limits: None
         )
+        self._handle_brittle: Callable[[list[str]], None] = lambda services: (
+            None
+        )
         self._handle_suspects: Callable[[str, list[str]], None] = (
             lambda gateway, keys: None
         )
@@ -234,6 +238,10 @@
         """Sets the handler of the limits that a peer lists."""
         self._handle_limits = handle
 
+    def on_brittle_services(self, handle: Callable[[list[str]], None]) -> None:
+        """Sets the handler of the services that are brittle to a peer."""
+        self._handle_brittle = handle
+
     def on_refused_suspects(
         self, handle: Callable[[str, list[str]], None]
     ) -> None:
@@ -268,6 +276,10 @@
             )
             return None
 
+    def report_full(self, notice: FullNotice) -> None:
+        """Tells all peers that a brittle endpoint has no room."""
+        self._broadcast.send(notice)
+
     async def is_reached_elsewhere(self, address: str) -> bool | None:
         """Returns whether another gateway can connect to an endpoint.
 
@@ -373,6 +385,8 @@
     def _on_heartbeat(self, heartbeat: Heartbeat) -> None:
         if heartbeat.limits:
             self._handle_limits(heartbeat.name, heartbeat.limits)
+        if heartbeat.brittle_services:
+            self._handle_brittle(heartbeat.brittle_services)
         if heartbeat.refused_suspects:
             self._handle_suspects(heartbeat.name, heartbeat.refused_suspects)
 
--- a/rhubarbwinch/gateway/permits.py
+++ b/rhubarbwinch/gateway/permits.py
@@ -9,7 +9,11 @@
 from rhubarbwinch.gateway import gatewaymetrics
 from rhubarbwinch.gateway.endpointpauses import EndpointPauses
 from rhubarbwinch.gateway.endpoints import Endpoint
-from rhubarbwinch.gateway.messages import EndpointLimit, RateLimitNotice
+from rhubarbwinch.gateway.messages import (
+    EndpointLimit,
+    FullNotice,
+    RateLimitNotice,
+)
 from rhubarbwinch.gateway.peers import Peers
 from rhubarbwinch.gateway.platforminterface import DeclaredState
 from rhubarbwinch.gateway.ratelimits import LimitChange, RateLimits
@@ -120,6 +124,18 @@
             self._report(change, "response", request_id)
             self._send_notices()
 
+    def pause(self, endpoint_id: str, pause_ms: int) -> bool:
+        """Sends nothing to an endpoint for a time.
+
+        Returns:
+            Whether the endpoint is paused for longer than it was.
+        """
+        return self._pauses.record(endpoint_id, pause_ms, self._clock.now())
+
+    def handle_full_notice(self, notice: FullNotice) -> None:
+        """Handles that a brittle endpoint has refused another gateway."""
+        self.pause(notice.endpoint, notice.pause_ms)
+
     def handle_notice(self, notice: RateLimitNotice) -> None:
         """Handles what an endpoint has declared to another gateway."""
         change = self._limits.receive_notice(notice, self._clock.now())
--- a/rhubarbwinch/gateway/placement.py
+++ b/rhubarbwinch/gateway/placement.py
@@ -21,6 +21,9 @@
 # Share of an engine's slots that is used. With more runs the events would come
 # too slowly.
 MAX_SLOT_SHARE = 1.0
+# The same for an engine that falls over when it refuses requests. Gateways that
+# place at the same moment do not know of each other's runs.
+BRITTLE_SLOT_SHARE = 0.85
 # Pending prefill delays the events of other runs. This many prompt tokens cost
 # as much as one run.
 PREFILL_TOKENS_PER_RUN = 1_500
@@ -72,6 +75,7 @@
         is_warm: Whether the warm-up after its start has ended.
         failure_share: The share of recent calls that failed.
         is_rate_limited: Whether it accepts only some requests a second.
+        is_brittle: Whether it falls over when it refuses many requests.
     """
 
     endpoint: Endpoint
@@ -80,13 +84,15 @@
     is_warm: bool = True
     failure_share: float = 0.0
     is_rate_limited: bool = False
+    is_brittle: bool = False
 
     def fits(self, tokens: int, kv_cache_share: float) -> bool:
         """Returns whether a run of `tokens` fits beside the other runs.
 
         An engine without reserved KV cache takes a run of any size.
         """
-        if self.load.runs + 1 > self.endpoint.slots * MAX_SLOT_SHARE:
+        slot_share = BRITTLE_SLOT_SHARE if self.is_brittle else MAX_SLOT_SHARE
+        if self.load.runs + 1 > self.endpoint.slots * slot_share:
             return False
         if not self.capacity_tokens:
             return True
--- a/rhubarbwinch/gateway/plaincalls.py
+++ b/rhubarbwinch/gateway/plaincalls.py
@@ -132,6 +132,17 @@
                 endpoint = chosen.endpoint
                 context.permits.acquire_now(endpoint.id)
                 return endpoint
+            if context.waits_for_slot(job.service, job.tried):
+                left_ms = job.deadline_ms - context.clock.now()
+                if not may_wait or not await context.slots.wait(
+                    job.service, int(left_ms * MAX_PERMIT_WAIT_SHARE)
+                ):
+                    return not_run(
+                        Reason.QUEUE_FULL,
+                        "no slot of the endpoints was free in time",
+                        RETRY_AFTER_MS,
+                    )
+                continue
             earliest = context.earliest_permit(job.service, job.tried)
             if earliest is None:
                 return self._why_no_endpoint(job)
@@ -142,7 +153,7 @@
                 job.call.request_id, endpoint, limit_ms
             ):
                 return self._refuse_until(delay_ms)
-            if context.is_accepting(endpoint):
+            if context.is_accepting(endpoint) and context.has_room(endpoint):
                 return endpoint
 
     def _why_no_endpoint(self, job: Job) -> Failure:
@@ -188,6 +199,7 @@
             return failure
         finally:
             context.loads.add_unannounced(endpoint.id, -1)
+            context.slots.handle_call_ended(endpoint.service)
         context.record_outcome(
             job, job.service, endpoint.id, AttemptOutcome.BROKEN
         )
--- a/rhubarbwinch/gateway/platforminterface.py
+++ b/rhubarbwinch/gateway/platforminterface.py
@@ -104,11 +104,13 @@
         is_leaving: Whether it will shut down and accepts no new requests.
         pause_ms: For how long it wants no requests of this gateway; 0 if it
             does not say so.
+        is_brittle: Whether it falls over when it refuses many requests.
     """
 
     rate_limit: float | None = None
     is_leaving: bool = False
     pause_ms: int = 0
+    is_brittle: bool = False
 
 
 @attrs.frozen
--- a/rhubarbwinch/gateway/program.py
+++ b/rhubarbwinch/gateway/program.py
@@ -23,6 +23,7 @@
 from rhubarbwinch.gateway.messages import (
     CrashNotice,
     FailureNotice,
+    FullNotice,
     HarmlessNotice,
     Heartbeat,
     LeavingNotice,
@@ -50,6 +51,8 @@
 from rhubarbwinch.gateway.router import Router
 from rhubarbwinch.gateway.routes import RoutingTable
 from rhubarbwinch.gateway.settings import GatewaySettings
+from rhubarbwinch.gateway.slotgate import SlotGate
+from rhubarbwinch.gateway.slotshares import SlotShares
 from rhubarbwinch.gateway.statusapi import StatusApi
 from rhubarbwinch.gateway.storefeed import StoreFeed
 from rhubarbwinch.gateway.streamorigins import StreamOrigins
@@ -196,6 +199,7 @@
                 self._peers.is_reached_elsewhere,
                 self._peers.announce,
             ),
+            slots=SlotGate(SlotShares(settings.name), loads, clock),
             permits=Permits(RateLimits(settings.name), self._peers, clock),
             takeups=TakeUps(
                 StreamOrigins(settings.name), self._peers, fleet, clock
@@ -336,7 +340,10 @@
         self._broadcast.on(CrashNotice, crashes.handle_crash_notice)
         self._broadcast.on(HarmlessNotice, crashes.handle_harmless_notice)
         self._peers.on_refused_suspects(crashes.handle_listing)
+        self._peers.on_brittle_services(self._handle_brittle_services)
         self._broadcast.on(FailureNotice, self._context.handle_failure)
+        permits = self._context.permits
+        self._broadcast.on(FullNotice, permits.handle_full_notice)
         self._broadcast.on(RateLimitNotice, self._context.permits.handle_notice)
         self._broadcast.on(OriginBatch, self._context.takeups.receive)
         self._server.on(OriginCall, self._context.takeups.handle_call)
@@ -356,6 +363,9 @@
             is_store_failing=self._store_feed.is_failing,
             store_available_ms=self._store_feed.available_ms,
             limits=self._context.permits.listing(),
+            brittle_services=self._context.slots.shares.listing(
+                self._clock.now()
+            ),
             isolated_from=self._context.isolation.services,
             refused_suspects=self._context.crashes.listing(),
         )
@@ -388,6 +398,10 @@
             snapshot, leaving=self._cluster_view.leaving_notices()
         )
 
+    def _handle_brittle_services(self, services: list[str]) -> None:
+        shares = self._context.slots.shares
+        shares.record_listing(services, self._clock.now())
+
     async def _reply_reachability(
         self, call: ReachabilityCall
     ) -> ReachabilityReply:
@@ -447,6 +461,7 @@
                 gateways, lambda e: self._context.fleet.get(e) is not None
             )
             self._context.takeups.update(gateways)
+            self._context.slots.shares.set_gateways(gateways)
             gatewaymetrics.OPEN_REQUESTS.set(self._open_requests)
             self._streams.handle_capacity_change()
             if self._store_feed.is_failing != self._was_failing:
--- a/rhubarbwinch/gateway/runplacement.py
+++ b/rhubarbwinch/gateway/runplacement.py
@@ -69,7 +69,9 @@
                 return None
         finally:
             queue.remove_waiter(waiter)
-        if self._try_reserve(run, OVERCOMMIT_KV_CACHE_SHARE):
+        if not context.slots.is_brittle(job.service) and self._try_reserve(
+            run, OVERCOMMIT_KV_CACHE_SHARE
+        ):
             return None
         return self._refuse(run, queue, f"no room in {limit_ms} ms")
 
--- a/rhubarbwinch/platform/headers.py
+++ b/rhubarbwinch/platform/headers.py
@@ -34,6 +34,8 @@
 # The requests a second that an endpoint accepts from all gateways together.
 RATE_LIMIT = b"server-limit"
 LEAVING = b"server-leaving"
+# The refusals a second, for want of room, after which an endpoint falls over.
+BRITTLE = b"server-brittle"
 RETRY_AFTER = b"retry-after"
 AUTHORIZATION = b"authorization"
 BEARER = "bearer "
@@ -232,6 +234,7 @@
         rate_limit=_decode_decimal(headers, RATE_LIMIT),
         is_leaving=_first_value(headers, LEAVING) == "1",
         pause_ms=int(1_000 * (pause_s or 0)),
+        is_brittle=_decode_decimal(headers, BRITTLE) is not None,
     )
 
 
--- a/rhubarbwinch/shared/events.py
+++ b/rhubarbwinch/shared/events.py
@@ -730,3 +730,22 @@
         "reach; its requests are not suspected."
     ),
 )
+BRITTLENESS_CHANGED = Event(
+    766,
+    "brittleness-changed",
+    logging.WARNING,
+    (
+        "The endpoints of a service say that they fall over when they refuse "
+        "many requests, or no longer; `share` is the number of calls of this "
+        "gateway that may be open at the endpoint."
+    ),
+)
+BRITTLE_ENDPOINT_FULL = Event(
+    767,
+    "brittle-endpoint-full",
+    logging.WARNING,
+    (
+        "A brittle endpoint has refused a request for want of room; no gateway "
+        "sends it any for a time."
+    ),
+)
--- a/tests/gatewayharness.py
+++ b/tests/gatewayharness.py
@@ -23,6 +23,8 @@
 from rhubarbwinch.gateway.ratelimits import RateLimits
 from rhubarbwinch.gateway.retrybudget import RetryBudget
 from rhubarbwinch.gateway.router import Router
+from rhubarbwinch.gateway.slotgate import SlotGate
+from rhubarbwinch.gateway.slotshares import SlotShares
 from rhubarbwinch.gateway.streamorigins import StreamOrigins
 from rhubarbwinch.gateway.streams import StreamCalls
 from rhubarbwinch.gateway.suspicion import Suspicion
@@ -60,6 +62,9 @@
     def send_to(self, names, message):
         """Does nothing."""
 
+    def report_full(self, notice):
+        """Does nothing."""
+
     def report_failure(self, endpoint):
         """Returns the notice that peers would receive."""
         return FailureNotice("g1", "dc-a", endpoint)
@@ -89,6 +94,7 @@
         self.transport = Transport()
         fleet = Fleet()
         isolation = Isolation()
+        loads = LoadTracker()
         peers = peers or NoPeers()
         self.context = Context(
             data_center="dc-a",
@@ -96,7 +102,7 @@
             clock=SystemClock(),
             rng=build.rng(),
             fleet=fleet,
-            loads=LoadTracker(),
+            loads=loads,
             suspicion=Suspicion(),
             reports=FailureReports("dc-a"),
             budget=RetryBudget(0.2, 10_000, 100),
@@ -124,6 +130,7 @@
                 peers.is_reached_elsewhere,
                 peers.announce,
             ),
+            slots=SlotGate(SlotShares("g1"), loads, SystemClock()),
             permits=Permits(RateLimits("g1"), NoPeers(), SystemClock()),
             takeups=TakeUps(
                 StreamOrigins("g1"), NoPeers(), fleet, SystemClock()
