Gateway: connections that were never made use up no retry budget

Cause: each attempt after the first took a retry, also when the attempts before had found no connection. The budget is about what arrives at endpoints. Change: a retry is taken only if an earlier attempt may have arrived. Result: test_connections_that_were_never_made_use_up_the_retry_budget failed before (503) and passes, for a call and a stream with a budget of nothing.

--- a/rhubarbwinch/gateway/context.py
+++ b/rhubarbwinch/gateway/context.py
@@ -441,6 +441,11 @@
     is_forwarded: bool = False
     tried: set[str] = attrs.field(factory=set)
 
+    @property
+    def arrivals(self) -> int:
+        """Number of attempts that may have reached an endpoint."""
+        return self.sends - self.unreachable
+
     @property
     def suspect_keys(self) -> tuple[str, ...]:
         """What is counted against the request when its endpoint crashes."""
--- a/rhubarbwinch/gateway/plaincalls.py
+++ b/rhubarbwinch/gateway/plaincalls.py
@@ -80,7 +80,7 @@
                 ):
                     failure = endpoint
                 break
-            if job.sends and not context.acquire_retry(job.service):
+            if job.arrivals and not context.acquire_retry(job.service):
                 events.RETRY_REFUSED.log(
                     request=job.call.request_id, service=job.service
                 )
--- a/rhubarbwinch/gateway/streams.py
+++ b/rhubarbwinch/gateway/streams.py
@@ -117,7 +117,7 @@
         job = run.job
         failure: Failure | None = None
         for _ in range(MAX_REFUSED_ATTEMPTS):
-            if failure is not None and not self._sender.acquire_retry(run):
+            if job.arrivals and not self._sender.acquire_retry(run):
                 return failure
             refusal = await self._placer.place(run)
             if refusal is not None:
--- a/tests/gateway/test_plaincalls.py
+++ b/tests/gateway/test_plaincalls.py
@@ -4,11 +4,16 @@
 
 import anyio
 
-from lab.standins.platformengine import engine_headers, send_not_run, send_ok
+from lab.standins.platformengine import (
+    engine_headers,
+    send_not_run,
+    send_ok,
+    stream_event,
+)
 from rhubarbwinch.gateway.routes import CallKind
 from tests import gatewaybuilders as build
 from tests.gatewayharness import running_gateway
-from tests.helpers import asynchronous
+from tests.helpers import asynchronous, free_address
 
 NOT_REPEATABLE = build.table(build.route(CallKind.NON_IDEMPOTENT))
 
@@ -78,6 +83,34 @@
 BROKEN_HANDLERS = (cut, cut_midway, unsigned, encoded, busy, nonsense)
 
 
+class UnreachableEndpointsTest(unittest.TestCase):
+    """Endpoints that accept no connections, beside one that does."""
+
+    @asynchronous
+    async def test_connections_that_were_never_made_use_up_the_retry_budget(
+        self,
+    ):
+        for table in (build.table(), build.table(build.route(CallKind.STREAM))):
+            async with running_gateway(engines=3, table=table) as gateway:
+                gateway.context.budget.configure(0.0, 10_000, 0)
+                gateway.engines[2].handler = _respond
+                for engine in gateway.engines[:2]:
+                    engine.address = free_address()
+                    gateway.apply_registration(engine)
+                    # They look idle, and the third one does not.
+                    gateway.context.loads.add("e3", 100)
+                found = await gateway.call()
+                self.assertEqual(found.status, 200)
+                self.assertEqual(gateway.received, ["e3"])
+
+
+async def _respond(received_request, responder):
+    """Sends one event, or a body that looks like it."""
+    await responder.start_stream(200, engine_headers(received_request))
+    await responder.write(stream_event(1))
+    await responder.end_stream()
+
+
 class PlainCallsTest(unittest.TestCase):
     """One caller, two endpoints."""
 
