Gateway: requests go to a gateway that has a share of what endpoints accept

Callers saw: refusals at a gateway without a share of any limited endpoint, which others could have served (77 gateways, five endpoints at 1.1 a second: 64 have none). Cause: the limits are shared among few gateways, and a request stayed where it came. It is the same question as that of a gateway that is cut off. Change: such a gateway passes requests on by the same way, to those that share the rate limits, or the slots of brittle endpoints. Result: test_a_gateway_without_a_share_refuses_what_others_can_send failed before (503) and passes for both. The limits are kept.

--- a/rhubarbwinch/gateway/context.py
+++ b/rhubarbwinch/gateway/context.py
@@ -134,17 +134,23 @@
         ]
 
     def has_room(self, endpoint: Endpoint) -> bool:
-        """Returns whether an endpoint that refuses requests would be harmed.
+        """Returns whether one of this gateway's slots is free, if divided."""
+        return not self._divides_slots(
+            endpoint.service
+        ) or self.slots.has_free_slot(endpoint)
+
+    def _divides_slots(self, service: str) -> bool:
+        """Returns whether the gateways divide the slots of a service.
 
-        Of engines the gateways know all runs, so their slots are not divided.
+        They know all runs at engines, and need no shares there.
         """
-        return self.engine_spec(
-            endpoint.service
-        ) is not None or self.slots.has_free_slot(endpoint)
+        return self.slots.is_brittle(service) and (
+            self.engine_spec(service) is None
+        )
 
     def waits_for_slot(self, service: str, excluded: set[str]) -> bool:
         """Returns whether a slot of an endpoint has to become free."""
-        return self.slots.is_brittle(service) and any(
+        return self._divides_slots(service) and any(
             known.endpoint.id not in excluded
             and self.permits.is_available(known.endpoint.id)
             and self.slots.shares.share(known.endpoint)
@@ -263,6 +269,27 @@
         earliest = self.permits.earliest(endpoints)
         return earliest[1] if earliest is not None else None
 
+    def other_senders(self, service: str) -> frozenset[str]:
+        """Returns the gateways that may send to a service if this one may not.
+
+        Returns:
+            Their names; empty if this gateway has a share of an endpoint, or if
+            there is no endpoint.
+        """
+        endpoints = [
+            known.endpoint
+            for known in self.fleet.accepting_for_service(service)
+        ]
+        if self._divides_slots(service):
+            if any(self.slots.shares.share(e) for e in endpoints):
+                return frozenset()
+            names = [self.slots.shares.holders(e) for e in endpoints]
+        elif self.permit_delay_ms(service, None) is None:
+            names = [self.permits.senders(e.id) for e in endpoints]
+        else:
+            return frozenset()
+        return frozenset(name for group in names for name in group)
+
     def has_version(self, service: str, version: str) -> bool:
         """Returns whether an endpoint of a version accepts new requests."""
         return any(
--- a/rhubarbwinch/gateway/forwarding.py
+++ b/rhubarbwinch/gateway/forwarding.py
@@ -1,8 +1,9 @@
 """Passes requests on to gateways that can send them to endpoints.
 
 It is meant for gateways that callers reach, but that can't send to the
-endpoints themselves, as they are cut off. A request is passed on once only, and
-its response is relayed as it comes.
+endpoints themselves: they are cut off, or have no share of what the endpoints
+accept. A request is passed on once only, and its response is relayed as it
+comes.
 """
 
 import random
@@ -59,7 +60,11 @@
         self._context = context
 
     async def forward(
-        self, job: Job, responder: EdgeResponder, why: str
+        self,
+        job: Job,
+        responder: EdgeResponder,
+        why: str,
+        among: Collection[str] | None = None,
     ) -> Failure | None:
         """Passes a request on that has not run.
 
@@ -67,6 +72,7 @@
             job: The request.
             responder: Sends the response.
             why: Why this gateway does not send it to an endpoint itself.
+            among: The names of the gateways that can; None if all may.
 
         Returns:
             None if the caller got a response, complete or broken off, else why
@@ -80,9 +86,12 @@
         )
         tried: list[str] = []
         while len(tried) < MAX_TARGETS:
-            target = choose_target(
-                context.peers.forward_targets(job.service), tried, context.rng
-            )
+            targets = [
+                heartbeat
+                for heartbeat in context.peers.forward_targets(job.service)
+                if among is None or heartbeat.name in among
+            ]
+            target = choose_target(targets, tried, context.rng)
             left_ms = job.deadline_ms - context.clock.now()
             if target is None or left_ms < MIN_LEFT_MS:
                 break
--- a/rhubarbwinch/gateway/permits.py
+++ b/rhubarbwinch/gateway/permits.py
@@ -44,6 +44,10 @@
         """Returns an endpoint's limit in requests a second, or None."""
         return self._limits.rate(endpoint_id)
 
+    def senders(self, endpoint_id: str) -> list[str]:
+        """Returns the gateways that may send to an endpoint."""
+        return self._limits.senders(endpoint_id)
+
     def is_available(self, endpoint_id: str) -> bool:
         """Returns whether a request may be sent to an endpoint now."""
         return self._delay_ms(endpoint_id) == 0
--- a/rhubarbwinch/gateway/ratelimits.py
+++ b/rhubarbwinch/gateway/ratelimits.py
@@ -235,10 +235,20 @@
             )
         return LimitChange(endpoint, rate, before)
 
+    def senders(self, endpoint: str) -> list[str]:
+        """Returns the gateways that share an endpoint's limit."""
+        limit = self._limits.get(endpoint)
+        if limit is None or limit.rate is None:
+            return list(self._gateways)
+        return self._senders(endpoint, limit.rate)
+
+    def _senders(self, endpoint: str, rate: float) -> list[str]:
+        count = MIN_SENDERS + int(SENDERS_PER_RATE * rate)
+        return self._ranking(endpoint)[:count]
+
     def _interval_ms(self, endpoint: str, rate: float) -> float | None:
         """Returns the time between requests; None if others share the limit."""
-        senders = self._ranking(endpoint)
-        senders = senders[: MIN_SENDERS + int(SENDERS_PER_RATE * rate)]
+        senders = self._senders(endpoint, rate)
         if self._name not in senders:
             return None
         return 1_000 * len(senders) / max(MIN_RATE, rate)
--- a/rhubarbwinch/gateway/router.py
+++ b/rhubarbwinch/gateway/router.py
@@ -22,6 +22,7 @@
 # Why a request is passed on to another gateway.
 CUT_OFF = "cut off from the endpoints"
 UNREACHABLE = "no endpoint accepted a connection"
+NO_SHARE = "no share of what the endpoints accept"
 
 
 class Router:
@@ -132,13 +133,18 @@
         Returns:
             None if the caller got a response, else why there is none.
         """
-        if not job.is_forwarded and self._context.isolation.is_isolated(
-            job.service
-        ):
-            failure = await self._forwarder.forward(job, responder, CUT_OFF)
-            if failure is None or failure.verdict is not Verdict.NOT_RUN:
-                return failure
-            # Connections that were open before may still serve it.
+        context = self._context
+        if not job.is_forwarded:
+            senders = context.other_senders(job.service)
+            if senders:
+                return await self._forwarder.forward(
+                    job, responder, NO_SHARE, senders
+                )
+            if context.isolation.is_isolated(job.service):
+                failure = await self._forwarder.forward(job, responder, CUT_OFF)
+                if failure is None or failure.verdict is not Verdict.NOT_RUN:
+                    return failure
+                # Connections that were open before may still serve it.
         if job.route.kind is CallKind.STREAM:
             failure = await self._streams.serve(job, responder)
         else:
--- a/tests/gateway/test_forwarding.py
+++ b/tests/gateway/test_forwarding.py
@@ -15,7 +15,10 @@
 from rhubarbwinch.gateway.edge import EdgeServer
 from rhubarbwinch.gateway.forwarding import MAX_TARGETS, choose_target
 from rhubarbwinch.gateway.messages import Heartbeat
+from rhubarbwinch.gateway.platforminterface import DeclaredState
+from rhubarbwinch.gateway.ratelimits import RateLimits
 from rhubarbwinch.gateway.routes import CallKind
+from rhubarbwinch.gateway.slotshares import SlotShares
 from rhubarbwinch.shared.clock import SystemClock
 from tests import gatewaybuilders as build
 from tests.gatewayharness import NoPeers, running_gateway
@@ -256,6 +259,39 @@
             found = await gateway.call()
         self.assertEqual(found.status, 200)
 
+    @asynchronous
+    async def test_a_gateway_without_a_share_refuses_what_others_can_send(self):
+        names = ("g0", "g1", "g2", "g3", "g4", "g5")
+        for declared in (DeclaredState(1.1), DeclaredState(is_brittle=True)):
+            async with running_gateway(1) as target:
+                peers = OtherGateways(*([target.forward_address] * 6))
+                table = build.table(engine=None)
+                async with running_gateway(1, table, peers=peers) as gateway:
+                    # Another one of six gateways, or too many for its slots.
+                    (engine,) = gateway.engines
+                    engine.slots = 2
+                    gateway.apply_registration(engine)
+                    context = gateway.context
+                    context.permits._limits = RateLimits("other")
+                    context.slots.shares = SlotShares("other")
+                    ranked = {}
+                    for shares in (
+                        context.permits._limits,
+                        context.slots.shares,
+                    ):
+                        shares.set_gateways([*names, "other"])
+                        ranked[shares] = shares._ranking("e1")
+                        ranked[shares].remove("other")
+                        ranked[shares].append("other")
+                    context.permits.record_response("q0", "e1", declared)
+                    context.slots.shares.record_response(
+                        "svc", declared.is_brittle, context.clock.now()
+                    )
+                    found = await gateway.call()
+                    self.assertEqual(found.status, 200)
+                    self.assertEqual(gateway.received, [])
+                self.assertEqual(len(target.received), 1)
+
     def test_targets_are_chosen_at_random_among_those_not_tried(self):
         targets = [heartbeat(f"g{i}", "a") for i in range(8)]
         rng = build.rng()
--- a/tests/gateway/test_ratelimits.py
+++ b/tests/gateway/test_ratelimits.py
@@ -1,11 +1,14 @@
 """Tests that endpoints get no more requests than the limit they declare."""
 
+import random
 import unittest
+from collections import Counter
 
 import anyio
 import attrs
 
 from lab.standins.platformengine import engine_headers
+from rhubarbwinch.gateway.forwarding import MAX_TARGETS
 from rhubarbwinch.gateway.messages import EndpointLimit, RateLimitNotice
 from rhubarbwinch.gateway.platforminterface import DeclaredState
 from rhubarbwinch.gateway.ratelimits import RETENTION_MS, RateLimits
@@ -109,8 +112,16 @@
     sends it to the first endpoint that it may send to, and drops it otherwise.
     """
 
-    def __init__(self, gateways, rates, interval_ms):
+    def __init__(self, gateways, rates, interval_ms, forwards=False):
         self.now = 0
+        self.forwards = forwards
+        self.phase_ms = STEP_MS
+        if forwards:
+            # The requests of all gateways are spread over the interval.
+            self.phase_ms *= max(1, interval_ms // gateways // STEP_MS)
+        self.rng = random.Random(1)
+        self.asked = Counter()
+        self.served = Counter()
         self.interval_ms = interval_ms
         self.endpoints = {
             f"e{i}": SimulatedEndpoint(rate) for i, rate in enumerate(rates)
@@ -135,8 +146,9 @@
             for index, (own, limits) in enumerate(self.gateways.items()):
                 if self.now % TICK_MS == 0:
                     limits.set_gateways(self.gateways)
-                if (self.now + index * STEP_MS) % self.interval_ms == 0:
-                    self._request(limits, index)
+                if (self.now + index * self.phase_ms) % self.interval_ms == 0:
+                    self.asked[own] += 1
+                    self.served[own] += self._request(limits, index)
                 for coordinator, notice in limits.pop_notices(self.now):
                     self._send(coordinator, notice)
                 if (self.now + index * STEP_MS) % HEARTBEAT_MS == 0:
@@ -154,7 +166,24 @@
                 endpoint.arrivals.append(self.now)
                 declared = DeclaredState(endpoint.rate)
                 limits.record_response(name, declared, self.now)
-                return
+                return True
+        if not self.forwards or self.has_share(limits):
+            return False
+        senders = {s for name in names for s in limits.senders(name)}
+        senders = sorted(senders & self.gateways.keys())
+        targets = self.rng.sample(senders, min(MAX_TARGETS, len(senders)))
+        return any(
+            self.has_share(self.gateways[target])
+            and self._request(self.gateways[target], index)
+            for target in targets
+        )
+
+    def has_share(self, limits):
+        """Returns whether a gateway may send to any endpoint, now or later."""
+        return any(
+            limits.delay_ms(name, self.now) is not None
+            for name in self.endpoints
+        )
 
     def _send(self, receiver, message):
         at = self.now + HEARTBEAT_DELAY_MS
@@ -209,6 +238,34 @@
                 possible = 10 * min(3 * rate, 10 * gateways)
                 self.assertGreaterEqual(steady, MIN_USED_SHARE * possible)
 
+    def test_callers_are_served_the_same_at_gateways_without_a_share(self):
+        for gateways in (4, 30, 77):
+            # Half of what the endpoints accept is asked for.
+            interval_ms = int(gateways * 1_000 / (0.5 * 5 * 1.1))
+            interval_ms -= interval_ms % STEP_MS
+            world = Simulation(gateways, [1.1] * 5, interval_ms, True)
+            # By then each gateway has met each limit.
+            world.run(35_000)
+            world.asked.clear()
+            world.served.clear()
+            world.run(120_000)
+            share = {True: [0, 0], False: [0, 0]}
+            for own, limits in world.gateways.items():
+                counts = share[world.has_share(limits)]
+                counts[0] += world.served[own]
+                counts[1] += world.asked[own]
+            with self.subTest(gateways=gateways, share=share):
+                for name, endpoint in world.endpoints.items():
+                    known_ms = endpoint.arrivals[0] + CONVERGENCE_MS
+                    found = world.largest_window(name, known_ms, world.now)
+                    self.assertLessEqual(found, _allowed(1.1))
+                served, asked = share[True]
+                if share[False][1]:
+                    self.assertGreaterEqual(
+                        share[False][0] / share[False][1],
+                        2 / 3 * served / asked,
+                    )
+
     def test_the_end_of_a_limit_reaches_all_gateways(self):
         world = Simulation(20, [1.0, None], 500)
         world.run(10_000)
