Soak: parts of prompts that crash engines, and who sent what to an engine

Change: streams have parts, some of them one under which each engine crashes and comes back after 0.8 s; the check "fatal parts" has the users' bound. A proxy that refuses closes its listener. Gateways run with an address of their own for their connections (lab/standins/cutgateway.py, moved from tests), so that checks go by the gateway that sent a request, which need not be the one that its caller chose any more; the checks of declarations are as strict as before.

--- a/lab/soak/callers.py
+++ b/lab/soak/callers.py
@@ -26,6 +26,8 @@
 MAX_DISCONNECT_S = 0.8
 DISCONNECT_SHARE = 0.08
 INVALID_KEY_SHARE = 0.02
+# The share of streams with a part that crashes engines, while there is one.
+FATAL_SHARE = 0.1
 MAX_EVENTS = 140
 MAX_BODY_BYTES = 3_000
 INVALID_KEY = "key-of-nobody"
@@ -56,6 +58,8 @@
         fronts: The proxies in front of the gateways, by gateway address.
         directories: The addresses of the gateways' directories.
         keys: Returns the active API keys by client account.
+        fatal_part: Returns the part of a prompt that crashes engines, or an
+            empty text.
         records: Attempts are recorded here.
         clock: The source of time.
     """
@@ -65,11 +69,13 @@
         fronts: dict[str, LoopbackProxy],
         directories: list[str],
         keys: Callable[[], dict[str, str]],
+        fatal_part: Callable[[], str],
         records: RunRecords,
         clock: Clock,
     ) -> None:
         self.directories = directories
         self.keys = keys
+        self.fatal_part = fatal_part
         self.records = records
         self.clock = clock
         self._fronts = fronts
@@ -203,6 +209,14 @@
         attempt.ended_ms = clock.now()
         return attempt
 
+    def _prompt(self, attempt: Attempt) -> str:
+        """Returns the parts of a prompt; the last one is the request's own."""
+        parts = [f"{ord(attempt.account):x}:60"]
+        fatal = self._context.fatal_part()
+        if fatal and self._rng.random() < FATAL_SHARE:
+            parts.append(f"{fatal}:20")
+        return ",".join([*parts, f"{self._context.next_number():x}ff:20"])
+
     async def _send(
         self, attempt: Attempt, proxy_address: str, key: str
     ) -> None:
@@ -213,6 +227,8 @@
             headers.DEADLINE.decode(): str(DEADLINE_MS),
             headers.TOKEN_COUNTS.decode(): f"100,{MAX_EVENTS}",
         }
+        if attempt.kind.is_stream:
+            fields[headers.PROMPT_PARTS.decode()] = self._prompt(attempt)
         if attempt.last_event:
             fields[headers.RESUMED_ID.decode()] = attempt.stream
             fields[headers.LAST_EVENT_ID.decode()] = str(attempt.last_event)
--- a/lab/soak/declarationchecks.py
+++ b/lab/soak/declarationchecks.py
@@ -21,6 +21,11 @@
 # and asked it for time.
 PAUSE_NOTICE_MS = 500
 MAX_IN_PAUSE = 2
+# A part of a prompt may crash this many engines; some time later few requests
+# with it reach any.
+MAX_FATAL_CRASHES = 5
+FATAL_NOTICE_MS = 3_000
+MAX_LATE_FATAL = 3
 
 
 @CHECKS.register("rate limits")
@@ -30,7 +35,6 @@
     Counted are the gateways that have relayed a declaration and that had no
     fault since shortly before.
     """
-    gateways = {attempt.id: attempt.gateway for attempt in records.attempts}
     arrivals: dict[str, list[Arrival]] = defaultdict(list)
     for arrival in records.arrivals:
         arrivals[arrival.engine].append(arrival)
@@ -46,14 +50,16 @@
             continue
         told_ms: dict[int, int] = {}
         for response in declared:
-            told_ms.setdefault(gateways[response.request], response.at_ms)
+            told_ms.setdefault(response.gateway, response.at_ms)
         counted = [
             arrival.at_ms
             for arrival in arrivals[engine]
-            if (gateway := gateways[arrival.request]) in told_ms
-            and gateway not in disturbed
+            if arrival.gateway in told_ms
+            and arrival.gateway not in disturbed
             and arrival.at_ms >= first_ms + LIMIT_CONVERGENCE_MS
-            and told_ms[gateway] + LIMIT_NOTICE_MS <= arrival.at_ms <= last_ms
+            and told_ms[arrival.gateway] + LIMIT_NOTICE_MS
+            <= arrival.at_ms
+            <= last_ms
         ]
         rate = declared[0].rate
         allowed = LIMIT_FACTOR * rate * LIMIT_WINDOW_MS / 1_000 + LIMIT_EXTRA
@@ -89,18 +95,17 @@
     attempts = {attempt.id: attempt for attempt in records.attempts}
     told_ms: dict[tuple[str, int], int] = {}
     for response in records.leaving:
-        gateway = attempts[response.request].gateway
-        told_ms.setdefault((response.engine, gateway), response.at_ms)
+        told_ms.setdefault((response.engine, response.gateway), response.at_ms)
     violations = []
     for arrival in records.arrivals:
         attempt = attempts[arrival.request]
-        told = told_ms.get((arrival.engine, attempt.gateway))
+        told = told_ms.get((arrival.engine, arrival.gateway))
         if told is None or attempt.sent_ms <= told + DRAIN_MS:
             continue
-        if not _is_disturbed(records, attempt.gateway, told, arrival.at_ms):
+        if not _is_disturbed(records, arrival.gateway, told, arrival.at_ms):
             violations.append(
                 f"{arrival.engine} got {attempt.id} from gateway "
-                f"{attempt.gateway} {arrival.at_ms - told} ms after its notice"
+                f"{arrival.gateway} {arrival.at_ms - told} ms after its notice"
             )
     return violations
 
@@ -108,14 +113,12 @@
 @CHECKS.register("pauses")
 def check_pauses(records: RunRecords) -> list[str]:
     """Few requests reach an engine while it wants none of a gateway."""
-    gateways = {attempt.id: attempt.gateway for attempt in records.attempts}
     arrivals: dict[tuple[str, int], list[int]] = defaultdict(list)
     for arrival in records.arrivals:
-        key = (arrival.engine, gateways[arrival.request])
-        arrivals[key].append(arrival.at_ms)
+        arrivals[arrival.engine, arrival.gateway].append(arrival.at_ms)
     violations = []
     for pause in records.pauses:
-        gateway = gateways[pause.request]
+        gateway = pause.gateway
         start = pause.at_ms + PAUSE_NOTICE_MS
         count = sum(
             start <= at < pause.end_ms for at in arrivals[pause.engine, gateway]
@@ -130,6 +133,33 @@
     return violations
 
 
+@CHECKS.register("fatal parts")
+def check_fatal_parts(records: RunRecords) -> list[str]:
+    """Few requests with a part that crashes engines reach them after a time.
+
+    Counted are gateways that had no fault since shortly before.
+    """
+    crashes_ms = sorted(records.crashes_ms)
+    if len(crashes_ms) < MAX_FATAL_CRASHES:
+        return []
+    start_ms = crashes_ms[MAX_FATAL_CRASHES - 1] + FATAL_NOTICE_MS
+    counted = [
+        arrival
+        for arrival in records.arrivals
+        if arrival.is_fatal
+        and arrival.at_ms > start_ms
+        and not _is_disturbed(
+            records,
+            arrival.gateway,
+            arrival.at_ms - FATAL_NOTICE_MS,
+            arrival.at_ms,
+        )
+    ]
+    if len(counted) <= MAX_LATE_FATAL:
+        return []
+    return [f"{len(counted)} requests with the fatal part after {start_ms}"]
+
+
 def _is_disturbed(
     records: RunRecords, name: int, start_ms: int, end_ms: int
 ) -> bool:
--- a/lab/soak/deployment.py
+++ b/lab/soak/deployment.py
@@ -14,7 +14,7 @@
 from lab.soak.engines import EngineContext, SoakEngine
 from lab.soak.proxy import LoopbackProxy
 from lab.soak.records import Disturbance, RequestKind, RunRecords
-from lab.standins import platformfiles
+from lab.standins import cutgateway, platformfiles
 from lab.standins.platformstore import PlatformStoreServer
 from rhubarbwinch.shared.clock import Clock, SystemClock
 
@@ -27,6 +27,8 @@
 # default effect. On a busy machine, the interpreter starts within this time.
 INTERPRETER_START_MS = 1_000
 POLL_S = 0.02
+# How long an engine is gone that a request has crashed.
+CRASH_S = 0.8
 ENGINE_ID_PREFIX = "i-"
 ENGINE_SERVICE, PLAIN_SERVICE = "engines", "plain"
 # Software versions of engines, which serve side by side.
@@ -93,8 +95,17 @@
         self._processes = Processes(folder)
         self._rng = rng
         self._engine_numbers = iter(range(1, 1_000_000))
-        context = EngineContext({}, {}, self.records, self.clock, rng)
         self.gateways = [self._new_gateway(i + 1) for i in range(gateways)]
+        context = self.engine_context = EngineContext(
+            {},
+            {},
+            self.records,
+            self.clock,
+            rng,
+            {gateway.ip: i for i, gateway in enumerate(self.gateways)},
+            on_fatal=self._handle_fatal_crash,
+        )
+        self._tasks: anyio.abc.TaskGroup | None = None
         self.engines = [
             self._new_engine(service, context)
             for service in (ENGINE_SERVICE, PLAIN_SERVICE)
@@ -142,6 +153,7 @@
 
     async def start(self, tasks: anyio.abc.TaskGroup) -> None:
         """Starts the stand-ins, the proxies and the gateways."""
+        self._tasks = tasks
         tasks.start_soon(self.store.run)
         for proxy in self.proxies:
             tasks.start_soon(proxy.run)
@@ -235,6 +247,17 @@
         engine.proxy.heal()
         await self.register_engine(engine)
 
+    def _handle_fatal_crash(self, engine: SoakEngine) -> None:
+        """Ends an engine that a request has crashed; it comes back later."""
+        if engine.registered_state and engine.proxy.is_healthy:
+            assert self._tasks is not None
+            engine.crash()
+            self._tasks.start_soon(self._restart_engine, engine)
+
+    async def _restart_engine(self, engine: SoakEngine) -> None:
+        await anyio.sleep(CRASH_S)
+        await self.replace_engine(engine)
+
     def start_gateway(self, gateway: Gateway) -> None:
         """Starts a gateway's process."""
         self.write_settings(gateway)
@@ -246,11 +269,17 @@
         self.record_step(f"start of {gateway.name}")
         self._processes.start(
             gateway.name,
-            "rhubarbwinch gateway",
+            "lab.standins.cutgateway gateway",
             "--metrics-port",
             str(self._first_port + PORTS - 1),
             *self._options,
-            env={"RHUBARBWINCH_SETTINGS": str(path)},
+            env={
+                "RHUBARBWINCH_SETTINGS": str(path),
+                cutgateway.FILE_VARIABLE: str(
+                    self._folder / f"{gateway.name}.cut"
+                ),
+                cutgateway.SOURCE_VARIABLE: gateway.ip,
+            },
         )
 
     def _settings_path(self, gateway: Gateway) -> pathlib.Path:
--- a/lab/soak/engines.py
+++ b/lab/soak/engines.py
@@ -2,7 +2,7 @@
 
 import random
 import urllib.parse
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 
 import anyio
@@ -85,6 +85,10 @@
             standby is the id of the request.
         engines: The engines by the address that they register.
         records: Runs are recorded here.
+        gateways: The numbers of the gateways by their IP address.
+        fatal_part: The part of a prompt under which engines crash; empty for
+            none.
+        on_fatal: Called with an engine that has crashed under it.
         clock: The source of time.
         rng: The random number generator.
     """
@@ -94,6 +98,9 @@
     records: RunRecords
     clock: Clock
     rng: random.Random
+    gateways: dict[str, int] = attrs.field(factory=dict)
+    fatal_part: str = ""
+    on_fatal: Callable[["SoakEngine"], None] = lambda engine: None
 
 
 class SoakEngine(ScriptedEngine):
@@ -157,11 +164,25 @@
     async def _serve(
         self, received_request: ReceivedRequest, responder: EdgeResponder
     ) -> None:
+        gateway = self._sender(responder)
+        is_fatal = self._is_fatal(received_request)
         self._context.records.arrivals.append(
-            Arrival(self.name, received_request.id, self._context.clock.now())
+            Arrival(
+                self.name,
+                received_request.id,
+                self._context.clock.now(),
+                gateway,
+                is_fatal,
+            )
         )
         if self.pause_s:
-            await self._ask_for_time(received_request, responder)
+            await self._ask_for_time(received_request, responder, gateway)
+            return
+        if is_fatal:
+            await responder.start_stream(200, engine_headers(received_request))
+            await self._context.clock.sleep(EVENT_INTERVAL_MS)
+            self._context.records.crashes_ms.append(self._context.clock.now())
+            self._context.on_fatal(self)
             return
         first = self._first_event(received_request)
         is_full = (
@@ -173,9 +194,21 @@
             return
         with self._track_run(received_request, first) as active_run:
             if RequestKind(active_run.run.kind).is_stream:
-                await self._stream(received_request, responder, active_run)
+                await self._stream(
+                    received_request, responder, active_run, gateway
+                )
             else:
-                await self._respond(received_request, responder)
+                await self._respond(received_request, responder, gateway)
+
+    def _sender(self, responder: EdgeResponder) -> int:
+        """Returns the number of the gateway that sent a request."""
+        _, port = responder.peer
+        return self._context.gateways[self.proxy.sources[port]]
+
+    def _is_fatal(self, received_request: ReceivedRequest) -> bool:
+        parts = received_request.headers.get(headers.PROMPT_PARTS.decode(), "")
+        fatal = self._context.fatal_part
+        return bool(fatal) and fatal in parts
 
     def _first_event(self, received_request: ReceivedRequest) -> int | None:
         """Returns a run's first event; None if this engine lacks its copy."""
@@ -194,7 +227,10 @@
         return int(last_id) + 1
 
     async def _ask_for_time(
-        self, received_request: ReceivedRequest, responder: EdgeResponder
+        self,
+        received_request: ReceivedRequest,
+        responder: EdgeResponder,
+        gateway: int,
     ) -> None:
         now = self._context.clock.now()
         self._context.records.pauses.append(
@@ -203,18 +239,24 @@
                 received_request.id,
                 now,
                 now + int(1_000 * self.pause_s),
+                gateway,
             )
         )
         await send_pause(received_request, responder, self.pause_s)
 
-    def _headers(self, received_request: ReceivedRequest) -> Headers:
+    def _headers(
+        self, received_request: ReceivedRequest, gateway: int
+    ) -> Headers:
         """Returns the headers of a response, and records what they declare."""
         leaving = []
         if self.says_leaving:
             leaving = [LEAVING]
             self._context.records.leaving.append(
                 LeavingResponse(
-                    self.name, received_request.id, self._context.clock.now()
+                    self.name,
+                    received_request.id,
+                    self._context.clock.now(),
+                    gateway,
                 )
             )
         if self.rate_limit is not None:
@@ -224,6 +266,7 @@
                     received_request.id,
                     self.rate_limit,
                     self._context.clock.now(),
+                    gateway,
                 )
             )
         return [
@@ -263,30 +306,34 @@
             self._active_runs.pop(run.id, None)
 
     async def _respond(
-        self, received_request: ReceivedRequest, responder: EdgeResponder
+        self,
+        received_request: ReceivedRequest,
+        responder: EdgeResponder,
+        gateway: int,
     ) -> None:
         await self._context.clock.sleep(CALL_DURATION_MS)
         self._record_reachability(received_request.id)
         if self._context.rng.random() < self.failure_rate:
-            await responder.send(
-                500, self._headers(received_request), b"failed"
-            )
+            head = self._headers(received_request, gateway)
+            await responder.send(500, head, b"failed")
             return
         body = records.full_response(
             received_request.id, received_request.request.body
         )
-        await responder.send(200, self._headers(received_request), body)
+        head = self._headers(received_request, gateway)
+        await responder.send(200, head, body)
 
     async def _stream(
         self,
         received_request: ReceivedRequest,
         responder: EdgeResponder,
         active_run: ActiveRun,
+        gateway: int,
     ) -> None:
         total = int(received_request.request.body or b"1")
         kind = (b"Content-Type", b"text/event-stream")
         await responder.start_stream(
-            200, [*self._headers(received_request), kind]
+            200, [*self._headers(received_request, gateway), kind]
         )
         while active_run.event_count < total:
             await self._context.clock.sleep(EVENT_INTERVAL_MS)
--- a/lab/soak/proxy.py
+++ b/lab/soak/proxy.py
@@ -25,7 +25,8 @@
         delay_ms: The delay of each chunk in both directions.
         is_cut_to_target: Data to the target is held back.
         is_cut_from_target: Data from the target is held back.
-        is_refusing: New connections are closed immediately.
+        is_refusing: New connections are refused, as at a port that no process
+            listens on.
         extra_bytes: Bytes to add after the next chunk from the target.
     """
 
@@ -48,6 +49,9 @@
         self.address = address
         self.faults = ProxyFaults()
         self._target = target
+        # The IP addresses of callers by the local port of the connection to the
+        # target, so that the target can tell them apart.
+        self.sources: dict[int, str] = {}
         self._connections: dict[
             anyio.CancelScope, list[anyio.abc.ByteStream]
         ] = {}
@@ -76,11 +80,23 @@
     async def run(self) -> None:
         """Serves until cancelled."""
         host, port = netaddress.parse_address(self.address)
-        listener = await anyio.create_tcp_listener(
-            local_host=host, local_port=port, backlog=512
-        )
-        async with listener:
-            await listener.serve(self._serve)
+        async with anyio.create_task_group() as tasks:
+            while True:
+                listener = await anyio.create_tcp_listener(
+                    local_host=host, local_port=port, backlog=512
+                )
+                with anyio.CancelScope() as scope:
+                    tasks.start_soon(self._close_when_refusing, scope)
+                    async with listener:
+                        await listener.serve(self._serve, tasks)
+                while self.faults.is_refusing:
+                    await anyio.sleep(POLL_S)
+
+    async def _close_when_refusing(self, scope: anyio.CancelScope) -> None:
+        """Stops the listener when new connections are to be refused."""
+        while not self.faults.is_refusing:
+            await anyio.sleep(POLL_S)
+        scope.cancel()
 
     async def _serve(self, caller: anyio.abc.ByteStream) -> None:
         async with caller:
@@ -92,8 +108,12 @@
             except OSError:
                 # The caller's connection closes, as if the target refused it.
                 return
+            port = target.extra(anyio.abc.SocketAttribute.local_port)
+            source = caller.extra(anyio.abc.SocketAttribute.remote_address)
+            self.sources[port] = str(source[0])
             async with target:
                 await self._forward(caller, target)
+            self.sources.pop(port, None)
 
     async def _forward(
         self, caller: anyio.abc.ByteStream, target: anyio.abc.ByteStream
--- a/lab/soak/records.py
+++ b/lab/soak/records.py
@@ -62,11 +62,21 @@
 
 @attrs.frozen
 class Arrival:
-    """A request that reached an engine, whether it ran or was refused."""
+    """A request that reached an engine, whether it ran or was refused.
+
+    Attributes:
+        engine: The id of the engine.
+        request: The id of the request.
+        at_ms: When it reached the engine.
+        gateway: The number of the gateway that sent it.
+        is_fatal: Whether its prompt has the part that crashes engines.
+    """
 
     engine: str
     request: str
     at_ms: int
+    gateway: int = 0
+    is_fatal: bool = False
 
 
 @attrs.frozen
@@ -78,21 +88,24 @@
         request: The id of the request.
         rate: The limit in requests a second.
         at_ms: When the response was sent.
+        gateway: The number of the gateway that it was sent to.
     """
 
     engine: str
     request: str
     rate: float
     at_ms: int
+    gateway: int = 0
 
 
 @attrs.frozen
 class LeavingResponse:
-    """A response in which an engine said that it leaves."""
+    """A response to a gateway in which an engine said that it leaves."""
 
     engine: str
     request: str
     at_ms: int
+    gateway: int = 0
 
 
 @attrs.frozen
@@ -104,12 +117,14 @@
         request: The id of the refused request.
         at_ms: When the response was sent.
         end_ms: Until when the engine wants no requests of the gateway.
+        gateway: The number of that gateway.
     """
 
     engine: str
     request: str
     at_ms: int
     end_ms: int
+    gateway: int = 0
 
 
 @attrs.frozen
@@ -172,6 +187,7 @@
         declarations: The responses in which engines declared a limit.
         leaving: The responses in which engines said that they leave.
         pauses: The refusals in which engines asked for time.
+        crashes_ms: When engines crashed under the fatal part of a prompt.
         disturbances: When faults at single gateways or engines began or ended.
         faults: The steps of the injected faults, as text.
     """
@@ -187,6 +203,7 @@
     declarations: list[Declaration] = attrs.field(factory=list)
     leaving: list[LeavingResponse] = attrs.field(factory=list)
     pauses: list[PauseResponse] = attrs.field(factory=list)
+    crashes_ms: list[int] = attrs.field(factory=list)
     disturbances: list[Disturbance] = attrs.field(factory=list)
     faults: list[str] = attrs.field(factory=list)
 
--- a/rhubarbwinch/gateway/edge.py
+++ b/rhubarbwinch/gateway/edge.py
@@ -88,6 +88,11 @@
         self.is_started = False
         self.is_complete = False
 
+    @property
+    def peer(self) -> tuple[str, int]:
+        """The IP address and the port of the caller's connection."""
+        return self._connection.peer
+
     async def send(self, status: int, headers: Headers, body: bytes) -> None:
         """Sends a whole response."""
         self.is_started = True
@@ -144,6 +149,12 @@
             h11.SERVER, max_incomplete_event_size=limits.max_head_bytes
         )
 
+    @property
+    def peer(self) -> tuple[str, int]:
+        """The IP address and the port of the caller."""
+        host, port = self._transport.get_extra_info("peername")[:2]
+        return host, port
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Starts the connection's task."""
         self._transport = transport  # type: ignore[assignment]
--- a/tests/gateway/test_cutgateways.py
+++ b/tests/gateway/test_cutgateways.py
@@ -5,8 +5,8 @@
 import anyio
 
 from lab.standins import platformfiles
+from lab.standins.cutgateway import FILE_VARIABLE, HANG, KINDS
 from lab.standins.platformengine import engine_headers, send_ok, stream_event
-from tests.cutgateway import FILE_VARIABLE, HANG, KINDS
 from tests.gatewayprocesses import ENGINE, config, deployment
 from tests.helpers import asynchronous
 
@@ -43,7 +43,7 @@
         for number in range(1, GATEWAYS + 1):
             d.start(
                 number,
-                "tests.cutgateway gateway",
+                "lab.standins.cutgateway gateway",
                 **{FILE_VARIABLE: str(d.folder / f"cut{number}")},
             )
         for number in range(1, GATEWAYS + 1):
--- a/tests/soak/test_check.py
+++ b/tests/soak/test_check.py
@@ -158,11 +158,13 @@
         attempts = [attempt(f"q{i}", gateway=i % 2) for i in range(40)]
         runs = [run(a.id) for a in attempts]
         declared = [
-            Declaration("i-1", "q0", 1.0, 1_000),
-            Declaration("i-1", "q1", 1.0, 1_000),
-            Declaration("i-1", "q0", 1.0, 9_000),
+            Declaration("i-1", "q0", 1.0, 1_000, 0),
+            Declaration("i-1", "q1", 1.0, 1_000, 1),
+            Declaration("i-1", "q0", 1.0, 9_000, 0),
+        ]
+        arrivals = [
+            Arrival("i-1", f"q{i}", 4_000 + i, i % 2) for i in range(12)
         ]
-        arrivals = [Arrival("i-1", f"q{i}", 4_000 + i) for i in range(12)]
         for count, gateway, expected in (
             (12, None, {"rate limits"}),
             (11, None, set()),
@@ -195,7 +197,7 @@
                 violated = self.failed_checks(
                     [attempt("q0"), late],
                     [run("q0"), run("q1")],
-                    arrivals=[Arrival("i-1", "q1", sent_ms + 5)],
+                    arrivals=[Arrival("i-1", "q1", sent_ms + 5, gateway)],
                     leaving=[told],
                     disturbances=[Disturbance(0, disturbed or 0)],
                 )
@@ -221,6 +223,29 @@
                 )
                 self.assertEqual(violated, expected)
 
+    def test_requests_with_a_part_that_has_crashed_engines_are_reported(self):
+        crashes_ms = [1_000, 2_000, 3_000, 4_000, 5_000]
+        attempts = [attempt(f"q{i}") for i in range(4)]
+        for count, crashes, at_ms, disturbed, expected in (
+            (4, 5, 8_001, None, {"fatal parts"}),
+            (3, 5, 8_001, None, set()),
+            (4, 4, 8_001, None, set()),
+            (4, 5, 8_000, None, set()),
+            (4, 5, 8_001, 6_000, set()),
+        ):
+            with self.subTest(count=count, crashes=crashes, at_ms=at_ms):
+                violated = self.failed_checks(
+                    attempts,
+                    [run(a.id) for a in attempts],
+                    arrivals=[
+                        Arrival("i-1", f"q{i}", at_ms, is_fatal=True)
+                        for i in range(count)
+                    ],
+                    crashes_ms=crashes_ms[:crashes],
+                    disturbances=[Disturbance(0, disturbed or 0)],
+                )
+                self.assertEqual(violated, expected)
+
     def test_retries_beyond_the_budget_are_reported(self):
         attempts = [attempt(f"q{i}") for i in range(10)]
         runs = [run(f"q{i % 10}") for i in range(10 + 2 + 56 + 1)]
@@ -269,6 +294,7 @@
         names = {
             "asked",
             "budget",
+            "fatal parts",
             "gone",
             "grace",
             "keys",
