--- a/lab/soak/deployment.py
+++ b/lab/soak/deployment.py
@@ -258,6 +258,14 @@
         await anyio.sleep(CRASH_S)
         await self.replace_engine(engine)
 
+    def cut_off(self, gateway: Gateway, kind: str) -> None:
+        """Cuts a gateway off from all engines; an empty kind ends that."""
+        addresses = [engine.address for engine in self.engines]
+        path = self._folder / f"{gateway.name}.cut"
+        path.write_text("\n".join([kind, *addresses]) if kind else "")
+        self.record_step(f"{gateway.name} is cut off: {kind or 'no longer'}")
+        self.record_disturbance(self.gateways.index(gateway))
+
     def start_gateway(self, gateway: Gateway) -> None:
         """Starts a gateway's process."""
         self.write_settings(gateway)
--- a/lab/soak/faults.py
+++ b/lab/soak/faults.py
@@ -9,7 +9,7 @@
 from lab.soak.deployment import Gateway, SoakDeployment
 from lab.soak.engines import SLOTS, SoakEngine
 from lab.soak.proxy import LoopbackProxy
-from lab.standins import platformfiles
+from lab.standins import cutgateway, platformfiles
 from rhubarbwinch.shared.registry import Registry
 
 Fault = Callable[[SoakDeployment, random.Random], Awaitable[None]]
@@ -236,6 +236,20 @@
     await deployment.remove_expired_entries()
 
 
+@FAULTS.register("cut gateways")
+async def cut_gateways(deployment: SoakDeployment, rng: random.Random) -> None:
+    """Some gateways, or all but one, are cut off from all engines."""
+    count = rng.choice((1, 2, len(deployment.gateways) - 1))
+    cut = rng.sample(
+        deployment.gateways, min(count, len(deployment.gateways) - 1)
+    )
+    for gateway in cut:
+        deployment.cut_off(gateway, rng.choice(cutgateway.KINDS))
+    await anyio.sleep(rng.uniform(MIN_DURATION_S, 2 * MAX_DURATION_S))
+    for gateway in cut:
+        deployment.cut_off(gateway, "")
+
+
 @FAULTS.register("fatal part")
 async def send_fatal_part(
     deployment: SoakDeployment, rng: random.Random
