Gateway: connections that hang leave time to pass a call on

Callers would see: 504 for the first calls at a gateway whose connections hang, though another gateway could serve them. Cause: each connection that hangs takes 0.25 s; three of them take the whole time of a plain call with a deadline of 0.6 s, and nothing is left for the other gateway. Change: after two connections that failed, a third is tried only if more time is left than it takes to fail. Result: test_connections_that_hang_leave_no_time_to_pass_a_call_on failed before and passes; tests.gateway.test_plaincalls passes.

--- a/rhubarbwinch/gateway/plaincalls.py
+++ b/rhubarbwinch/gateway/plaincalls.py
@@ -9,6 +9,7 @@
 from rhubarbwinch.gateway.endpoints import Endpoint
 from rhubarbwinch.gateway.platforminterface import AttemptOptions, ResponseHead
 from rhubarbwinch.gateway.suspicion import AttemptOutcome
+from rhubarbwinch.gateway.upstream import CONNECT_TIMEOUT_S
 from rhubarbwinch.shared import events
 from rhubarbwinch.shared.exceptions import EndpointError
 from rhubarbwinch.shared.verdict import Failure, Reason, Verdict, not_run
@@ -20,6 +21,8 @@
 FIRST_ATTEMPT_SHARE = 0.5
 # Attempts per call, including refused ones.
 MAX_ATTEMPTS = 3
+# Connections that fail before the rest of a short time is left to others.
+MAX_UNREACHABLE = 2
 # With less time left, no response can arrive before the deadline.
 MIN_ATTEMPT_MS = 10
 RETRY_AFTER_MS = 200
@@ -69,9 +72,7 @@
         )
         may_have_run = 0
         error_response: WholeResponse | None = None
-        while job.sends < MAX_ATTEMPTS:
-            if job.deadline_ms - context.clock.now() < MIN_ATTEMPT_MS:
-                break
+        while job.sends < MAX_ATTEMPTS and self._has_time(job):
             endpoint = await self._next_endpoint(job, not may_have_run)
             if isinstance(endpoint, Failure):
                 if not job.sends or (
@@ -111,6 +112,15 @@
             return Failure(Verdict.MAY_HAVE_RUN, failure.reason, failure.detail)
         return failure
 
+    def _has_time(self, job: Job) -> bool:
+        """Returns whether there is time for another attempt."""
+        left_ms = job.deadline_ms - self._context.clock.now()
+        if job.unreachable >= MAX_UNREACHABLE:
+            # One more connection that hangs would take all the time that
+            # another gateway needs.
+            return left_ms >= 1_000 * CONNECT_TIMEOUT_S
+        return left_ms >= MIN_ATTEMPT_MS
+
     async def _next_endpoint(
         self, job: Job, may_wait: bool
     ) -> Endpoint | Failure:
--- a/tests/gateway/test_forwarding.py
+++ b/tests/gateway/test_forwarding.py
@@ -1,5 +1,7 @@
 """Tests requests that a gateway passes on to another one."""
 
+import contextlib
+import socket
 import unittest
 from contextlib import asynccontextmanager
 
@@ -79,6 +81,21 @@
         tasks.cancel_scope.cancel()
 
 
+@contextlib.contextmanager
+def hanging_address():
+    """Yields an address at which new connections get no answer."""
+    with contextlib.ExitStack() as stack:
+        listener = stack.enter_context(socket.socket())
+        listener.bind(("127.0.0.1", 0))
+        listener.listen(0)
+        # They fill the queue of connections that wait to be accepted.
+        for _ in range(3):
+            waiting = stack.enter_context(socket.socket())
+            waiting.setblocking(False)
+            waiting.connect_ex(listener.getsockname())
+        yield f"127.0.0.1:{listener.getsockname()[1]}"
+
+
 class ForwardingTest(unittest.TestCase):
     """A gateway that is cut off from the endpoints."""
 
@@ -251,6 +268,20 @@
         self.assertEqual(found.status, 200)
         self.assertEqual(len(target.received), 1)
 
+    @asynchronous
+    async def test_connections_that_hang_leave_no_time_to_pass_a_call_on(self):
+        async with running_gateway(1) as target:
+            peers = OtherGateways(target.forward_address)
+            async with running_gateway(0, ONCE, peers=peers) as gateway:
+                with contextlib.ExitStack() as stack:
+                    for name in ("e1", "e2", "e3"):
+                        address = stack.enter_context(hanging_address())
+                        gateway.context.fleet.apply_registration(
+                            build.endpoint(name, address=address), 0
+                        )
+                    found = await gateway.call(Deadline_Ms="600")
+        self.assertEqual(found.status, 200)
+
     @asynchronous
     async def test_open_connections_serve_if_no_gateway_can(self):
         async with running_gateway(1) as gateway:
