Gateway: a gateway that was not reached is tried once more

Cause: a target that accepts no connection within 0.25 s counted as tried, and there was no other. Change: the second try may go to a target that was not reached; one that has answered is not asked again. Result: test_the_only_gateway_is_tried_again_if_it_was_not_reached; tests.gateway. test_forwarding, 18 passed.

--- a/rhubarbwinch/gateway/forwarding.py
+++ b/rhubarbwinch/gateway/forwarding.py
@@ -85,13 +85,17 @@
             RETRY_AFTER_MS,
         )
         tried: list[str] = []
+        answered: list[str] = []
         while len(tried) < MAX_TARGETS:
             targets = [
                 heartbeat
                 for heartbeat in context.peers.forward_targets(job.service)
                 if among is None or heartbeat.name in among
             ]
-            target = choose_target(targets, tried, context.rng)
+            # One that accepted no connection may have been busy.
+            target = choose_target(
+                targets, tried, context.rng
+            ) or choose_target(targets, answered, context.rng)
             left_ms = job.deadline_ms - context.clock.now()
             if target is None or left_ms < MIN_LEFT_MS:
                 break
@@ -112,6 +116,8 @@
             failure = result
             if failure.verdict is not Verdict.NOT_RUN:
                 break
+            if failure.reason is not Reason.GATEWAY_UNREACHABLE:
+                answered.append(target.name)
         return failure
 
     async def _call(
@@ -139,7 +145,9 @@
                 self._log_broken(job, str(error))
                 return None
             if not error.sent:
-                return not_run(Reason.NO_ENDPOINT, str(error), RETRY_AFTER_MS)
+                return not_run(
+                    Reason.GATEWAY_UNREACHABLE, str(error), RETRY_AFTER_MS
+                )
             return Failure(
                 Verdict.MAY_HAVE_RUN, Reason.ENDPOINT_FAILED, str(error)
             )
--- a/tests/gateway/test_forwarding.py
+++ b/tests/gateway/test_forwarding.py
@@ -215,6 +215,19 @@
             statuses = {(await gateway.call(f"q{i}")).status for i in range(8)}
         self.assertEqual(statuses, {200})
 
+    @asynchronous
+    async def test_the_only_gateway_is_tried_again_if_it_was_not_reached(self):
+        async with cut_off_gateway(free_address(), table=ONCE) as gateway:
+            forward, tries = gateway.context.upstream.forward, []
+
+            async def count(*args):
+                tries.append(args)
+                return await forward(*args)
+
+            gateway.context.upstream.forward = count
+            found = await gateway.call()
+        self.assertEqual((len(tries), found.status), (MAX_TARGETS, 503))
+
     @asynchronous
     async def test_an_older_configuration_elsewhere_is_no_answer(self):
         async def not_found(request, responder):
