Gateway: a prompt that has a part twice does not end the crash checks

Callers would see: parts that crash endpoints refused late, as the task that counts crashes ends with a KeyError and is started again without the rest of its batch. Cause: the crashes of the other parts are dropped when one is refused, and a part that stands twice in a prompt was dropped twice. Found by reading the change. Change: a crash counts once against each part. Result: test_a_part_that_a_prompt_has_twice_is_counted_once failed before (KeyError) and passes.

--- a/rhubarbwinch/gateway/crashsuspects.py
+++ b/rhubarbwinch/gateway/crashsuspects.py
@@ -126,7 +126,8 @@
         Returns:
             The keys of the suspects that are refused from now on.
         """
-        parts = self._accused(crash)
+        # A prompt may have a part twice.
+        parts = tuple(dict.fromkeys(self._accused(crash)))
         for key in (crash.request, *parts):
             suspect = self._suspects.setdefault(key, _Suspect())
             self._suspects.move_to_end(key)
--- a/tests/gateway/test_crashsuspects.py
+++ b/tests/gateway/test_crashsuspects.py
@@ -93,6 +93,15 @@
             self._crash(FIRST, FATAL, OTHER)
         self.assertEqual(self.suspects.refused_keys(), [FATAL])
 
+    def test_a_part_that_a_prompt_has_twice_is_counted_once(self):
+        for _ in range(MAX_CRASHES):
+            self._crash(FIRST, FIRST, FATAL)
+            self.suspects.clear(FIRST, self.now)
+        self.assertEqual(self.suspects.refused_keys(), [FATAL])
+        for _ in range(MAX_CRASHES):
+            self._crash(FIRST, FIRST, OTHER)
+        self.assertIn(OTHER, self.suspects.refused_keys())
+
     def test_engines_that_are_lost_at_once_accuse_no_part(self):
         self.suspects.clear(FIRST, self.now)
         sent_ms = self.now
