Gateway: callers that leave do not take the slots of those that wait

Callers would see: a call before brittle endpoints that waits on, and is refused, though a slot is free. Cause: a call whose caller left while it waited stayed in the queue, and the next free slot woke it instead of the one behind; a slot that became free as a wait ran out made the request fail with an error. Found by reading the change. Change: a waiter leaves the queue however its wait ends. Result: test_the_slot_of_a_caller_that_leaves_wakes_no_other failed before and passes.

--- a/rhubarbwinch/gateway/slotgate.py
+++ b/rhubarbwinch/gateway/slotgate.py
@@ -53,11 +53,18 @@
         waiter = anyio.Event()
         waiters.append(waiter)
         gatewaymetrics.SLOT_WAITS.inc()
-        with anyio.move_on_after(limit_ms / 1000):
-            await waiter.wait()
-            return True
-        waiters.remove(waiter)
-        return False
+        try:
+            with anyio.move_on_after(limit_ms / 1000):
+                await waiter.wait()
+        except anyio.get_cancelled_exc_class():
+            if waiter.is_set():
+                # The next one gets the slot of a caller that leaves.
+                self.handle_call_ended(service)
+            raise
+        finally:
+            if not waiter.is_set():
+                waiters.remove(waiter)
+        return waiter.is_set()
 
     def handle_call_ended(self, service: str) -> None:
         """Wakes the call that has waited longest."""
--- a/tests/gateway/test_slotshares.py
+++ b/tests/gateway/test_slotshares.py
@@ -9,9 +9,12 @@
     engine_headers,
     stream_event,
 )
+from rhubarbwinch.gateway.loads import LoadTracker
 from rhubarbwinch.gateway.routes import CallKind
+from rhubarbwinch.gateway.slotgate import SlotGate
 from rhubarbwinch.gateway.slotshares import BRITTLE_MS, SlotShares
 from rhubarbwinch.platform import headers
+from rhubarbwinch.shared.clock import SystemClock
 from tests import gatewaybuilders as build
 from tests.gatewayharness import running_gateway
 from tests.helpers import asynchronous
@@ -79,6 +82,38 @@
         self.assertFalse(brittle.fits(10, 1.0))
 
 
+class SlotGateTest(unittest.TestCase):
+    """Calls that wait for a slot."""
+
+    def setUp(self):
+        self.gate = SlotGate(SlotShares("g1"), LoadTracker(), SystemClock())
+
+    @asynchronous
+    async def test_the_slot_of_a_caller_that_leaves_wakes_no_other(self):
+        woken = []
+
+        async def wait(name):
+            if await self.gate.wait("svc", 5_000):
+                woken.append(name)
+
+        async with anyio.create_task_group() as tasks:
+            first = anyio.CancelScope()
+
+            async def leave():
+                with first:
+                    await wait("first")
+
+            tasks.start_soon(leave)
+            await anyio.wait_all_tasks_blocked()
+            tasks.start_soon(wait, "second")
+            await anyio.wait_all_tasks_blocked()
+            first.cancel()
+            await anyio.wait_all_tasks_blocked()
+            self.gate.handle_call_ended("svc")
+            await anyio.wait_all_tasks_blocked()
+            self.assertEqual(woken, ["second"])
+
+
 class BrittleEndpoint:
     """An endpoint without a queue that counts what it refuses."""
 
