Gateway: checks of crashed endpoints do not wait for each other

Callers would see: a part that crashes endpoints refused a second later at each crash. Cause: responses that broke off were checked in batches, and a batch ended with its slowest reply of another gateway, up to 1.1 s; crashes came each 0.7 s. Found by reading the change. Change: each check runs by itself. Result: test_a_slow_reply_delays_the_checks_of_later_crashes failed before and passes.

--- a/rhubarbwinch/gateway/crashes.py
+++ b/rhubarbwinch/gateway/crashes.py
@@ -81,14 +81,14 @@
 
     async def run(self) -> None:
         """Checks endpoints that broke off responses, until cancelled."""
-        while True:
-            await self._has_unchecked.wait()
-            self._has_unchecked = anyio.Event()
-            unchecked, self._unchecked = self._unchecked, []
-            by_address: dict[str, list[BrokenResponse]] = {}
-            for broken in unchecked:
-                by_address.setdefault(broken.address, []).append(broken)
-            async with anyio.create_task_group() as tasks:
+        async with anyio.create_task_group() as tasks:
+            while True:
+                await self._has_unchecked.wait()
+                self._has_unchecked = anyio.Event()
+                unchecked, self._unchecked = self._unchecked, []
+                by_address: dict[str, list[BrokenResponse]] = {}
+                for broken in unchecked:
+                    by_address.setdefault(broken.address, []).append(broken)
                 for address, responses in by_address.items():
                     tasks.start_soon(self._check, address, responses)
 
--- a/tests/gateway/test_crashes.py
+++ b/tests/gateway/test_crashes.py
@@ -180,6 +180,28 @@
             await network.crash(0, number, FATAL)
         self.assertEqual(network.refusing(FATAL), [0, 1, 2])
 
+    @asynchronous
+    async def test_a_slow_reply_delays_the_checks_of_later_crashes(self):
+        network = CrashNetwork(2)
+        tracker = network.trackers[0]
+        is_silent = True
+
+        async def ask(address):
+            if is_silent:
+                await anyio.sleep_forever()
+
+        tracker._is_reached_elsewhere = ask
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(tracker.run)
+            for number in range(MAX_CRASHES + 1):
+                crash = Crash((f"e{number}", 1), "request:r", (), 0, 0)
+                broken = BrokenResponse("q", f"10.0.0.{number}:1", crash, 0)
+                tracker.check_endpoint(broken)
+                await anyio.wait_all_tasks_blocked()
+                is_silent = False
+            tasks.cancel_scope.cancel()
+        self.assertEqual(network.refusing("request:r"), [0, 1])
+
     @asynchronous
     async def test_harmless_requests_send_no_notices(self):
         network = CrashNetwork(2)
