Gateway: the state of a request is a module of its own

Cause: context.py had two jobs, the objects that requests share and the state of one request, and 509 lines. Change: `Job` and `make_job` are in job.py, as a move of code alone; a comment says what the probes of a gateway that is cut off are for. Result: make check and 94 tests of the modules that import them pass.

--- a/rhubarbwinch/gateway/context.py
+++ b/rhubarbwinch/gateway/context.py
@@ -1,4 +1,4 @@
-"""The objects shared by all requests, and the state of one request."""
+"""The objects shared by all requests."""
 
 import random
 from collections.abc import Callable
@@ -10,10 +10,8 @@
     HARMLESS_EVENTS,
     BrokenResponse,
     CrashTracker,
-    fingerprint,
 )
-from rhubarbwinch.gateway.crashsuspects import Crash, part_key, request_key
-from rhubarbwinch.gateway.edge import EdgeRequest
+from rhubarbwinch.gateway.crashsuspects import Crash
 from rhubarbwinch.gateway.endpoints import Endpoint
 from rhubarbwinch.gateway.failurereports import (
     WINDOW_MS,
@@ -23,6 +21,7 @@
 from rhubarbwinch.gateway.fleet import Fleet, KnownEndpoint
 from rhubarbwinch.gateway.isolation import Isolation
 from rhubarbwinch.gateway.isolationmonitor import IsolationMonitor
+from rhubarbwinch.gateway.job import Job
 from rhubarbwinch.gateway.loads import LoadTracker
 from rhubarbwinch.gateway.messages import FailureNotice, FullNotice
 from rhubarbwinch.gateway.migratedcopies import CopyManager
@@ -31,12 +30,11 @@
 from rhubarbwinch.gateway.placement import Candidate
 from rhubarbwinch.gateway.platforminterface import (
     AttemptOptions,
-    CallHead,
     Platform,
 )
 from rhubarbwinch.gateway.requestspans import Tracer
 from rhubarbwinch.gateway.retrybudget import RetryBudget
-from rhubarbwinch.gateway.routes import EngineSpec, Route, RoutingTable
+from rhubarbwinch.gateway.routes import EngineSpec, RoutingTable
 from rhubarbwinch.gateway.slotgate import SlotGate
 from rhubarbwinch.gateway.suspicion import AttemptOutcome, Suspicion
 from rhubarbwinch.gateway.takeups import TakeUps
@@ -172,7 +170,7 @@
 
     async def send(
         self,
-        job: "Job",
+        job: Job,
         endpoint: Endpoint,
         options: AttemptOptions,
         is_repeatable: bool,
@@ -201,7 +199,7 @@
                 self.on_leaving(endpoint)
         return response
 
-    def _pause_full(self, job: "Job", endpoint: Endpoint) -> None:
+    def _pause_full(self, job: Job, endpoint: Endpoint) -> None:
         """Keeps all gateways from a brittle endpoint that has no room."""
         # Gateways return to the endpoint one after another.
         pause_ms = int(BRITTLE_PAUSE_MS * (1 + self.rng.random()))
@@ -308,7 +306,7 @@
 
     def record_outcome(
         self,
-        job: "Job",
+        job: Job,
         service: str,
         endpoint_id: str,
         outcome: AttemptOutcome,
@@ -333,9 +331,7 @@
         if self._is_shared(service, outcome):
             self.handle_failure(self.peers.report_failure(endpoint_id))
 
-    def _check_silence(
-        self, job: "Job", service: str, endpoint_id: str
-    ) -> None:
+    def _check_silence(self, job: Job, service: str, endpoint_id: str) -> None:
         """Has an endpoint probed if its whole service has been silent."""
         known = self.fleet.get(endpoint_id)
         if known is None or known.is_leaving:
@@ -381,7 +377,7 @@
         )
 
     def check_crash(
-        self, job: "Job", endpoint_id: str, address: str, events_received: int
+        self, job: Job, endpoint_id: str, address: str, events_received: int
     ) -> None:
         """Starts the check whether an endpoint crashed during a request.
 
@@ -406,13 +402,13 @@
             BrokenResponse(job.call.request_id, address, crash, events_received)
         )
 
-    def record_send(self, job: "Job") -> None:
+    def record_send(self, job: Job) -> None:
         """Records that a request is sent to an endpoint."""
         job.sends += 1
         job.sent_ms = self.clock.now()
         self.crashes.record_send(job.call.request_id, job.suspect_keys)
 
-    def refuse_suspect(self, job: "Job") -> Failure | None:
+    def refuse_suspect(self, job: Job) -> Failure | None:
         """Returns the refusal of a request under which endpoints crash."""
         refused = self.crashes.find_refused(job.suspect_keys)
         if refused is None:
@@ -424,86 +420,3 @@
         return self.budget.try_acquire(
             service, self.peers.live_count + 1, self.clock.now()
         )
-
-
-@attrs.define
-class Job:
-    """One request while it is being served.
-
-    Attributes:
-        call: The head of the request.
-        request: The request as it was received.
-        body: The body of the request.
-        route: The route of the request.
-        account: The caller's client account, or None.
-        priority: The rank of the request; 0 is the most urgent.
-        service: The service that serves the request.
-        received_ms: When the first byte of the request was read.
-        deadline_ms: The deadline of the response.
-        objective_ms: Until when the response meets the latency target.
-        request_key: Identifies equal requests, such as retries.
-        part_keys: Identify the parts of the prompt that requests share.
-        sends: Number of attempts at endpoints.
-        sent_ms: When the last of them began.
-        unreachable: Number of attempts for which no connection could be made.
-        is_forwarded: Whether another gateway has passed the request on.
-        tried: Ids of endpoints that were tried and are left out from now on.
-    """
-
-    call: CallHead
-    request: EdgeRequest
-    body: bytes
-    route: Route
-    account: str | None
-    priority: int
-    service: str
-    received_ms: int
-    deadline_ms: int
-    objective_ms: int
-    request_key: str
-    part_keys: tuple[str, ...] = ()
-    sends: int = 0
-    sent_ms: int = 0
-    unreachable: int = 0
-    is_forwarded: bool = False
-    tried: set[str] = attrs.field(factory=set)
-
-    @property
-    def arrivals(self) -> int:
-        """Number of attempts that may have reached an endpoint."""
-        return self.sends - self.unreachable
-
-    @property
-    def suspect_keys(self) -> tuple[str, ...]:
-        """What is counted against the request when its endpoint crashes."""
-        return (self.request_key, *self.part_keys)
-
-
-def make_job(
-    request: EdgeRequest,
-    call: CallHead,
-    route: Route,
-    account: str | None,
-    priority: int,
-    service: str,
-) -> Job:
-    """Returns the job of a request."""
-    allowed_ms = route.timeout_ms
-    if call.deadline_ms is not None:
-        allowed_ms = min(allowed_ms, call.deadline_ms)
-    return Job(
-        call=call,
-        request=request,
-        body=request.body,
-        route=route,
-        account=account,
-        priority=priority,
-        service=service,
-        received_ms=request.received_ms,
-        deadline_ms=request.received_ms + allowed_ms,
-        objective_ms=request.received_ms + route.objective_ms,
-        request_key=request_key(
-            fingerprint(account, call.target, request.body)
-        ),
-        part_keys=tuple(part_key(part) for part in call.prompt_parts[:-1]),
-    )
--- a/rhubarbwinch/gateway/forwarding.py
+++ b/rhubarbwinch/gateway/forwarding.py
@@ -12,8 +12,9 @@
 import anyio
 
 from rhubarbwinch.gateway import gatewaymetrics
-from rhubarbwinch.gateway.context import Context, Job
+from rhubarbwinch.gateway.context import Context
 from rhubarbwinch.gateway.edge import EdgeResponder
+from rhubarbwinch.gateway.job import Job
 from rhubarbwinch.gateway.messages import Heartbeat
 from rhubarbwinch.gateway.plaincalls import (
     RESPONSE_GRACE_MS,
--- a/rhubarbwinch/gateway/isolationmonitor.py
+++ b/rhubarbwinch/gateway/isolationmonitor.py
@@ -10,8 +10,8 @@
 from rhubarbwinch.shared import events
 from rhubarbwinch.shared.clock import Clock
 
-# The time between probes of a service. A gateway that is cut off sends one each
-# time, to find out when it is connected again.
+# The time between probes of a service. A gateway that is cut off goes on with
+# them, to find out when it is connected again.
 PROBE_INTERVAL_MS = 300
 # Endpoints of which other gateways are asked whether they reach them.
 MAX_ASKED = 3
--- a/rhubarbwinch/gateway/plaincalls.py
+++ b/rhubarbwinch/gateway/plaincalls.py
@@ -4,9 +4,10 @@
 import attrs
 
 from rhubarbwinch.gateway import failureresponses, gatewaymetrics, placement
-from rhubarbwinch.gateway.context import Context, Job
+from rhubarbwinch.gateway.context import Context
 from rhubarbwinch.gateway.edge import EdgeResponder
 from rhubarbwinch.gateway.endpoints import Endpoint
+from rhubarbwinch.gateway.job import Job
 from rhubarbwinch.gateway.platforminterface import AttemptOptions, ResponseHead
 from rhubarbwinch.gateway.suspicion import AttemptOutcome
 from rhubarbwinch.gateway.upstream import CONNECT_TIMEOUT_S
--- a/rhubarbwinch/gateway/router.py
+++ b/rhubarbwinch/gateway/router.py
@@ -3,10 +3,11 @@
 import anyio
 
 from rhubarbwinch.gateway import requestspans
-from rhubarbwinch.gateway.context import Context, Job, make_job
+from rhubarbwinch.gateway.context import Context
 from rhubarbwinch.gateway.edge import EdgeRequest, EdgeResponder
 from rhubarbwinch.gateway.failureresponses import send_failure
 from rhubarbwinch.gateway.forwarding import MAX_OPEN_FORWARDED, Forwarder
+from rhubarbwinch.gateway.job import Job, make_job
 from rhubarbwinch.gateway.plaincalls import PlainCalls, send_job_failure
 from rhubarbwinch.gateway.platforminterface import CallHead
 from rhubarbwinch.gateway.routes import CallKind, Route, RoutingTable
--- a/rhubarbwinch/gateway/runs.py
+++ b/rhubarbwinch/gateway/runs.py
@@ -4,9 +4,9 @@
 import anyio.abc
 import attrs
 
-from rhubarbwinch.gateway.context import Job
 from rhubarbwinch.gateway.edge import EdgeResponder
 from rhubarbwinch.gateway.endpoints import Endpoint
+from rhubarbwinch.gateway.job import Job
 from rhubarbwinch.gateway.loads import Reservation
 from rhubarbwinch.gateway.platforminterface import KvCacheLocation
 
--- a/rhubarbwinch/gateway/streams.py
+++ b/rhubarbwinch/gateway/streams.py
@@ -3,12 +3,13 @@
 import anyio
 
 from rhubarbwinch.gateway import gatewaymetrics
-from rhubarbwinch.gateway.context import Context, Job
+from rhubarbwinch.gateway.context import Context
 from rhubarbwinch.gateway.edge import EdgeResponder
 from rhubarbwinch.gateway.endpoints import Endpoint
 from rhubarbwinch.gateway.eventrelay import EventRelay
 from rhubarbwinch.gateway.failover import Failover
 from rhubarbwinch.gateway.generationsender import GenerationSender
+from rhubarbwinch.gateway.job import Job
 from rhubarbwinch.gateway.migration import Migrator
 from rhubarbwinch.gateway.runplacement import RunPlacer
 from rhubarbwinch.gateway.runs import Run
--- a/tests/gatewaybuilders.py
+++ b/tests/gatewaybuilders.py
@@ -2,10 +2,10 @@
 
 import random
 
-from rhubarbwinch.gateway.context import make_job
 from rhubarbwinch.gateway.edge import EdgeRequest
 from rhubarbwinch.gateway.endpoints import Endpoint, EndpointState
 from rhubarbwinch.gateway.fleet import Fleet
+from rhubarbwinch.gateway.job import make_job
 from rhubarbwinch.gateway.loads import Load
 from rhubarbwinch.gateway.placement import Candidate
 from rhubarbwinch.gateway.platforminterface import CallHead
