Gateway: endpoints that accept some connections do not look cut off

Cause: the only gateway that reached the endpoints judged itself cut off for 0.3 s: three connections to busy endpoints took over 0.25 s, while others succeeded. Only probes were counted as connections that succeed, not those that serve requests. Evidence: `isolation-changed` at that gateway 0.9 s after the first refusal, and back 0.3 s later; the endpoints replied to it all the while. Change: each new connection over which a response comes clears the failures, and ends the isolation at once. The order of probes does not depend on hashes any more. Result: test_a_new_connection_that_serves_a_call_ends_the_isolation and test_busy_endpoints_that_accept_some_connections_look_cut_off failed before and pass.

--- a/rhubarbwinch/gateway/context.py
+++ b/rhubarbwinch/gateway/context.py
@@ -184,6 +184,8 @@
             endpoint, job.call, job.body, options, is_repeatable
         )
         self._last_response_ms[endpoint.service] = self.clock.now()
+        if response.is_new_connection:
+            self.isolation_monitor.record_connected(endpoint.service)
         declared = response.head.declared
         if declared is not None:
             self.permits.record_response(
--- a/rhubarbwinch/gateway/isolationmonitor.py
+++ b/rhubarbwinch/gateway/isolationmonitor.py
@@ -54,6 +54,12 @@
         self._isolation.record_failure(service, endpoint, self._clock.now())
         self._trigger(service)
 
+    def record_connected(self, service: str) -> None:
+        """Handles a new connection to an endpoint."""
+        if self._isolation.record_connection(service):
+            self._on_change()
+            self._report(service, False, None)
+
     def check_endpoint(self, endpoint: Endpoint) -> None:
         """Schedules a probe of an endpoint that gives no response."""
         self._silent.setdefault(endpoint.service, set()).add(endpoint.id)
@@ -82,10 +88,9 @@
         probes = self._silent.pop(service, set()) & known.keys()
         probes.update(self._next_probes(service, known))
         while probes:
-            if await self._connect_to_any(service, [known[p] for p in probes]):
-                if self._isolation.record_connection(service):
-                    self._on_change()
-                    self._report(service, False, None)
+            endpoints = [known[name] for name in sorted(probes)]
+            if await self._connect_to_any(service, endpoints):
+                self.record_connected(service)
                 return
             if was_isolated:
                 return
--- a/rhubarbwinch/gateway/upstream.py
+++ b/rhubarbwinch/gateway/upstream.py
@@ -79,6 +79,11 @@
         """Whether the head states the length of the body."""
         return "content-length" in self._response.headers
 
+    @property
+    def is_new_connection(self) -> bool:
+        """Whether a connection was opened for the request."""
+        return bool(self._response.extensions["is_new_connection"])
+
     @property
     def is_framed(self) -> bool:
         """Whether a body that was cut off can be told from a whole one."""
--- a/rhubarbwinch/http/transport.py
+++ b/rhubarbwinch/http/transport.py
@@ -399,7 +399,8 @@
         """Sends a request; the response body is streamed.
 
         The request extension `max_idle_s` limits how long the connection may
-        have been idle; 0 demands a new one.
+        have been idle; 0 demands a new one. The response extension
+        `is_new_connection` says whether the connection was opened for it.
 
         Raises:
             httpx.ConnectError: No connection was made; nothing was sent.
@@ -416,6 +417,7 @@
         key = f"{host}:{port}"
         idle_s = request.extensions.get("max_idle_s", self._options.idle_s)
         connection = self._acquire_idle(key, idle_s)
+        is_new = connection is None
         if connection is None:
             self.new_connections += 1
             connection = await _connect(
@@ -430,6 +432,7 @@
             head.status_code,
             headers=list(head.headers.raw_items()),
             stream=_Stream(self, key, connection, read_s),
+            extensions={"is_new_connection": is_new},
         )
 
     async def aclose(self) -> None:
--- a/tests/gateway/test_forwarding.py
+++ b/tests/gateway/test_forwarding.py
@@ -295,6 +295,16 @@
                     found = await gateway.call(Deadline_Ms="600")
         self.assertEqual(found.status, 200)
 
+    @asynchronous
+    async def test_a_new_connection_that_serves_a_call_ends_the_isolation(self):
+        async with running_gateway(1) as gateway:
+            for number in (1, 2):
+                gateway.context.isolation.mark_isolated("svc")
+                await gateway.call(f"q{number}")
+                # The second call takes the connection of the first one.
+                is_isolated = gateway.context.isolation.is_isolated("svc")
+                self.assertEqual(is_isolated, number == 2)
+
     @asynchronous
     async def test_open_connections_serve_if_no_gateway_can(self):
         async with running_gateway(1) as gateway:
--- a/tests/gateway/test_isolation.py
+++ b/tests/gateway/test_isolation.py
@@ -141,6 +141,24 @@
         self.assertEqual(network.changes, 2)
         self.assertLessEqual(len(network.probed), 6 * MIN_ENDPOINTS)
 
+    @asynchronous
+    async def test_busy_endpoints_that_accept_some_connections_look_cut_off(
+        self,
+    ):
+        # Of each four connections one is made; probes come too late to show it.
+        network = Network(ENDPOINTS)
+
+        async def play():
+            for name in ("e1", "e2", "e3", "e4"):
+                network.monitor.record_unreachable("svc", name)
+                await network.clock.advance(PROBE_INTERVAL_MS)
+            self.assertTrue(network.isolation.is_isolated("svc"))
+            network.monitor.record_connected("svc")
+            self.assertFalse(network.isolation.is_isolated("svc"))
+            self.assertEqual(network.changes, 2)
+
+        await self._run(network, play)
+
     @asynchronous
     async def test_it_asks_few_times_whether_others_reach_the_endpoints(self):
         for elsewhere in (False, None, True):
