Soak: a link that hangs loses nothing, and a fatal part stays fatal

Traced to the stand-ins: a link that hung dropped bytes and lived on, where a partition holds them up; and the fatal part was sound between two faults, so that a request with it was answered, which clears it at all gateways.

--- a/lab/soak/callers.py
+++ b/lab/soak/callers.py
@@ -9,7 +9,7 @@
 import httpx
 
 from lab.soak.proxy import LoopbackProxy
-from lab.soak.records import Attempt, RequestKind, RunRecords
+from lab.soak.records import FATAL_PART, Attempt, RequestKind, RunRecords
 from rhubarbwinch.platform import headers
 from rhubarbwinch.shared.clock import Clock
 
@@ -58,8 +58,8 @@
         fronts: The proxies in front of the gateways, by gateway address.
         directories: The addresses of the gateways' directories.
         keys: Returns the active API keys by client account.
-        fatal_part: Returns the part of a prompt that crashes engines, or an
-            empty text.
+        sends_fatal_part: Returns whether some prompts have the part under which
+            engines crash.
         records: Attempts are recorded here.
         clock: The source of time.
     """
@@ -69,13 +69,13 @@
         fronts: dict[str, LoopbackProxy],
         directories: list[str],
         keys: Callable[[], dict[str, str]],
-        fatal_part: Callable[[], str],
+        sends_fatal_part: Callable[[], bool],
         records: RunRecords,
         clock: Clock,
     ) -> None:
         self.directories = directories
         self.keys = keys
-        self.fatal_part = fatal_part
+        self.sends_fatal_part = sends_fatal_part
         self.records = records
         self.clock = clock
         self._fronts = fronts
@@ -212,9 +212,9 @@
     def _prompt(self, attempt: Attempt) -> str:
         """Returns the parts of a prompt; the last one is the request's own."""
         parts = [f"{ord(attempt.account):x}:60"]
-        fatal = self._context.fatal_part()
-        if fatal and self._rng.random() < FATAL_SHARE:
-            parts.append(f"{fatal}:20")
+        is_fatal = self._rng.random() < FATAL_SHARE
+        if is_fatal and self._context.sends_fatal_part():
+            parts.append(f"{FATAL_PART}:20")
         return ",".join([*parts, f"{self._context.next_number():x}ff:20"])
 
     async def _send(
--- a/lab/soak/engines.py
+++ b/lab/soak/engines.py
@@ -86,8 +86,8 @@
         engines: The engines by the address that they register.
         records: Runs are recorded here.
         gateways: The numbers of the gateways by their IP address.
-        fatal_part: The part of a prompt under which engines crash; empty for
-            none.
+        sends_fatal_part: Whether callers send the part of a prompt under which
+            engines crash.
         on_fatal: Called with an engine that has crashed under it.
         clock: The source of time.
         rng: The random number generator.
@@ -99,7 +99,7 @@
     clock: Clock
     rng: random.Random
     gateways: dict[str, int] = attrs.field(factory=dict)
-    fatal_part: str = ""
+    sends_fatal_part: bool = False
     on_fatal: Callable[["SoakEngine"], None] = lambda engine: None
 
 
@@ -207,8 +207,7 @@
 
     def _is_fatal(self, received_request: ReceivedRequest) -> bool:
         parts = received_request.headers.get(headers.PROMPT_PARTS.decode(), "")
-        fatal = self._context.fatal_part
-        return bool(fatal) and fatal in parts
+        return records.FATAL_PART in parts
 
     def _first_event(self, received_request: ReceivedRequest) -> int | None:
         """Returns a run's first event; None if this engine lacks its copy."""
--- a/lab/soak/faults.py
+++ b/lab/soak/faults.py
@@ -26,7 +26,6 @@
 MIN_RATE, MAX_RATE = 0.5, 8.0
 MIN_LIMITED_S, MAX_LIMITED_S = 5.0, 9.0
 REPEAT_COUNT = 4
-FATAL_PART = "bad0"
 # Further signals for a gateway that was sent SIGTERM.
 STOP_SIGNALS = (signal.SIGTERM, signal.SIGTERM, signal.SIGHUP, signal.SIGKILL)
 
@@ -256,9 +255,9 @@
 ) -> None:
     """Some callers send a part of a prompt that crashes each engine."""
     context = deployment.engine_context
-    context.fatal_part = FATAL_PART
+    context.sends_fatal_part = True
     await anyio.sleep(rng.uniform(MIN_LIMITED_S, MAX_LIMITED_S))
-    context.fatal_part = ""
+    context.sends_fatal_part = False
 
 
 @FAULTS.register("configuration")
--- a/lab/soak/records.py
+++ b/lab/soak/records.py
@@ -4,6 +4,9 @@
 
 import attrs
 
+# The part of a prompt under which each engine crashes.
+FATAL_PART = "bad0"
+
 
 class RequestKind(enum.Enum):
     """The kinds of requests; the values are the names of their routes."""
--- a/lab/soak/run.py
+++ b/lab/soak/run.py
@@ -68,7 +68,7 @@
         deployment.fronts,
         deployment.directories,
         lambda: deployment.keys,
-        lambda: deployment.engine_context.fatal_part,
+        lambda: deployment.engine_context.sends_fatal_part,
         deployment.records,
         deployment.clock,
     )
--- a/lab/standins/cutgateway.py
+++ b/lab/standins/cutgateway.py
@@ -27,6 +27,9 @@
 DEAD_PEER_S = 2.0
 
 
+_HeldBytes = weakref.WeakKeyDictionary[transport.Connection, list[bytes]]
+
+
 class Cut:
     """The current cut, and what it does to connections.
 
@@ -41,6 +44,9 @@
         self._connections: weakref.WeakSet[transport.Connection] = (
             weakref.WeakSet()
         )
+        # What is under way while a link hangs is neither lost nor reordered.
+        self._held_sends = _HeldBytes()
+        self._held_data = _HeldBytes()
         self._poller: asyncio.Future[None] | None = None
         self._kind = ""
         self._addresses: set[str] = set()
@@ -65,14 +71,17 @@
         async def cut_send(
             connection: transport.Connection, data: bytes | None
         ) -> None:
-            if self._hangs(connection):
+            if data and self._hangs(connection):
                 connection.has_sent = True
+                self._held_sends.setdefault(connection, []).append(data)
                 return
             await send(connection, data)
 
         def cut_receive(connection: transport.Connection, data: bytes) -> None:
-            if not self._hangs(connection):
-                receive(connection, data)
+            if self._hangs(connection) or connection in self._held_data:
+                self._held_data.setdefault(connection, []).append(data)
+                return
+            receive(connection, data)
 
         transport._connect = cut_connect
         transport.Connection._send = cut_send  # type: ignore[assignment, method-assign]
@@ -125,6 +134,17 @@
             for connection in list(self._connections):
                 if is_due and self._is_cut(connection):
                     connection.fail(httpx.ReadError("the link is cut"))
+                elif not self._hangs(connection):
+                    self._deliver(connection)
+
+    def _deliver(self, connection: transport.Connection) -> None:
+        """Delivers what was under way when the link hung."""
+        for data in self._held_sends.pop(connection, []):
+            if connection.is_open:
+                connection._transport.write(data)
+        for data in self._held_data.pop(connection, []):
+            if connection.is_open:
+                connection.data_received(data)
 
 
 if __name__ == "__main__":
