--- a/rhubarbwinch/gateway/forwarding.py
+++ b/rhubarbwinch/gateway/forwarding.py
@@ -101,7 +101,11 @@
             if target is None or left_ms < MIN_LEFT_MS:
                 break
             tried.append(target.name)
-            result = await self._call(job, target, left_ms, responder)
+            try:
+                result = await self._call(job, target, left_ms, responder)
+                answered.append(target.name)
+            except EndpointError as error:
+                result = not_run(Reason.NO_ENDPOINT, str(error), RETRY_AFTER_MS)
             outcome = "answered" if result is None else result.verdict
             gatewaymetrics.FORWARDED.labels(outcome).inc()
             events.FORWARDED.log(
@@ -117,8 +121,6 @@
             failure = result
             if failure.verdict is not Verdict.NOT_RUN:
                 break
-            if failure.reason is not Reason.GATEWAY_UNREACHABLE:
-                answered.append(target.name)
         return failure
 
     async def _call(
@@ -128,7 +130,11 @@
         left_ms: int,
         responder: EdgeResponder,
     ) -> Failure | None:
-        """Passes a request to one gateway and relays its response."""
+        """Passes a request to one gateway and relays its response.
+
+        Raises:
+            EndpointError: The gateway accepted no connection.
+        """
         try:
             with anyio.move_on_after((left_ms + RESPONSE_GRACE_MS) / 1000):
                 response = await self._context.upstream.forward(
@@ -146,9 +152,7 @@
                 self._log_broken(job, str(error))
                 return None
             if not error.sent:
-                return not_run(
-                    Reason.GATEWAY_UNREACHABLE, str(error), RETRY_AFTER_MS
-                )
+                raise
             return Failure(
                 Verdict.MAY_HAVE_RUN, Reason.ENDPOINT_FAILED, str(error)
             )
--- a/rhubarbwinch/shared/verdict.py
+++ b/rhubarbwinch/shared/verdict.py
@@ -28,7 +28,6 @@
     QUEUE_FULL = "queue-full"
     DEADLINE = "deadline"
     NO_ENDPOINT = "no-endpoint"
-    GATEWAY_UNREACHABLE = "gateway-unreachable"
     DRAINING = "draining"
     QUARANTINED = "quarantined"
     STORE_UNAVAILABLE = "store-unavailable"
