--- a/tests/gateway/test_cutgateways.py
+++ b/tests/gateway/test_cutgateways.py
@@ -5,7 +5,12 @@
 import anyio
 
 from lab.standins import platformfiles
-from lab.standins.cutgateway import FILE_VARIABLE, HANG, KINDS
+from lab.standins.cutgateway import (
+    FILE_VARIABLE,
+    HANG,
+    REFUSE,
+    RESET,
+)
 from lab.standins.platformengine import engine_headers, send_ok, stream_event
 from tests.gatewayprocesses import ENGINE, config, deployment
 from tests.helpers import asynchronous
@@ -83,19 +88,30 @@
             for e in d.events(number)
         )
 
+    async def _check_all_serve(self, kind):
+        """Cuts two gateways off, and calls all."""
+        async with deployment(endpoints=3) as d:
+            await self._start(d)
+            for number in CUT:
+                self._cut(d, number, kind)
+            for number in CUT:
+                await d.until(lambda n=number: self._has_noticed(d, n))
+            if kind == HANG:
+                # Until then open connections are used that hang.
+                await anyio.sleep(2.5)
+            for number in range(1, GATEWAYS + 1):
+                with self.subTest(gateway=number):
+                    statuses = await self._call_all(d, number, f"q{number}")
+                    self.assertEqual(statuses, [200] * len(statuses))
+
+    @asynchronous
+    async def test_callers_of_gateways_that_are_refused_are_refused(self):
+        await self._check_all_serve(REFUSE)
+
+    @asynchronous
+    async def test_callers_of_gateways_whose_links_are_reset_are_refused(self):
+        await self._check_all_serve(RESET)
+
     @asynchronous
-    async def test_callers_of_gateways_that_are_cut_off_are_refused(self):
-        for kind in KINDS:
-            async with deployment(endpoints=3) as d:
-                await self._start(d)
-                for number in CUT:
-                    self._cut(d, number, kind)
-                for number in CUT:
-                    await d.until(lambda n=number: self._has_noticed(d, n))
-                if kind == HANG:
-                    # Until then open connections are used that hang.
-                    await anyio.sleep(2.5)
-                for number in range(1, GATEWAYS + 1):
-                    with self.subTest(kind=kind, gateway=number):
-                        statuses = await self._call_all(d, number, f"q{number}")
-                        self.assertEqual(statuses, [200] * len(statuses))
+    async def test_callers_of_gateways_whose_links_hang_are_refused(self):
+        await self._check_all_serve(HANG)
