--- a/rhubarbwinch/gateway/context.py
+++ b/rhubarbwinch/gateway/context.py
@@ -12,6 +12,7 @@
     CrashTracker,
 )
 from rhubarbwinch.gateway.crashsuspects import Crash
+from rhubarbwinch.gateway.decisions.configfreshness import ConfigFreshness
 from rhubarbwinch.gateway.endpoints import Endpoint
 from rhubarbwinch.gateway.failurereports import (
     WINDOW_MS,
@@ -72,9 +73,12 @@
         slots: Holds calls to brittle endpoints back until a slot is free.
         permits: Lets requests pass as the rate limits of endpoints allow.
         tracer: Creates spans of requests; None if tracing is off.
+        freshness: Decides what the active configuration shows.
         on_leaving: Called with an endpoint whose response says that it leaves.
         table: The active configuration; None before the first one.
         is_draining: Whether the gateway is shutting down.
+        store_confirmed_ms: Returns the milliseconds since the store has last
+            confirmed to this gateway or a peer that it knows all changes.
     """
 
     data_center: str
@@ -95,10 +99,12 @@
     slots: SlotGate
     permits: Permits
     takeups: TakeUps
+    freshness: ConfigFreshness
     on_leaving: Callable[[Endpoint], None]
     tracer: Tracer | None = None
     table: RoutingTable | None = None
     is_draining: bool = False
+    store_confirmed_ms: Callable[[], int] = lambda: 0
     _last_response_ms: dict[str, int] = attrs.field(factory=dict)
 
     def engine_spec(self, service: str) -> EngineSpec | None:
--- a/rhubarbwinch/gateway/gatewaymetrics.py
+++ b/rhubarbwinch/gateway/gatewaymetrics.py
@@ -57,6 +57,11 @@
     "The version of the configuration in force.",
     registry=REGISTRY,
 )
+CONFIG_OUTDATED = Gauge(
+    "rhubarbwinch_config_outdated",
+    "Whether other gateways have had a newer configuration for some time.",
+    registry=REGISTRY,
+)
 RATE_LIMITED_ENDPOINTS = Gauge(
     "rhubarbwinch_rate_limited_endpoints",
     "Endpoints that accept only some requests a second.",
--- a/rhubarbwinch/gateway/heartbeatrelay.py
+++ b/rhubarbwinch/gateway/heartbeatrelay.py
@@ -10,14 +10,18 @@
 and takes over when the first one is silent.
 """
 
+import math
+from collections.abc import Mapping
+
 import attrs
 
+from rhubarbwinch.gateway.decisions.rolechoice import rank_for_role
 from rhubarbwinch.gateway.messages import (
     BeatNotice,
     Heartbeat,
     HeartbeatDigest,
 )
-from rhubarbwinch.shared import codec, rendezvous
+from rhubarbwinch.shared import codec
 
 # Up to this number of peers, heartbeats go directly to all of them.
 MAX_DIRECT_PEERS = 8
@@ -46,15 +50,25 @@
 # A digest must fit into one datagram.
 MAX_DIGEST_BYTES = 1_150
 NOTICE_BYTES = 40
-
-
-def choose_relays(links: list[str]) -> list[str]:
+# Share of its network link that a relay uses for digests. The rest is for its
+# callers and for what it sends to endpoints.
+MAX_LINK_SHARE = 0.25
+# A relay with a small link forwards less often, but not so late that the others
+# take it for lost.
+MAX_PACE_MS = 400
+# Headers of a datagram and the name of its message class.
+DATAGRAM_OVERHEAD_BYTES = 64
+_BYTES_PER_MS_PER_MBPS = 125
+
+
+def choose_relays(links_mbps: Mapping[str, int]) -> list[str]:
     """Returns the relays of a data centre, the one that forwards first.
 
     Args:
-        links: The link addresses of the data centre's gateways.
+        links_mbps: The capacity of the network link of each gateway of the data
+            centre in Mbit/s, by its link address; 0 if it is not known.
     """
-    return rendezvous.ranking("relay", links)[:RELAY_COUNT]
+    return rank_for_role("relay", links_mbps)[:RELAY_COUNT]
 
 
 @attrs.define
@@ -99,11 +113,15 @@
     Args:
         name: The name of this gateway.
         data_center: The data centre of this gateway.
+        link_mbps: The capacity of its network link in Mbit/s; 0 if it is not
+            known.
     """
 
-    def __init__(self, name: str, data_center: str) -> None:
+    def __init__(self, name: str, data_center: str, link_mbps: int = 0) -> None:
         self._name = name
         self._data_center = data_center
+        self._bytes_per_ms = MAX_LINK_SHARE * _BYTES_PER_MS_PER_MBPS * link_mbps
+        self._paced_until_ms = 0
         self._own = _Outgoing()
         self._foreign = _Outgoing()
         self._forwarded: dict[str, _Forwarded] = {}
@@ -150,6 +168,8 @@
 
     def is_due(self, now_ms: int) -> bool:
         """Returns whether it is time to forward what was collected."""
+        if now_ms < self._paced_until_ms:
+            return False
         if self._changed_ms is not None:
             return now_ms - self._changed_ms >= FORWARD_MS
         return now_ms - self._flushed_ms >= QUIET_FORWARD_MS
@@ -170,6 +190,17 @@
         self._flushed_ms = now_ms
         return own, own + foreign
 
+    def record_sent(
+        self, digest: HeartbeatDigest, receivers: int, now_ms: int
+    ) -> None:
+        """Records that a digest was sent, which may delay the next one."""
+        if not self._bytes_per_ms:
+            return
+        size = len(codec.encode(digest)) + DATAGRAM_OVERHEAD_BYTES
+        start_ms = max(now_ms, self._paced_until_ms)
+        pace_ms = math.ceil(size * receivers / self._bytes_per_ms)
+        self._paced_until_ms = min(start_ms + pace_ms, now_ms + MAX_PACE_MS)
+
     def snapshot(self, heartbeats: list[Heartbeat]) -> list[HeartbeatDigest]:
         """Returns digests of known heartbeats, for a gateway that starts."""
         known = _Outgoing({h.name: h for h in heartbeats})
--- a/rhubarbwinch/gateway/messages.py
+++ b/rhubarbwinch/gateway/messages.py
@@ -92,11 +92,14 @@
         link: The address for calls.
         broadcast: The address for broadcast datagrams.
         data_center: The gateway's data centre; empty if it is not known.
+        link_mbps: The capacity of its VM's network link in Mbit/s; 0 if it is
+            not known.
     """
 
     link: str
     broadcast: str
     data_center: str = ""
+    link_mbps: int = 0
 
 
 @attrs.frozen
@@ -128,6 +131,10 @@
         isolated_from: The services whose endpoints the sender does not reach.
         refused_suspects: The keys of requests and parts of prompts that the
             sender refuses, as endpoints crash under them.
+        link_mbps: The capacity of the network link of the sender's VM in
+            Mbit/s; 0 if it is not known.
+        config_version: The version of the configuration in force at the sender;
+            0 if there is none.
     """
 
     name: str
@@ -149,11 +156,15 @@
     forward: str = ""
     isolated_from: list[str] = attrs.field(factory=list)
     refused_suspects: list[str] = attrs.field(factory=list)
+    link_mbps: int = 0
+    config_version: int = 0
 
     @property
     def address(self) -> PeerAddress:
         """The sender's addresses for calls and broadcasts."""
-        return PeerAddress(self.link, self.broadcast, self.data_center)
+        return PeerAddress(
+            self.link, self.broadcast, self.data_center, self.link_mbps
+        )
 
 
 @attrs.frozen
--- a/rhubarbwinch/gateway/peers.py
+++ b/rhubarbwinch/gateway/peers.py
@@ -88,7 +88,7 @@
         self._wakeup = anyio.Event()
         self._sent_ms = clock.now()
         self._announced_version = -1
-        self._relay = HeartbeatRelay(own.name, own.data_center)
+        self._relay = HeartbeatRelay(own.name, own.data_center, own.link_mbps)
         self._digest_ms = clock.now()
         self._first_relay_ms = clock.now()
         self._had_lost_relays = False
@@ -200,8 +200,10 @@
         ]
         for digest in for_relays:
             self._broadcast.send_to(digest, remote)
+            self._relay.record_sent(digest, len(remote), now)
         for digest in for_own:
             self._broadcast.send_to(digest, local)
+            self._relay.record_sent(digest, len(local), now)
 
     def _receivers(self, to_all_near: bool) -> list[str]:
         """Returns the broadcast addresses to which a heartbeat is sent.
--- a/rhubarbwinch/gateway/peertable.py
+++ b/rhubarbwinch/gateway/peertable.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from rhubarbwinch.gateway.decisions.rolechoice import rank_for_role
 from rhubarbwinch.gateway.directory import ServingGateway
 from rhubarbwinch.gateway.heartbeatrelay import MAX_DIRECT_PEERS, choose_relays
 from rhubarbwinch.gateway.loads import LoadTracker
@@ -103,15 +104,15 @@
         heartbeat, so that gateways that start together choose the same ones.
         """
         now = self._clock.now()
-        links = [
-            peer.address.link
+        links_mbps = {
+            peer.address.link: peer.address.link_mbps
             for peer in self._peers.values()
             if peer.address.data_center == data_center
             and self._may_relay(peer, now)
-        ]
+        }
         if data_center == self._own.data_center:
-            links.append(self._own.link)
-        return choose_relays(links)
+            links_mbps[self._own.link] = self._own.link_mbps
+        return choose_relays(links_mbps)
 
     def add(self, address: PeerAddress) -> None:
         """Adds a peer by its address."""
@@ -204,18 +205,30 @@
     def is_watcher(self) -> bool:
         """Returns whether this gateway watches the store for all others.
 
-        Rendezvous hashing of the names selects the watchers among the live
-        gateways that are not leaving.
+        The live gateways that are not leaving select the watchers among
+        themselves, those with the largest network links first.
         """
         return self._own.name in self._watchers()
 
     def _watchers(self) -> list[str]:
-        return rendezvous.ranking("feed", self._staying_names())[:WATCHER_COUNT]
+        return rank_for_role("feed", self._staying_links())[:WATCHER_COUNT]
+
+    def _staying_links(self) -> dict[str, int]:
+        """Returns the links of the gateways that are not leaving, by name.
+
+        In Mbit/s; the last name is that of this gateway.
+        """
+        links_mbps = {
+            h.name: h.link_mbps
+            for h in self._live_heartbeats()
+            if not h.is_leaving
+        }
+        links_mbps[self._own.name] = self._own.link_mbps
+        return links_mbps
 
     def _staying_names(self) -> list[str]:
         """Returns the names of the gateways that are not leaving."""
-        names = [h.name for h in self._live_heartbeats() if not h.is_leaving]
-        return [*names, self._own.name]
+        return list(self._staying_links())
 
     def sharing_names(self, is_leaving: bool) -> list[str]:
         """Returns the names of the gateways that share duties.
@@ -260,6 +273,21 @@
         """The highest store revision that a live peer has reached."""
         return max((h.revision for h in self._live_heartbeats()), default=0)
 
+    @property
+    def config_version(self) -> int:
+        """The newest version of the configuration at a live peer."""
+        return max(
+            (h.config_version for h in self._live_heartbeats()), default=0
+        )
+
+    def names_with_config(self, version: int) -> frozenset[str]:
+        """Returns the live peers that have a version in force, or a later."""
+        return frozenset(
+            h.name
+            for h in self._live_heartbeats()
+            if h.config_version >= version
+        )
+
     def is_store_failing(self, is_failing_here: bool) -> bool:
         """Returns whether the store fails the calls of all watchers.
 
--- a/rhubarbwinch/gateway/program.py
+++ b/rhubarbwinch/gateway/program.py
@@ -13,6 +13,7 @@
 from rhubarbwinch.gateway.context import Context
 from rhubarbwinch.gateway.crashes import CrashTracker
 from rhubarbwinch.gateway.crashsuspects import CrashSuspects
+from rhubarbwinch.gateway.decisions.configfreshness import ConfigFreshness
 from rhubarbwinch.gateway.edge import EdgeServer
 from rhubarbwinch.gateway.endpoints import Endpoint
 from rhubarbwinch.gateway.failurereports import FailureReports
@@ -151,6 +152,7 @@
             settings.front,
             settings.data_center,
             forward=settings.forward,
+            link_mbps=settings.link_mbps,
         )
         self._peers = Peers(
             heartbeat,
@@ -204,6 +206,7 @@
             takeups=TakeUps(
                 StreamOrigins(settings.name), self._peers, fleet, clock
             ),
+            freshness=ConfigFreshness(settings.config_apply_ms),
             on_leaving=self._handle_declared_leaving,
         )
         self._replica = Replica()
@@ -229,6 +232,7 @@
             self._links,
             settings.address.link,
         )
+        self._context.store_confirmed_ms = self._store_confirmed_ms
         key = dependencies.platform.member_prefix + settings.name
         self._registration = GatewayRegistration(
             dependencies.store,
@@ -241,9 +245,7 @@
         self._outage = OutageMonitor(
             clock,
             dependencies.engine_calls,
-            lambda: min(
-                self._store_feed.confirmed_ms, self._peers.confirmed_ms
-            ),
+            self._store_confirmed_ms,
             lambda: self._peers.is_store_failing(self._store_feed.is_failing),
             lambda: [
                 known.endpoint for known in self._own_engines(lambda _: True)
@@ -266,6 +268,12 @@
         """Whether the gateway accepts new callers."""
         return self._context.table is not None and not self._context.is_draining
 
+    @property
+    def _config_version(self) -> int:
+        """The version of the active configuration; 0 if there is none."""
+        table = self._context.table
+        return table.version if table is not None else 0
+
     @property
     def _open_requests(self) -> int:
         """The number of requests that are being served."""
@@ -330,6 +338,10 @@
                     await self._registration.close()
         events.STOPPED.log(name=settings.name)
 
+    def _store_confirmed_ms(self) -> int:
+        """Returns the age of the newest response of the store to a gateway."""
+        return min(self._store_feed.confirmed_ms, self._peers.confirmed_ms)
+
     def _handle_messages(self) -> None:
         """Sets the handlers of the messages of other gateways."""
         self._broadcast.on(SharedBatch, self._store_feed.receive_batch)
@@ -368,6 +380,7 @@
             ),
             isolated_from=self._context.isolation.services,
             refused_suspects=self._context.crashes.listing(),
+            config_version=self._config_version,
         )
 
     def _apply_limits(self, table: RoutingTable) -> None:
@@ -461,6 +474,7 @@
                 gateways, lambda e: self._context.fleet.get(e) is not None
             )
             self._context.takeups.update(gateways)
+            self._check_freshness()
             self._context.slots.shares.set_gateways(gateways)
             gatewaymetrics.OPEN_REQUESTS.set(self._open_requests)
             self._streams.handle_capacity_change()
@@ -476,6 +490,21 @@
             if dropped:
                 events.LOG_LINES_LEFT_OUT.log(lines=dropped)
 
+    def _check_freshness(self) -> None:
+        """Compares the active configuration with those of the peers."""
+        freshness, now = self._context.freshness, self._clock.now()
+        was_outdated = freshness.is_outdated(now)
+        newest = self._peers.config_version
+        freshness.update(self._config_version, newest, now)
+        if freshness.is_outdated(now) != was_outdated:
+            gatewaymetrics.CONFIG_OUTDATED.set(not was_outdated)
+            events.CONFIG_OUTDATED_CHANGED.log(
+                outdated=not was_outdated,
+                version=self._config_version,
+                newest=newest,
+                confirmed_ms=self._store_feed.confirmed_ms,
+            )
+
     async def _watch_settings(self) -> None:
         """Reloads the settings periodically, since they may change."""
         while True:
--- a/rhubarbwinch/gateway/router.py
+++ b/rhubarbwinch/gateway/router.py
@@ -22,6 +22,7 @@
 DRAIN_RETRY_AFTER_MS = 50
 # Why a request is passed on to another gateway.
 CUT_OFF = "cut off from the endpoints"
+OUTDATED = "another gateway has a newer configuration"
 UNREACHABLE = "no endpoint accepted a connection"
 NO_SHARE = "no share of what the endpoints accept"
 
@@ -136,6 +137,14 @@
         """
         context = self._context
         if not job.is_forwarded:
+            if context.freshness.is_outdated(context.clock.now()):
+                newest = context.peers.config_version
+                return await self._forwarder.forward(
+                    job,
+                    responder,
+                    OUTDATED,
+                    context.peers.names_with_config(newest),
+                )
             senders = context.other_senders(job.service)
             if senders:
                 return await self._forwarder.forward(
@@ -172,14 +181,15 @@
             )
         route = table.find_route(call.host, call.path)
         if route is None:
-            self._log_unknown(call, table, "route")
-            return not_run(Reason.NOT_FOUND, "no such route")
+            return self._refuse_unknown(
+                call, table, "route", not_run(Reason.NOT_FOUND, "no such route")
+            )
         if not table.requires_key or route.is_public:
             return self._check_drain(route, None, route.priority)
         account = table.accounts.get(call.api_key or "")
         if account is None:
-            self._log_unknown(call, table, "key")
-            return not_run(Reason.UNAUTHENTICATED, "unknown API key")
+            failure = not_run(Reason.UNAUTHENTICATED, "unknown API key")
+            return self._refuse_unknown(call, table, "key", failure)
         priority = (
             route.priority if account.priority is None else account.priority
         )
@@ -203,13 +213,33 @@
             [max(0.0, target.weight) for target in route.targets],
         )[0]
 
-    def _log_unknown(
-        self, call: CallHead, table: RoutingTable, unknown: str
-    ) -> None:
+    def _refuse_unknown(
+        self, call: CallHead, table: RoutingTable, unknown: str, final: Failure
+    ) -> Failure:
+        """Returns the refusal of a request whose route or key is unknown.
+
+        Args:
+            call: The head of the request.
+            table: The active configuration.
+            unknown: What the configuration lacks.
+            final: The refusal if there is no newer configuration.
+        """
+        context = self._context
+        confirmed_ms = context.store_confirmed_ms()
+        is_final = context.freshness.shows_absence(confirmed_ms)
         events.NOT_ALLOWED.log(
             request=call.request_id,
             missing=unknown,
             host=call.host,
             path=call.path,
             version=table.version,
+            final=is_final,
+            confirmed_ms=confirmed_ms,
+        )
+        if is_final:
+            return final
+        return not_run(
+            Reason.STORE_UNAVAILABLE,
+            f"unknown {unknown}, and there may be a newer configuration",
+            RETRY_AFTER_MS,
         )
--- a/rhubarbwinch/gateway/settings.py
+++ b/rhubarbwinch/gateway/settings.py
@@ -28,6 +28,10 @@
         retry_extra: Further retries allowed per window, over all gateways.
         max_descriptors: The limit on the process's open file descriptors.
         memory_mb: The limit on the process's memory.
+        config_apply_ms: The time in which a version of the configuration has to
+            be in force everywhere.
+        link_mbps: The capacity of the VM's network link in Mbit/s; 0 if it is
+            not known.
     """
 
     name: str
@@ -47,3 +51,5 @@
     retry_extra: int
     max_descriptors: int
     memory_mb: int
+    config_apply_ms: int = 2_000
+    link_mbps: int = 0
--- a/rhubarbwinch/platform/settingsfile.py
+++ b/rhubarbwinch/platform/settingsfile.py
@@ -88,6 +88,10 @@
             retry_extra=int(self._number("bounds.budget_extra")),
             max_descriptors=int(self._number("limits.max_fds")),
             memory_mb=int(self._number("limits.memory_mb")),
+            config_apply_ms=int(
+                self._optional_number("bounds.config_apply_ms", 2_000)
+            ),
+            link_mbps=int(self._optional_number("limits.link_mbps", 0)),
         )
 
     def _text(self, name: str) -> str:
@@ -114,6 +118,10 @@
         except ValueError as error:
             raise SettingError(name, value, "a number") from error
 
+    def _optional_number(self, name: str, default: float) -> float:
+        """Returns the value of a field that may be missing or empty."""
+        return self._number(name) if self._fields.get(name) else default
+
     def _ms(self, name: str) -> int:
         """Returns the value of a field in seconds, in milliseconds."""
         return int(self._number(name) * 1000)
--- a/rhubarbwinch/shared/events.py
+++ b/rhubarbwinch/shared/events.py
@@ -513,7 +513,11 @@
     732,
     "not-allowed",
     logging.INFO,
-    "A request matches no route, or its API key is unknown.",
+    (
+        "A request matches no route, or its API key is unknown; without "
+        "`final` there may be a newer configuration, and its caller may come "
+        "back."
+    ),
 )
 PLACED = Event(
     733,
@@ -749,3 +753,12 @@
         "sends it any for a time."
     ),
 )
+CONFIG_OUTDATED_CHANGED = Event(
+    768,
+    "config-outdated-changed",
+    logging.WARNING,
+    (
+        "Other gateways have had a newer configuration for some time, so "
+        "requests are passed on to them; or this one has it now."
+    ),
+)
--- /dev/null
+++ b/tests/gateway/decisions/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the decisions of a gateway."""
--- a/tests/gatewayharness.py
+++ b/tests/gatewayharness.py
@@ -10,6 +10,7 @@
 from rhubarbwinch.gateway.context import Context
 from rhubarbwinch.gateway.crashes import CrashTracker
 from rhubarbwinch.gateway.crashsuspects import CrashSuspects
+from rhubarbwinch.gateway.decisions.configfreshness import ConfigFreshness
 from rhubarbwinch.gateway.edge import EdgeServer
 from rhubarbwinch.gateway.failurereports import FailureReports
 from rhubarbwinch.gateway.fleet import Fleet
@@ -135,6 +136,7 @@
             takeups=TakeUps(
                 StreamOrigins("g1"), NoPeers(), fleet, SystemClock()
             ),
+            freshness=ConfigFreshness(2_000),
             on_leaving=self._handle_leaving,
             table=table,
         )
