--- a/lab/standins/platformfiles.py
+++ b/lab/standins/platformfiles.py
@@ -7,6 +7,7 @@
 
 CONFIG_KEY = "op/config"
 ENDPOINT_PREFIX = "servers/"
+EVACUATION_PREFIX = "op/evacuate/"
 
 
 def settings_text(**fields: object) -> str:
--- a/rhubarbwinch/gateway/clusterview.py
+++ b/rhubarbwinch/gateway/clusterview.py
@@ -4,6 +4,7 @@
 
 from rhubarbwinch.gateway import gatewaymetrics
 from rhubarbwinch.gateway.context import Context
+from rhubarbwinch.gateway.decisions.evacuations import Evacuations
 from rhubarbwinch.gateway.messages import LeavingNotice, PeerAddress
 from rhubarbwinch.gateway.routes import RoutingTable
 from rhubarbwinch.gateway.streams import StreamCalls
@@ -34,6 +35,8 @@
         self._streams = streams
         self._transport = transport
         self._on_table = on_table
+        self._evacuations = Evacuations()
+        self._evacuated: frozenset[str] = frozenset()
 
     def apply_changes(self, changes: list[Change], after_outage: bool) -> None:
         """Applies changes of the store."""
@@ -45,6 +48,8 @@
                 self._apply_endpoint(change, after_outage)
             elif change.key.startswith(platform.member_prefix):
                 self._apply_peer_registration(change)
+            elif change.key.startswith(platform.evacuation_prefix):
+                self._apply_evacuation(change, after_outage)
         self._streams.handle_capacity_change()
 
     def apply_leaving_notice(self, notice: LeavingNotice) -> None:
@@ -85,7 +90,10 @@
             self._handle_leaving(known.endpoint.id)
 
     def _apply_peer_registration(self, change: Change) -> None:
-        """Applies another gateway's registration."""
+        """Applies a gateway's registration."""
+        context = self._context
+        name = change.key.removeprefix(context.platform.member_prefix)
+        context.peers.set_registered(name, change.entry is not None)
         if change.entry is None:
             return
         try:
@@ -95,6 +103,37 @@
             return
         self._context.peers.add(address)
 
+    def _apply_evacuation(self, change: Change, after_outage: bool) -> None:
+        """Applies the start or the end of a data centre's evacuation."""
+        context = self._context
+        data_center = change.key.removeprefix(
+            context.platform.evacuation_prefix
+        )
+        if change.entry is not None:
+            self._evacuations.start(data_center)
+        else:
+            self._evacuations.end(
+                data_center, context.clock.now(), after_outage
+            )
+        self._update_evacuated(change.revision)
+
+    def expire_evacuations(self) -> None:
+        """Ends evacuations whose keys a restored store does not have."""
+        if self._evacuations.expire(self._context.clock.now()):
+            self._update_evacuated(0)
+
+    def _update_evacuated(self, revision: int) -> None:
+        evacuated = self._evacuations.data_centers
+        if evacuated == self._evacuated:
+            return
+        self._evacuated = evacuated
+        self._context.fleet.set_evacuated(evacuated)
+        gatewaymetrics.EVACUATED_DATA_CENTERS.set(len(evacuated))
+        events.EVACUATION_CHANGED.log(
+            evacuated=sorted(evacuated), revision=revision
+        )
+        self._streams.handle_evacuation()
+
     def _apply_config(self, change: Change) -> None:
         if change.entry is None:
             events.TABLE_UNREADABLE.log(
--- a/rhubarbwinch/gateway/context.py
+++ b/rhubarbwinch/gateway/context.py
@@ -13,6 +13,7 @@
 )
 from rhubarbwinch.gateway.crashsuspects import Crash
 from rhubarbwinch.gateway.decisions.configfreshness import ConfigFreshness
+from rhubarbwinch.gateway.decisions.eligibility import Needs, Regions
 from rhubarbwinch.gateway.endpoints import Endpoint
 from rhubarbwinch.gateway.failurereports import (
     WINDOW_MS,
@@ -47,6 +48,9 @@
 # For at least this time no gateway sends to a brittle endpoint that has refused
 # a request for want of room. It falls over after some refusals in a second.
 BRITTLE_PAUSE_MS = 1_000
+# Evacuations last for seconds to hours. Callers come back in time for a short
+# one without trying again and again.
+EVACUATED_RETRY_AFTER_MS = 1_000
 
 
 @attrs.define
@@ -73,6 +77,7 @@
         slots: Holds calls to brittle endpoints back until a slot is free.
         permits: Lets requests pass as the rate limits of endpoints allow.
         tracer: Creates spans of requests; None if tracing is off.
+        regions: The regions of the data centres.
         freshness: Decides what the active configuration shows.
         on_leaving: Called with an endpoint whose response says that it leaves.
         table: The active configuration; None before the first one.
@@ -99,6 +104,7 @@
     slots: SlotGate
     permits: Permits
     takeups: TakeUps
+    regions: Regions
     freshness: ConfigFreshness
     on_leaving: Callable[[Endpoint], None]
     tracer: Tracer | None = None
@@ -107,28 +113,80 @@
     store_confirmed_ms: Callable[[], int] = lambda: 0
     _last_response_ms: dict[str, int] = attrs.field(factory=dict)
 
+    def __attrs_post_init__(self) -> None:
+        """Connects the permits with what is known of cold endpoints."""
+        self.permits.cold_rate = self.cold_rate
+
     def engine_spec(self, service: str) -> EngineSpec | None:
         """Returns the capabilities of a service's engines, or None."""
         spec = self.table.services.get(service) if self.table else None
         return spec.engine if spec is not None else None
 
-    def candidates(
-        self, service: str, excluded: set[str], version: str | None = None
-    ) -> list[Candidate]:
+    def cold_rate(self, endpoint_id: str) -> float | None:
+        """Returns how many requests a second a cold endpoint accepts.
+
+        From all gateways together; None if it is warm or has no such limit.
+        """
+        known = self.fleet.get(endpoint_id)
+        if known is None or self.table is None:
+            return None
+        spec = self.table.services.get(known.endpoint.service)
+        if spec is None or not spec.cold_per_s:
+            return None
+        now = self.clock.now()
+        is_cold = (
+            now < known.warmed_up_at_ms
+            or self.permits.warmups.may_have_restarted(endpoint_id, now)
+        )
+        return spec.cold_per_s if is_cold else None
+
+    def accepting(self, needs: Needs) -> list[KnownEndpoint]:
+        """Returns the endpoints that accept new requests with these needs."""
+        return [
+            known
+            for known in self.fleet.accepting_for_service(needs.service)
+            if needs.admits(known.endpoint, self.regions)
+        ]
+
+    def find_unserved(self, needs: Needs) -> Failure | None:
+        """Returns why no endpoint will serve a request for some time.
+
+        Returns:
+            None if one accepts requests now, or may soon.
+        """
+        if self.accepting(needs):
+            return None
+        if any(
+            known.is_evacuated and needs.admits(known.endpoint, self.regions)
+            for known in self.fleet.staying_for_service(needs.service)
+        ):
+            return not_run(
+                Reason.NO_ENDPOINT,
+                "the data centres of all endpoints are evacuated",
+                EVACUATED_RETRY_AFTER_MS,
+            )
+        if needs.home_regions is None or not (
+            self.fleet.accepting_for_service(needs.service)
+        ):
+            return None
+        return not_run(
+            Reason.NO_ENDPOINT,
+            "no endpoint in a home region takes work",
+            EVACUATED_RETRY_AFTER_MS,
+        )
+
+    def candidates(self, needs: Needs, excluded: set[str]) -> list[Candidate]:
         """Returns the endpoints to which a request may be sent now.
 
         Args:
-            service: The service that the request needs.
+            needs: What the request needs.
             excluded: Ids of endpoints that are left out.
-            version: The only software version that can serve the request; None
-                if all can.
         """
         now = self.clock.now()
         known = [
             k
-            for k in self.fleet.accepting_for_service(service)
+            for k in self.accepting(needs)
             if k.endpoint.id not in excluded
-            and version in (None, k.endpoint.version)
             and self.permits.is_available(k.endpoint.id)
             and self.has_room(k.endpoint)
         ]
@@ -152,13 +210,13 @@
             self.engine_spec(service) is None
         )
 
-    def waits_for_slot(self, service: str, excluded: set[str]) -> bool:
+    def waits_for_slot(self, needs: Needs, excluded: set[str]) -> bool:
         """Returns whether a slot of an endpoint has to become free."""
-        return self._divides_slots(service) and any(
+        return self._divides_slots(needs.service) and any(
             known.endpoint.id not in excluded
             and self.permits.is_available(known.endpoint.id)
             and self.slots.shares.share(known.endpoint)
-            for known in self.fleet.accepting_for_service(service)
+            for known in self.accepting(needs)
         )
 
     def _candidate(self, known: KnownEndpoint, now: int) -> Candidate:
@@ -190,6 +248,7 @@
             endpoint, job.call, job.body, options, is_repeatable
         )
         self._last_response_ms[endpoint.service] = self.clock.now()
+        self._record_warmup(endpoint, response)
         if response.is_new_connection:
             self.isolation_monitor.record_connected(endpoint.service)
         declared = response.head.declared
@@ -207,6 +266,20 @@
                 self.on_leaving(endpoint)
         return response
 
+    def _record_warmup(
+        self, endpoint: Endpoint, response: UpstreamResponse
+    ) -> None:
+        """Records what a response shows of an endpoint that may be cold."""
+        declared = response.head.declared
+        now = self.clock.now()
+        if declared is not None and declared.warmup_ms is not None:
+            self.fleet.record_warmup(endpoint.id, now + declared.warmup_ms)
+        spec = self.table.services.get(endpoint.service) if self.table else None
+        if declared is not None and spec is not None:
+            self.permits.warmups.record_response(
+                endpoint.id, spec.cold_start_ms, now
+            )
+
     def _pause_full(self, job: Job, endpoint: Endpoint) -> None:
         """Keeps all gateways from a brittle endpoint that has no room."""
         # Gateways return to the endpoint one after another.
@@ -233,12 +306,12 @@
             )
 
     def earliest_permit(
-        self, service: str, excluded: set[str]
+        self, needs: Needs, excluded: set[str]
     ) -> tuple[Endpoint, int] | None:
         """Returns the endpoint that may be sent to first after a delay.
 
         Args:
-            service: The service that the request needs.
+            needs: What the request needs.
             excluded: Ids of endpoints that are left out.
 
         Returns:
@@ -247,27 +320,21 @@
         """
         return self.permits.earliest(
             known.endpoint
-            for known in self.fleet.accepting_for_service(service)
+            for known in self.accepting(needs)
             if known.endpoint.id not in excluded
         )
 
-    def permit_delay_ms(self, service: str, version: str | None) -> int | None:
+    def permit_delay_ms(self, needs: Needs) -> int | None:
         """Returns after how long a service accepts a request of this gateway.
 
         Args:
-            service: The service that the request needs.
-            version: The only software version that can serve the request; None
-                if all can.
+            needs: What the request needs.
 
         Returns:
             0 if an endpoint accepts one now, or if there is no endpoint; None
             if only other gateways may send to the endpoints.
         """
-        endpoints = [
-            known.endpoint
-            for known in self.fleet.accepting_for_service(service)
-            if version in (None, known.endpoint.version)
-        ]
+        endpoints = [known.endpoint for known in self.accepting(needs)]
         if not endpoints or any(
             self.permits.is_available(endpoint.id) for endpoint in endpoints
         ):
@@ -275,34 +342,24 @@
         earliest = self.permits.earliest(endpoints)
         return earliest[1] if earliest is not None else None
 
-    def other_senders(self, service: str) -> frozenset[str]:
-        """Returns the gateways that may send to a service if this one may not.
+    def other_senders(self, needs: Needs) -> frozenset[str]:
+        """Returns the gateways that may send a request if this one may not.
 
         Returns:
             Their names; empty if this gateway has a share of an endpoint, or if
             there is no endpoint.
         """
-        endpoints = [
-            known.endpoint
-            for known in self.fleet.accepting_for_service(service)
-        ]
-        if self._divides_slots(service):
+        endpoints = [known.endpoint for known in self.accepting(needs)]
+        if self._divides_slots(needs.service):
             if any(self.slots.shares.share(e) for e in endpoints):
                 return frozenset()
             names = [self.slots.shares.holders(e) for e in endpoints]
-        elif self.permit_delay_ms(service, None) is None:
+        elif self.permit_delay_ms(needs) is None:
             names = [self.permits.senders(e.id) for e in endpoints]
         else:
             return frozenset()
         return frozenset(name for group in names for name in group)
 
-    def has_version(self, service: str, version: str) -> bool:
-        """Returns whether an endpoint of a version accepts new requests."""
-        return any(
-            known.endpoint.version == version
-            for known in self.fleet.accepting_for_service(service)
-        )
-
     def is_accepting(self, endpoint: Endpoint) -> bool:
         """Returns whether an endpoint still accepts new requests."""
         known = self.fleet.get(endpoint.id)
@@ -333,6 +390,7 @@
             )
         if outcome is AttemptOutcome.UNREACHABLE:
             job.unreachable += 1
+            self.permits.warmups.record_unreachable(endpoint_id)
             self.isolation_monitor.record_unreachable(service, endpoint_id)
         elif outcome is AttemptOutcome.BROKEN:
             self._check_silence(job, service, endpoint_id)
--- a/rhubarbwinch/gateway/directory.py
+++ b/rhubarbwinch/gateway/directory.py
@@ -7,6 +7,7 @@
 
 import attrs
 
+from rhubarbwinch.gateway.decisions.eligibility import Regions
 from rhubarbwinch.shared import rendezvous
 
 
@@ -18,10 +19,12 @@
         host: The host name that the caller wants to reach.
         data_center: The data centre nearest to the caller; empty if it is not
             known.
+        region: The region nearest to the caller; empty if it is not known.
     """
 
     host: str
     data_center: str
+    region: str = ""
 
 
 @attrs.frozen
@@ -37,6 +40,34 @@
     data_center: str
 
 
+def admissible_gateways(
+    serving: list[ServingGateway],
+    lookup: DirectoryLookup,
+    home_regions: frozenset[str],
+    regions: Regions,
+) -> list[ServingGateway]:
+    """Returns the gateways that may receive a host's requests.
+
+    Those in the caller's own region, else those in the home regions. If none of
+    them serves, all are returned: such a gateway still sends requests to
+    endpoints in the home regions only.
+
+    Args:
+        serving: The gateways that serve callers.
+        lookup: The caller's question.
+        home_regions: The regions to which the host's requests are bound; empty
+            if they are not.
+        regions: The regions of the data centres.
+    """
+    if not home_regions:
+        return serving
+    for allowed in (frozenset({lookup.region}), home_regions):
+        found = [g for g in serving if regions.is_home(g.data_center, allowed)]
+        if found:
+            return found
+    return serving
+
+
 def choose_gateways(
     serving: list[ServingGateway], lookup: DirectoryLookup, limit: int
 ) -> list[str]:
--- a/rhubarbwinch/gateway/failover.py
+++ b/rhubarbwinch/gateway/failover.py
@@ -62,7 +62,7 @@
         if run.migration_scope is not None:
             with anyio.move_on_after(COPY_WAIT_MS / 1000):
                 await run.first_copy_settled.wait()
-        if run.target is not None:
+        if run.target is not None and self._migrator.may_resume_at(run.target):
             return await self._resume_at_target(
                 run, run.target, FROM_MIGRATED_COPY
             )
--- a/rhubarbwinch/gateway/fleet.py
+++ b/rhubarbwinch/gateway/fleet.py
@@ -33,6 +33,7 @@
             there.
         is_readable: Whether its newest entry could be decoded.
         has_declared_leaving: Whether it has said in a response that it leaves.
+        is_evacuated: Whether its data centre is evacuated.
         ready_revision: The store's revision, in any era, of the entry by which
             it was last ready; 0 if it is not known.
     """
@@ -45,16 +46,22 @@
     is_readable: bool = True
     has_declared_leaving: bool = False
     ready_revision: int = 0
+    is_evacuated: bool = False
 
     @property
     def has_expired(self) -> bool:
         """Whether its entry expired in an outage and may be renewed."""
         return bool(self.expiry_deadline_ms)
 
+    @property
+    def is_staying(self) -> bool:
+        """Whether the endpoint serves, though maybe no new requests."""
+        return not self.is_leaving and self.is_readable
+
     @property
     def accepts_requests(self) -> bool:
         """Whether new requests may be placed at the endpoint."""
-        return not self.is_leaving and self.is_readable
+        return self.is_staying and not self.is_evacuated
 
 
 class Fleet:
@@ -62,6 +69,7 @@
 
     def __init__(self) -> None:
         self._known: dict[str, KnownEndpoint] = {}
+        self._evacuated: frozenset[str] = frozenset()
 
     def get(self, endpoint_id: str) -> KnownEndpoint | None:
         """Returns the known state of an endpoint, or None."""
@@ -75,6 +83,26 @@
             if known.endpoint.service == service and known.accepts_requests
         ]
 
+    def staying_for_service(self, service: str) -> list[KnownEndpoint]:
+        """Returns a service's endpoints, those that are evacuated included."""
+        return [
+            known
+            for known in self._known.values()
+            if known.endpoint.service == service and known.is_staying
+        ]
+
+    def set_evacuated(self, data_centers: frozenset[str]) -> None:
+        """Sets the data centres whose endpoints get no requests."""
+        self._evacuated = data_centers
+        for known in self._known.values():
+            known.is_evacuated = known.endpoint.data_center in data_centers
+
+    def record_warmup(self, endpoint_id: str, ends_ms: int) -> None:
+        """Records until when an endpoint says that it is cold."""
+        known = self._known.get(endpoint_id)
+        if known is not None:
+            known.warmed_up_at_ms = ends_ms
+
     def versions(self, service: str) -> set[str]:
         """Returns the software versions of a service's known endpoints.
 
@@ -105,6 +133,7 @@
         if known is None or is_new:
             known = self._known[endpoint.id] = KnownEndpoint(endpoint)
         known.endpoint = endpoint
+        known.is_evacuated = endpoint.data_center in self._evacuated
         known.expiry_deadline_ms = 0
         known.is_readable = True
         known.warmed_up_at_ms = now_ms + endpoint.warmup_ms
@@ -164,11 +193,9 @@
         """Returns the leaving endpoints whose state is still kept."""
         return [known for known in self._known.values() if known.is_leaving]
 
-    def all_accepting(self) -> list[KnownEndpoint]:
-        """Returns the endpoints of all services that accept new requests."""
-        return [
-            known for known in self._known.values() if known.accepts_requests
-        ]
+    def all_staying(self) -> list[KnownEndpoint]:
+        """Returns the endpoints of all services that are not leaving."""
+        return [known for known in self._known.values() if known.is_staying]
 
     def expire_endpoints(
         self, now_ms: int, reliable_since_ms: int | None = None
--- a/rhubarbwinch/gateway/forwarding.py
+++ b/rhubarbwinch/gateway/forwarding.py
@@ -91,7 +91,10 @@
             targets = [
                 heartbeat
                 for heartbeat in context.peers.forward_targets(job.service)
-                if among is None or heartbeat.name in among
+                if (among is None or heartbeat.name in among)
+                and context.regions.is_home(
+                    heartbeat.data_center, job.home_regions
+                )
             ]
             # One that accepted no connection may have been busy.
             target = choose_target(
--- a/rhubarbwinch/gateway/gatewaymetrics.py
+++ b/rhubarbwinch/gateway/gatewaymetrics.py
@@ -57,6 +57,16 @@
     "The version of the configuration in force.",
     registry=REGISTRY,
 )
+EVACUATED_DATA_CENTERS = Gauge(
+    "rhubarbwinch_evacuated_data_centers",
+    "Data centres whose endpoints get no requests.",
+    registry=REGISTRY,
+)
+COLD_WAITS = Counter(
+    "rhubarbwinch_cold_waits",
+    "Times that a cold endpoint was passed over as its share was used up.",
+    registry=REGISTRY,
+)
 CONFIG_OUTDATED = Gauge(
     "rhubarbwinch_config_outdated",
     "Whether other gateways have had a newer configuration for some time.",
--- a/rhubarbwinch/gateway/job.py
+++ b/rhubarbwinch/gateway/job.py
@@ -4,9 +4,13 @@
 
 from rhubarbwinch.gateway.crashes import fingerprint
 from rhubarbwinch.gateway.crashsuspects import part_key, request_key
+from rhubarbwinch.gateway.decisions.eligibility import (
+    Needs,
+    combine_home_regions,
+)
 from rhubarbwinch.gateway.edge import EdgeRequest
 from rhubarbwinch.gateway.platforminterface import CallHead
-from rhubarbwinch.gateway.routes import Route
+from rhubarbwinch.gateway.routes import Account, Route
 
 
 @attrs.define
@@ -29,6 +33,8 @@
         sends: Number of attempts at endpoints.
         sent_ms: When the last of them began.
         unreachable: Number of attempts for which no connection could be made.
+        home_regions: The only regions that may serve the request; None if all
+            may.
         is_forwarded: Whether another gateway has passed the request on.
         tried: Ids of endpoints that were tried and are left out from now on.
     """
@@ -48,9 +54,15 @@
     sends: int = 0
     sent_ms: int = 0
     unreachable: int = 0
+    home_regions: frozenset[str] | None = None
     is_forwarded: bool = False
     tried: set[str] = attrs.field(factory=set)
 
+    @property
+    def needs(self) -> Needs:
+        """What the request needs of an endpoint."""
+        return Needs(self.service, home_regions=self.home_regions)
+
     @property
     def arrivals(self) -> int:
         """Number of attempts that may have reached an endpoint."""
@@ -66,11 +78,13 @@
     request: EdgeRequest,
     call: CallHead,
     route: Route,
-    account: str | None,
+    account: Account | None,
     priority: int,
     service: str,
 ) -> Job:
     """Returns the job of a request."""
+    name = account.name if account is not None else None
+    homes = account.home_regions if account is not None else frozenset()
     allowed_ms = route.timeout_ms
     if call.deadline_ms is not None:
         allowed_ms = min(allowed_ms, call.deadline_ms)
@@ -79,14 +93,13 @@
         request=request,
         body=request.body,
         route=route,
-        account=account,
+        account=name,
         priority=priority,
         service=service,
         received_ms=request.received_ms,
         deadline_ms=request.received_ms + allowed_ms,
         objective_ms=request.received_ms + route.objective_ms,
-        request_key=request_key(
-            fingerprint(account, call.target, request.body)
-        ),
+        request_key=request_key(fingerprint(name, call.target, request.body)),
         part_keys=tuple(part_key(part) for part in call.prompt_parts[:-1]),
+        home_regions=combine_home_regions(route.home_regions, homes),
     )
--- a/rhubarbwinch/gateway/migration.py
+++ b/rhubarbwinch/gateway/migration.py
@@ -38,6 +38,12 @@
             run.standby = None
         self.migrate_if_leaving(run)
 
+    def handle_evacuation(self, run: Run) -> None:
+        """Releases the standby of a run if it accepts no requests any more."""
+        if run.standby is not None and not self.has_standby(run):
+            run.standby.release()
+            run.standby = None
+
     def migrate_if_leaving(self, run: Run) -> None:
         """Starts a migration if the engine leaves and there is no standby."""
         assert run.reservation is not None
@@ -58,6 +64,11 @@
         run.first_copy_settled = anyio.Event()
         run.tasks.start_soon(self._maintain_copy, run, run.migration_scope)
 
+    def may_resume_at(self, target: MigrationTarget) -> bool:
+        """Returns whether a run may resume from its migrated copy."""
+        known = self._context.fleet.get(target.reservation.endpoint.id)
+        return known is None or not known.is_evacuated
+
     def has_standby(self, run: Run) -> bool:
         """Returns whether a run has a standby engine that is not leaving."""
         if run.standby is None:
@@ -111,7 +122,7 @@
         context = self._context
         tokens = run.mean_tokens
         chosen = migrationtargets.choose_target(
-            context.candidates(run.job.service, refused_ids),
+            context.candidates(run.job.needs, refused_ids),
             source,
             tokens,
             context.rng,
@@ -167,13 +178,17 @@
                 copies.free(migrated_copy)
 
     async def _wait_leaving(self, endpoint: Endpoint, limit_ms: int) -> bool:
-        """Waits until an endpoint leaves; returns False after `limit_ms`."""
+        """Waits until an endpoint leaves or is evacuated.
+
+        Returns:
+            False if that has not happened within `limit_ms`.
+        """
         clock = self._context.clock
         end = clock.now() + limit_ms
         while clock.now() < end:
             await clock.sleep(LEAVING_CHECK_MS)
             known = self._context.fleet.get(endpoint.id)
-            if known is None or known.is_leaving:
+            if known is None or not known.accepts_requests:
                 return True
         return False
 
--- a/rhubarbwinch/gateway/peertable.py
+++ b/rhubarbwinch/gateway/peertable.py
@@ -74,6 +74,24 @@
         self._owner_names: tuple[str, ...] = ()
         self._owners: dict[str, str | None] = {}
         self._no_relay_until_ms = 0
+        self._registered: set[str] = set()
+
+    def set_registered(self, name: str, is_registered: bool) -> None:
+        """Records a gateway's registration in the store, or its end."""
+        if is_registered:
+            self._registered.add(name)
+        else:
+            self._registered.discard(name)
+
+    @property
+    def known_names(self) -> set[str]:
+        """The gateways that are registered or alive, this one included.
+
+        One that this gateway does not hear is still there if only the links
+        between them are cut.
+        """
+        live = {h.name for h in self._live_heartbeats()}
+        return self._registered | live | {self._own.name}
 
     @property
     def uses_relays(self) -> bool:
--- a/rhubarbwinch/gateway/permits.py
+++ b/rhubarbwinch/gateway/permits.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable, Iterable
 
 from rhubarbwinch.gateway import gatewaymetrics
+from rhubarbwinch.gateway.decisions.warmups import Warmups
 from rhubarbwinch.gateway.endpointpauses import EndpointPauses
 from rhubarbwinch.gateway.endpoints import Endpoint
 from rhubarbwinch.gateway.messages import (
@@ -26,11 +27,21 @@
 
     Args:
         limits: Shares the limits among the gateways.
+        warmups: Shares what cold endpoints accept among the gateways.
         peers: The other gateways.
         clock: The source of time.
+
+    Attributes:
+        warmups: Shares what cold endpoints accept among the gateways.
+        cold_rate: Returns the requests a second that an endpoint accepts while
+            it is cold; None if it is not.
     """
 
-    def __init__(self, limits: RateLimits, peers: Peers, clock: Clock) -> None:
+    def __init__(
+        self, limits: RateLimits, warmups: Warmups, peers: Peers, clock: Clock
+    ) -> None:
+        self.warmups = warmups
+        self.cold_rate: Callable[[str], float | None] = lambda endpoint_id: None
         self._limits = limits
         self._pauses = EndpointPauses()
         self._peers = peers
@@ -46,7 +57,12 @@
 
     def senders(self, endpoint_id: str) -> list[str]:
         """Returns the gateways that may send to an endpoint."""
-        return self._limits.senders(endpoint_id)
+        senders = self._limits.senders(endpoint_id)
+        cold_rate = self.cold_rate(endpoint_id)
+        if cold_rate is None:
+            return senders
+        holders = self.warmups.holders(endpoint_id, cold_rate)
+        return [name for name in senders if name in holders]
 
     def is_available(self, endpoint_id: str) -> bool:
         """Returns whether a request may be sent to an endpoint now."""
@@ -60,9 +76,20 @@
         """
         now = self._clock.now()
         limited_ms = self._limits.delay_ms(endpoint_id, now)
-        if limited_ms is None:
+        cold_ms = self._cold_delay_ms(endpoint_id, now)
+        if limited_ms is None or cold_ms is None:
             return None
-        return max(limited_ms, self._pauses.left_ms(endpoint_id, now))
+        paused_ms = self._pauses.left_ms(endpoint_id, now)
+        return max(limited_ms, cold_ms, paused_ms)
+
+    def _cold_delay_ms(self, endpoint_id: str, now_ms: int) -> int | None:
+        cold_rate = self.cold_rate(endpoint_id)
+        if cold_rate is None:
+            return 0
+        delay_ms = self.warmups.delay_ms(endpoint_id, cold_rate, now_ms)
+        if delay_ms:
+            gatewaymetrics.COLD_WAITS.inc()
+        return delay_ms
 
     def earliest(
         self, endpoints: Iterable[Endpoint]
@@ -82,7 +109,13 @@
 
     def acquire_now(self, endpoint_id: str) -> None:
         """Counts a request that is sent now."""
-        self._limits.acquire(endpoint_id, self._clock.now())
+        self._acquire(endpoint_id, 0)
+
+    def _acquire(self, endpoint_id: str, delay_ms: int) -> None:
+        now = self._clock.now()
+        self._limits.acquire(endpoint_id, now)
+        if self.cold_rate(endpoint_id) is not None:
+            self.warmups.record_send(endpoint_id, now + delay_ms)
 
     async def acquire(
         self, request_id: str, endpoint: Endpoint, limit_ms: int
@@ -102,7 +135,7 @@
         if delay_ms is None or delay_ms > limit_ms:
             self._log_wait("refused", request_id, endpoint, delay_ms)
             return False
-        self.acquire_now(endpoint.id)
+        self._acquire(endpoint.id, delay_ms)
         if delay_ms:
             self._log_wait("awaited", request_id, endpoint, delay_ms)
             await self._clock.sleep(delay_ms)
@@ -175,6 +208,7 @@
         """Drops what an endpoint that is gone has declared."""
         self._limits.forget(endpoint_id)
         self._pauses.forget(endpoint_id)
+        self.warmups.forget(endpoint_id)
         gatewaymetrics.RATE_LIMITED_ENDPOINTS.set(len(self._limits))
 
     def _send_notices(self) -> None:
--- a/rhubarbwinch/gateway/plaincalls.py
+++ b/rhubarbwinch/gateway/plaincalls.py
@@ -135,7 +135,7 @@
         context = self._context
         while True:
             chosen = placement.choose_plain_endpoint(
-                context.candidates(job.service, job.tried),
+                context.candidates(job.needs, job.tried),
                 context.data_center,
                 context.rng,
             )
@@ -143,7 +143,7 @@
                 endpoint = chosen.endpoint
                 context.permits.acquire_now(endpoint.id)
                 return endpoint
-            if context.waits_for_slot(job.service, job.tried):
+            if context.waits_for_slot(job.needs, job.tried):
                 left_ms = job.deadline_ms - context.clock.now()
                 if not may_wait or not await context.slots.wait(
                     job.service, int(left_ms * MAX_PERMIT_WAIT_SHARE)
@@ -154,7 +154,7 @@
                         RETRY_AFTER_MS,
                     )
                 continue
-            earliest = context.earliest_permit(job.service, job.tried)
+            earliest = context.earliest_permit(job.needs, job.tried)
             if earliest is None:
                 return self._why_no_endpoint(job)
             endpoint, delay_ms = earliest
@@ -169,7 +169,10 @@
 
     def _why_no_endpoint(self, job: Job) -> Failure:
         """Returns why no endpoint is left that the call has not tried."""
-        delay_ms = self._context.permit_delay_ms(job.service, None)
+        unserved = self._context.find_unserved(job.needs)
+        if unserved is not None:
+            return unserved
+        delay_ms = self._context.permit_delay_ms(job.needs)
         if delay_ms:
             return self._refuse_until(delay_ms)
         return not_run(
--- a/rhubarbwinch/gateway/platforminterface.py
+++ b/rhubarbwinch/gateway/platforminterface.py
@@ -105,12 +105,14 @@
         pause_ms: For how long it wants no requests of this gateway; 0 if it
             does not say so.
         is_brittle: Whether it falls over when it refuses many requests.
+        warmup_ms: How long it is still cold; None if it does not say so.
     """
 
     rate_limit: float | None = None
     is_leaving: bool = False
     pause_ms: int = 0
     is_brittle: bool = False
+    warmup_ms: int | None = None
 
 
 @attrs.frozen
@@ -220,6 +222,7 @@
 
     config_key: str
     endpoint_prefix: str
+    evacuation_prefix: str
     member_prefix: str
     max_directory_addresses: int
 
--- a/rhubarbwinch/gateway/program.py
+++ b/rhubarbwinch/gateway/program.py
@@ -14,6 +14,7 @@
 from rhubarbwinch.gateway.crashes import CrashTracker
 from rhubarbwinch.gateway.crashsuspects import CrashSuspects
 from rhubarbwinch.gateway.decisions.configfreshness import ConfigFreshness
+from rhubarbwinch.gateway.decisions.warmups import Warmups
 from rhubarbwinch.gateway.edge import EdgeServer
 from rhubarbwinch.gateway.endpoints import Endpoint
 from rhubarbwinch.gateway.failurereports import FailureReports
@@ -202,10 +203,16 @@
                 self._peers.announce,
             ),
             slots=SlotGate(SlotShares(settings.name), loads, clock),
-            permits=Permits(RateLimits(settings.name), self._peers, clock),
+            permits=Permits(
+                RateLimits(settings.name),
+                Warmups(settings.name),
+                self._peers,
+                clock,
+            ),
             takeups=TakeUps(
                 StreamOrigins(settings.name), self._peers, fleet, clock
             ),
+            regions=settings.regions,
             freshness=ConfigFreshness(settings.config_apply_ms),
             on_leaving=self._handle_declared_leaving,
         )
@@ -258,7 +265,11 @@
             settings.forward, router.handle_forwarded, clock
         )
         self._status_api = StatusApi(
-            dependencies.platform, self._peers, settings, lambda: self.is_ready
+            dependencies.platform,
+            self._peers,
+            settings,
+            lambda: self.is_ready,
+            self._home_regions_of,
         )
         self._was_ready = False
         self._was_failing = False
@@ -338,6 +349,11 @@
                     await self._registration.close()
         events.STOPPED.log(name=settings.name)
 
+    def _home_regions_of(self, host: str) -> frozenset[str]:
+        """Returns the regions to which a host's requests are bound."""
+        table = self._context.table
+        return table.home_regions_of(host) if table else frozenset()
+
     def _store_confirmed_ms(self) -> int:
         """Returns the age of the newest response of the store to a gateway."""
         return min(self._store_feed.confirmed_ms, self._peers.confirmed_ms)
@@ -441,7 +457,7 @@
         services = table.services if table is not None else {}
         return [
             known
-            for known in self._context.fleet.all_accepting()
+            for known in self._context.fleet.all_staying()
             if is_wanted(known)
             and (spec := services.get(known.endpoint.service)) is not None
             and spec.engine is not None
@@ -469,10 +485,12 @@
             self._cluster_view.expire_endpoints(
                 self._store_feed.reliable_since_ms
             )
+            self._cluster_view.expire_evacuations()
             gateways = self._peers.sharing_names(self._context.is_draining)
             self._context.permits.update(
                 gateways, lambda e: self._context.fleet.get(e) is not None
             )
+            self._context.permits.warmups.set_members(self._peers.known_names)
             self._context.takeups.update(gateways)
             self._check_freshness()
             self._context.slots.shares.set_gateways(gateways)
--- a/rhubarbwinch/gateway/ratelimits.py
+++ b/rhubarbwinch/gateway/ratelimits.py
@@ -14,9 +14,9 @@
 
 import attrs
 
+from rhubarbwinch.gateway.decisions.shares import MemberRankings
 from rhubarbwinch.gateway.messages import EndpointLimit, RateLimitNotice
 from rhubarbwinch.gateway.platforminterface import DeclaredState
-from rhubarbwinch.shared import rendezvous
 
 # Gateways that may send to a limited endpoint: this many, and more for a higher
 # limit. Each may send one request without a pause before it, so their number
@@ -84,8 +84,7 @@
 
     def __init__(self, name: str) -> None:
         self._name = name
-        self._gateways: tuple[str, ...] = (name,)
-        self._rankings: dict[str, list[str]] = {}
+        self._rankings = MemberRankings("limit", name)
         self._limits: dict[str, _Limit] = {}
 
     def __len__(self) -> int:
@@ -93,10 +92,7 @@
 
     def set_gateways(self, names: Iterable[str]) -> None:
         """Sets the names of the gateways that share the limits."""
-        gateways = tuple(sorted(names))
-        if gateways != self._gateways:
-            self._gateways = gateways
-            self._rankings.clear()
+        self._rankings.set_members(names)
 
     def rate(self, endpoint: str) -> float | None:
         """Returns an endpoint's limit in requests a second, or None."""
@@ -149,7 +145,7 @@
         """Handles the limits that a gateway lists; returns the changes."""
         changes = []
         for listed in limits:
-            if self._ranking(listed.endpoint)[:1] != [gateway]:
+            if self._rankings.ranking(listed.endpoint)[:1] != [gateway]:
                 continue
             known = self._limits.get(listed.endpoint)
             if known is None and listed.rate is None:
@@ -178,7 +174,7 @@
         """Returns the notices that are due, each with its coordinator."""
         notices = []
         for endpoint, limit in self._limits.items():
-            ranking = self._ranking(endpoint)
+            ranking = self._rankings.ranking(endpoint)
             known = EndpointLimit(endpoint, limit.rate)
             if not ranking or ranking[0] == self._name or limit.listed == known:
                 continue
@@ -214,7 +210,7 @@
     def forget(self, endpoint: str) -> None:
         """Drops what is known of an endpoint that is gone."""
         self._limits.pop(endpoint, None)
-        self._rankings.pop(endpoint, None)
+        self._rankings.forget(endpoint)
 
     def _adopt(
         self, endpoint: str, rate: float | None, now_ms: int
@@ -239,12 +235,12 @@
         """Returns the gateways that share an endpoint's limit."""
         limit = self._limits.get(endpoint)
         if limit is None or limit.rate is None:
-            return list(self._gateways)
+            return list(self._rankings.members)
         return self._senders(endpoint, limit.rate)
 
     def _senders(self, endpoint: str, rate: float) -> list[str]:
         count = MIN_SENDERS + int(SENDERS_PER_RATE * rate)
-        return self._ranking(endpoint)[:count]
+        return self._rankings.ranking(endpoint)[:count]
 
     def _interval_ms(self, endpoint: str, rate: float) -> float | None:
         """Returns the time between requests; None if others share the limit."""
@@ -259,11 +255,4 @@
         return now_ms - limit.responded_ms < OWN_RESPONSE_TRUST_MS
 
     def _coordinates(self, endpoint: str) -> bool:
-        return self._ranking(endpoint)[:1] == [self._name]
-
-    def _ranking(self, endpoint: str) -> list[str]:
-        if endpoint not in self._rankings:
-            self._rankings[endpoint] = rendezvous.ranking(
-                f"limit\0{endpoint}", self._gateways
-            )
-        return self._rankings[endpoint]
+        return self._rankings.ranking(endpoint)[:1] == [self._name]
--- a/rhubarbwinch/gateway/router.py
+++ b/rhubarbwinch/gateway/router.py
@@ -10,7 +10,12 @@
 from rhubarbwinch.gateway.job import Job, make_job
 from rhubarbwinch.gateway.plaincalls import PlainCalls, send_job_failure
 from rhubarbwinch.gateway.platforminterface import CallHead
-from rhubarbwinch.gateway.routes import CallKind, Route, RoutingTable
+from rhubarbwinch.gateway.routes import (
+    Account,
+    CallKind,
+    Route,
+    RoutingTable,
+)
 from rhubarbwinch.gateway.streams import StreamCalls
 from rhubarbwinch.shared import events
 from rhubarbwinch.shared.exceptions import BadCallError
@@ -145,7 +150,7 @@
                     OUTDATED,
                     context.peers.names_with_config(newest),
                 )
-            senders = context.other_senders(job.service)
+            senders = context.other_senders(job.needs)
             if senders:
                 return await self._forwarder.forward(
                     job, responder, NO_SHARE, senders
@@ -172,7 +177,9 @@
             and bool(job.unreachable)
         )
 
-    def _admit(self, call: CallHead) -> tuple[Route, str | None, int] | Failure:
+    def _admit(
+        self, call: CallHead
+    ) -> tuple[Route, Account | None, int] | Failure:
         """Returns the route, the account and the priority of a request."""
         table = self._context.table
         if table is None:
@@ -193,11 +200,11 @@
         priority = (
             route.priority if account.priority is None else account.priority
         )
-        return self._check_drain(route, account.name, priority)
+        return self._check_drain(route, account, priority)
 
     def _check_drain(
-        self, route: Route, account: str | None, priority: int
-    ) -> tuple[Route, str | None, int] | Failure:
+        self, route: Route, account: Account | None, priority: int
+    ) -> tuple[Route, Account | None, int] | Failure:
         if self._context.is_draining and route.kind is CallKind.STREAM:
             return not_run(
                 Reason.DRAINING, "this gateway leaves", DRAIN_RETRY_AFTER_MS
--- a/rhubarbwinch/gateway/routes.py
+++ b/rhubarbwinch/gateway/routes.py
@@ -43,11 +43,16 @@
         max_connections: The number of connections that an endpoint accepts from
             all callers.
         engine: The properties of its engines; None for a plain service.
+        cold_start_ms: How long an endpoint is cold after its start.
+        cold_per_s: The requests a second that a cold endpoint accepts from all
+            gateways together; 0 for no limit.
     """
 
     name: str
     max_connections: int
     engine: EngineSpec | None
+    cold_start_ms: int = 0
+    cold_per_s: float = 0.0
 
 
 @attrs.frozen
@@ -83,6 +88,8 @@
         is_generation: Whether requests state the sizes of a generation.
         is_resumable: Whether a stream can be resumed after an event.
         targets: The services with their weights, at least one.
+        home_regions: The only regions that may serve its requests; empty if all
+            may.
     """
 
     name: str
@@ -98,6 +105,7 @@
     is_generation: bool
     is_resumable: bool
     targets: tuple[WeightedService, ...]
+    home_regions: frozenset[str] = frozenset()
 
     @property
     def is_repeatable(self) -> bool:
@@ -130,10 +138,13 @@
         name: The account's name.
         priority: The priority of its requests, which overrides the route's;
             or None.
+        home_regions: The only regions that may serve its requests; empty if all
+            may.
     """
 
     name: str
     priority: int | None
+    home_regions: frozenset[str] = frozenset()
 
 
 @attrs.frozen
@@ -156,6 +167,22 @@
     requires_key: bool
     limits: HttpLimits
 
+    def home_regions_of(self, host: str) -> frozenset[str]:
+        """Returns where a host's requests with home regions may be served.
+
+        The regions that all its routes with home regions share, or those of any
+        of them if there is none; empty without such routes.
+        """
+        restrictions = [
+            route.home_regions
+            for route in self.routes.get(host, {}).values()
+            if route.home_regions
+        ]
+        if not restrictions:
+            return frozenset()
+        shared = frozenset.intersection(*restrictions)
+        return shared or frozenset.union(*restrictions)
+
     def find_route(self, host: str, path: str) -> Route | None:
         """Returns the route with the longest prefix of `path`, or None."""
         by_prefix = self.routes.get(host, {})
--- a/rhubarbwinch/gateway/runplacement.py
+++ b/rhubarbwinch/gateway/runplacement.py
@@ -79,18 +79,19 @@
         self, run: Run, left_ms: int, limit_ms: int
     ) -> Failure | None:
         """Returns why a run can't be placed if it waits for `limit_ms`."""
-        context, service = self._context, run.job.service
+        context, needs = self._context, run.needs
         if left_ms < MIN_ATTEMPT_MS:
             return not_run(Reason.DEADLINE, "no time is left")
-        if run.version is not None and not context.has_version(
-            service, run.version
-        ):
+        unserved = context.find_unserved(needs)
+        if unserved is not None:
+            return unserved
+        if run.version is not None and not context.accepting(needs):
             return not_run(
                 Reason.NO_ENDPOINT,
                 f"no engine of the stream's version {run.version} accepts work",
                 RETRY_AFTER_MS,
             )
-        delay_ms = context.permit_delay_ms(service, run.version)
+        delay_ms = context.permit_delay_ms(needs)
         if delay_ms is not None and delay_ms <= limit_ms:
             return None
         detail = "the engines accept no more requests now"
@@ -121,7 +122,7 @@
         """Reserves capacity now; returns False if no engine has enough."""
         context, job = self._context, run.job
         tokens = run.mean_tokens
-        candidates = context.candidates(job.service, job.tried, run.version)
+        candidates = context.candidates(run.needs, job.tried)
         chosen = placement.choose_engine(
             candidates,
             tokens,
@@ -162,7 +163,7 @@
             return
         tokens = run.mean_tokens
         chosen = migrationtargets.choose_standby(
-            context.candidates(job.service, {run.reservation.endpoint.id}),
+            context.candidates(job.needs, {run.reservation.endpoint.id}),
             run.reservation.endpoint,
             tokens,
             context.rng,
--- a/rhubarbwinch/gateway/runs.py
+++ b/rhubarbwinch/gateway/runs.py
@@ -4,6 +4,7 @@
 import anyio.abc
 import attrs
 
+from rhubarbwinch.gateway.decisions.eligibility import Needs
 from rhubarbwinch.gateway.edge import EdgeResponder
 from rhubarbwinch.gateway.endpoints import Endpoint
 from rhubarbwinch.gateway.job import Job
@@ -72,6 +73,11 @@
         """The caller's id of the request attempt."""
         return self.job.call.request_id
 
+    @property
+    def needs(self) -> Needs:
+        """What the run needs of an engine."""
+        return attrs.evolve(self.job.needs, version=self.version)
+
     @property
     def mean_tokens(self) -> int:
         """The KV cache that the run is predicted to occupy on average.
--- a/rhubarbwinch/gateway/settings.py
+++ b/rhubarbwinch/gateway/settings.py
@@ -2,6 +2,7 @@
 
 import attrs
 
+from rhubarbwinch.gateway.decisions.eligibility import Regions
 from rhubarbwinch.gateway.messages import PeerAddress
 
 
@@ -28,6 +29,7 @@
         retry_extra: Further retries allowed per window, over all gateways.
         max_descriptors: The limit on the process's open file descriptors.
         memory_mb: The limit on the process's memory.
+        regions: The regions of the data centres.
         config_apply_ms: The time in which a version of the configuration has to
             be in force everywhere.
         link_mbps: The capacity of the VM's network link in Mbit/s; 0 if it is
@@ -51,5 +53,6 @@
     retry_extra: int
     max_descriptors: int
     memory_mb: int
+    regions: Regions = attrs.field(factory=Regions)
     config_apply_ms: int = 2_000
     link_mbps: int = 0
--- a/rhubarbwinch/gateway/slotshares.py
+++ b/rhubarbwinch/gateway/slotshares.py
@@ -9,8 +9,8 @@
 
 from collections.abc import Iterable
 
+from rhubarbwinch.gateway.decisions.shares import MemberRankings, share_of
 from rhubarbwinch.gateway.endpoints import Endpoint
-from rhubarbwinch.shared import rendezvous
 
 # A service counts as brittle for this time after a response has said so. All
 # its responses do.
@@ -26,17 +26,13 @@
 
     def __init__(self, name: str) -> None:
         self._name = name
-        self._gateways: tuple[str, ...] = (name,)
-        self._rankings: dict[str, list[str]] = {}
+        self._rankings = MemberRankings("slots", name)
         self._declared_ms: dict[str, int] = {}
         self._heard_ms: dict[str, int] = {}
 
     def set_gateways(self, names: Iterable[str]) -> None:
         """Sets the names of the gateways that share the slots."""
-        gateways = tuple(sorted(names))
-        if gateways != self._gateways:
-            self._gateways = gateways
-            self._rankings.clear()
+        self._rankings.set_members(names)
 
     def record_response(
         self, service: str, is_brittle: bool, now_ms: int
@@ -73,23 +69,13 @@
 
     def share(self, endpoint: Endpoint) -> int:
         """Returns how many slots of an endpoint this gateway may use."""
-        ranking = self._ranking(endpoint.id)
-        if self._name not in ranking:
-            return 0
-        whole, rest = divmod(endpoint.slots, len(ranking))
-        return whole + (ranking.index(self._name) < rest)
+        ranking = self._rankings.ranking(endpoint.id)
+        return share_of(self._name, ranking, endpoint.slots)
 
     def holders(self, endpoint: Endpoint) -> list[str]:
         """Returns the gateways that may use slots of an endpoint."""
-        return self._ranking(endpoint.id)[: endpoint.slots]
+        return self._rankings.ranking(endpoint.id)[: endpoint.slots]
 
     def forget(self, endpoint_id: str) -> None:
         """Drops what is kept for an endpoint that is gone."""
-        self._rankings.pop(endpoint_id, None)
-
-    def _ranking(self, endpoint_id: str) -> list[str]:
-        if endpoint_id not in self._rankings:
-            self._rankings[endpoint_id] = rendezvous.ranking(
-                f"slots\0{endpoint_id}", self._gateways
-            )
-        return self._rankings[endpoint_id]
+        self._rankings.forget(endpoint_id)
--- a/rhubarbwinch/gateway/statusapi.py
+++ b/rhubarbwinch/gateway/statusapi.py
@@ -6,6 +6,7 @@
 from rhubarbwinch.gateway.directory import (
     DirectoryLookup,
     ServingGateway,
+    admissible_gateways,
     choose_gateways,
 )
 from rhubarbwinch.gateway.edge import EdgeRequest, EdgeResponder
@@ -26,6 +27,8 @@
         peers: The other gateways.
         settings: The gateway's settings.
         is_ready: Returns whether the gateway accepts new callers.
+        home_regions_of: Returns the regions to which the requests of a host are
+            bound; empty if they are not.
     """
 
     def __init__(
@@ -34,11 +37,13 @@
         peers: Peers,
         settings: GatewaySettings,
         is_ready: Callable[[], bool],
+        home_regions_of: Callable[[str], frozenset[str]],
     ) -> None:
         self._platform = platform
         self._peers = peers
         self._settings = settings
         self._is_ready = is_ready
+        self._home_regions_of = home_regions_of
 
     async def handle(
         self, request: EdgeRequest, responder: EdgeResponder
@@ -68,6 +73,12 @@
         if not serving:
             await responder.send(503, [], b"no gateway serves")
             return
+        serving = admissible_gateways(
+            serving,
+            lookup,
+            self._home_regions_of(lookup.host.lower()),
+            settings.regions,
+        )
         addresses = choose_gateways(
             serving, lookup, self._platform.max_directory_addresses
         )
--- a/rhubarbwinch/gateway/streams.py
+++ b/rhubarbwinch/gateway/streams.py
@@ -75,6 +75,11 @@
         for run in list(self._runs):
             self._migrator.handle_leaving_engine(run, endpoint)
 
+    def handle_evacuation(self) -> None:
+        """Releases the hot standbys in evacuated data centres."""
+        for run in list(self._runs):
+            self._migrator.handle_evacuation(run)
+
     async def _serve(self, run: Run) -> Failure | None:
         failure = await self._find_origin(run)
         if failure is None:
--- a/rhubarbwinch/platform/adapter.py
+++ b/rhubarbwinch/platform/adapter.py
@@ -15,6 +15,8 @@
 
     config_key = "op/config"
     endpoint_prefix = "servers/"
+    # Each key names a zone whose endpoints get no requests while it exists.
+    evacuation_prefix = "op/evacuate/"
     # The prefix of the gateway's own keys; the platform reserves `op/` and
     # `servers/` for itself.
     member_prefix = "rhubarbwinch/members/"
@@ -39,7 +41,9 @@
             return None
         fields = parse_qs(query)
         return DirectoryLookup(
-            fields.get("name", [""])[0], fields.get("zone", [""])[0]
+            fields.get("name", [""])[0],
+            fields.get("zone", [""])[0],
+            fields.get("region", [""])[0],
         )
 
     @staticmethod
--- a/rhubarbwinch/platform/documents.py
+++ b/rhubarbwinch/platform/documents.py
@@ -107,7 +107,11 @@
         routes.setdefault(route.host, {})[route.prefix] = route
     services = [_decode_service(item) for item in document["services"]]
     accounts = {
-        key: Account(_non_empty_text(item["name"]), item.get("priority"))
+        key: Account(
+            _non_empty_text(item["name"]),
+            item.get("priority"),
+            _decode_home_regions(item),
+        )
         for item in document.get("tenants", [])
         for key in item["api_keys"]
     }
@@ -147,15 +151,24 @@
         is_generation=bool(item.get("sticky")),
         is_resumable=bool(item.get("resumable")),
         targets=targets,
+        home_regions=_decode_home_regions(item),
     )
 
 
+def _decode_home_regions(item: JSON) -> frozenset[str]:
+    """Returns the regions to which a route or a client account is bound."""
+    regions = item.get("allowed_regions") or []
+    return frozenset(_non_empty_text(region) for region in regions)
+
+
 def _decode_service(item: JSON) -> ServiceSpec:
     engine = item.get("engine")
     return ServiceSpec(
         name=_non_empty_text(item["name"]),
         max_connections=int(item.get("max_connections") or 0),
         engine=_decode_engine(engine) if engine else None,
+        cold_start_ms=int(1_000 * float(item.get("cold_start_s") or 0)),
+        cold_per_s=float(item.get("cold_per_s") or 0),
     )
 
 
--- a/rhubarbwinch/platform/headers.py
+++ b/rhubarbwinch/platform/headers.py
@@ -37,6 +37,8 @@
 # The refusals a second, for want of room, after which an endpoint falls over.
 BRITTLE = b"server-brittle"
 RETRY_AFTER = b"retry-after"
+# Milliseconds for which an endpoint is still cold.
+WARMUP_LEFT = b"cold-ms"
 AUTHORIZATION = b"authorization"
 BEARER = "bearer "
 
@@ -235,6 +237,7 @@
         is_leaving=_first_value(headers, LEAVING) == "1",
         pause_ms=int(1_000 * (pause_s or 0)),
         is_brittle=_decode_decimal(headers, BRITTLE) is not None,
+        warmup_ms=_parse_number(_first_value(headers, WARMUP_LEFT)),
     )
 
 
--- a/rhubarbwinch/platform/settingsfile.py
+++ b/rhubarbwinch/platform/settingsfile.py
@@ -2,6 +2,7 @@
 
 import pathlib
 
+from rhubarbwinch.gateway.decisions.eligibility import Regions
 from rhubarbwinch.gateway.messages import PeerAddress
 from rhubarbwinch.gateway.settings import GatewaySettings
 from rhubarbwinch.shared import netaddress
@@ -88,12 +89,23 @@
             retry_extra=int(self._number("bounds.budget_extra")),
             max_descriptors=int(self._number("limits.max_fds")),
             memory_mb=int(self._number("limits.memory_mb")),
+            regions=self._regions(),
             config_apply_ms=int(
                 self._optional_number("bounds.config_apply_ms", 2_000)
             ),
             link_mbps=int(self._optional_number("limits.link_mbps", 0)),
         )
 
+    def _regions(self) -> Regions:
+        prefix = "zones."
+        return Regions(
+            {
+                name.removeprefix(prefix): region
+                for name, region in self._fields.items()
+                if name.startswith(prefix) and region
+            }
+        )
+
     def _text(self, name: str) -> str:
         value = self._fields.get(name, "")
         if not value:
--- a/rhubarbwinch/shared/events.py
+++ b/rhubarbwinch/shared/events.py
@@ -762,3 +762,12 @@
         "requests are passed on to them; or this one has it now."
     ),
 )
+EVACUATION_CHANGED = Event(
+    769,
+    "evacuation-changed",
+    logging.WARNING,
+    (
+        "The operator evacuates data centres, or has taken that back; "
+        "endpoints of those that are named get no requests."
+    ),
+)
--- /dev/null
+++ b/tests/gateway/test_coldendpoints.py
@@ -0,0 +1,81 @@
+"""Cold endpoints through a gateway's request path.
+
+Guards against a cold endpoint that gets all requests at once, as it has no
+load, and crashes.
+"""
+
+import unittest
+
+import anyio
+import attrs
+
+from lab.standins.platformengine import engine_headers, send_ok
+from rhubarbwinch.gateway.routes import ServiceSpec
+from tests import gatewaybuilders as build
+from tests.gatewayharness import running_gateway
+from tests.helpers import asynchronous, free_address
+
+PER_SECOND = 3.0
+TABLE = build.table(
+    build.route(),
+    services={
+        "svc": ServiceSpec("svc", 100, None, cold_start_ms=60_000, cold_per_s=3)
+    },
+)
+
+
+class ColdEndpointsTest(unittest.TestCase):
+    """A gateway before an endpoint that is cold or becomes cold."""
+
+    @asynchronous
+    async def test_a_burst_reaches_a_cold_endpoint_at_its_rate(self):
+        arrivals = []
+
+        async with running_gateway(1, TABLE) as gateway:
+
+            async def note(received, responder):
+                arrivals.append(gateway.context.clock.now())
+                await send_ok(received, responder)
+
+            gateway.engines[0].handler = note
+            gateway.engines[0].warmup_ms = 60_000
+            gateway.apply_registration(gateway.engines[0])
+            async with anyio.create_task_group() as tasks:
+                for number in range(12):
+                    tasks.start_soon(gateway.call, f"q{number}")
+        self.assertGreaterEqual(len(arrivals), PER_SECOND)
+        # Requests may take up to 200 ms longer than the ones after them.
+        most = max(
+            sum(start <= at < start + 800 for at in arrivals)
+            for start in arrivals
+        )
+        self.assertLessEqual(most, PER_SECOND)
+
+    @asynchronous
+    async def test_an_endpoint_becomes_cold_by_its_own_word(self):
+        async def say_cold(received, responder):
+            headers = [*engine_headers(received), (b"Cold-Ms", b"60000")]
+            await responder.send(200, headers, b"")
+
+        async with running_gateway(1, TABLE) as gateway:
+            self.assertIsNone(gateway.context.cold_rate("e1"))
+            gateway.engines[0].handler = say_cold
+            await gateway.call("q1")
+            self.assertEqual(gateway.context.cold_rate("e1"), PER_SECOND)
+
+    @asynchronous
+    async def test_an_endpoint_that_refused_connections_counts_as_cold(self):
+        async with running_gateway(1, TABLE) as gateway:
+            context = gateway.context
+            known = context.fleet.get("e1")
+            address = known.endpoint.address
+            # Nobody listens there.
+            known.endpoint = attrs.evolve(
+                known.endpoint, address=free_address()
+            )
+            response = await gateway.call("q1")
+            self.assertEqual(response.status, 503)
+            known.endpoint = attrs.evolve(known.endpoint, address=address)
+            gateway.engines[0].handler = send_ok
+            await gateway.call("q2")
+            self.assertEqual(context.cold_rate("e1"), PER_SECOND)
--- a/tests/gatewayprocesses.py
+++ b/tests/gatewayprocesses.py
@@ -114,6 +114,14 @@
             endpoint.registration(state),
         )
 
+    async def evacuate(self, data_center, is_evacuated=True):
+        """Has the operator evacuate a data centre, or take that back."""
+        key = platformfiles.EVACUATION_PREFIX + data_center
+        if is_evacuated:
+            await self.store.put(key, b"{}")
+        else:
+            await self.store.remove(key)
+
     async def until(self, check):
         """Waits until an async check returns true; at most 20 s."""
         with anyio.fail_after(20):
