--- a/lab/soak/engines.py
+++ b/lab/soak/engines.py
@@ -13,6 +13,7 @@
 from lab.soak.proxy import LoopbackProxy
 from lab.soak.records import (
     Arrival,
+    Copy,
     Declaration,
     LeavingResponse,
     PauseResponse,
@@ -24,6 +25,7 @@
     LEAVING,
     ReceivedRequest,
     ScriptedEngine,
+    cold_headers,
     engine_headers,
     rate_limit_headers,
     send_not_run,
@@ -173,6 +175,7 @@
                 self._context.clock.now(),
                 gateway,
                 is_fatal,
+                self.data_center,
             )
         )
         if self.pause_s:
@@ -272,6 +275,7 @@
             *engine_headers(received_request),
             *rate_limit_headers(self.rate_limit),
             *leaving,
+            *cold_headers(self.cold_remaining_ms),
         ]
 
     @contextmanager
@@ -297,6 +301,7 @@
         if address in self._context.engines:
             active_run.standby_copy = KvCacheCopy(str(address), 0, self.address)
             self._context.copies[run.id] = active_run.standby_copy
+            self._record_copy(run.id, self._context.engines[str(address)])
         try:
             with active_run.scope:
                 yield active_run
@@ -348,6 +353,11 @@
         self._context.copies.pop(received_request.id, None)
         await responder.end_stream()
 
+    def _record_copy(self, request_id: str, target: "SoakEngine") -> None:
+        self._context.records.copies.append(
+            Copy(target.name, request_id, target.data_center)
+        )
+
     def _record_reachability(self, request_id: str) -> None:
         if not self.proxy.is_healthy and request_id in self._active_runs:
             self._active_runs[request_id].run.was_unreachable = True
@@ -380,6 +390,7 @@
         target = self._context.engines.get(to)
         if target is None or target.proxy.faults.is_refusing:
             return NO_ROOM, {}
+        self._record_copy(request_id, target)
         active_run.is_migrating = True
         try:
             if is_last:
--- a/lab/soak/records.py
+++ b/lab/soak/records.py
@@ -1,11 +1,14 @@
 """Records of what callers and engines observed, the checker's only input."""
 
 import enum
+from collections.abc import Mapping
 
 import attrs
 
 # The part of a prompt under which each engine crashes.
 FATAL_PART = "bad0"
+# The name of the store in records of outages.
+STORE = "store"
 
 
 class RequestKind(enum.Enum):
@@ -73,6 +76,7 @@
         at_ms: When it reached the engine.
         gateway: The number of the gateway that sent it.
         is_fatal: Whether its prompt has the part that crashes engines.
+        data_center: The data centre of the engine.
     """
 
     engine: str
@@ -80,6 +84,16 @@
     at_ms: int
     gateway: int = 0
     is_fatal: bool = False
+    data_center: str = ""
+
+
+@attrs.frozen
+class Copy:
+    """A KV cache copy of a request that an engine was to receive."""
+
+    engine: str
+    request: str
+    data_center: str
 
 
 @attrs.frozen
@@ -143,6 +157,55 @@
     at_ms: int
 
 
+@attrs.frozen
+class Outage:
+    """A fault with its begin and end.
+
+    Attributes:
+        name: The number of a gateway that was paused, restarted, or cut off
+            from the store or the engines; the id of an engine whose link was
+            disturbed; or STORE.
+        start_ms: When the fault began.
+        end_ms: When it ended.
+    """
+
+    name: int | str
+    start_ms: int
+    end_ms: int
+
+
+@attrs.frozen
+class Evacuation:
+    """An evacuation of a data centre.
+
+    Attributes:
+        data_center: The data centre.
+        start_ms: When the store had acknowledged the key.
+        end_ms: When the key was deleted.
+    """
+
+    data_center: str
+    start_ms: int
+    end_ms: int
+
+
+@attrs.frozen
+class ColdPeriod:
+    """A period in which an engine was cold.
+
+    Attributes:
+        engine: The id of the engine.
+        start_ms: When it accepted connections again.
+        end_ms: When it was warm.
+        max_per_s: The requests that it may receive in any second.
+    """
+
+    engine: str
+    start_ms: int
+    end_ms: int
+    max_per_s: float
+
+
 @attrs.define
 class Run:
     """The execution of a request at an engine.
@@ -193,6 +256,13 @@
         crashes_ms: When engines crashed under the fatal part of a prompt.
         disturbances: When faults at single gateways or engines began or ended.
         faults: The steps of the injected faults, as text.
+        outages: The faults that keep a gateway from the current state.
+        evacuations: The evacuations of data centres.
+        cold_periods: The periods in which engines were cold.
+        copies: The KV cache copies that engines were to receive.
+        regions: The regions by data centre.
+        route_regions: The home regions by route.
+        account_regions: The home regions by client account.
     """
 
     attempts: list[Attempt] = attrs.field(factory=list)
@@ -209,6 +279,13 @@
     crashes_ms: list[int] = attrs.field(factory=list)
     disturbances: list[Disturbance] = attrs.field(factory=list)
     faults: list[str] = attrs.field(factory=list)
+    outages: list[Outage] = attrs.field(factory=list)
+    evacuations: list[Evacuation] = attrs.field(factory=list)
+    cold_periods: list[ColdPeriod] = attrs.field(factory=list)
+    copies: list[Copy] = attrs.field(factory=list)
+    regions: Mapping[str, str] = attrs.field(factory=dict)
+    route_regions: Mapping[str, list[str]] = attrs.field(factory=dict)
+    account_regions: Mapping[str, list[str]] = attrs.field(factory=dict)
 
 
 def event(request_id: str, number: int, version: str = "v1") -> bytes:
--- a/tests/soak/test_check.py
+++ b/tests/soak/test_check.py
@@ -4,11 +4,16 @@
 
 from lab.soak.check import CHECKS, find_violations
 from lab.soak.records import (
+    STORE,
     Arrival,
     Attempt,
+    ColdPeriod,
+    Copy,
     Declaration,
     Disturbance,
+    Evacuation,
     LeavingResponse,
+    Outage,
     PauseResponse,
     RequestKind,
     Run,
@@ -246,6 +251,95 @@
                 )
                 self.assertEqual(violated, expected)
 
+    def test_a_late_request_to_an_evacuated_data_center_is_reported(self):
+        # Guards against a gateway that keeps sending after the time to learn
+        # of the evacuation, and against reports of gateways with a fault.
+        for at_ms, data_center, outage, expected in (
+            (3_001, "z1", None, {"evacuation"}),
+            (3_000, "z1", None, set()),
+            (9_000, "z1", None, set()),
+            (3_001, "z2", None, set()),
+            (8_000, "z1", Outage(0, 4_000, 4_999), {"evacuation"}),
+            (8_000, "z1", Outage(0, 4_000, 5_000), set()),
+            (8_000, "z1", Outage(0, 100, 8_500), set()),
+            (8_000, "z1", Outage(1, 100, 8_500), {"evacuation"}),
+            (8_000, "z1", Outage(STORE, 100, 8_500), set()),
+            (8_000, "z1", Outage("i-1", 100, 8_500), set()),
+            (8_000, "z1", Outage("i-2", 100, 8_500), {"evacuation"}),
+            (8_000, "z1", Outage(0, 8_001, 8_500), {"evacuation"}),
+        ):
+            with self.subTest(at_ms=at_ms, zone=data_center, outage=outage):
+                arrival = Arrival("i-1", "q1", at_ms, data_center=data_center)
+                violated = self.failed_checks(
+                    [attempt()],
+                    [run()],
+                    arrivals=[arrival],
+                    evacuations=[Evacuation("z1", 1_000, 9_000)],
+                    outages=[outage] if outage else [],
+                )
+                self.assertEqual(violated, expected)
+
+    def test_too_many_requests_to_a_cold_engine_are_reported(self):
+        # Guards against gateways that together exceed the limit of a cold
+        # engine, also when they spread the excess over two clock seconds.
+        attempts = [attempt(f"q{i}") for i in range(9)]
+        for count, start_ms, step_ms, held, expected in (
+            (9, 1_000, 124, None, {"cold"}),
+            (9, 1_600, 10, None, {"cold"}),
+            (9, 1_000, 125, None, set()),
+            (8, 1_000, 10, None, set()),
+            (9, 990, 10, None, set()),
+            (9, 2_920, 10, None, set()),
+            (9, 1_000, 10, "i-1", set()),
+            (9, 1_000, 10, "i-2", {"cold"}),
+            (9, 1_000, 10, 0, {"cold"}),
+        ):
+            with self.subTest(count=count, start_ms=start_ms, held=held):
+                arrivals = [
+                    Arrival("i-1", f"q{i}", start_ms + i * step_ms, i % 4)
+                    for i in range(count)
+                ]
+                outages = [] if held is None else [Outage(held, 1_100, 1_200)]
+                violated = self.failed_checks(
+                    attempts,
+                    [run(a.id) for a in attempts],
+                    arrivals=arrivals,
+                    cold_periods=[ColdPeriod("i-1", 1_000, 3_000, 8.0)],
+                    outages=outages,
+                )
+                self.assertEqual(violated, expected)
+
+    def test_a_request_outside_its_home_regions_is_reported(self):
+        # Guards against a first attempt, retry or copy that ignores the home
+        # regions of the route or the account, or an unknown data centre.
+        for data_center, homes, expected in (
+            ("z1", {"route_regions": {"draft": ["east"]}}, set()),
+            ("z2", {"route_regions": {"draft": ["east"]}}, {"homes"}),
+            ("z9", {"route_regions": {"draft": ["east"]}}, {"homes"}),
+            ("z2", {"route_regions": {"note": ["east"]}}, set()),
+            ("z2", {"account_regions": {"a": ["east"]}}, {"homes"}),
+            ("z2", {"account_regions": {"b": ["east"]}}, set()),
+            ("z2", {"account_regions": {"a": ["west", "east"]}}, set()),
+        ):
+            received = (
+                {
+                    "arrivals": [
+                        Arrival("i-1", "q1", 1, data_center=data_center)
+                    ]
+                },
+                {"copies": [Copy("i-1", "q1", data_center)]},
+            )
+            for fields in received:
+                with self.subTest(homes=homes, fields=fields):
+                    violated = self.failed_checks(
+                        [attempt(kind=RequestKind.DRAFT)],
+                        [run(kind="draft")],
+                        regions={"z1": "east", "z2": "west"},
+                        **homes,
+                        **fields,
+                    )
+                    self.assertEqual(violated, expected)
+
     def test_retries_beyond_the_budget_are_reported(self):
         attempts = [attempt(f"q{i}") for i in range(10)]
         runs = [run(f"q{i % 10}") for i in range(10 + 2 + 56 + 1)]
@@ -294,9 +388,12 @@
         names = {
             "asked",
             "budget",
+            "cold",
+            "evacuation",
             "fatal parts",
             "gone",
             "grace",
+            "homes",
             "keys",
             "left engines",
             "once",
