--- a/rhubarbwinch/gateway/clusterview.py
+++ b/rhubarbwinch/gateway/clusterview.py
@@ -232,4 +232,5 @@
         self._context.reports.forget(endpoint_id)
         self._context.slots.shares.forget(endpoint_id)
         self._context.permits.forget(endpoint_id)
+        self._context.loads.speeds.forget(endpoint_id)
         self._streams.handle_leaving_engine(known.endpoint)
--- a/rhubarbwinch/gateway/context.py
+++ b/rhubarbwinch/gateway/context.py
@@ -12,6 +12,7 @@
     CrashTracker,
 )
 from rhubarbwinch.gateway.crashsuspects import Crash
+from rhubarbwinch.gateway.decisions.accountshares import AccountShares
 from rhubarbwinch.gateway.decisions.configfreshness import ConfigFreshness
 from rhubarbwinch.gateway.decisions.eligibility import Needs, Regions
 from rhubarbwinch.gateway.endpoints import Endpoint
@@ -77,6 +78,7 @@
         slots: Holds calls to brittle endpoints back until a slot is free.
         permits: Lets requests pass as the rate limits of endpoints allow.
         tracer: Creates spans of requests; None if tracing is off.
+        accounts: Counts what client accounts use at engines.
         regions: The regions of the data centres.
         freshness: Decides what the active configuration shows.
         on_leaving: Called with an endpoint whose response says that it leaves.
@@ -104,6 +106,7 @@
     slots: SlotGate
     permits: Permits
     takeups: TakeUps
+    accounts: AccountShares
     regions: Regions
     freshness: ConfigFreshness
     on_leaving: Callable[[Endpoint], None]
@@ -191,10 +194,22 @@
             and self.has_room(k.endpoint)
         ]
         usable = set(self.suspicion.usable([k.endpoint.id for k in known], now))
+        slowness = self._slowness(needs.service, now)
         return [
-            self._candidate(k, now) for k in known if k.endpoint.id in usable
+            self._candidate(k, now, slowness.get(k.endpoint.id, 1.0))
+            for k in known
+            if k.endpoint.id in usable
         ]
 
+    def _slowness(self, service: str, now: int) -> dict[str, float]:
+        """Returns the engines of a service that are slow or fast."""
+        if self.engine_spec(service) is None:
+            return {}
+        engines = [
+            k.endpoint.id for k in self.fleet.accepting_for_service(service)
+        ]
+        return self.loads.speeds.slowness(engines, now)
+
     def has_room(self, endpoint: Endpoint) -> bool:
         """Returns whether one of this gateway's slots is free, if divided."""
         return not self._divides_slots(
@@ -210,6 +225,16 @@
             self.engine_spec(service) is None
         )
 
+    def is_within_share(self, job: Job, tokens: int) -> bool:
+        """Returns whether a job's account is within its share with a run."""
+        spec = self.engine_spec(job.service)
+        if spec is None or job.account is None:
+            return True
+        capacity = spec.kv_tokens * len(self.accepting(job.needs))
+        return self.accounts.is_within_share(
+            job.service, job.account, tokens, capacity, self.clock.now()
+        )
+
     def waits_for_slot(self, needs: Needs, excluded: set[str]) -> bool:
         """Returns whether a slot of an endpoint has to become free."""
         return self._divides_slots(needs.service) and any(
@@ -219,7 +244,9 @@
             for known in self.accepting(needs)
         )
 
-    def _candidate(self, known: KnownEndpoint, now: int) -> Candidate:
+    def _candidate(
+        self, known: KnownEndpoint, now: int, slowness: float
+    ) -> Candidate:
         endpoint = known.endpoint
         engine = self.engine_spec(endpoint.service)
         return Candidate(
@@ -230,6 +257,7 @@
             self.suspicion.failure_share(endpoint.id),
             self.permits.is_limited(endpoint.id),
             self.slots.is_brittle(endpoint.service),
+            slowness,
         )
 
     async def send(
--- a/rhubarbwinch/gateway/eventrelay.py
+++ b/rhubarbwinch/gateway/eventrelay.py
@@ -9,6 +9,7 @@
 from rhubarbwinch.gateway import gatewaymetrics
 from rhubarbwinch.gateway.context import Context
 from rhubarbwinch.gateway.crashes import HARMLESS_EVENTS
+from rhubarbwinch.gateway.decisions.enginespeeds import SAMPLE_MS
 from rhubarbwinch.gateway.messages import StreamOrigin
 from rhubarbwinch.gateway.migration import Migrator
 from rhubarbwinch.gateway.runplacement import RunPlacer
@@ -52,6 +53,7 @@
     async def relay(self, run: Run, response: UpstreamResponse) -> bool:
         """Relays the events of one engine; returns whether the stream ended."""
         splitter = EventSplitter()
+        run.sample_ms = 0
         try:
             async with aclosing(
                 self._chunks_or_stall(run, response)
@@ -174,11 +176,27 @@
                 (now - job.received_ms) / 1000
             )
         run.last_event_ms = now
+        self._sample_speed(run, now)
         if run.reservation is not None and run.reservation.prefill:
             run.reservation.end_prefill()
             self._placer.handle_capacity_change()
             self._migrator.migrate_if_leaving(run)
 
+    def _sample_speed(self, run: Run, now: int) -> None:
+        """Measures the speed of the engine that executes a run."""
+        if not run.sample_ms:
+            run.sample_ms, run.sample_events = now, run.events
+            return
+        elapsed_ms = now - run.sample_ms
+        if elapsed_ms < SAMPLE_MS or run.reservation is None:
+            return
+        self._context.loads.speeds.record(
+            run.reservation.endpoint.id,
+            elapsed_ms / max(1, run.events - run.sample_events),
+            now,
+        )
+        run.sample_ms, run.sample_events = now, run.events
+
     def _record_origin(self, run: Run) -> None:
         """Keeps the version of a stream whose first event is relayed."""
         if run.version is None and run.reservation is not None:
--- a/rhubarbwinch/gateway/loads.py
+++ b/rhubarbwinch/gateway/loads.py
@@ -7,6 +7,7 @@
 
 import attrs
 
+from rhubarbwinch.gateway.decisions.enginespeeds import EngineSpeeds
 from rhubarbwinch.gateway.endpoints import Endpoint
 from rhubarbwinch.gateway.messages import EndpointLoad
 
@@ -51,10 +52,12 @@
 
     Attributes:
         version: Increases with each change that peers must receive at once.
+        speeds: The speeds of engines, which gateways tell with their loads.
     """
 
     def __init__(self) -> None:
         self.version = 0
+        self.speeds = EngineSpeeds()
         self._own: dict[str, Load] = {}
         self._plain_calls: dict[str, int] = {}
         self._last_by_peer: dict[str, _PeerLoads] = {}
@@ -110,7 +113,13 @@
     def own_loads(self) -> list[EndpointLoad]:
         """Returns the loads of this gateway, for its peers."""
         return [
-            EndpointLoad(name, load.runs, load.tokens, load.prefill)
+            EndpointLoad(
+                name,
+                load.runs,
+                load.tokens,
+                load.prefill,
+                self.speeds.announced(name),
+            )
             for name, load in self._own.items()
         ]
 
@@ -135,6 +144,9 @@
         if before != loads:
             self._add_peer_loads(before, -1)
             self._add_peer_loads(loads, 1)
+        for load in loads:
+            if load.event_ms:
+                self.speeds.receive(peer, load.endpoint, load.event_ms, now_ms)
 
     def refresh(self, peer: str, now_ms: int) -> None:
         """Records that a peer is alive and that its loads are unchanged."""
@@ -151,6 +163,7 @@
         ]
         for peer in silent:
             self._add_peer_loads(self._last_by_peer.pop(peer).loads, -1)
+            self.speeds.forget_peer(peer)
 
     def total(self, endpoint: str) -> Load:
         """Returns the load of all gateways at an endpoint."""
--- a/rhubarbwinch/gateway/messages.py
+++ b/rhubarbwinch/gateway/messages.py
@@ -13,12 +13,30 @@
         tokens: The KV cache that requests and copies are expected to need, in
             tokens.
         prefill: Prompt tokens whose prefill is pending.
+        event_ms: The time between events of the gateway's runs there; 0 if it
+            is not known.
     """
 
     endpoint: str
     runs: int
     tokens: int
     prefill: int = 0
+    event_ms: int = 0
+
+
+@attrs.frozen
+class AccountUsage:
+    """What a client account uses at a service through one gateway.
+
+    Attributes:
+        service: The name of the service.
+        account: The name of the client account.
+        tokens: The KV cache of its runs, in tokens.
+    """
+
+    service: str
+    account: str
+    tokens: int
 
 
 @attrs.frozen
@@ -135,6 +153,7 @@
             Mbit/s; 0 if it is not known.
         config_version: The version of the configuration in force at the sender;
             0 if there is none.
+        accounts: What client accounts use through the sender.
     """
 
     name: str
@@ -158,6 +177,7 @@
     refused_suspects: list[str] = attrs.field(factory=list)
     link_mbps: int = 0
     config_version: int = 0
+    accounts: list[AccountUsage] = attrs.field(factory=list)
 
     @property
     def address(self) -> PeerAddress:
--- a/rhubarbwinch/gateway/migrationtargets.py
+++ b/rhubarbwinch/gateway/migrationtargets.py
@@ -12,7 +12,7 @@
 import random
 
 from rhubarbwinch.gateway.endpoints import Endpoint
-from rhubarbwinch.gateway.placement import FAILING_RUNS, Candidate
+from rhubarbwinch.gateway.placement import FAILING_RUNS, OWN_RUNS, Candidate
 
 # A migrated run has generated a part of its output, so it soon occupies more
 # than its reservation.
@@ -108,7 +108,8 @@
 
 
 def _cost(candidate: Candidate, source: Endpoint) -> float:
-    cost = candidate.load.runs + FAILING_RUNS * candidate.failure_share
+    cost = (OWN_RUNS + candidate.load.runs) * candidate.slowness
+    cost += FAILING_RUNS * candidate.failure_share
     if candidate.endpoint.data_center != source.data_center:
         cost += TARGET_OTHER_DATA_CENTER_RUNS
     if candidate.is_rate_limited:
--- a/rhubarbwinch/gateway/peers.py
+++ b/rhubarbwinch/gateway/peers.py
@@ -104,6 +104,9 @@
         self._handle_suspects: Callable[[str, list[str]], None] = (
             lambda gateway, keys: None
         )
+        self._handle_usage: Callable[[str, Heartbeat | None], None] = (
+            lambda gateway, heartbeat: None
+        )
         broadcast.on(Heartbeat, self.receive)
         broadcast.on(HeartbeatDigest, self.receive_digest)
 
@@ -250,6 +253,14 @@
         """Sets the handler of the suspects that a peer refuses."""
         self._handle_suspects = handle
 
+    def on_usage(self, handle: Callable[[str, Heartbeat | None], None]) -> None:
+        """Sets the handler of what accounts use through a peer.
+
+        It is called with the name of the peer, and with its heartbeat or, when
+        the peer has fallen silent, None.
+        """
+        self._handle_usage = handle
+
     def send_to(self, names: Iterable[str], message: Any) -> None:
         """Sends a message to the peers with these names without blocking."""
         self._broadcast.send_to(
@@ -385,6 +396,7 @@
         self._broadcast.add(address.broadcast)
 
     def _on_heartbeat(self, heartbeat: Heartbeat) -> None:
+        self._handle_usage(heartbeat.name, heartbeat)
         if heartbeat.limits:
             self._handle_limits(heartbeat.name, heartbeat.limits)
         if heartbeat.brittle_services:
@@ -392,6 +404,10 @@
         if heartbeat.refused_suspects:
             self._handle_suspects(heartbeat.name, heartbeat.refused_suspects)
 
+    def _on_peer_lost(self, peer: Peer) -> None:
+        if peer.last_heartbeat is not None:
+            self._handle_usage(peer.last_heartbeat.name, None)
+
     def _on_peer_forgotten(self, peer: Peer) -> None:
         if peer.last_heartbeat is not None:
             self._relay.forget(peer.last_heartbeat.name)
--- a/rhubarbwinch/gateway/peertable.py
+++ b/rhubarbwinch/gateway/peertable.py
@@ -352,6 +352,7 @@
                 events.GATEWAY_LOST.log(
                     peer=link, silent_ms=now - peer.last_arrival_ms
                 )
+                self._on_peer_lost(peer)
             peer.was_alive = is_alive
             if now - max(peer.last_arrival_ms, peer.added_ms) > FORGET_AFTER_MS:
                 del self._peers[link]
@@ -382,5 +383,8 @@
     def _on_heartbeat(self, heartbeat: Heartbeat) -> None:
         """Called with each new heartbeat that has its sender's whole state."""
 
+    def _on_peer_lost(self, peer: Peer) -> None:
+        """Called when a peer has fallen silent."""
+
     def _on_peer_forgotten(self, peer: Peer) -> None:
         """Called when a peer has been silent for long."""
--- a/rhubarbwinch/gateway/placement.py
+++ b/rhubarbwinch/gateway/placement.py
@@ -37,6 +37,9 @@
 PLAIN_FAILURE_FACTOR = 4.0
 PLAIN_WARMUP_FACTOR = 2.0
 PLAIN_OTHER_DATA_CENTER_FACTOR = 1.1
+# Cost in runs of the new run itself, which decides how much a slow engine costs
+# while it is idle.
+OWN_RUNS = 4.0
 # Cost in runs of an engine that is still warming up.
 WARMUP_RUNS = 4.0
 
@@ -76,6 +79,7 @@
         failure_share: The share of recent calls that failed.
         is_rate_limited: Whether it accepts only some requests a second.
         is_brittle: Whether it falls over when it refuses many requests.
+        slowness: The time that an engine takes, as a multiple of the usual one.
     """
 
     endpoint: Endpoint
@@ -85,6 +89,7 @@
     failure_share: float = 0.0
     is_rate_limited: bool = False
     is_brittle: bool = False
+    slowness: float = 1.0
 
     def fits(self, tokens: int, kv_cache_share: float) -> bool:
         """Returns whether a run of `tokens` fits beside the other runs.
@@ -133,9 +138,10 @@
     candidate: Candidate, data_center: str, freshness: LoadFreshness
 ) -> float:
     load = candidate.load
-    cost = load.runs + load.prefill / PREFILL_TOKENS_PER_RUN
+    cost = OWN_RUNS + load.runs + load.prefill / PREFILL_TOKENS_PER_RUN
     if candidate.capacity_tokens:
         cost += FULL_KV_CACHE_RUNS * load.tokens / candidate.capacity_tokens
+    cost *= candidate.slowness
     if not candidate.is_warm:
         cost += WARMUP_RUNS
     if candidate.endpoint.data_center != data_center:
--- a/rhubarbwinch/gateway/program.py
+++ b/rhubarbwinch/gateway/program.py
@@ -13,6 +13,7 @@
 from rhubarbwinch.gateway.context import Context
 from rhubarbwinch.gateway.crashes import CrashTracker
 from rhubarbwinch.gateway.crashsuspects import CrashSuspects
+from rhubarbwinch.gateway.decisions.accountshares import AccountShares
 from rhubarbwinch.gateway.decisions.configfreshness import ConfigFreshness
 from rhubarbwinch.gateway.decisions.warmups import Warmups
 from rhubarbwinch.gateway.edge import EdgeServer
@@ -212,6 +213,7 @@
             takeups=TakeUps(
                 StreamOrigins(settings.name), self._peers, fleet, clock
             ),
+            accounts=AccountShares(),
             regions=settings.regions,
             freshness=ConfigFreshness(settings.config_apply_ms),
             on_leaving=self._handle_declared_leaving,
@@ -369,6 +371,7 @@
         self._broadcast.on(HarmlessNotice, crashes.handle_harmless_notice)
         self._peers.on_refused_suspects(crashes.handle_listing)
         self._peers.on_brittle_services(self._handle_brittle_services)
+        self._peers.on_usage(self._handle_usage)
         self._broadcast.on(FailureNotice, self._context.handle_failure)
         permits = self._context.permits
         self._broadcast.on(FullNotice, permits.handle_full_notice)
@@ -397,6 +400,7 @@
             isolated_from=self._context.isolation.services,
             refused_suspects=self._context.crashes.listing(),
             config_version=self._config_version,
+            accounts=self._context.accounts.usages(),
         )
 
     def _apply_limits(self, table: RoutingTable) -> None:
@@ -427,6 +431,10 @@
             snapshot, leaving=self._cluster_view.leaving_notices()
         )
 
+    def _handle_usage(self, gateway: str, heartbeat: Heartbeat | None) -> None:
+        usages = heartbeat.accounts if heartbeat is not None else []
+        self._context.accounts.receive(gateway, usages, self._clock.now())
+
     def _handle_brittle_services(self, services: list[str]) -> None:
         shares = self._context.slots.shares
         shares.record_listing(services, self._clock.now())
--- a/rhubarbwinch/gateway/runplacement.py
+++ b/rhubarbwinch/gateway/runplacement.py
@@ -4,9 +4,15 @@
 
 from rhubarbwinch.gateway import migrationtargets, placement
 from rhubarbwinch.gateway.context import Context
+from rhubarbwinch.gateway.decisions.accountshares import without_reserve
 from rhubarbwinch.gateway.loads import Reservation
 from rhubarbwinch.gateway.runs import Run
-from rhubarbwinch.gateway.waitqueue import MAX_WAIT_SHARE, Waiter, WaitQueue
+from rhubarbwinch.gateway.waitqueue import (
+    MAX_WAIT_SHARE,
+    Rank,
+    Waiter,
+    WaitQueue,
+)
 from rhubarbwinch.shared import events
 from rhubarbwinch.shared.verdict import Failure, Reason, not_run
 
@@ -55,13 +61,13 @@
         queue = self._queues.setdefault(
             (job.service, run.version), WaitQueue(context.clock)
         )
-        if queue.is_first(job.priority, job.objective_ms) and self._try_reserve(
-            run
-        ):
+        run.is_within_share = context.is_within_share(job, run.mean_tokens)
+        rank = Rank(job.priority, not run.is_within_share, job.objective_ms)
+        if queue.is_first(rank) and self._try_reserve(run):
             return None
-        if queue.exceeds_wait_limit(job.priority, job.objective_ms, limit_ms):
-            return self._refuse(run, queue, "too many wait before it")
-        waiter = queue.enqueue(job.priority, job.objective_ms)
+        if queue.exceeds_wait_limit(rank, limit_ms):
+            return self._refuse(run, queue, rank, "too many wait before it")
+        waiter = queue.enqueue(rank)
         try:
             with anyio.move_on_after(limit_ms / 1000):
                 await self._wait_until_reserved(run, waiter)
@@ -73,7 +79,7 @@
             run, OVERCOMMIT_KV_CACHE_SHARE
         ):
             return None
-        return self._refuse(run, queue, f"no room in {limit_ms} ms")
+        return self._refuse(run, queue, rank, f"no room in {limit_ms} ms")
 
     def _find_hopeless(
         self, run: Run, left_ms: int, limit_ms: int
@@ -108,11 +114,37 @@
             if self._try_reserve(run):
                 return
 
-    def _refuse(self, run: Run, queue: WaitQueue, detail: str) -> Failure:
+    def end_run(self, run: Run) -> None:
+        """Ends what is counted for a run, which has released its capacity."""
+        job = run.job
+        if run.counted_tokens and job.account is not None:
+            self._context.accounts.add(
+                job.service,
+                job.account,
+                -run.counted_tokens,
+                self._context.clock.now(),
+            )
+            run.counted_tokens = 0
+        self.handle_capacity_change()
+
+    def _count_for_account(self, run: Run, tokens: int) -> None:
         job = run.job
-        retry_hint_ms = queue.retry_after_ms(job.priority, job.objective_ms)
+        if not run.counted_tokens and job.account is not None:
+            run.counted_tokens = tokens
+            self._context.accounts.add(
+                job.service, job.account, tokens, self._context.clock.now()
+            )
+
+    def _refuse(
+        self, run: Run, queue: WaitQueue, rank: Rank, detail: str
+    ) -> Failure:
+        retry_hint_ms = queue.retry_after_ms(rank)
         events.NO_ROOM.log(
-            request=run.id, waiting=len(queue), retry_after_ms=retry_hint_ms
+            request=run.id,
+            account=run.job.account,
+            within_share=run.is_within_share,
+            waiting=len(queue),
+            retry_after_ms=retry_hint_ms,
         )
         return not_run(Reason.QUEUE_FULL, detail, retry_hint_ms)
 
@@ -123,6 +155,8 @@
         context, job = self._context, run.job
         tokens = run.mean_tokens
         candidates = context.candidates(run.needs, job.tried)
+        if not run.is_within_share:
+            candidates = without_reserve(candidates)
         chosen = placement.choose_engine(
             candidates,
             tokens,
@@ -146,8 +180,10 @@
             runs=chosen.load.runs,
             tokens=chosen.load.tokens,
             needed=tokens,
+            slowness=round(chosen.slowness, 2),
             engines=len(candidates),
         )
+        self._count_for_account(run, tokens)
         self.reserve_standby(run)
         context.peers.announce_loads()
         return True
--- a/rhubarbwinch/gateway/runs.py
+++ b/rhubarbwinch/gateway/runs.py
@@ -44,6 +44,12 @@
         events: Number of events sent to the caller.
         head_sent: Whether the response head was sent.
         last_event_ms: When the last event was received.
+        counted_tokens: The KV cache that is counted for its client account; 0
+            before the run is placed.
+        is_within_share: Whether its client account uses at most its share.
+        sample_ms: When the current sample of its engine's speed began; 0 before
+            the first event of the engine.
+        sample_events: Number of events when the sample began.
         is_harmless: Whether its engine has begun to answer it without a crash.
         target: Where the run resumes if its engine ends; None without a
             migrated copy.
@@ -63,6 +69,10 @@
     events: int = 0
     head_sent: bool = False
     last_event_ms: int = 0
+    counted_tokens: int = 0
+    is_within_share: bool = True
+    sample_ms: int = 0
+    sample_events: int = 0
     is_harmless: bool = False
     target: MigrationTarget | None = None
     migration_scope: anyio.CancelScope | None = None
--- a/rhubarbwinch/gateway/streams.py
+++ b/rhubarbwinch/gateway/streams.py
@@ -60,7 +60,7 @@
             finally:
                 self._runs.discard(run)
                 run.release()
-                self._placer.handle_capacity_change()
+                self._placer.end_run(run)
                 tasks.cancel_scope.cancel()
         if failed:
             raise failed[0]
--- a/rhubarbwinch/gateway/waitqueue.py
+++ b/rhubarbwinch/gateway/waitqueue.py
@@ -1,9 +1,9 @@
 """Queues generations until an engine has capacity for them.
 
 This handles bursts and the loss of engines, when demand exceeds capacity for
-some seconds. Requests of higher priority go first and, among equals, those with
-the earlier objective. A request that is not expected to be placed in time is
-refused at once.
+some seconds. Requests of higher priority go first, among equals those of client
+accounts that use at most their share, then those with the earlier objective. A
+request that is not expected to be placed in time is refused at once.
 """
 
 import anyio
@@ -25,24 +25,32 @@
 MIN_RETRY_AFTER_MS = 200
 
 
-@attrs.define(eq=False)
-class Waiter:
-    """A request that waits.
+@attrs.frozen(order=True)
+class Rank:
+    """The rank of a request in the queue; the lowest goes first.
 
     Attributes:
         priority: Its priority, 0 first.
+        is_over_share: Whether its client account uses more than its share.
         deadline_ms: The time at which its latency objective ends.
-        may_try: Set when the request may try to be placed.
     """
 
     priority: int
+    is_over_share: bool
     deadline_ms: int
-    may_try: anyio.Event = attrs.field(factory=anyio.Event)
 
-    @property
-    def sort_key(self) -> tuple[int, int]:
-        """The sort key; the lowest goes first."""
-        return (self.priority, self.deadline_ms)
+
+@attrs.define(eq=False)
+class Waiter:
+    """A request that waits.
+
+    Attributes:
+        rank: Its rank.
+        may_try: Set when the request may try to be placed.
+    """
+
+    rank: Rank
+    may_try: anyio.Event = attrs.field(factory=anyio.Event)
 
 
 class WaitQueue:
@@ -61,27 +69,21 @@
     def __len__(self) -> int:
         return len(self._waiters)
 
-    def expected_wait_ms(self, priority: int, deadline_ms: int) -> int:
+    def expected_wait_ms(self, rank: Rank) -> int:
         """Returns how long a new request would wait behind those ahead."""
-        ahead = sum(
-            w.sort_key <= (priority, deadline_ms) for w in self._waiters
-        )
+        ahead = sum(w.rank <= rank for w in self._waiters)
         return int((ahead + 1) * self._gap_ms)
 
-    def exceeds_wait_limit(
-        self, priority: int, deadline_ms: int, limit_ms: int
-    ) -> bool:
+    def exceeds_wait_limit(self, rank: Rank, limit_ms: int) -> bool:
         """Returns whether a new request's wait would exceed the limit."""
         if not self._waiters:
             return False
-        wait_ms = self.expected_wait_ms(priority, deadline_ms)
+        wait_ms = self.expected_wait_ms(rank)
         return wait_ms > WAIT_LIMIT_FACTOR * limit_ms
 
-    def retry_after_ms(self, priority: int, deadline_ms: int) -> int:
+    def retry_after_ms(self, rank: Rank) -> int:
         """Returns after how long a refused request may be retried."""
-        return max(
-            MIN_RETRY_AFTER_MS, self.expected_wait_ms(priority, deadline_ms)
-        )
+        return max(MIN_RETRY_AFTER_MS, self.expected_wait_ms(rank))
 
     def record_admission(self) -> None:
         """Updates the average time between admissions while others wait."""
@@ -91,15 +93,15 @@
             self._gap_ms += GAP_AVERAGE_WEIGHT * (gap - self._gap_ms)
         self._admitted_ms = now
 
-    def is_first(self, priority: int, deadline_ms: int) -> bool:
+    def is_first(self, rank: Rank) -> bool:
         """Returns whether a new request would be ahead of all waiting ones."""
-        return all(w.sort_key > (priority, deadline_ms) for w in self._waiters)
+        return all(w.rank > rank for w in self._waiters)
 
-    def enqueue(self, priority: int, deadline_ms: int) -> Waiter:
+    def enqueue(self, rank: Rank) -> Waiter:
         """Adds a request to the queue."""
-        waiter = Waiter(priority, deadline_ms)
+        waiter = Waiter(rank)
         self._waiters.append(waiter)
-        self._waiters.sort(key=lambda w: w.sort_key)
+        self._waiters.sort(key=lambda w: w.rank)
         gatewaymetrics.WAITING.set(len(self._waiters))
         return waiter
 
--- a/tests/gatewayharness.py
+++ b/tests/gatewayharness.py
@@ -10,6 +10,7 @@
 from rhubarbwinch.gateway.context import Context
 from rhubarbwinch.gateway.crashes import CrashTracker
 from rhubarbwinch.gateway.crashsuspects import CrashSuspects
+from rhubarbwinch.gateway.decisions.accountshares import AccountShares
 from rhubarbwinch.gateway.decisions.configfreshness import ConfigFreshness
 from rhubarbwinch.gateway.decisions.eligibility import Regions
 from rhubarbwinch.gateway.decisions.warmups import Warmups
@@ -140,6 +141,7 @@
             takeups=TakeUps(
                 StreamOrigins("g1"), NoPeers(), fleet, SystemClock()
             ),
+            accounts=AccountShares(),
             regions=regions or Regions(),
             freshness=ConfigFreshness(2_000),
             on_leaving=self._handle_leaving,
