--- a/rhubarbwinch/gateway/clusterview.py
+++ b/rhubarbwinch/gateway/clusterview.py
@@ -4,7 +4,11 @@
 
 from rhubarbwinch.gateway import gatewaymetrics
 from rhubarbwinch.gateway.context import Context
-from rhubarbwinch.gateway.messages import LeavingNotice, PeerAddress
+from rhubarbwinch.gateway.messages import (
+    GoneNotice,
+    LeavingNotice,
+    PeerAddress,
+)
 from rhubarbwinch.gateway.routes import RoutingTable
 from rhubarbwinch.gateway.streams import StreamCalls
 from rhubarbwinch.http.transport import Transport
@@ -60,6 +64,31 @@
             )
             self._handle_leaving(notice.endpoint)
 
+    def apply_gone_notice(self, notice: GoneNotice) -> bool:
+        """Applies a notice that the start of an endpoint is gone.
+
+        Returns:
+            Whether this gateway did not know it before.
+        """
+        if not self._context.fleet.mark_gone(
+            notice.endpoint,
+            notice.started_ms,
+            notice.position,
+            self._context.clock.now(),
+        ):
+            return False
+        gatewaymetrics.GONE_ENDPOINTS.inc()
+        events.ENDPOINT_GONE.log(
+            endpoint=notice.endpoint,
+            started_ms=notice.started_ms,
+            position=notice.position,
+        )
+        self._forget_declarations(notice.endpoint)
+        known = self._context.fleet.get(notice.endpoint)
+        if known is not None:
+            self._streams.handle_leaving_engine(known.endpoint)
+        return True
+
     def leaving_notices(self) -> list[LeavingNotice]:
         """Returns the known leaving endpoints, for a gateway that starts."""
         return [
@@ -158,9 +187,16 @@
         if before is not None and before.incarnation != endpoint.incarnation:
             # What it has declared ended with its earlier incarnation.
             context.permits.forget(endpoint_id)
+        superseded_before = context.fleet.superseded(endpoint.address)
         leaves = context.fleet.apply_registration(
             endpoint, context.clock.now(), revision
         )
+        for name in sorted(
+            context.fleet.superseded(endpoint.address) - superseded_before
+        ):
+            events.ENDPOINT_SUPERSEDED.log(
+                endpoint=name, address=endpoint.address, revision=revision
+            )
         if (
             before is None
             or before.state is not endpoint.state
@@ -189,8 +225,12 @@
         if known is None:
             return
         self._transport.close_idle(known.endpoint.address)
+        self._forget_declarations(endpoint_id)
+        self._streams.handle_leaving_engine(known.endpoint)
+
+    def _forget_declarations(self, endpoint_id: str) -> None:
+        """Forgets what an endpoint has declared and how it failed."""
         self._context.suspicion.forget(endpoint_id)
         self._context.reports.forget(endpoint_id)
         self._context.slots.shares.forget(endpoint_id)
         self._context.permits.forget(endpoint_id)
-        self._streams.handle_leaving_engine(known.endpoint)
--- a/rhubarbwinch/gateway/context.py
+++ b/rhubarbwinch/gateway/context.py
@@ -24,7 +24,11 @@
 from rhubarbwinch.gateway.isolationmonitor import IsolationMonitor
 from rhubarbwinch.gateway.job import Job
 from rhubarbwinch.gateway.loads import LoadTracker
-from rhubarbwinch.gateway.messages import FailureNotice, FullNotice
+from rhubarbwinch.gateway.messages import (
+    FailureNotice,
+    FullNotice,
+    GoneNotice,
+)
 from rhubarbwinch.gateway.migratedcopies import CopyManager
 from rhubarbwinch.gateway.peers import Peers
 from rhubarbwinch.gateway.permits import Permits
@@ -75,10 +79,15 @@
         tracer: Creates spans of requests; None if tracing is off.
         freshness: Decides what the active configuration shows.
         on_leaving: Called with an endpoint whose response says that it leaves.
+        on_gone: Called when a response has shown that the start of an endpoint
+            is gone, with the position in the store's history that was known
+            before.
         table: The active configuration; None before the first one.
         is_draining: Whether the gateway is shutting down.
         store_confirmed_ms: Returns the milliseconds since the store has last
             confirmed to this gateway or a peer that it knows all changes.
+        store_position: Returns the highest position in the store's history that
+            this gateway or a peer has reached.
     """
 
     data_center: str
@@ -101,10 +110,12 @@
     takeups: TakeUps
     freshness: ConfigFreshness
     on_leaving: Callable[[Endpoint], None]
+    on_gone: Callable[[GoneNotice], None]
     tracer: Tracer | None = None
     table: RoutingTable | None = None
     is_draining: bool = False
     store_confirmed_ms: Callable[[], int] = lambda: 0
+    store_position: Callable[[], int] = lambda: 0
     _last_response_ms: dict[str, int] = attrs.field(factory=dict)
 
     def engine_spec(self, service: str) -> EngineSpec | None:
@@ -186,12 +197,18 @@
         Raises:
             EndpointError: No head of a response was received.
         """
+        # A registration that is written while the request is on its way may be
+        # a newer one, so it is not covered by a response with status 421.
+        position = self.store_position()
         response = await self.upstream.send(
             endpoint, job.call, job.body, options, is_repeatable
         )
         self._last_response_ms[endpoint.service] = self.clock.now()
         if response.is_new_connection:
             self.isolation_monitor.record_connected(endpoint.service)
+        if response.head.is_endpoint_gone:
+            job.gone += 1
+            self.on_gone(GoneNotice(endpoint.id, endpoint.started_ms, position))
         declared = response.head.declared
         if declared is not None:
             self.permits.record_response(
@@ -410,6 +427,15 @@
             BrokenResponse(job.call.request_id, address, crash, events_received)
         )
 
+    def gone_failure(self, retry_after_ms: int) -> Failure:
+        """Counts an attempt at a gone endpoint; returns its failure."""
+        gatewaymetrics.ATTEMPTS.labels("gone").inc()
+        return not_run(
+            Reason.NO_ENDPOINT,
+            "the endpoint is no longer at its address",
+            retry_after_ms,
+        )
+
     def record_send(self, job: Job) -> None:
         """Records that a request is sent to an endpoint."""
         job.sends += 1
--- a/rhubarbwinch/gateway/failover.py
+++ b/rhubarbwinch/gateway/failover.py
@@ -4,6 +4,7 @@
 
 from rhubarbwinch.gateway import gatewaymetrics
 from rhubarbwinch.gateway.context import Context
+from rhubarbwinch.gateway.decisions.restartedendpoints import may_attempt
 from rhubarbwinch.gateway.endpoints import Endpoint
 from rhubarbwinch.gateway.generationsender import GenerationSender
 from rhubarbwinch.gateway.loads import Reservation
@@ -118,19 +119,33 @@
     ) -> UpstreamResponse | None:
         """Restarts a resumable run after its last event at another engine."""
         job = run.job
-        if job.sends >= job.route.max_attempts:
-            return None
         job.tried.add(source.id)
-        if not self._sender.acquire_retry(run):
-            return None
-        run.release()
-        if await self._placer.place(run) is not None or run.reservation is None:
-            return None
-        await self._migrator.stop(
-            run, source, run.reservation.endpoint, is_copy_used=False
-        )
-        result = await self._sender.open(run, run.reservation.endpoint, None)
-        return result if isinstance(result, UpstreamResponse) else None
+        fleet = self._context.fleet
+        endpoints = len(fleet.accepting_for_service(job.service))
+        is_stopped = False
+        while may_attempt(
+            job.sends, job.gone, job.route.max_attempts, endpoints
+        ):
+            if not self._sender.acquire_retry(run):
+                return None
+            run.release()
+            if await self._placer.place(run) is not None:
+                return None
+            assert run.reservation is not None
+            target = run.reservation.endpoint
+            if not is_stopped:
+                await self._migrator.stop(
+                    run, source, target, is_copy_used=False
+                )
+                is_stopped = True
+            gone_before = job.gone
+            result = await self._sender.open(run, target, None)
+            if isinstance(result, UpstreamResponse):
+                return result
+            if job.gone == gone_before:
+                return None
+            job.tried.add(target.id)
+        return None
 
     def _replace_reservation(self, run: Run, reservation: Reservation) -> None:
         """Replaces the reservation of a run and reserves a new standby."""
--- a/rhubarbwinch/gateway/fleet.py
+++ b/rhubarbwinch/gateway/fleet.py
@@ -7,6 +7,7 @@
 
 import attrs
 
+from rhubarbwinch.gateway.decisions.restartedendpoints import GoneStarts
 from rhubarbwinch.gateway.endpoints import Endpoint, EndpointState
 from rhubarbwinch.stores import positions
 
@@ -35,6 +36,12 @@
         has_declared_leaving: Whether it has said in a response that it leaves.
         ready_revision: The store's revision, in any era, of the entry by which
             it was last ready; 0 if it is not known.
+        position: The position of its newest entry in the store's history; 0 if
+            it is not known.
+        is_gone: Whether a response has shown that this start is no longer at
+            its address.
+        is_superseded: Whether another registration has its address and a later
+            start.
     """
 
     endpoint: Endpoint
@@ -45,6 +52,9 @@
     is_readable: bool = True
     has_declared_leaving: bool = False
     ready_revision: int = 0
+    position: int = 0
+    is_gone: bool = False
+    is_superseded: bool = False
 
     @property
     def has_expired(self) -> bool:
@@ -54,7 +64,12 @@
     @property
     def accepts_requests(self) -> bool:
         """Whether new requests may be placed at the endpoint."""
-        return not self.is_leaving and self.is_readable
+        return (
+            not self.is_leaving
+            and self.is_readable
+            and not self.is_gone
+            and not self.is_superseded
+        )
 
 
 class Fleet:
@@ -62,6 +77,8 @@
 
     def __init__(self) -> None:
         self._known: dict[str, KnownEndpoint] = {}
+        self._ids_by_address: dict[str, set[str]] = {}
+        self._gone = GoneStarts()
 
     def get(self, endpoint_id: str) -> KnownEndpoint | None:
         """Returns the known state of an endpoint, or None."""
@@ -97,14 +114,26 @@
             position: Its position in the store's history; 0 if not known.
         """
         known = self._known.get(endpoint.id)
+        if known is not None and _is_earlier_start(endpoint, known.endpoint):
+            return False
         is_new = (
             known is None
             or known.endpoint.incarnation != endpoint.incarnation
             or known.endpoint.address != endpoint.address
         )
         if known is None or is_new:
+            if known is not None:
+                self._release_address(known.endpoint)
             known = self._known[endpoint.id] = KnownEndpoint(endpoint)
+            self._ids_by_address.setdefault(endpoint.address, set()).add(
+                endpoint.id
+            )
+            self._update_superseded(endpoint.address)
         known.endpoint = endpoint
+        known.position = position
+        known.is_gone = self._gone.is_gone(
+            endpoint.id, endpoint.started_ms, position
+        )
         known.expiry_deadline_ms = 0
         known.is_readable = True
         known.warmed_up_at_ms = now_ms + endpoint.warmup_ms
@@ -160,6 +189,39 @@
         known.has_declared_leaving |= is_declared
         return self._start_leaving(known, now_ms)
 
+    def mark_gone(
+        self, endpoint_id: str, started_ms: int, position: int, now_ms: int
+    ) -> bool:
+        """Applies a response or notice that the start of an endpoint is gone.
+
+        Args:
+            endpoint_id: The endpoint's id.
+            started_ms: Identifies the start that is gone.
+            position: The position in the store's history that was reached
+                before the response. Later registrations are valid.
+            now_ms: The current time.
+
+        Returns:
+            Whether the endpoint is now known to be gone and was not before.
+        """
+        known = self._known.get(endpoint_id)
+        revision = positions.revision_of(known.position) if known else 0
+        self._gone.mark(endpoint_id, started_ms, position, revision, now_ms)
+        if known is None or known.is_gone:
+            return False
+        known.is_gone = self._gone.is_gone(
+            endpoint_id, known.endpoint.started_ms, known.position
+        )
+        return known.is_gone
+
+    def superseded(self, address: str) -> set[str]:
+        """Returns the ids at an address that a later start has taken over."""
+        return {
+            known.endpoint.id
+            for known in self._at_address(address)
+            if known.is_superseded
+        }
+
     def all_leaving(self) -> list[KnownEndpoint]:
         """Returns the leaving endpoints whose state is still kept."""
         return [known for known in self._known.values() if known.is_leaving]
@@ -203,11 +265,43 @@
             for name, known in self._known.items()
             if known.is_leaving
             and now_ms - known.leaving_since_ms > LEFT_RETENTION_MS
+            and not self._supersedes_registered(known)
         ]
         for name in outdated:
-            del self._known[name]
+            self._release_address(self._known.pop(name).endpoint)
+        self._gone.expire(set(self._known), now_ms)
         return due
 
+    def _release_address(self, endpoint: Endpoint) -> None:
+        """Handles an endpoint that is no longer registered at its address."""
+        ids = self._ids_by_address[endpoint.address]
+        ids.discard(endpoint.id)
+        self._update_superseded(endpoint.address)
+        if not ids:
+            del self._ids_by_address[endpoint.address]
+
+    def _update_superseded(self, address: str) -> None:
+        """Decides which registrations with an address are valid."""
+        sharing = self._at_address(address)
+        for known in sharing:
+            known.is_superseded = any(
+                _is_earlier_start(known.endpoint, other.endpoint)
+                for other in sharing
+            )
+
+    def _at_address(self, address: str) -> list[KnownEndpoint]:
+        return [
+            self._known[name] for name in self._ids_by_address.get(address, ())
+        ]
+
+    def _supersedes_registered(self, known: KnownEndpoint) -> bool:
+        """Returns whether an earlier start would become valid without it."""
+        return any(
+            not other.is_leaving
+            and _is_earlier_start(other.endpoint, known.endpoint)
+            for other in self._at_address(known.endpoint.address)
+        )
+
     def _start_leaving(self, known: KnownEndpoint, now_ms: int) -> bool:
         if known.is_leaving:
             return False
@@ -216,6 +310,17 @@
         return True
 
 
+def _is_earlier_start(endpoint: Endpoint, other: Endpoint) -> bool:
+    """Returns whether another registration has its address and began later.
+
+    Registrations without a start can't be compared.
+    """
+    return (
+        endpoint.address == other.address
+        and 0 < endpoint.started_ms < other.started_ms
+    )
+
+
 def _is_deleted_since(known: KnownEndpoint, since_ms: int | None) -> bool:
     """Returns whether an expired entry was deleted at a time or later."""
     if since_ms is None:
--- a/rhubarbwinch/gateway/gatewaymetrics.py
+++ b/rhubarbwinch/gateway/gatewaymetrics.py
@@ -94,6 +94,11 @@
     "Plain calls that waited for a slot of a brittle endpoint.",
     registry=REGISTRY,
 )
+GONE_ENDPOINTS = Counter(
+    "rhubarbwinch_gone_endpoints",
+    "Starts of endpoints marked as gone from their address (status 421).",
+    registry=REGISTRY,
+)
 LOG_LINES_DROPPED = Counter(
     "rhubarbwinch_log_lines_dropped",
     "Log lines that were not written, over the budget or to a slow reader.",
--- a/rhubarbwinch/gateway/generationsender.py
+++ b/rhubarbwinch/gateway/generationsender.py
@@ -120,6 +120,8 @@
             body = await response.read()
         finally:
             await response.close()
+        if head.is_endpoint_gone:
+            return context.gone_failure(RETRY_AFTER_MS)
         if head.is_refusal:
             context.record_outcome(
                 job, job.service, endpoint.id, AttemptOutcome.REFUSED
--- a/rhubarbwinch/gateway/job.py
+++ b/rhubarbwinch/gateway/job.py
@@ -29,6 +29,8 @@
         sends: Number of attempts at endpoints.
         sent_ms: When the last of them began.
         unreachable: Number of attempts for which no connection could be made.
+        gone: Number of attempts whose response showed that the start of the
+            endpoint is gone.
         is_forwarded: Whether another gateway has passed the request on.
         tried: Ids of endpoints that were tried and are left out from now on.
     """
@@ -48,6 +50,7 @@
     sends: int = 0
     sent_ms: int = 0
     unreachable: int = 0
+    gone: int = 0
     is_forwarded: bool = False
     tried: set[str] = attrs.field(factory=set)
 
@@ -56,6 +59,11 @@
         """Number of attempts that may have reached an endpoint."""
         return self.sends - self.unreachable
 
+    @property
+    def counted_sends(self) -> int:
+        """Number of attempts that count towards the maximum of a route."""
+        return self.sends - self.gone
+
     @property
     def suspect_keys(self) -> tuple[str, ...]:
         """What is counted against the request when its endpoint crashes."""
--- a/rhubarbwinch/gateway/messages.py
+++ b/rhubarbwinch/gateway/messages.py
@@ -351,6 +351,22 @@
     is_declared: bool = False
 
 
+@attrs.frozen
+class GoneNotice:
+    """Reports that the start of an endpoint is gone from its address.
+
+    Attributes:
+        endpoint: The endpoint's id.
+        started_ms: Unix time of the start that is gone.
+        position: The position in the store's history that the sender knew of
+            before the response that shows it. Later registrations are valid.
+    """
+
+    endpoint: str
+    started_ms: int
+    position: int
+
+
 @attrs.frozen
 class Snapshot:
     """A gateway's whole replica of the store.
--- a/rhubarbwinch/gateway/plaincalls.py
+++ b/rhubarbwinch/gateway/plaincalls.py
@@ -5,6 +5,7 @@
 
 from rhubarbwinch.gateway import failureresponses, gatewaymetrics, placement
 from rhubarbwinch.gateway.context import Context
+from rhubarbwinch.gateway.decisions.restartedendpoints import may_attempt
 from rhubarbwinch.gateway.edge import EdgeResponder
 from rhubarbwinch.gateway.endpoints import Endpoint
 from rhubarbwinch.gateway.job import Job
@@ -20,7 +21,8 @@
 # The first attempt of a repeatable call gets this share of the time, so that
 # after a hanging attempt enough time is left for a second one.
 FIRST_ATTEMPT_SHARE = 0.5
-# Attempts per call, including refused ones.
+# Attempts per call, including refused ones. Attempts at endpoints that are gone
+# from their address are not counted.
 MAX_ATTEMPTS = 3
 # Connections that fail before the rest of a short time is left to others.
 MAX_UNREACHABLE = 2
@@ -73,7 +75,10 @@
         )
         may_have_run = 0
         error_response: WholeResponse | None = None
-        while job.sends < MAX_ATTEMPTS and self._has_time(job):
+        endpoints = len(context.fleet.accepting_for_service(job.service))
+        while self._has_time(job) and may_attempt(
+            job.sends, job.gone, MAX_ATTEMPTS, endpoints
+        ):
             endpoint = await self._next_endpoint(job, not may_have_run)
             if isinstance(endpoint, Failure):
                 if not job.sends or (
@@ -196,7 +201,7 @@
         """Sends a call to one endpoint."""
         context = self._context
         limit_ms = left_ms + RESPONSE_GRACE_MS
-        if self._may_repeat(job, runs_before) and not job.tried - {endpoint.id}:
+        if self._may_repeat(job, runs_before) and job.counted_sends == 1:
             limit_ms = int(left_ms * FIRST_ATTEMPT_SHARE)
         started_ms = context.clock.now()
         context.loads.add_unannounced(endpoint.id, 1)
@@ -242,6 +247,11 @@
         finally:
             await response.close()
         head = response.head
+        if head.is_endpoint_gone:
+            self._log_attempt(
+                job, endpoint, started_ms, f"gone by {head.status}"
+            )
+            return context.gone_failure(RETRY_AFTER_MS)
         if head.is_refusal:
             context.record_outcome(
                 job, job.service, endpoint.id, AttemptOutcome.REFUSED
--- a/rhubarbwinch/gateway/platforminterface.py
+++ b/rhubarbwinch/gateway/platforminterface.py
@@ -125,6 +125,8 @@
         headers: The headers that are relayed to the caller unchanged.
         declared: What the endpoint declares about itself; None if the response
             does not come from the endpoint that was addressed.
+        is_endpoint_gone: Whether the endpoint that was addressed is no longer
+            at its address; the request has not run and will not run.
     """
 
     status: int
@@ -133,6 +135,7 @@
     is_altered: bool
     headers: Headers
     declared: DeclaredState | None = None
+    is_endpoint_gone: bool = False
 
 
 class MoveState(enum.StrEnum):
--- a/rhubarbwinch/gateway/program.py
+++ b/rhubarbwinch/gateway/program.py
@@ -25,6 +25,7 @@
     CrashNotice,
     FailureNotice,
     FullNotice,
+    GoneNotice,
     HarmlessNotice,
     Heartbeat,
     LeavingNotice,
@@ -208,6 +209,7 @@
             ),
             freshness=ConfigFreshness(settings.config_apply_ms),
             on_leaving=self._handle_declared_leaving,
+            on_gone=self._handle_gone,
         )
         self._replica = Replica()
         self._streams = StreamCalls(self._context)
@@ -233,6 +235,9 @@
             settings.address.link,
         )
         self._context.store_confirmed_ms = self._store_confirmed_ms
+        self._context.store_position = lambda: max(
+            self._replica.revision, self._peers.revision
+        )
         key = dependencies.platform.member_prefix + settings.name
         self._registration = GatewayRegistration(
             dependencies.store,
@@ -348,6 +353,7 @@
         self._broadcast.on(
             LeavingNotice, self._cluster_view.apply_leaving_notice
         )
+        self._broadcast.on(GoneNotice, self._handle_gone_notice)
         crashes = self._context.crashes
         self._broadcast.on(CrashNotice, crashes.handle_crash_notice)
         self._broadcast.on(HarmlessNotice, crashes.handle_harmless_notice)
@@ -462,6 +468,15 @@
         self._broadcast.send(notice)
         self._cluster_view.apply_leaving_notice(notice)
 
+    def _handle_gone(self, notice: GoneNotice) -> None:
+        """Applies a response with status 421, and tells the peers."""
+        if self._cluster_view.apply_gone_notice(notice):
+            self._broadcast.send(notice)
+
+    def _handle_gone_notice(self, notice: GoneNotice) -> None:
+        """Applies what another gateway has learned by a status of 421."""
+        self._cluster_view.apply_gone_notice(notice)
+
     async def _tick(self) -> None:
         """Runs the periodic work every `TICK_MS`."""
         while True:
--- a/rhubarbwinch/gateway/streams.py
+++ b/rhubarbwinch/gateway/streams.py
@@ -4,6 +4,7 @@
 
 from rhubarbwinch.gateway import gatewaymetrics
 from rhubarbwinch.gateway.context import Context
+from rhubarbwinch.gateway.decisions.restartedendpoints import may_attempt
 from rhubarbwinch.gateway.edge import EdgeResponder
 from rhubarbwinch.gateway.endpoints import Endpoint
 from rhubarbwinch.gateway.eventrelay import EventRelay
@@ -19,6 +20,7 @@
 from rhubarbwinch.shared.verdict import Failure, Reason, Verdict
 
 # Maximum attempts to start a generation that engines refuse as not run.
+# Attempts at engines that are gone from their address are not counted.
 MAX_REFUSED_ATTEMPTS = 4
 
 
@@ -117,7 +119,10 @@
         """
         job = run.job
         failure: Failure | None = None
-        for _ in range(MAX_REFUSED_ATTEMPTS):
+        attempts = 0
+        endpoints = len(self._context.fleet.accepting_for_service(job.service))
+        while may_attempt(attempts, job.gone, MAX_REFUSED_ATTEMPTS, endpoints):
+            attempts += 1
             if job.arrivals and not self._sender.acquire_retry(run):
                 return failure
             refusal = await self._placer.place(run)
@@ -186,5 +191,5 @@
     if failure.reason is Reason.QUARANTINED:
         return False
     return failure.verdict is Verdict.NOT_RUN or (
-        job.route.is_repeatable and job.sends < job.route.max_attempts
+        job.route.is_repeatable and job.counted_sends < job.route.max_attempts
     )
--- a/rhubarbwinch/platform/headers.py
+++ b/rhubarbwinch/platform/headers.py
@@ -219,6 +219,7 @@
     return ResponseHead(
         status=status,
         is_refusal=is_refusal,
+        is_endpoint_gone=status == MISDIRECTED_REQUEST,
         is_signed=is_signed,
         is_altered=any(e.lower() != "identity" for e in encodings),
         headers=[(n, v) for n, v in headers if n.lower() not in hop_by_hop],
--- a/rhubarbwinch/shared/events.py
+++ b/rhubarbwinch/shared/events.py
@@ -762,3 +762,22 @@
         "requests are passed on to them; or this one has it now."
     ),
 )
+ENDPOINT_GONE = Event(
+    770,
+    "endpoint-gone",
+    logging.WARNING,
+    (
+        "A response with status 421, here or at another gateway, shows that "
+        "the registered start of an endpoint is no longer at its address; it "
+        "gets no requests until it is registered anew."
+    ),
+)
+ENDPOINT_SUPERSEDED = Event(
+    771,
+    "endpoint-superseded",
+    logging.INFO,
+    (
+        "Another registration has the address of this one and a later start, "
+        "so this one gets no requests."
+    ),
+)
--- a/tests/gatewayharness.py
+++ b/tests/gatewayharness.py
@@ -91,6 +91,7 @@
         ]
         self.broadcasts = []
         self.left = []
+        self.gone = []
         self.platform = KielichowaPlatform()
         self.transport = Transport()
         fleet = Fleet()
@@ -138,6 +139,7 @@
             ),
             freshness=ConfigFreshness(2_000),
             on_leaving=self._handle_leaving,
+            on_gone=self._handle_gone,
             table=table,
         )
         for engine in self.engines:
@@ -173,6 +175,12 @@
             self.left.append(endpoint.id)
             self.streams.handle_leaving_engine(endpoint)
 
+    def _handle_gone(self, notice):
+        """Handles an endpoint whose start is gone from its address."""
+        now = self.context.clock.now()
+        if self.context.fleet.mark_gone(*attrs.astuple(notice), now):
+            self.gone.append(notice)
+
     def announce_leaving(self, engine):
         """Delivers the notice that an engine is leaving."""
         assert self.apply_registration(engine, "draining")
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -145,6 +145,8 @@
         ):
             found = headers.decode_response(status, more)
             self.assertEqual(found.is_refusal, expected, (status, more))
+            # A refusal of a full endpoint would else exclude that endpoint.
+            self.assertEqual(found.is_endpoint_gone, status == 421, status)
 
     def test_a_declared_rate_limit_is_read(self):
         for value, expected in (
