--- a/rhubarbwinch/gateway/clusterview.py
+++ b/rhubarbwinch/gateway/clusterview.py
@@ -5,7 +5,11 @@
 from rhubarbwinch.gateway import gatewaymetrics
 from rhubarbwinch.gateway.context import Context
 from rhubarbwinch.gateway.decisions.evacuations import Evacuations
-from rhubarbwinch.gateway.messages import LeavingNotice, PeerAddress
+from rhubarbwinch.gateway.messages import (
+    GoneNotice,
+    LeavingNotice,
+    PeerAddress,
+)
 from rhubarbwinch.gateway.routes import RoutingTable
 from rhubarbwinch.gateway.streams import StreamCalls
 from rhubarbwinch.http.transport import Transport
@@ -65,6 +69,31 @@
             )
             self._handle_leaving(notice.endpoint)
 
+    def apply_gone_notice(self, notice: GoneNotice) -> bool:
+        """Applies a notice that the start of an endpoint is gone.
+
+        Returns:
+            Whether this gateway did not know it before.
+        """
+        if not self._context.fleet.mark_gone(
+            notice.endpoint,
+            notice.started_ms,
+            notice.position,
+            self._context.clock.now(),
+        ):
+            return False
+        gatewaymetrics.GONE_ENDPOINTS.inc()
+        events.ENDPOINT_GONE.log(
+            endpoint=notice.endpoint,
+            started_ms=notice.started_ms,
+            position=notice.position,
+        )
+        self._forget_declarations(notice.endpoint)
+        known = self._context.fleet.get(notice.endpoint)
+        if known is not None:
+            self._streams.handle_leaving_engine(known.endpoint)
+        return True
+
     def leaving_notices(self) -> list[LeavingNotice]:
         """Returns the known leaving endpoints, for a gateway that starts."""
         return [
@@ -197,9 +226,16 @@
         if before is not None and before.incarnation != endpoint.incarnation:
             # What it has declared ended with its earlier incarnation.
             context.permits.forget(endpoint_id)
+        superseded_before = context.fleet.superseded(endpoint.address)
         leaves = context.fleet.apply_registration(
             endpoint, context.clock.now(), revision
         )
+        for name in sorted(
+            context.fleet.superseded(endpoint.address) - superseded_before
+        ):
+            events.ENDPOINT_SUPERSEDED.log(
+                endpoint=name, address=endpoint.address, revision=revision
+            )
         if (
             before is None
             or before.state is not endpoint.state
@@ -228,9 +264,13 @@
         if known is None:
             return
         self._transport.close_idle(known.endpoint.address)
+        self._forget_declarations(endpoint_id)
+        self._streams.handle_leaving_engine(known.endpoint)
+
+    def _forget_declarations(self, endpoint_id: str) -> None:
+        """Forgets what an endpoint has declared and how it failed."""
         self._context.suspicion.forget(endpoint_id)
         self._context.reports.forget(endpoint_id)
         self._context.slots.shares.forget(endpoint_id)
         self._context.permits.forget(endpoint_id)
         self._context.loads.speeds.forget(endpoint_id)
-        self._streams.handle_leaving_engine(known.endpoint)
--- a/rhubarbwinch/gateway/job.py
+++ b/rhubarbwinch/gateway/job.py
@@ -35,6 +35,8 @@
         unreachable: Number of attempts for which no connection could be made.
         home_regions: The only regions that may serve the request; None if all
             may.
+        gone: Number of attempts whose response showed that the start of the
+            endpoint is gone.
         is_forwarded: Whether another gateway has passed the request on.
         tried: Ids of endpoints that were tried and are left out from now on.
     """
@@ -55,6 +57,7 @@
     sent_ms: int = 0
     unreachable: int = 0
     home_regions: frozenset[str] | None = None
+    gone: int = 0
     is_forwarded: bool = False
     tried: set[str] = attrs.field(factory=set)
 
@@ -68,6 +71,11 @@
         """Number of attempts that may have reached an endpoint."""
         return self.sends - self.unreachable
 
+    @property
+    def counted_sends(self) -> int:
+        """Number of attempts that count towards the maximum of a route."""
+        return self.sends - self.gone
+
     @property
     def suspect_keys(self) -> tuple[str, ...]:
         """What is counted against the request when its endpoint crashes."""
