--- a/lab/standins/cutgateway.py
+++ b/lab/standins/cutgateway.py
@@ -62,9 +62,10 @@
             port: int,
             timeout_s: float | None,
             options: transport.TransportOptions,
+            buffers: transport.BufferCount,
         ) -> transport.Connection:
             await self._check(f"{host}:{port}", timeout_s)
-            connection = await connect(host, port, timeout_s, options)
+            connection = await connect(host, port, timeout_s, options, buffers)
             self._connections.add(connection)
             return connection
 
--- a/rhubarbwinch/gateway/edge.py
+++ b/rhubarbwinch/gateway/edge.py
@@ -5,7 +5,10 @@
 """
 
 import asyncio
+import fcntl
 import socket
+import struct
+import termios
 from collections.abc import Awaitable, Callable
 from typing import Any
 
@@ -14,6 +17,8 @@
 import attrs
 import h11
 
+from rhubarbwinch.gateway.callerbuffers import CallerBuffers
+from rhubarbwinch.gateway.decisions.bufferlimits import CallerUse
 from rhubarbwinch.gateway.platforminterface import Headers
 from rhubarbwinch.gateway.routes import HttpLimits
 from rhubarbwinch.http.transport import set_dead_peer_timeout
@@ -25,6 +30,10 @@
 MAX_BUFFERED_BYTES = 64 << 10
 # A caller's VM that acknowledges no data for this time is taken as dead.
 CALLER_ACK_TIMEOUT_MS = 8_000
+# A caller whose body was refused unread gets this time to take the response.
+# Closing earlier would reset the connection, which can destroy the response.
+REFUSED_BODY_TIMEOUT_S = 1.0
+_RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 _STATUS_TOO_LARGE = 413
 _STATUS_TIMEOUT = 408
 
@@ -76,6 +85,14 @@
         self.status = status
 
 
+class _NoMemoryError(Exception):
+    """The body of a request would exceed the bound on buffered bytes."""
+
+    def __init__(self, request: EdgeRequest) -> None:
+        super().__init__("no memory for the body")
+        self.request = request
+
+
 class EdgeResponder:
     """Sends the response to one request.
 
@@ -93,6 +110,10 @@
         """The IP address and the port of the caller's connection."""
         return self._connection.peer
 
+    def set_deadline(self, deadline_ms: int) -> None:
+        """Sets when a caller that still has bytes to read is disconnected."""
+        self._connection.use.deadline_ms = deadline_ms
+
     async def send(self, status: int, headers: Headers, body: bytes) -> None:
         """Sends a whole response."""
         self.is_started = True
@@ -101,7 +122,10 @@
         if body and self._connection.method != "HEAD":
             data += self._connection.encode(h11.Data(body))
         data += self._connection.encode(h11.EndOfMessage())
-        await self._connection.write(data)
+        self._connection.queue(data)
+        # A blocked sender must not hold a copy of what the write buffer holds.
+        del data, body
+        await self._connection.drain()
         self.is_complete = True
 
     async def start_stream(self, status: int, headers: Headers) -> None:
@@ -114,7 +138,9 @@
 
     async def write(self, data: bytes) -> None:
         """Sends a chunk of a stream."""
-        await self._connection.write(self._connection.encode(h11.Data(data)))
+        self._connection.queue(self._connection.encode(h11.Data(data)))
+        del data
+        await self._connection.drain()
 
     async def end_stream(self) -> None:
         """Marks a stream as complete."""
@@ -140,6 +166,10 @@
         self._scope: anyio.CancelScope | None = None
         self._buffer = bytearray()
         self._is_reading_paused = False
+        self._is_discarding = False
+        self._is_served = False
+        self._is_lost = False
+        self.use = CallerUse()
         self.is_open = False
         self.method = ""
 
@@ -166,7 +196,12 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancels the work for the caller."""
+        self._is_lost = True
+        buffers = self._server.buffers
+        if buffers is not None:
+            buffers.record_waiting(self.use, 0)
         self._handle_disconnect()
+        self._release()
 
     def eof_received(self) -> bool:
         """Handles a half close by the caller as a disconnect."""
@@ -175,6 +210,8 @@
 
     def data_received(self, data: bytes) -> None:
         """Buffers bytes until the task reads them."""
+        if self._is_discarding:
+            return
         self._buffer += data
         if self._wakeup is not None:
             self._wakeup.set()
@@ -188,6 +225,9 @@
 
     def resume_writing(self) -> None:
         """Unblocks writers."""
+        buffers = self._server.buffers
+        if buffers is not None and not self._is_lost:
+            buffers.record_waiting(self.use, self.waiting_bytes)
         if self._writable is not None:
             self._writable.set()
         self._writable = None
@@ -197,6 +237,37 @@
         self.is_open = False
         self._transport.abort()
 
+    def reset(self) -> None:
+        """Closes the connection by a reset and drops its write buffer."""
+        # An end without a reset would look complete to a caller of HTTP/1.0,
+        # and the kernel would keep what it has not sent.
+        sock: socket.socket = self._transport.get_extra_info("socket")
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
+        self.abort()
+
+    @property
+    def waiting_bytes(self) -> int:
+        """Bytes in the write buffer."""
+        return 0 if self._is_lost else self._transport.get_write_buffer_size()
+
+    def pending_bytes(self) -> int:
+        """Returns the written bytes that the caller has not acknowledged."""
+        sock: socket.socket = self._transport.get_extra_info("socket")
+        if self._is_lost or sock.fileno() < 0:
+            return 0
+        sent = fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, b"\0" * 4)
+        return self.waiting_bytes + int(struct.unpack("i", sent)[0])
+
+    def _release(self) -> None:
+        """Ends the count of the connection when nothing uses it any more."""
+        buffers = self._server.buffers
+        if buffers is not None and self._is_lost and self._is_served:
+            buffers.handle_released(self.use)
+
+    def _release_body(self) -> None:
+        if self._server.buffers is not None:
+            self._server.buffers.release_body(self.use)
+
     def _handle_disconnect(self) -> None:
         self.is_open = False
         if self._scope is not None:
@@ -215,17 +286,24 @@
                 if request is None:
                     return
                 status.open_requests += 1
+                self.use.deadline_ms = None
                 try:
                     is_complete = await self._respond(handler, request)
                 finally:
                     status.open_requests -= 1
+                    self._release_body()
                 if not is_complete or not self._start_next_cycle():
                     return
         except _RefusedError as refused:
             await self._refuse(refused)
+        except _NoMemoryError as error:
+            await self._refuse_body(error.request)
         finally:
             status.connections -= 1
+            self._release_body()
             self._transport.close()
+            self._is_served = True
+            self._release()
 
     async def _respond(
         self, handler: EdgeHandler, request: EdgeRequest
@@ -277,11 +355,26 @@
             return
         await self.write(data)
 
+    async def _refuse_body(self, request: EdgeRequest) -> None:
+        """Sends a refusal without reading the rest of the body."""
+        refuse = self._server.refuse_body
+        if refuse is None:
+            return
+        self._is_discarding = True
+        self._buffer.clear()
+        self._resume_reading()
+        self._release_body()
+        await refuse(request, EdgeResponder(self))
+        with anyio.move_on_after(REFUSED_BODY_TIMEOUT_S):
+            while self.is_open:
+                await self._wait_wakeup()
+
     async def _read_request(self, clock: Clock) -> EdgeRequest | None:
         """Returns the next request, or None at the end of the connection.
 
         Raises:
             _RefusedError: The request is malformed, too large or too slow.
+            _NoMemoryError: The body would exceed the bound on buffered bytes.
         """
         if not await self._wait_first_byte():
             return None
@@ -300,7 +393,12 @@
                 elif isinstance(event, h11.Request):
                     head = event
                     self._check_head(head, limits)
+                    self._check_memory(head, _body_length(head), received_ms)
                 elif isinstance(event, h11.Data):
+                    assert head is not None
+                    self._check_memory(head, len(event.data), received_ms)
+                    if self._server.buffers is not None:
+                        self._server.buffers.add_body(self.use, len(event.data))
                     body += event.data
                     timer.deadline = anyio.current_time() + (
                         limits.head_timeout_ms / 1000
@@ -335,6 +433,32 @@
         if lengths and int(lengths[0]) > limits.max_body_bytes:
             raise _RefusedError(_STATUS_TOO_LARGE, "body too long")
 
+    def _check_memory(
+        self, head: h11.Request, more_bytes: int, received_ms: int
+    ) -> None:
+        """Checks the bound on buffered bytes before more are read.
+
+        Raises:
+            _NoMemoryError: The bytes would exceed the bound.
+        """
+        buffers = self._server.buffers
+        if not more_bytes or buffers is None or buffers.admits_body(more_bytes):
+            return
+        events.BODY_REFUSED.log(
+            body_bytes=self.use.request_bytes + more_bytes,
+            held_bytes=buffers.held_bytes,
+            limit_bytes=buffers.limits.total_bytes,
+        )
+        raise _NoMemoryError(
+            EdgeRequest(
+                self.method,
+                head.target,
+                list(head.headers.raw_items()),
+                b"",
+                received_ms,
+            )
+        )
+
     def _next_event(self) -> Any:
         """Returns the parser's next event.
 
@@ -383,7 +507,7 @@
 
     def encode_head(self, status: int, headers: Headers) -> bytes:
         """Returns the encoded head of a response."""
-        if self._server.status.is_closing:
+        if self._server.status.is_closing or self._is_discarding:
             headers = [*headers, (b"Connection", b"close")]
         return self.encode(h11.Response(status_code=status, headers=headers))
 
@@ -393,13 +517,31 @@
 
     async def write(self, data: bytes) -> None:
         """Sends bytes; blocks while the caller reads too slowly."""
+        self.queue(data)
+        del data
+        await self.drain()
+
+    def queue(self, data: bytes) -> None:
+        """Sends bytes, or adds them to the write buffer."""
         if not self.is_open:
             return
         self._transport.write(data)
+        waiting = self._transport.get_write_buffer_size()
+        buffers = self._server.buffers
+        if buffers is not None and (waiting or self.use.response_bytes):
+            buffers.record_write(self.use, self, len(data), waiting)
+
+    async def drain(self) -> None:
+        """Blocks while the caller reads too slowly."""
         if self._writable is not None:
             await self._writable.wait()
 
 
+def _body_length(head: h11.Request) -> int:
+    """Returns the announced length of a body; 0 if there is none."""
+    return int(dict(head.headers).get(b"content-length", 0))
+
+
 class EdgeServer:
     """Accepts the connections of callers.
 
@@ -407,12 +549,21 @@
         address: `a.b.c.d:port`.
         handler: Handles the requests.
         clock: The source of time.
+        buffers: Counts the bytes buffered for callers; None for no bound.
+        refuse_body: Responds to a request whose body exceeds that bound.
     """
 
     def __init__(
-        self, address: str, handler: EdgeHandler, clock: Clock
+        self,
+        address: str,
+        handler: EdgeHandler,
+        clock: Clock,
+        buffers: CallerBuffers | None = None,
+        refuse_body: EdgeHandler | None = None,
     ) -> None:
         self.status = EdgeStatus()
+        self.buffers = buffers
+        self.refuse_body = refuse_body
         self._address = address
         self._handler = handler
         self._clock = clock
--- a/rhubarbwinch/gateway/eventrelay.py
+++ b/rhubarbwinch/gateway/eventrelay.py
@@ -135,7 +135,12 @@
             if not run.head_sent:
                 self._record_origin(run)
                 await self._send_head(run, response)
-            await run.responder.write(b"".join(new_events))
+            data = b"".join(new_events)
+            # While the caller does not read, only its write buffer holds them.
+            new_events.clear()
+            write = run.responder.write(data)
+            del data
+            await write
         if gap:
             raise EndpointError(gap, sent=True)
 
--- a/rhubarbwinch/gateway/gatewaymetrics.py
+++ b/rhubarbwinch/gateway/gatewaymetrics.py
@@ -94,6 +94,17 @@
     "Plain calls that waited for a slot of a brittle endpoint.",
     registry=REGISTRY,
 )
+BUFFERED_BYTES = Gauge(
+    "rhubarbwinch_buffered_bytes",
+    "Bytes of requests and responses that are buffered for callers.",
+    registry=REGISTRY,
+)
+SLOW_CALLERS_CUT = Counter(
+    "rhubarbwinch_slow_callers_cut",
+    "Callers that were disconnected as they read too slowly, by reason.",
+    ["reason"],
+    registry=REGISTRY,
+)
 LOG_LINES_DROPPED = Counter(
     "rhubarbwinch_log_lines_dropped",
     "Log lines that were not written, over the budget or to a slow reader.",
--- a/rhubarbwinch/gateway/program.py
+++ b/rhubarbwinch/gateway/program.py
@@ -9,6 +9,7 @@
 import attrs
 
 from rhubarbwinch.gateway import gatewaymetrics
+from rhubarbwinch.gateway.callerbuffers import CallerBuffers
 from rhubarbwinch.gateway.clusterview import ClusterView
 from rhubarbwinch.gateway.context import Context
 from rhubarbwinch.gateway.crashes import CrashTracker
@@ -253,9 +254,22 @@
             self._own_expired_engines,
             self._announce_leaving,
         )
-        self._front = EdgeServer(settings.front, router.handle, clock)
+        self._buffers = CallerBuffers(
+            settings.memory_mb, dependencies.transport.buffers, clock
+        )
+        self._front = EdgeServer(
+            settings.front,
+            router.handle,
+            clock,
+            self._buffers,
+            router.refuse_body,
+        )
         self._forwarded = EdgeServer(
-            settings.forward, router.handle_forwarded, clock
+            settings.forward,
+            router.handle_forwarded,
+            clock,
+            self._buffers,
+            router.refuse_body,
         )
         self._status_api = StatusApi(
             dependencies.platform, self._peers, settings, lambda: self.is_ready
@@ -304,6 +318,7 @@
         supervisor.add("registration", self._registration.run)
         supervisor.add("front", self._front.run)
         supervisor.add("forwarded", self._forwarded.run)
+        supervisor.add("caller-buffers", self._buffers.run)
         for name, address in (
             ("ready", settings.ready),
             ("directory", settings.directory),
@@ -527,6 +542,7 @@
             settings.retry_window_ms,
             settings.retry_extra,
         )
+        self._buffers.configure(settings.memory_mb)
         events.RELOADED.log(settings=attrs.asdict(settings))
 
     async def _watch_signals(
--- a/rhubarbwinch/gateway/router.py
+++ b/rhubarbwinch/gateway/router.py
@@ -69,6 +69,23 @@
         finally:
             self._open_forwarded -= 1
 
+    async def refuse_body(
+        self, request: EdgeRequest, responder: EdgeResponder
+    ) -> None:
+        """Refuses a request for whose body there is no memory."""
+        context = self._context
+        try:
+            request_id = context.platform.decode_call(
+                request.method, request.target, request.headers
+            ).request_id
+        except BadCallError:
+            # The refusal is the same without the id of a malformed request.
+            request_id = ""
+        failure = not_run(
+            Reason.QUEUE_FULL, "no memory for the body", RETRY_AFTER_MS
+        )
+        await send_failure(context.platform, responder, request_id, failure)
+
     async def _handle(
         self,
         request: EdgeRequest,
@@ -107,6 +124,7 @@
         job = make_job(
             request, call, route, account, priority, self._choose_service(route)
         )
+        responder.set_deadline(job.deadline_ms)
         refusal = context.refuse_suspect(job)
         if refusal is not None:
             await send_job_failure(context, job, responder, refusal)
--- a/rhubarbwinch/gateway/upstream.py
+++ b/rhubarbwinch/gateway/upstream.py
@@ -15,7 +15,7 @@
     ResponseHead,
 )
 from rhubarbwinch.gateway.requestspans import Tracer
-from rhubarbwinch.http.transport import Transport
+from rhubarbwinch.http.transport import BufferCount, Transport
 from rhubarbwinch.shared.exceptions import EndpointError
 
 # Round trips take a few milliseconds, and a lost packet is retransmitted after
@@ -48,13 +48,19 @@
         Raises:
             EndpointError: The body was cut, garbled, altered or too long.
         """
+        buffers: BufferCount = self._response.extensions["buffers"]
         parts: list[bytes] = []
         size = 0
-        async for data in self.chunks():
-            parts.append(data)
-            size += len(data)
-            if size > MAX_RESPONSE_BYTES:
-                raise EndpointError("the answer is too long", sent=True)
+        try:
+            async for data in self.chunks():
+                parts.append(data)
+                size += len(data)
+                buffers.bytes += len(data)
+                if size > MAX_RESPONSE_BYTES:
+                    raise EndpointError("the answer is too long", sent=True)
+        finally:
+            # From here the body is counted when it is written to the caller.
+            buffers.bytes -= size
         if self.head.is_altered:
             raise EndpointError("the answer has an encoding", sent=True)
         return b"".join(parts)
--- a/rhubarbwinch/http/transport.py
+++ b/rhubarbwinch/http/transport.py
@@ -8,6 +8,7 @@
 import asyncio
 import re
 import socket
+import sys
 from collections import deque
 from collections.abc import AsyncIterator, Callable
 
@@ -21,6 +22,9 @@
 # Reading is paused when more bytes than this wait for the caller, and resumed
 # when the caller has taken them.
 MAX_BUFFERED_BYTES = 256 << 10
+# Bytes of a body that are passed on at once. A blocked reader holds them beyond
+# what is counted, so they are few.
+MAX_PART_BYTES = 64 << 10
 MAX_IDLE_CONNECTIONS = 1024
 DEFAULT_IDLE_S = 20.0
 # An endpoint closes an idle connection at the time that it announces. A request
@@ -52,6 +56,24 @@
     dead_peer_ms: int = 0
 
 
+@attrs.define
+class BufferCount:
+    """Counts bytes that are buffered, for all connections together.
+
+    Attributes:
+        bytes: The bytes that are buffered.
+        limit_bytes: Over this bound, a connection that has received bytes is
+            not read until they are taken.
+        stream_bytes: The same bound for the bytes of one response.
+        on_full: Called when bytes are received over `limit_bytes`.
+    """
+
+    bytes: int = 0
+    limit_bytes: int = sys.maxsize
+    stream_bytes: int = MAX_BUFFERED_BYTES
+    on_full: Callable[[], None] = lambda: None
+
+
 class _Timer:
     """Fails a wait for bytes at its deadline.
 
@@ -96,9 +118,14 @@
 
 
 class Connection(asyncio.Protocol):
-    """A connection to an endpoint, for one request at a time."""
+    """A connection to an endpoint, for one request at a time.
 
-    def __init__(self) -> None:
+    Args:
+        buffers: Counts the bytes of responses that are buffered.
+    """
+
+    def __init__(self, buffers: BufferCount) -> None:
+        self._buffers = buffers
         self._loop = asyncio.get_running_loop()
         self._transport: asyncio.Transport
         self._http = h11.Connection(
@@ -184,6 +211,8 @@
 
     def abort(self) -> None:
         """Closes the connection at once."""
+        self._buffers.bytes -= self._buffered_bytes
+        self._buffered_bytes = 0
         self._timer.close()
         self.is_open = False
         self._transport.abort()
@@ -224,7 +253,7 @@
         return self._head
 
     async def body(self, timeout_s: float | None) -> AsyncIterator[bytes]:
-        """Yields the body as it arrives, all available bytes at once.
+        """Yields the body as it arrives, at most `MAX_PART_BYTES` at once.
 
         Raises:
             httpx.TransportError: The body was cut off, was malformed or timed
@@ -322,18 +351,41 @@
         if not data:
             return
         self._received.append(data)
+        buffers = self._buffers
         self._buffered_bytes += len(data)
-        if self._buffered_bytes > MAX_BUFFERED_BYTES and not self._is_paused:
+        buffers.bytes += len(data)
+        is_full = buffers.bytes > buffers.limit_bytes
+        if is_full:
+            buffers.on_full()
+        if self._is_paused or not self.is_open:
+            return
+        if is_full or self._buffered_bytes > buffers.stream_bytes:
             self._is_paused = True
             self._transport.pause_reading()
 
     def _take_buffered(self) -> bytes:
-        """Returns all received bytes of the body that wait."""
-        received = self._received
-        data = received[0] if len(received) == 1 else b"".join(received)
-        received.clear()
-        self._buffered_bytes = 0
-        if self._is_paused and self.is_open:
+        """Returns received bytes of the body that wait, in one part."""
+        received, buffers = self._received, self._buffers
+        data = received.popleft()
+        if received and len(data) < MAX_PART_BYTES:
+            parts, size = [data], len(data)
+            while received and size < MAX_PART_BYTES:
+                parts.append(received.popleft())
+                size += len(parts[-1])
+            data = b"".join(parts)
+        if len(data) > MAX_PART_BYTES:
+            received.appendleft(data[MAX_PART_BYTES:])
+            data = data[:MAX_PART_BYTES]
+        # An aborted connection no longer counts what it still passes on.
+        taken = min(len(data), self._buffered_bytes)
+        self._buffered_bytes -= taken
+        buffers.bytes -= taken
+        if not self._is_paused or not self.is_open:
+            return data
+        if not self._buffered_bytes or (
+            self._buffered_bytes <= buffers.stream_bytes // 2
+            and buffers.bytes <= buffers.limit_bytes
+        ):
             self._is_paused = False
             self._transport.resume_reading()
         return data
@@ -385,6 +437,7 @@
 
     Attributes:
         new_connections: The number of connections opened.
+        buffers: Counts the bytes of responses that are buffered.
     """
 
     def __init__(self, options: TransportOptions | None = None) -> None:
@@ -392,6 +445,7 @@
         self._idle: dict[str, deque[Connection]] = {}
         self._idle_count = 0
         self.new_connections = 0
+        self.buffers = BufferCount()
 
     async def handle_async_request(
         self, request: httpx.Request
@@ -421,7 +475,7 @@
         if connection is None:
             self.new_connections += 1
             connection = await _connect(
-                host, port, timeouts.get("connect"), self._options
+                host, port, timeouts.get("connect"), self._options, self.buffers
             )
         try:
             head = await connection.exchange(request, read_s)
@@ -432,7 +486,10 @@
             head.status_code,
             headers=list(head.headers.raw_items()),
             stream=_Stream(self, key, connection, read_s),
-            extensions={"is_new_connection": is_new},
+            extensions={
+                "is_new_connection": is_new,
+                "buffers": self.buffers,
+            },
         )
 
     async def aclose(self) -> None:
@@ -459,7 +516,7 @@
         host, _, port = key.rpartition(":")
         try:
             connection = await _connect(
-                host, int(port), PROBE_TIMEOUT_S, self._options
+                host, int(port), PROBE_TIMEOUT_S, self._options, self.buffers
             )
         except (httpx.ConnectError, httpx.ConnectTimeout):
             return True
@@ -495,7 +552,11 @@
 
 
 async def _connect(
-    host: str, port: int, timeout_s: float | None, options: TransportOptions
+    host: str,
+    port: int,
+    timeout_s: float | None,
+    options: TransportOptions,
+    buffers: BufferCount,
 ) -> Connection:
     """Returns a new connection.
 
@@ -506,7 +567,9 @@
     loop = asyncio.get_running_loop()
     try:
         async with asyncio.timeout(timeout_s):
-            _, connection = await loop.create_connection(Connection, host, port)
+            _, connection = await loop.create_connection(
+                lambda: Connection(buffers), host, port
+            )
     except TimeoutError as error:
         raise httpx.ConnectTimeout(f"{host}:{port}") from error
     except OSError as error:
--- a/rhubarbwinch/shared/events.py
+++ b/rhubarbwinch/shared/events.py
@@ -762,3 +762,18 @@
         "requests are passed on to them; or this one has it now."
     ),
 )
+SLOW_CALLER_CUT = Event(
+    772,
+    "slow-caller-cut",
+    logging.WARNING,
+    (
+        "A caller was disconnected that had not read its response: the memory "
+        "for all callers was used up, or the deadline of its request was over."
+    ),
+)
+BODY_REFUSED = Event(
+    773,
+    "body-refused",
+    logging.WARNING,
+    "A request was refused as not run, as there is no memory for its body.",
+)
