--- a/rhubarbwinch/shared/events.py
+++ b/rhubarbwinch/shared/events.py
@@ -790,3 +790,24 @@
         "so this one gets no requests."
     ),
 )
+SLOW_CALLER_CUT = Event(
+    772,
+    "slow-caller-cut",
+    logging.WARNING,
+    (
+        "A caller was disconnected that had not read its response: the memory "
+        "for all callers was used up, or the deadline of its request was over."
+    ),
+)
+BODY_REFUSED = Event(
+    773,
+    "body-refused",
+    logging.WARNING,
+    "A request was refused as not run, as there is no memory for its body.",
+)
+SEND_QUEUE_UNREADABLE = Event(
+    774,
+    "send-queue-unreadable",
+    logging.DEBUG,
+    "The system did not tell how much of a response a caller has not taken.",
+)
