--- a/rhubarbwinch/gateway/decisions/accountshares.py
+++ b/rhubarbwinch/gateway/decisions/accountshares.py
@@ -80,6 +80,8 @@
     ) -> bool:
         """Returns whether an account uses at most its share with a new run.
 
+        An account has no share that it could exceed while no other is active.
+
         Args:
             service: The service.
             account: The client account.
@@ -88,13 +90,13 @@
             now_ms: The current time.
         """
         usages = self._totals.get(service, {})
-        active = {
-            name
+        others = sum(
+            name != account
+            and (usage.tokens > 0 or now_ms - usage.seen_ms <= ACTIVE_MS)
             for name, usage in usages.items()
-            if usage.tokens > 0 or now_ms - usage.seen_ms <= ACTIVE_MS
-        }
+        )
         used = usages[account].tokens if account in usages else 0
-        return used + tokens <= capacity_tokens / len(active | {account})
+        return not others or used + tokens <= capacity_tokens / (others + 1)
 
     def _add_total(
         self, key: tuple[str, str], tokens: int, now_ms: int
