--- a/rhubarbwinch/gateway/eventrelay.py
+++ b/rhubarbwinch/gateway/eventrelay.py
@@ -20,8 +20,9 @@
 from rhubarbwinch.shared.exceptions import EndpointError
 
 # If a run can resume at another engine, its stream is abandoned after this time
-# without data. A sound engine may be silent for a second or so, and callers
-# wait for several times their objective.
+# without an event. Bytes that complete no event do not extend it. A sound engine
+# may be silent for a second or so, and callers wait for several times their
+# objective.
 STALL_TIMEOUT_MS = 2_500
 _OK = 200
 
@@ -85,16 +86,22 @@
         """Yields the chunks of a stream.
 
         Raises:
-            EndpointError: The stream was cut, or there was no data for
+            EndpointError: The stream was cut, or there was no event for
                 `STALL_TIMEOUT_MS` while the run could resume at another engine.
         """
+        clock = self._context.clock
+        known_events, since_ms = run.events, clock.now()
         chunk_stream = response.chunks()
         async with aclosing(chunk_stream):
             while True:
                 can_resume = run.events > 0 and (
                     run.target is not None or self._migrator.has_standby(run)
                 )
-                timeout_s = STALL_TIMEOUT_MS / 1000 if can_resume else None
+                if run.events != known_events:
+                    # The time in which the caller did not read does not count.
+                    known_events, since_ms = run.events, clock.now()
+                left_ms = since_ms + STALL_TIMEOUT_MS - clock.now()
+                timeout_s = max(0, left_ms) / 1000 if can_resume else None
                 chunk = b""
                 with anyio.move_on_after(timeout_s) as scope:
                     try:
--- a/tests/gateway/test_streams.py
+++ b/tests/gateway/test_streams.py
@@ -279,6 +279,33 @@
         )
         self.assertFalse(found.is_complete)
 
+    @asynchronous
+    async def test_a_stalled_engine_that_sends_a_byte_now_and_then_is_left(
+        self,
+    ):
+        # Bytes that complete no event used to extend the time without end.
+        async with running_gateway(table=WITH_STANDBY) as gateway:
+
+            async def trickle(received_request, responder):
+                headers = engine_headers(received_request)
+                await responder.start_stream(200, headers)
+                if "last-event-id" in received_request.headers:
+                    for number in range(2, 7):
+                        await responder.write(stream_event(number))
+                    await responder.end_stream()
+                    return
+                await responder.write(stream_event(1))
+                while True:
+                    await anyio.sleep(0.2)
+                    await responder.write(b":")
+
+            for engine in gateway.engines:
+                engine.handler = trickle
+            with anyio.fail_after(10):
+                found = await gateway.call()
+        self.assertEqual(found.body, ALL)
+        self.assertEqual(len(gateway.received), 2)
+
     @asynchronous
     async def test_a_run_with_a_standby_resumes_at_the_standby(self):
         async with running_gateway(table=WITH_STANDBY) as gateway:
