--- a/rhubarbwinch/gateway/eventrelay.py
+++ b/rhubarbwinch/gateway/eventrelay.py
@@ -20,9 +20,9 @@
 from rhubarbwinch.shared.exceptions import EndpointError
 
 # If a run can resume at another engine, its stream is abandoned after this time
-# without an event. Bytes that complete no event do not extend it. A sound engine
-# may be silent for a second or so, and callers wait for several times their
-# objective.
+# without an event; bytes that complete no event do not extend it. A sound
+# engine may be silent for a second or so, and callers wait for several times
+# their objective.
 STALL_TIMEOUT_MS = 2_500
 _OK = 200
 
