--- a/rhubarbwinch/gateway/clusterview.py
+++ b/rhubarbwinch/gateway/clusterview.py
@@ -223,13 +223,15 @@
             return
         known = context.fleet.get(endpoint_id)
         before = known.endpoint if known is not None else None
-        if before is not None and before.incarnation != endpoint.incarnation:
-            # What it has declared ended with its earlier incarnation.
-            context.permits.forget(endpoint_id)
         superseded_before = context.fleet.superseded(endpoint.address)
         leaves = context.fleet.apply_registration(
             endpoint, context.clock.now(), revision
         )
+        known = context.fleet.get(endpoint_id)
+        if before is not None and known is not None:
+            if known.endpoint.incarnation != before.incarnation:
+                # What it has declared ended with its earlier incarnation.
+                context.permits.forget(endpoint_id)
         for name in sorted(
             context.fleet.superseded(endpoint.address) - superseded_before
         ):
--- a/rhubarbwinch/gateway/context.py
+++ b/rhubarbwinch/gateway/context.py
@@ -185,7 +185,7 @@
             return None
         return not_run(
             Reason.NO_ENDPOINT,
-            "no endpoint in a home region takes work",
+            "no endpoint in a home region accepts requests",
             EVACUATED_RETRY_AFTER_MS,
         )
 
@@ -435,12 +435,15 @@
             )
         if outcome is AttemptOutcome.UNREACHABLE:
             job.unreachable += 1
-            self.permits.warmups.record_unreachable(endpoint_id)
             self.isolation_monitor.record_unreachable(service, endpoint_id)
         elif outcome is AttemptOutcome.BROKEN:
             self._check_silence(job, service, endpoint_id)
         if self._is_shared(service, outcome):
-            self.handle_failure(self.peers.report_failure(endpoint_id))
+            self.handle_failure(
+                self.peers.report_failure(
+                    endpoint_id, outcome is AttemptOutcome.UNREACHABLE
+                )
+            )
 
     def _check_silence(self, job: Job, service: str, endpoint_id: str) -> None:
         """Has an endpoint probed if its whole service has been silent."""
@@ -464,6 +467,8 @@
         if known is None or known.is_leaving:
             return
         now = self.clock.now()
+        if notice.is_unreachable:
+            self.permits.warmups.record_unreachable(notice.endpoint, now)
         service = known.endpoint.service
         traffic = ServiceTraffic(
             self.suspicion.calls_each(service, WINDOW_MS),
--- a/rhubarbwinch/gateway/decisions/accountshares.py
+++ b/rhubarbwinch/gateway/decisions/accountshares.py
@@ -18,8 +18,8 @@
 from rhubarbwinch.gateway.placement import Candidate
 from rhubarbwinch.shared import rendezvous
 
-# One engine in so many has a reserve. At all engines it would have to be as
-# large as a run to be of use, and much more would be idle.
+# One engine in four has a reserve, chosen by a hash of its id. At all engines
+# it would have to be as large as a run to be of use, and much more would be idle.
 RESERVE_EVERY = 4
 # Share of the KV cache that such an engine reserves: two runs of usual size.
 RESERVED_SHARE = 0.3
@@ -29,7 +29,7 @@
 
 @attrs.define
 class _Usage:
-    """What an account uses at a service, and when it was last seen to."""
+    """An account's KV cache at a service in tokens, and when it changed."""
 
     tokens: int = 0
     seen_ms: int = 0
@@ -55,13 +55,13 @@
         self, peer: str, usages: Iterable[AccountUsage], now_ms: int
     ) -> None:
         """Replaces what client accounts use through a peer."""
-        told = {(u.service, u.account): u.tokens for u in usages}
+        reported = {(u.service, u.account): u.tokens for u in usages}
         for key, tokens in self._by_peer.pop(peer, {}).items():
             self._add_total(key, -tokens, now_ms)
-        for key, tokens in told.items():
+        for key, tokens in reported.items():
             self._add_total(key, tokens, now_ms)
-        if told:
-            self._by_peer[peer] = told
+        if reported:
+            self._by_peer[peer] = reported
 
     def usages(self) -> list[AccountUsage]:
         """Returns what client accounts use through this gateway."""
--- a/rhubarbwinch/gateway/decisions/bufferlimits.py
+++ b/rhubarbwinch/gateway/decisions/bufferlimits.py
@@ -1,6 +1,6 @@
-"""Decides how many bytes a gateway buffers for callers, and whom it cuts.
+"""Decides how many bytes are buffered, and which caller is disconnected.
 
-Pure code. It answers callers and endpoints that read slowly or not at all: a
+Pure code. It handles callers and endpoints that read slowly or not at all: a
 few hundred callers that stop reading streams, or take no whole responses, and
 endpoints that take no long request bodies. Each connection has a bound of its
 own, but their sum would exceed the memory of a small VM.
--- a/rhubarbwinch/gateway/decisions/configfreshness.py
+++ b/rhubarbwinch/gateway/decisions/configfreshness.py
@@ -26,13 +26,16 @@
         self._outdated_after_ms = int(OUTDATED_SHARE * apply_ms)
         self._confirmed_for_ms = int(CONFIRMED_SHARE * apply_ms)
         self._behind_since_ms: int | None = None
+        self._awaited = 0
 
     def update(self, version: int, newest: int, now_ms: int) -> None:
         """Records the version in force here and the newest one elsewhere."""
         if newest <= version:
             self._behind_since_ms = None
-        elif self._behind_since_ms is None:
+        elif self._behind_since_ms is None or version >= self._awaited:
+            # Versions in quick succession each have their own time.
             self._behind_since_ms = now_ms
+            self._awaited = newest
 
     def is_outdated(self, now_ms: int) -> bool:
         """Returns whether requests need a gateway with a newer version."""
--- a/rhubarbwinch/gateway/decisions/enginespeeds.py
+++ b/rhubarbwinch/gateway/decisions/enginespeeds.py
@@ -13,7 +13,7 @@
 
 import attrs
 
-# A sample covers a stream for this time, so that a single late event is none.
+# A sample covers a stream for this time, so that one late event is no sample.
 SAMPLE_MS = 500
 # Half-life of the weight of a sample.
 HALF_LIFE_MS = 2_000
@@ -25,9 +25,13 @@
 FORGET_HALF_LIFE_MS = 10_000
 # Smaller differences between engines come from their loads of the moment.
 MIN_DIFFERENCE = 0.15
-# Peers are told of an estimate again when it has changed by this share. Each
+# An estimate is reported to peers again when it has changed by this share. Each
 # change makes relays forward the whole state of a gateway.
-ANNOUNCED_CHANGE = 0.2
+REPORTED_CHANGE = 0.2
+# Estimates are reported to peers for this time after the last sample.
+REPORTED_MS = 5_000
+# Estimates without new samples are dropped after this time.
+RETENTION_MS = 60_000
 # With fewer measured engines there is nothing to compare an engine with.
 MIN_ENGINES = 3
 
@@ -39,12 +43,14 @@
     Attributes:
         event_ms: The time between two events.
         at_ms: When it was updated last.
-        announced_ms: The time between two events that peers were told.
+        reported_ms: The time between two events as reported to the peers.
+        is_current: Whether it was updated within `REPORTED_MS`.
     """
 
     event_ms: float
     at_ms: int
-    announced_ms: int = 0
+    reported_ms: int = 0
+    is_current: bool = True
 
 
 class EngineSpeeds:
@@ -69,6 +75,7 @@
         weight = 1 - 0.5 ** (elapsed_ms / HALF_LIFE_MS)
         known.event_ms += weight * (limited_ms - known.event_ms)
         known.at_ms = now_ms
+        known.is_current = True
 
     def receive(
         self, peer: str, engine: str, event_ms: int, now_ms: int
@@ -77,15 +84,15 @@
         estimates = self._by_peer.setdefault(engine, {})
         estimates[peer] = _Estimate(event_ms, now_ms)
 
-    def announced(self, engine: str) -> int:
+    def reported(self, engine: str) -> int:
         """Returns the time between events for the peers; 0 if unknown."""
         known = self._own.get(engine)
-        if known is None:
+        if known is None or not known.is_current:
             return 0
-        change = abs(known.event_ms - known.announced_ms)
-        if change > ANNOUNCED_CHANGE * known.announced_ms:
-            known.announced_ms = max(1, round(known.event_ms))
-        return known.announced_ms
+        change = abs(known.event_ms - known.reported_ms)
+        if change > REPORTED_CHANGE * known.reported_ms:
+            known.reported_ms = max(1, round(known.event_ms))
+        return known.reported_ms
 
     def slowness(self, engines: list[str], now_ms: int) -> dict[str, float]:
         """Returns how slow engines are in relation to the others.
@@ -124,8 +131,21 @@
         for estimates in self._by_peer.values():
             estimates.pop(peer, None)
 
+    def expire(self, now_ms: int) -> None:
+        """Stops reporting old estimates, and drops very old ones."""
+        for engine, estimate in list(self._own.items()):
+            estimate.is_current = now_ms - estimate.at_ms <= REPORTED_MS
+            if now_ms - estimate.at_ms > RETENTION_MS:
+                del self._own[engine]
+        for engine, estimates in list(self._by_peer.items()):
+            for peer, estimate in list(estimates.items()):
+                if now_ms - estimate.at_ms > RETENTION_MS:
+                    del estimates[peer]
+            if not estimates:
+                del self._by_peer[engine]
+
     def _combined(self, engine: str, now_ms: int) -> _Estimate | None:
-        """Returns the mean of all gateways' estimates, newer ones first."""
+        """Returns the mean of all gateways' estimates, weighted by recency."""
         estimates = list(self._by_peer.get(engine, {}).values())
         if engine in self._own:
             estimates.append(self._own[engine])
--- a/rhubarbwinch/gateway/decisions/evacuations.py
+++ b/rhubarbwinch/gateway/decisions/evacuations.py
@@ -1,7 +1,7 @@
 """Knows the data centres whose endpoints get no requests.
 
-Pure code. An operator evacuates a data centre before work on it or while it is
-at risk, under full load, and takes that back when its endpoints are cold.
+Pure code. An operator evacuates a data centre before maintenance or while it is
+at risk, under full load. When the evacuation ends its endpoints may be cold.
 """
 
 # After a restore of the store, what operators had written is written again
--- a/rhubarbwinch/gateway/decisions/restartedendpoints.py
+++ b/rhubarbwinch/gateway/decisions/restartedendpoints.py
@@ -1,6 +1,6 @@
 """Decides which starts of endpoints are gone, after responses with status 421.
 
-Pure code. It answers engines that restart at their address under a new id, one
+Pure code. It handles engines that restart at their address under a new id, one
 a second, while the store lists the old ids for seconds. The old ids look idle,
 so placement prefers them, and one request after another meets only such ids.
 """
--- a/rhubarbwinch/gateway/decisions/warmups.py
+++ b/rhubarbwinch/gateway/decisions/warmups.py
@@ -17,6 +17,9 @@
 
 # Shares are counted in any window of this length.
 WINDOW_MS = 1_000
+# An endpoint that accepted no connection may be back, and cold, for this time.
+# After that its registration is removed or says that it is cold.
+RESTART_MS = 10_000
 
 
 class Warmups:
@@ -28,9 +31,12 @@
 
     def __init__(self, name: str) -> None:
         self._name = name
-        self._rankings = MemberRankings("warmup", name)
+        # The same order as for declared rate limits: those that may send at
+        # the lower rate may also send at the higher one.
+        self._rankings = MemberRankings("limit", name)
         self._sent: dict[str, deque[int]] = {}
-        self._cold_until_ms: dict[str, int | None] = {}
+        self._cold_until_ms: dict[str, int] = {}
+        self._unanswered: set[str] = set()
 
     def set_members(self, names: Iterable[str]) -> None:
         """Sets the names of all gateways that may send requests.
@@ -40,12 +46,13 @@
         """
         self._rankings.set_members(names)
 
-    def record_unreachable(self, endpoint_id: str) -> None:
-        """Records that an endpoint accepted no connection.
+    def record_unreachable(self, endpoint_id: str, now_ms: int) -> None:
+        """Records that an endpoint accepted no connection of a gateway.
 
         It may have ended, and is cold when it is back.
         """
-        self._cold_until_ms[endpoint_id] = None
+        self._cold_until_ms[endpoint_id] = now_ms + RESTART_MS
+        self._unanswered.add(endpoint_id)
 
     def record_response(
         self, endpoint_id: str, warmup_ms: int, now_ms: int
@@ -58,16 +65,27 @@
                 start.
             now_ms: The current time.
         """
-        if self._cold_until_ms.get(endpoint_id, 0) is None:
+        if endpoint_id in self._unanswered:
+            self._unanswered.remove(endpoint_id)
             self._cold_until_ms[endpoint_id] = now_ms + warmup_ms
 
     def may_have_restarted(self, endpoint_id: str, now_ms: int) -> bool:
         """Returns whether an endpoint may be cold without having said so."""
-        until_ms = self._cold_until_ms.get(endpoint_id, 0)
-        if until_ms is None or now_ms < until_ms:
-            return True
-        self._cold_until_ms.pop(endpoint_id, None)
-        return False
+        return now_ms < self._cold_until_ms.get(endpoint_id, 0)
+
+    def expire(self, now_ms: int) -> None:
+        """Drops what does not count any more."""
+        expired = [
+            endpoint_id
+            for endpoint_id, until_ms in self._cold_until_ms.items()
+            if now_ms >= until_ms
+        ]
+        for endpoint_id in expired:
+            del self._cold_until_ms[endpoint_id]
+            self._unanswered.discard(endpoint_id)
+        for endpoint_id in list(self._sent):
+            if not self._recent(endpoint_id, now_ms):
+                del self._sent[endpoint_id]
 
     def delay_ms(
         self, endpoint_id: str, per_second: float, now_ms: int
@@ -83,7 +101,7 @@
             0 if it may send now; None if only other gateways may.
         """
         share = share_of(
-            self._name, self._rankings.ranking(endpoint_id), int(per_second)
+            self._name, self._rankings.ranking(endpoint_id), _units(per_second)
         )
         if not share:
             return None
@@ -98,16 +116,23 @@
 
     def holders(self, endpoint_id: str, per_second: float) -> list[str]:
         """Returns the gateways that may send to a cold endpoint."""
-        return self._rankings.ranking(endpoint_id)[: int(per_second)]
+        return self._rankings.ranking(endpoint_id)[: _units(per_second)]
 
     def forget(self, endpoint_id: str) -> None:
-        """Drops what is kept for an endpoint that is gone."""
+        """Drops the order of the gateways for an endpoint that is gone.
+
+        Its last requests and failures are kept until they expire, since it may
+        be back under its id.
+        """
         self._rankings.forget(endpoint_id)
-        self._sent.pop(endpoint_id, None)
-        self._cold_until_ms.pop(endpoint_id, None)
 
     def _recent(self, endpoint_id: str, now_ms: int) -> deque[int]:
         sent = self._sent.setdefault(endpoint_id, deque())
         while sent and now_ms - sent[0] >= WINDOW_MS:
             sent.popleft()
         return sent
+
+
+def _units(per_second: float) -> int:
+    """Returns a rate as whole requests; a rate below one counts as one."""
+    return max(1, int(per_second))
--- a/rhubarbwinch/gateway/eventrelay.py
+++ b/rhubarbwinch/gateway/eventrelay.py
@@ -24,6 +24,8 @@
 # engine may be silent for a second or so, and callers wait for several times
 # their objective.
 STALL_TIMEOUT_MS = 2_500
+# A write that takes longer was held up by the caller.
+SLOW_WRITE_MS = 20
 _OK = 200
 
 
@@ -150,6 +152,9 @@
             write = run.responder.write(data)
             del data
             await write
+            if self._context.clock.now() - run.last_event_ms > SLOW_WRITE_MS:
+                # The caller was slow, not the engine.
+                run.sample_ms = 0
         if gap:
             raise EndpointError(gap, sent=True)
 
--- a/rhubarbwinch/gateway/fleet.py
+++ b/rhubarbwinch/gateway/fleet.py
@@ -165,7 +165,10 @@
         )
         known.expiry_deadline_ms = 0
         known.is_readable = True
-        known.warmed_up_at_ms = now_ms + endpoint.warmup_ms
+        # A response may have said since that it is cold for longer.
+        known.warmed_up_at_ms = max(
+            known.warmed_up_at_ms, now_ms + endpoint.warmup_ms
+        )
         if endpoint.state is EndpointState.DRAINING:
             return self._start_leaving(known, now_ms)
         revision = positions.revision_of(position)
@@ -256,7 +259,7 @@
         return [known for known in self._known.values() if known.is_leaving]
 
     def all_staying(self) -> list[KnownEndpoint]:
-        """Returns the endpoints of all services that are not leaving."""
+        """Returns the endpoints of all services, evacuated ones included."""
         return [known for known in self._known.values() if known.is_staying]
 
     def expire_endpoints(
--- a/rhubarbwinch/gateway/gatewaymetrics.py
+++ b/rhubarbwinch/gateway/gatewaymetrics.py
@@ -62,9 +62,10 @@
     "Data centres whose endpoints get no requests.",
     registry=REGISTRY,
 )
-COLD_WAITS = Counter(
-    "rhubarbwinch_cold_waits",
-    "Times that a cold endpoint was passed over as its share was used up.",
+COLD_SENDS = Counter(
+    "rhubarbwinch_cold_sends",
+    "Requests to cold endpoints, at once or after a wait for a share.",
+    ["how"],
     registry=REGISTRY,
 )
 CONFIG_OUTDATED = Gauge(
--- a/rhubarbwinch/gateway/loads.py
+++ b/rhubarbwinch/gateway/loads.py
@@ -118,7 +118,7 @@
                 load.runs,
                 load.tokens,
                 load.prefill,
-                self.speeds.announced(name),
+                self.speeds.reported(name),
             )
             for name, load in self._own.items()
         ]
--- a/rhubarbwinch/gateway/messages.py
+++ b/rhubarbwinch/gateway/messages.py
@@ -334,11 +334,13 @@
         gateway: The sender's name.
         data_center: The sender's data centre.
         endpoint: The endpoint's id.
+        is_unreachable: Whether it accepted no connection.
     """
 
     gateway: str
     data_center: str
     endpoint: str
+    is_unreachable: bool = False
 
 
 @attrs.frozen
--- a/rhubarbwinch/gateway/peers.py
+++ b/rhubarbwinch/gateway/peers.py
@@ -335,10 +335,14 @@
         """Broadcasts changes of the store to all peers."""
         self._broadcast.send(batch)
 
-    def report_failure(self, endpoint: str) -> FailureNotice:
+    def report_failure(
+        self, endpoint: str, is_unreachable: bool
+    ) -> FailureNotice:
         """Broadcasts a failed request to all peers; returns the notice."""
         own = self._own
-        notice = FailureNotice(own.name, own.data_center, endpoint)
+        notice = FailureNotice(
+            own.name, own.data_center, endpoint, is_unreachable
+        )
         self._broadcast.send(notice)
         return notice
 
--- a/rhubarbwinch/gateway/permits.py
+++ b/rhubarbwinch/gateway/permits.py
@@ -86,10 +86,7 @@
         cold_rate = self.cold_rate(endpoint_id)
         if cold_rate is None:
             return 0
-        delay_ms = self.warmups.delay_ms(endpoint_id, cold_rate, now_ms)
-        if delay_ms:
-            gatewaymetrics.COLD_WAITS.inc()
-        return delay_ms
+        return self.warmups.delay_ms(endpoint_id, cold_rate, now_ms)
 
     def earliest(
         self, endpoints: Iterable[Endpoint]
@@ -116,6 +113,9 @@
         self._limits.acquire(endpoint_id, now)
         if self.cold_rate(endpoint_id) is not None:
             self.warmups.record_send(endpoint_id, now + delay_ms)
+            gatewaymetrics.COLD_SENDS.labels(
+                "waited" if delay_ms else "at once"
+            ).inc()
 
     async def acquire(
         self, request_id: str, endpoint: Endpoint, limit_ms: int
--- a/rhubarbwinch/gateway/program.py
+++ b/rhubarbwinch/gateway/program.py
@@ -291,6 +291,7 @@
             settings,
             lambda: self.is_ready,
             self._home_regions_of,
+            lambda: self._context.regions,
         )
         self._was_ready = False
         self._was_failing = False
@@ -528,6 +529,8 @@
             self._context.permits.update(
                 gateways, lambda e: self._context.fleet.get(e) is not None
             )
+            self._context.permits.warmups.expire(self._clock.now())
+            self._context.loads.speeds.expire(self._clock.now())
             self._context.permits.warmups.set_members(self._peers.known_names)
             self._context.takeups.update(gateways)
             self._check_freshness()
@@ -584,6 +587,7 @@
             settings.retry_extra,
         )
         self._buffers.configure(settings.memory_mb)
+        self._context.regions = settings.regions
         events.RELOADED.log(settings=attrs.asdict(settings))
 
     async def _watch_signals(
--- a/rhubarbwinch/gateway/runplacement.py
+++ b/rhubarbwinch/gateway/runplacement.py
@@ -5,6 +5,7 @@
 from rhubarbwinch.gateway import migrationtargets, placement
 from rhubarbwinch.gateway.context import Context
 from rhubarbwinch.gateway.decisions.accountshares import without_reserve
+from rhubarbwinch.gateway.decisions.eligibility import Needs
 from rhubarbwinch.gateway.loads import Reservation
 from rhubarbwinch.gateway.runs import Run
 from rhubarbwinch.gateway.waitqueue import (
@@ -34,8 +35,8 @@
 
     def __init__(self, context: Context) -> None:
         self._context = context
-        # Runs that wait for one version do not delay those that need none.
-        self._queues: dict[tuple[str, str | None], WaitQueue] = {}
+        # Runs that wait for one version or region do not delay the others.
+        self._queues: dict[Needs, WaitQueue] = {}
 
     def handle_capacity_change(self) -> None:
         """Wakes the queued requests and publishes the loads to the peers."""
@@ -58,10 +59,8 @@
         hopeless = self._find_hopeless(run, left_ms, limit_ms)
         if hopeless is not None:
             return hopeless
-        queue = self._queues.setdefault(
-            (job.service, run.version), WaitQueue(context.clock)
-        )
-        run.is_within_share = context.is_within_share(job, run.mean_tokens)
+        queue = self._queues.setdefault(run.needs, WaitQueue(context.clock))
+        self._update_share(run)
         rank = Rank(job.priority, not run.is_within_share, job.objective_ms)
         if queue.is_first(rank) and self._try_reserve(run):
             return None
@@ -114,6 +113,13 @@
             if self._try_reserve(run):
                 return
 
+    def _update_share(self, run: Run) -> None:
+        """Decides again whether the account of a run is within its share."""
+        more_tokens = run.mean_tokens - run.counted_tokens
+        run.is_within_share = self._context.is_within_share(
+            run.job, more_tokens
+        )
+
     def end_run(self, run: Run) -> None:
         """Ends what is counted for a run, which has released its capacity."""
         job = run.job
@@ -154,6 +160,7 @@
         """Reserves capacity now; returns False if no engine has enough."""
         context, job = self._context, run.job
         tokens = run.mean_tokens
+        self._update_share(run)
         candidates = context.candidates(run.needs, job.tried)
         if not run.is_within_share:
             candidates = without_reserve(candidates)
--- a/rhubarbwinch/gateway/statusapi.py
+++ b/rhubarbwinch/gateway/statusapi.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 
 from rhubarbwinch.gateway import gatewaymetrics
+from rhubarbwinch.gateway.decisions.eligibility import Regions
 from rhubarbwinch.gateway.directory import (
     DirectoryLookup,
     ServingGateway,
@@ -29,6 +30,7 @@
         is_ready: Returns whether the gateway accepts new callers.
         home_regions_of: Returns the regions to which the requests of a host are
             bound; empty if they are not.
+        regions: Returns the regions of the data centres.
     """
 
     def __init__(
@@ -38,12 +40,14 @@
         settings: GatewaySettings,
         is_ready: Callable[[], bool],
         home_regions_of: Callable[[str], frozenset[str]],
+        regions: Callable[[], Regions],
     ) -> None:
         self._platform = platform
         self._peers = peers
         self._settings = settings
         self._is_ready = is_ready
         self._home_regions_of = home_regions_of
+        self._regions = regions
 
     async def handle(
         self, request: EdgeRequest, responder: EdgeResponder
@@ -77,7 +81,7 @@
             serving,
             lookup,
             self._home_regions_of(lookup.host.lower()),
-            settings.regions,
+            self._regions(),
         )
         addresses = choose_gateways(
             serving, lookup, self._platform.max_directory_addresses
--- a/rhubarbwinch/gateway/waitqueue.py
+++ b/rhubarbwinch/gateway/waitqueue.py
@@ -112,6 +112,17 @@
         self.wake_first()
 
     def wake_first(self) -> None:
-        """Lets the first waiting request try to be placed."""
-        if self._waiters:
-            self._waiters[0].may_try.set()
+        """Lets the first waiting request try to be placed.
+
+        If its account uses more than its share, the first request of an account
+        that does not may try after it, at the engines that have a reserve.
+        """
+        if not self._waiters:
+            return
+        self._waiters[0].may_try.set()
+        if not self._waiters[0].rank.is_over_share:
+            return
+        for waiter in self._waiters:
+            if not waiter.rank.is_over_share:
+                waiter.may_try.set()
+                return
--- a/rhubarbwinch/shared/events.py
+++ b/rhubarbwinch/shared/events.py
@@ -767,8 +767,8 @@
     "evacuation-changed",
     logging.WARNING,
     (
-        "The operator evacuates data centres, or has taken that back; "
-        "endpoints of those that are named get no requests."
+        "The set of evacuated data centres has changed; endpoints in those "
+        "that are listed get no requests."
     ),
 )
 ENDPOINT_GONE = Event(
--- a/tests/gateway/decisions/test_configfreshness.py
+++ b/tests/gateway/decisions/test_configfreshness.py
@@ -25,6 +25,12 @@
         self.freshness.update(4, 18, 2_500)
         self.assertTrue(self.freshness.is_outdated(1_000 + APPLY_MS))
 
+    def test_a_gateway_that_follows_quick_versions_is_not_outdated(self):
+        for now in range(1_000, 9_000, 400):
+            version = now // 400
+            self.freshness.update(version - 1, version, now)
+            self.assertFalse(self.freshness.is_outdated(now))
+
     def test_what_is_unknown_may_exist_if_another_gateway_has_a_newer_one(self):
         self.freshness.update(4, 16, 1_000)
         self.assertFalse(self.freshness.shows_absence(confirmed_ms=0))
--- a/tests/gateway/test_coldendpoints.py
+++ b/tests/gateway/test_coldendpoints.py
@@ -10,6 +10,7 @@
 import attrs
 
 from lab.standins.platformengine import engine_headers, send_ok
+from rhubarbwinch.gateway.messages import FailureNotice
 from rhubarbwinch.gateway.routes import ServiceSpec
 from tests import gatewaybuilders as build
 from tests.gatewayharness import running_gateway
@@ -65,6 +66,16 @@
             await gateway.call("q1")
             self.assertEqual(gateway.context.cold_rate("e1"), PER_SECOND)
 
+    @asynchronous
+    async def test_an_endpoint_that_refused_another_gateway_counts_as_cold(
+        self,
+    ):
+        async with running_gateway(1, TABLE) as gateway:
+            gateway.context.handle_failure(
+                FailureNotice("g2", "dc-b", "e1", is_unreachable=True)
+            )
+            self.assertEqual(gateway.context.cold_rate("e1"), PER_SECOND)
+
     @asynchronous
     async def test_an_endpoint_that_refused_connections_counts_as_cold(self):
         async with running_gateway(1, TABLE) as gateway:
--- a/tests/gateway/test_waitqueue.py
+++ b/tests/gateway/test_waitqueue.py
@@ -43,6 +43,15 @@
             self.assertTrue(waiter.may_try.is_set())
             self.queue.remove_waiter(waiter)
 
+    def test_an_account_over_its_share_does_not_block_the_reserve(self):
+        over = self.queue.enqueue(rank(0, 1_000, True))
+        second = self.queue.enqueue(rank(0, 2_000, True))
+        within = self.queue.enqueue(rank(1, 3_000))
+        self.queue.wake_first()
+        self.assertTrue(over.may_try.is_set())
+        self.assertTrue(within.may_try.is_set())
+        self.assertFalse(second.may_try.is_set())
+
     def test_a_removed_request_lets_the_next_try(self):
         first = self.queue.enqueue(rank(0, 1_000))
         second = self.queue.enqueue(rank(0, 2_000))
