--- a/rhubarbwinch/gateway/decisions/accountshares.py
+++ b/rhubarbwinch/gateway/decisions/accountshares.py
@@ -19,9 +19,9 @@
 from rhubarbwinch.shared import rendezvous
 
 # One engine in four has a reserve, chosen by a hash of its id. At all engines
-# it would have to be as large as a run to be of use, and much more would be idle.
+# it would have to be as large as a run to be of use, and more would be idle.
 RESERVE_EVERY = 4
-# Share of the KV cache that such an engine reserves: two runs of usual size.
+# Share of its KV cache that such an engine reserves: two runs of usual size.
 RESERVED_SHARE = 0.3
 # An account counts as active for this time after it had a run.
 ACTIVE_MS = 10_000
