--- a/rhubarbwinch/gateway/decisions/warmups.py
+++ b/rhubarbwinch/gateway/decisions/warmups.py
@@ -110,9 +110,13 @@
             return 0
         return sent[len(sent) - share] + WINDOW_MS - now_ms
 
-    def record_send(self, endpoint_id: str, now_ms: int) -> None:
-        """Records a request that is sent now, or at the end of a delay."""
-        self._recent(endpoint_id, now_ms).append(now_ms)
+    def record_send(self, endpoint_id: str, at_ms: int) -> None:
+        """Records a request that is sent now, or later at the end of a delay.
+
+        Those sent in the second before now still count for others, so none is
+        dropped here.
+        """
+        self._sent.setdefault(endpoint_id, deque()).append(at_ms)
 
     def holders(self, endpoint_id: str, per_second: float) -> list[str]:
         """Returns the gateways that may send to a cold endpoint."""
--- a/tests/gateway/decisions/test_warmups.py
+++ b/tests/gateway/decisions/test_warmups.py
@@ -86,6 +86,17 @@
         self.assertEqual(warmups.delay_ms("e1", 3.0, 400), 700)
         self.assertEqual(warmups.delay_ms("e1", 3.0, 1_100), 0)
 
+    def test_requests_that_wait_for_their_turn_count_from_then_on(self):
+        # Counting a later turn dropped the requests of the second before now.
+        warmups = Warmups("g0")
+        turns = []
+        for now in (0, 2, 2, 3, 4, 5, 5, 5, 6):
+            turns.append(now + warmups.delay_ms("e1", 3.0, now))
+            warmups.record_send("e1", turns[-1])
+        self.assertEqual(
+            turns, [0, 2, 2, 1_000, 1_002, 1_002, 2_000, 2_002, 2_002]
+        )
+
     def test_a_gateway_without_a_share_knows_who_has_one(self):
         warmups = {name: Warmups(name) for name in names(6)}
         for gateway in warmups.values():
