--- a/rhubarbwinch/gateway/edge.py
+++ b/rhubarbwinch/gateway/edge.py
@@ -67,12 +67,14 @@
     Attributes:
         limits: Limits on requests and idle connections.
         is_closing: Whether connections are closed after the current response.
+        is_refusing: Whether no further request is read.
         open_requests: Number of requests that are being served.
         connections: Number of open connections.
     """
 
     limits: HttpLimits = attrs.field(factory=HttpLimits)
     is_closing: bool = False
+    is_refusing: bool = False
     open_requests: int = 0
     connections: int = 0
 
@@ -482,12 +484,23 @@
 
     async def _wait_first_byte(self) -> bool:
         """Waits for a request; False after a close or the idle timeout."""
-        limits = self._server.status.limits
-        with anyio.move_on_after(limits.idle_timeout_ms / 1000):
-            while self.is_open and not self._buffer:
-                await self._wait_wakeup()
+        status = self._server.status
+        if status.is_refusing and not self._buffer:
+            return False
+        self._server.idle.add(self)
+        try:
+            with anyio.move_on_after(status.limits.idle_timeout_ms / 1000):
+                while self.is_open and not self._buffer:
+                    await self._wait_wakeup()
+        finally:
+            self._server.idle.discard(self)
         return bool(self._buffer)
 
+    def close_idle(self) -> None:
+        """Ends the wait for a request, unless a part of one has come."""
+        if not self._buffer:
+            self._handle_disconnect()
+
     async def _wait_data(self) -> bool:
         """Waits for bytes; False when the connection is closed."""
         while self.is_open and not self._buffer:
@@ -567,6 +580,8 @@
         refuse_body: EdgeHandler | None = None,
     ) -> None:
         self.status = EdgeStatus()
+        self.idle: set[EdgeConnection] = set()
+        self._listener: asyncio.Server | None = None
         self.buffers = buffers
         self.refuse_body = refuse_body
         self._address = address
@@ -580,13 +595,25 @@
         loop = asyncio.get_running_loop()
         async with anyio.create_task_group() as tasks:
             self._tasks = tasks
-            server = await loop.create_server(
+            self._listener = await loop.create_server(
                 lambda: EdgeConnection(self), host, port, backlog=BACKLOG
             )
             try:
                 await anyio.sleep_forever()
             finally:
-                server.close()
+                self._listener.close()
+
+    def stop_reading_requests(self) -> None:
+        """Accepts no connection and reads no request any more.
+
+        Requests that were read are still served. A caller whose connection is
+        closed with its request unread may send it again.
+        """
+        self.status.is_refusing = True
+        if self._listener is not None:
+            self._listener.close()
+        for connection in list(self.idle):
+            connection.close_idle()
 
     def start(self, connection: EdgeConnection) -> None:
         """Starts the task of a new connection."""
--- a/rhubarbwinch/gateway/program.py
+++ b/rhubarbwinch/gateway/program.py
@@ -89,6 +89,10 @@
 # The process ends this long before the end of the grace period, at which it
 # would be killed.
 GRACE_MARGIN_MS = 500
+# A draining gateway reads no request in the last part of its grace period, in
+# which it could not finish the request. Plain calls take up to this time;
+# generations are refused throughout a drain.
+LAST_REQUEST_MS = 2_500
 DRAIN_CHECK_MS = 50
 # Timeout of the last call to the store, which removes the registration. If the
 # call fails, the lease expires.
@@ -617,6 +621,9 @@
             DRAIN_ACCEPT_MS, self._settings.grace_ms // 2
         )
         while self._clock.now() < end:
+            if self._clock.now() >= end - LAST_REQUEST_MS:
+                for server in (self._front, self._forwarded):
+                    server.stop_reading_requests()
             if self._clock.now() >= accept_until and not self._open_requests:
                 return
             await self._clock.sleep(DRAIN_CHECK_MS)
--- a/tests/gateway/test_edge.py
+++ b/tests/gateway/test_edge.py
@@ -208,6 +208,33 @@
             response = await server.talk(GET)
             self.assertIn(b"Connection: close", response)
 
+    @asynchronous
+    async def test_no_request_is_read_that_the_end_of_a_drain_would_cut(self):
+        # A request on a connection that was idle was read shortly before the
+        # process ended, and its caller got no response.
+        started, proceed = anyio.Event(), anyio.Event()
+
+        async def wait(request, responder):
+            started.set()
+            await proceed.wait()
+            await responder.send(200, [], b"served")
+
+        async with edge() as server:
+            server.handler = wait
+            idle_reader, idle_writer = await server.connect()
+            reader, writer = await server.connect()
+            writer.write(GET)
+            await started.wait()
+            server.server.stop_reading_requests()
+            self.assertEqual(await idle_reader.read(), b"")
+            idle_writer.close()
+            with self.assertRaises(OSError):
+                await server.connect()
+            proceed.set()
+            _, body = await _read_response(reader)
+            self.assertEqual(body, b"served")
+            writer.close()
+
     @asynchronous
     async def test_random_bytes_never_reach_the_handler_as_another_request(
         self,
