--- a/tests/gateway/test_edge.py
+++ b/tests/gateway/test_edge.py
@@ -225,8 +225,12 @@
             reader, writer = await server.connect()
             writer.write(GET)
             await started.wait()
+            while not server.server.idle:
+                await anyio.sleep(0.01)
             server.server.stop_reading_requests()
-            self.assertEqual(await idle_reader.read(), b"")
+            # Far less than the time after which idle connections are closed.
+            with anyio.fail_after(5):
+                self.assertEqual(await idle_reader.read(), b"")
             idle_writer.close()
             with self.assertRaises(OSError):
                 await server.connect()
