--- a/review/common/rig.py
+++ b/review/common/rig.py
@@ -547,6 +547,12 @@
         )
         return self.processes[ip]
 
+    def change_settings(self, ip):
+        """Writes the settings file of a gateway anew, with other seeds."""
+        path = self._folder / f"{ip}.conf"
+        text = path.read_text()
+        path.write_text(text.replace("seeds=", "seeds=127.0.0.9:1,"))
+
     async def wait_ready(self, *ips, limit_s=20):
         """Waits until gateways are ready."""
         end = now() + limit_s
