--- a/review/3/case.py
+++ b/review/3/case.py
@@ -42,12 +42,13 @@
                 ),
             )
         )
+        began = rig.now()
         for number in range(1, EVENTS + 1):
             start = f"id: {number}\ndata: ".encode()
             event = start + b"x" * (EVENT_BYTES - len(start) - 2) + b"\n\n"
             writer.write(b"%x\r\n%s\r\n" % (len(event), event))
             await writer.drain()
-            await asyncio.sleep(EVENT_S)
+            await asyncio.sleep(max(0, began + number * EVENT_S - rig.now()))
         writer.write(b"0\r\n\r\n")
         await writer.drain()
         self.ended[request.id] = rig.now()
