--- a/review/3/case.py
+++ b/review/3/case.py
@@ -9,12 +9,16 @@
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1] / "common"))
 import rig
 
-CLIENTS = 4
-EVENTS = 400
 EVENT_S = 0.028
-EVENT_BYTES = 1800
-# The clients read steadily, a little more slowly than the engine generates.
+# Two kinds of answers, by the first letter of the request's id. Those of steady
+# clients are large, those of clients that pause have events of the usual size.
+EVENTS = {"s": 400, "p": 440}
+EVENT_BYTES = {"s": 1800, "p": 320}
+NAMES = ["s0", "s1", "s2", "s3", "p0", "p1", "p2", "p3"]
+# Steady clients read a little more slowly than the engine generates.
 CLIENT_BYTES_PER_S = 46_000
+# The others read nothing in this time, in seconds after the request.
+PAUSE_S = (5.6, 13.4)
 CLIENT_BUFFER_BYTES = 4096
 CLIENT_SEGMENT_BYTES = 536
 # The answers have begun this long before the SIGTERM.
@@ -43,9 +47,12 @@
             )
         )
         began = rig.now()
-        for number in range(1, EVENTS + 1):
+        kind = request.id[0]
+        for number in range(1, EVENTS[kind] + 1):
             start = f"id: {number}\ndata: ".encode()
-            event = start + b"x" * (EVENT_BYTES - len(start) - 2) + b"\n\n"
+            event = (
+                start + b"x" * (EVENT_BYTES[kind] - len(start) - 2) + b"\n\n"
+            )
             writer.write(b"%x\r\n%s\r\n" % (len(event), event))
             await writer.drain()
             await asyncio.sleep(max(0, began + number * EVENT_S - rig.now()))
@@ -83,8 +90,11 @@
             if not part:
                 break
             data += part
-            due = start + len(data) / CLIENT_BYTES_PER_S
-            await asyncio.sleep(max(0, due - rig.now()))
+            if name.startswith("s"):
+                due = start + len(data) / CLIENT_BYTES_PER_S
+                await asyncio.sleep(max(0, due - rig.now()))
+            elif PAUSE_S[0] <= rig.now() - start < PAUSE_S[1]:
+                await asyncio.sleep(start + PAUSE_S[1] - rig.now())
     except ConnectionError as error:
         record.line(f"client: {name}: {error!r}")
     sock.close()
@@ -116,15 +126,15 @@
     service = {
         "name": "llm",
         "health_path": "/health",
-        "max_connections": 282,
-        "engine": {"slots": 24, "kv_tokens": 34261},
+        "max_connections": 712,
+        "engine": {"slots": 24, "kv_tokens": 26999},
     }
     draft = rig.route(
         "draft",
         "llm",
         "stream",
         timeout_ms=DEADLINE_MS,
-        target_latency_ms=1800,
+        target_latency_ms=4000,
         target_gap_ms=180,
         sticky=True,
         resumable=False,
@@ -135,11 +145,10 @@
     gateways.start(other)
     await gateways.wait_ready(leaving, other)
     await asyncio.sleep(4)
-    names = [f"d{n}" for n in range(CLIENTS)]
-    record.line(f"{CLIENTS} clients send and read slowly")
+    record.line(f"{len(NAMES)} clients send and read slowly")
     clients = [
         asyncio.create_task(send(record, gateways.front(leaving), name))
-        for name in names
+        for name in NAMES
     ]
     await asyncio.sleep(BEFORE_TERM_S)
     sent = rig.now()
@@ -152,14 +161,19 @@
     last_sixth = sent + rig.GRACE_S * 5 / 6
     lost = [
         name
-        for name, is_whole in zip(names, complete, strict=True)
+        for name, is_whole in zip(NAMES, complete, strict=True)
         if not is_whole and generate.ended.get(name, last_sixth) < last_sixth
     ]
-    record.line(f"{len(lost)} of {CLIENTS} answers were cut: {lost}")
+    record.line(f"{len(lost)} of {len(NAMES)} answers were cut: {lost}")
     if has_trouble:
         await exit_task
     return not lost
 
 
 if __name__ == "__main__":
-    rig.main(pathlib.Path(__file__).resolve().parent, run)
+    rig.main(
+        pathlib.Path(__file__).resolve().parent,
+        run,
+        memory_mb=264,
+        bounds=rig.CASCADE_CELLAR_BOUNDS,
+    )
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -10,23 +10,22 @@
 import rig
 
 CLIENTS = 4
-EVENTS = 150
+EVENTS = 440
 EVENT_S = 0.028
-EVENT_BYTES = 1800
+EVENT_BYTES = 320
 # The clients read the beginning of their answers, and the rest after a pause.
 FIRST_BYTES = 20_000
-PAUSE_S = 10.0
+PAUSE_S = 12.0
 CLIENT_BUFFER_BYTES = 4096
 CLIENT_SEGMENT_BYTES = 536
 DEADLINE_MS = 39000
 
 
 class Generator:
-    """Generates answers and keeps which were complete."""
+    """Generates answers; never breaks one off."""
 
     def __init__(self, record):
         self._record = record
-        self.ended = set()
 
     async def __call__(self, engine, request, writer):
         """Answers one request."""
@@ -41,6 +40,17 @@
                 ),
             )
         )
+        try:
+            await self._generate(writer)
+        except ConnectionError as error:
+            self._record.line(
+                f"{engine.name}: the gateway has closed the connection of"
+                f" {request.id}: {error!r}"
+            )
+            raise
+        self._record.line(f"{engine.name} has ended {request.id} well")
+
+    async def _generate(self, writer):
         began = rig.now()
         for number in range(1, EVENTS + 1):
             start = f"id: {number}\ndata: ".encode()
@@ -50,8 +60,6 @@
             await asyncio.sleep(max(0, began + number * EVENT_S - rig.now()))
         writer.write(b"0\r\n\r\n")
         await writer.drain()
-        self.ended.add(request.id)
-        self._record.line(f"{engine.name} has ended {request.id} well")
 
 
 async def send(record, address, name, pause_s):
@@ -107,15 +115,15 @@
     service = {
         "name": "llm",
         "health_path": "/health",
-        "max_connections": 282,
-        "engine": {"slots": 24, "kv_tokens": 34261},
+        "max_connections": 712,
+        "engine": {"slots": 24, "kv_tokens": 26999},
     }
     draft = rig.route(
         "draft",
         "llm",
         "stream",
         timeout_ms=DEADLINE_MS,
-        target_latency_ms=1800,
+        target_latency_ms=4000,
         target_gap_ms=180,
         sticky=True,
         resumable=False,
@@ -146,11 +154,16 @@
     lost = [
         name
         for name, is_whole in zip(names, complete, strict=True)
-        if not is_whole and name in generate.ended
+        if not is_whole
     ]
     record.line(f"{len(lost)} of {CLIENTS} answers were cut: {lost}")
     return not lost
 
 
 if __name__ == "__main__":
-    rig.main(pathlib.Path(__file__).resolve().parent, run)
+    rig.main(
+        pathlib.Path(__file__).resolve().parent,
+        run,
+        memory_mb=264,
+        bounds=rig.CASCADE_CELLAR_BOUNDS,
+    )
