--- a/review/1/case.py
+++ b/review/1/case.py
@@ -9,7 +9,8 @@
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1] / "common"))
 import rig
 
-STREAMS = 8
+# Streams over the three engines.
+STREAMS = 24
 PROMPT_TOKENS = 3079
 EVENTS = 330
 EVENT_S = 0.028
@@ -18,8 +19,10 @@
 LINK_BYTES_PER_S = 5100e6 / 8
 # Short requests that the leaving engine has run before: with these, one lost
 # answer is under a twentieth of its requests.
-SHORT_REQUESTS = 16
+SHORT_REQUESTS = 60
 SHORT_EVENTS = 3
+# The largest share of answers that the site file lets be lost.
+LARGEST_SHARE = 0.05
 # An answer is lost this long after the engine has said that it leaves.
 LOST_AFTER_S = 1.0
 # The rule's limit on how long two engines may work on one request.
@@ -196,9 +199,13 @@
     copies = {}
     first = ModelEngine("i-first", record, copies, "z1")
     second = ModelEngine("i-second", record, copies, "z2")
-    await first.start()
-    await second.start()
-    first.register(store)
+    others = [
+        ModelEngine(f"i-other-{n}", record, copies, "z2") for n in range(2)
+    ]
+    for engine in (first, second, *others):
+        await engine.start()
+    for engine in (first, *others):
+        engine.register(store)
     service = {
         "name": "llm",
         "health_path": "/health",
@@ -257,12 +264,24 @@
     first.state = "draining"
     first.register(store)
     await asyncio.sleep(LOST_AFTER_S)
+    share = 1 / len(first.all_runs)
+    record.line(
+        f"{first.name} has run {len(first.all_runs)} requests; one lost answer"
+        f" is a share of {share:.3f}"
+    )
+    if not first.copied or share > LARGEST_SHARE:
+        raise rig.CannotRunError("the dose would be too large")
     if has_trouble:
         first.lose_answer()
     complete = sum(await asyncio.gather(*clients))
     await asyncio.sleep(1)
     twice = 0
-    for request_id, later in second.all_runs.items():
+    elsewhere = {}
+    for engine in (second, *others):
+        for request_id, later_run in engine.all_runs.items():
+            if request_id in first.all_runs:
+                elsewhere[request_id] = later_run
+    for request_id, later in elsewhere.items():
         before = first.all_runs.get(request_id)
         if before is None:
             continue
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -140,10 +140,12 @@
         resumable=False,
     )
     store.put("op/config", rig.config(1, [draft], [service]))
-    leaving, other = "127.0.0.1", "127.0.0.2"
-    process = gateways.start(leaving)
-    gateways.start(other)
-    await gateways.wait_ready(leaving, other)
+    ips = ["127.0.0.1", "127.0.0.2", "127.0.0.3", "127.0.0.4"]
+    for ip in ips:
+        gateways.start(ip)
+    await gateways.wait_ready(*ips)
+    leaving = ips[0]
+    process = gateways.processes[leaving]
     await asyncio.sleep(4)
     record.line(f"{len(NAMES)} clients send and read slowly")
     clients = [
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -129,7 +129,7 @@
         resumable=False,
     )
     store.put("op/config", rig.config(1, [draft], [service]))
-    ips = ["127.0.0.1", "127.0.0.2"]
+    ips = ["127.0.0.1", "127.0.0.2", "127.0.0.3", "127.0.0.4"]
     for ip in ips:
         gateways.start(ip)
     await gateways.wait_ready(*ips)
