--- a/rhubarbwinch/gateway/edge.py
+++ b/rhubarbwinch/gateway/edge.py
@@ -191,6 +191,7 @@
         """Starts the connection's task."""
         self._transport = transport  # type: ignore[assignment]
         self.is_open = True
+        self._server.connections.add(self)
         sock: socket.socket = transport.get_extra_info("socket")
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         set_dead_peer_timeout(sock, CALLER_ACK_TIMEOUT_MS)
@@ -199,6 +200,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancels the work for the caller."""
         self._is_lost = True
+        self._server.connections.discard(self)
         buffers = self._server.buffers
         if buffers is not None:
             buffers.record_waiting(self.use, 0)
@@ -580,6 +582,7 @@
         refuse_body: EdgeHandler | None = None,
     ) -> None:
         self.status = EdgeStatus()
+        self.connections: set[EdgeConnection] = set()
         self.idle: set[EdgeConnection] = set()
         self._listener: asyncio.Server | None = None
         self.buffers = buffers
@@ -589,6 +592,15 @@
         self._clock = clock
         self._tasks: anyio.abc.TaskGroup | None = None
 
+    @property
+    def unsent_connections(self) -> int:
+        """Number of connections with bytes in their write buffers.
+
+        The system sends on by itself what it has taken, but a write buffer is
+        lost when the process ends.
+        """
+        return sum(c.waiting_bytes > 0 for c in self.connections)
+
     async def run(self) -> None:
         """Serves until cancelled."""
         host, port = netaddress.parse_address(self._address)
--- a/rhubarbwinch/gateway/program.py
+++ b/rhubarbwinch/gateway/program.py
@@ -319,6 +319,13 @@
             + self._forwarded.status.open_requests
         )
 
+    @property
+    def _unsent_connections(self) -> int:
+        """The number of connections with bytes in their write buffers."""
+        return (
+            self._front.unsent_connections + self._forwarded.unsent_connections
+        )
+
     async def run(self) -> None:
         """Runs until SIGTERM, then drains and returns.
 
@@ -374,7 +381,7 @@
                     anyio.move_on_after(DEREGISTER_TIMEOUT_MS / 1000),
                 ):
                     await self._registration.close()
-        events.STOPPED.log(name=settings.name)
+        events.STOPPED.log(name=settings.name, unsent=self._unsent_connections)
 
     def _home_regions_of(self, host: str) -> frozenset[str]:
         """Returns the regions to which a host's requests are bound."""
@@ -609,7 +616,7 @@
         tasks.cancel_scope.cancel()
 
     async def _drain(self) -> None:
-        """Announces the shutdown and waits for the open requests."""
+        """Announces the shutdown and waits until all responses are sent."""
         started_ms = self._clock.now()
         events.DRAINING.log(name=self._settings.name, open=self._open_requests)
         self._context.is_draining = True
@@ -624,7 +631,13 @@
             if self._clock.now() >= end - LAST_REQUEST_MS:
                 for server in (self._front, self._forwarded):
                     server.stop_reading_requests()
-            if self._clock.now() >= accept_until and not self._open_requests:
+            if (
+                self._clock.now() >= accept_until
+                and not self._open_requests
+                and not self._unsent_connections
+            ):
                 return
             await self._clock.sleep(DRAIN_CHECK_MS)
-        events.DRAIN_LIMIT.log(open=self._open_requests)
+        events.DRAIN_LIMIT.log(
+            open=self._open_requests, unsent=self._unsent_connections
+        )
--- a/rhubarbwinch/shared/events.py
+++ b/rhubarbwinch/shared/events.py
@@ -131,7 +131,10 @@
     4,
     "drain-limit",
     logging.WARNING,
-    "Requests were still open at the drain limit.",
+    (
+        "Requests were still open, or responses were not sent to their ends, "
+        "at the drain limit."
+    ),
 )
 CHILD_FAILED = Event(
     10,
--- a/tests/gateway/test_gateway.py
+++ b/tests/gateway/test_gateway.py
@@ -1,15 +1,44 @@
 """Tests gateway processes with stand-ins of the platform."""
 
+import asyncio
 import signal
+import socket
 import unittest
 
 import anyio
 
 from lab.standins import platformfiles
-from lab.standins.platformengine import send_ok
+from lab.standins.platformengine import engine_headers, send_ok
+from rhubarbwinch.gateway.program import DRAIN_ACCEPT_MS
+from tests.gatewayharness import read_response
 from tests.gatewayprocesses import ENGINE, config, deployment
 from tests.helpers import asynchronous
 
+CALLER_BUFFER_BYTES = 4096
+
+
+def _slow_caller_socket():
+    """Returns a socket that receives little before its owner reads."""
+    sock = socket.socket()
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, CALLER_BUFFER_BYTES)
+    return sock
+
+
+def _unread_capacity():
+    """Returns how many bytes the system takes for a caller that reads none."""
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        with _slow_caller_socket() as caller:
+            caller.connect(listener.getsockname())
+            sender, _ = listener.accept()
+            with sender:
+                sender.setblocking(False)
+                size = 0
+                try:
+                    while True:
+                        size += sender.send(b"x" * 4096)
+                except BlockingIOError:
+                    return size
+
 
 class GatewayTest(unittest.TestCase):
     """Requests through real gateway processes."""
@@ -95,6 +124,45 @@
     async def test_signals_during_a_drain_do_not_end_open_requests(self):
         await self._end_under_an_open_request(signal.SIGHUP, signal.SIGTERM)
 
+    @asynchronous
+    async def test_a_drain_does_not_cut_what_a_slow_caller_has_not_read(self):
+        # A response that is complete in the write buffer of its connection
+        # does not count as an open request, and was lost with the process.
+        body = b"x" * (_unread_capacity() + (32 << 10))
+
+        async def send_body(received_request, responder):
+            await responder.send(200, engine_headers(received_request), body)
+
+        async with deployment() as d:
+            d.start(1)
+            await d.until(lambda: d.is_ready(1))
+            d.engine.handler = send_body
+            sock = _slow_caller_socket()
+            sock.setblocking(False)
+            loop = asyncio.get_running_loop()
+            await loop.sock_connect(sock, ("127.0.7.1", d.ports["port"]))
+            reader, writer = await asyncio.open_connection(
+                sock=sock, limit=CALLER_BUFFER_BYTES
+            )
+            writer.write(
+                b"GET /r/x HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: q1\r\n"
+                b"Authorization: Bearer k1\r\nDeadline-Ms: 15000\r\n\r\n"
+            )
+
+            async def answered():
+                return "answered" in {e["name"] for e in d.events(1)}
+
+            await d.until(answered)
+            d.processes.signal("g1", signal.SIGTERM)
+            # A gateway without open requests ends after this time.
+            await anyio.sleep(DRAIN_ACCEPT_MS / 1000 + 1)
+            found = await read_response(reader)
+            status = await anyio.to_thread.run_sync(d.processes.wait, "g1")
+            writer.close()
+        self.assertTrue(found.is_complete)
+        self.assertEqual(len(found.body), len(body))
+        self.assertEqual(status, 0)
+
     @asynchronous
     async def test_a_signal_after_all_is_done_does_not_change_the_status(self):
         async with deployment() as d:
