--- a/rhubarbwinch/gateway/failover.py
+++ b/rhubarbwinch/gateway/failover.py
@@ -101,12 +101,13 @@
         """Resumes a run at the engine that has its KV cache."""
         # From here on the run owns the copy, so the copy is not freed.
         self._replace_reservation(run, target.reservation)
-        await self._migrator.stop(
+        if not await self._migrator.stop(
             run,
             target.source,
             target.reservation.endpoint,
             is_copy_used=how == FROM_MIGRATED_COPY,
-        )
+        ):
+            return None
         response = await self._send_to_target(
             run, target.reservation.endpoint, target.location, how
         )
@@ -133,11 +134,11 @@
                 return None
             assert run.reservation is not None
             target = run.reservation.endpoint
+            is_stopped = is_stopped or await self._migrator.stop(
+                run, source, target, is_copy_used=False
+            )
             if not is_stopped:
-                await self._migrator.stop(
-                    run, source, target, is_copy_used=False
-                )
-                is_stopped = True
+                return None
             gone_before = job.gone
             result = await self._sender.open(run, target, None)
             if isinstance(result, UpstreamResponse):
--- a/rhubarbwinch/gateway/migratedcopies.py
+++ b/rhubarbwinch/gateway/migratedcopies.py
@@ -26,6 +26,16 @@
 # Engines keep an unused copy for longer than the announced expiry time: up to
 # this multiple of the time.
 EXPIRY_FACTOR = 1.5
+# A live engine stops a run before it copies, and refuses at once if it does not
+# stop it. A call to stop that is unanswered for this time is taken as accepted.
+STOP_ANSWER_MS = 40
+# Interval of the calls to an engine that has not stopped a run.
+STOP_RETRY_MS = 100
+# Longer than the time limit of the calls that keep an engine busy.
+STOP_LIMIT_MS = 3_500
+# A call to stop that fails may not have been received. An engine that fails
+# this many is taken as gone.
+MAX_FAILED_STOPS = 3
 
 
 @attrs.define(eq=False)
@@ -70,6 +80,40 @@
             await self._is_idle.wait()
 
 
+@attrs.define(eq=False)
+class _PendingCall:
+    """A call about a run to the engine that executes it.
+
+    Attributes:
+        ended: Set when the call has ended.
+        result: The engine's reply, once the call has ended.
+    """
+
+    ended: anyio.Event = attrs.field(factory=anyio.Event)
+    result: CopyResult = attrs.field(
+        factory=lambda: CopyResult(MoveState.FAILED)
+    )
+
+
+@attrs.define(eq=False)
+class _StopOutcome:
+    """Whether an engine has stopped a run.
+
+    Attributes:
+        settled: Set when `is_stopped` is known.
+        is_stopped: Whether the engine has stopped the run or is gone.
+    """
+
+    settled: anyio.Event = attrs.field(factory=anyio.Event)
+    is_stopped: bool = False
+
+    def settle(self, is_stopped: bool) -> None:
+        """Sets the outcome if it is not known yet."""
+        if not self.settled.is_set():
+            self.is_stopped = is_stopped
+            self.settled.set()
+
+
 class CopyManager:
     """Makes, refreshes and frees copies of KV caches at engines.
 
@@ -82,6 +126,7 @@
         self._calls = calls
         self._clock = clock
         self._tasks: anyio.abc.TaskGroup | None = None
+        self._pending: dict[str, list[_PendingCall]] = {}
 
     async def run(self) -> None:
         """Runs the calls to engines, which may outlive their runs."""
@@ -104,24 +149,102 @@
         Returns:
             The engine's reply.
         """
+        call = self._start_call(copy, stop_first, relayed)
+        await call.ended.wait()
+        return call.result
+
+    async def stop(self, copy: MigratedCopy, relayed: int) -> bool:
+        """Has an engine stop a run and copy its KV cache.
+
+        The calls to the engine continue if this method is cancelled.
+
+        Args:
+            copy: The copy to make of the stopped run.
+            relayed: Number of events sent to the caller, for the log.
+
+        Returns:
+            False if the engine still executes the run at the end of
+            `STOP_LIMIT_MS`.
+        """
         assert self._tasks is not None
-        results: list[CopyResult] = []
+        outcome = _StopOutcome()
         copy.begin_call()
-        self._tasks.start_soon(self._call, copy, stop_first, relayed, results)
-        await copy.wait_idle()
-        return results[0] if results else CopyResult(MoveState.FAILED)
+        self._tasks.start_soon(self._stop, copy, relayed, outcome)
+        await outcome.settled.wait()
+        return outcome.is_stopped
+
+    async def _stop(
+        self, copy: MigratedCopy, relayed: int, outcome: _StopOutcome
+    ) -> None:
+        """Calls an engine until it has stopped a run."""
+        started_ms = self._clock.now()
+        failed = 0
+        try:
+            while True:
+                call = self._start_call(copy, True, relayed)
+                with anyio.move_on_after(STOP_ANSWER_MS / 1000) as scope:
+                    await call.ended.wait()
+                if scope.cancelled_caught:
+                    outcome.settle(True)
+                    await call.ended.wait()
+                state = call.result.state
+                failed += state is MoveState.FAILED
+                if state is not MoveState.BUSY and (
+                    state is not MoveState.FAILED or failed >= MAX_FAILED_STOPS
+                ):
+                    outcome.settle(True)
+                    return
+                if self._clock.now() - started_ms >= STOP_LIMIT_MS:
+                    events.RUN_NOT_STOPPED.log(
+                        request=copy.request_id,
+                        endpoint=copy.source.id,
+                        state=state,
+                        resumed=outcome.is_stopped,
+                    )
+                    outcome.settle(False)
+                    return
+                await self._wait_before_retry(copy.request_id)
+        finally:
+            copy.end_call()
+
+    async def _wait_before_retry(self, request_id: str) -> None:
+        """Waits for the other calls about a run, or for the retry interval."""
+        pending = self._pending.get(request_id)
+        if pending:
+            await pending[0].ended.wait()
+        else:
+            await self._clock.sleep(STOP_RETRY_MS)
 
     def free(self, copy: MigratedCopy) -> None:
         """Frees a copy and then releases its reservation, in the background."""
         assert self._tasks is not None
         self._tasks.start_soon(self._free, copy)
 
+    def _start_call(
+        self, copy: MigratedCopy, stop_first: bool, relayed: int
+    ) -> _PendingCall:
+        """Starts a call to the engine that executes a run."""
+        assert self._tasks is not None
+        call = _PendingCall()
+        copy.begin_call()
+        self._pending.setdefault(copy.request_id, []).append(call)
+        self._tasks.start_soon(self._call, copy, stop_first, relayed, call)
+        return call
+
+    def _end_call(self, copy: MigratedCopy, call: _PendingCall) -> None:
+        pending = self._pending[copy.request_id]
+        pending.remove(call)
+        if not pending:
+            del self._pending[copy.request_id]
+        call.ended.set()
+        copy.end_call()
+
     async def _call(
         self,
         copy: MigratedCopy,
         stop_first: bool,
         relayed: int,
-        results: list[CopyResult],
+        call: _PendingCall,
     ) -> None:
         started_ms = self._clock.now()
         try:
@@ -134,9 +257,9 @@
             copy.handle = result.handle or copy.handle
             if result.state in (MoveState.COPIED, MoveState.FAILED):
                 copy.may_exist = True
-            results.append(result)
+            call.result = result
         finally:
-            copy.end_call()
+            self._end_call(copy, call)
         gatewaymetrics.CONTINUATIONS.labels(
             "stop" if stop_first else "copy", result.state
         ).inc()
--- a/rhubarbwinch/gateway/migration.py
+++ b/rhubarbwinch/gateway/migration.py
@@ -14,9 +14,6 @@
 RETRY_INTERVAL_MS = 40
 # Interval of the check whether the target engine is leaving as well.
 LEAVING_CHECK_MS = 40
-# Timeout of the call that stops a run. A dead engine refuses the connection
-# within one round trip; a live engine stops the run before it responds.
-STOP_TIMEOUT_MS = 40
 
 
 class Migrator:
@@ -104,7 +101,7 @@
                 await self._context.clock.sleep(RETRY_INTERVAL_MS)
                 continue
             state = await self._copy_to(run, source, reservation)
-            if state is MoveState.FAILED:
+            if state in (MoveState.FAILED, MoveState.UNREACHABLE):
                 return
             if state is MoveState.NO_RUN and run.events:
                 return
@@ -194,11 +191,11 @@
 
     async def stop(
         self, run: Run, source: Endpoint, target: Endpoint, is_copy_used: bool
-    ) -> None:
+    ) -> bool:
         """Stops a run whose stream broke, so that it can resume elsewhere.
 
         The engine may be alive and still execute the run. Only one engine at a
-        time may generate events of a run that is not repeatable.
+        time may execute a run.
 
         Args:
             run: The run.
@@ -207,9 +204,12 @@
                 stopped run.
             is_copy_used: Whether the run resumes from a migrated copy. If not,
                 the copy made by this call is freed.
+
+        Returns:
+            False if the engine still executes the run.
         """
         copy = MigratedCopy(run.id, source, target, None, 0)
-        with anyio.move_on_after(STOP_TIMEOUT_MS / 1000):
-            await self._context.copies.refresh(copy, True, run.events)
+        is_stopped = await self._context.copies.stop(copy, run.events)
         if not is_copy_used:
             self._context.copies.free(copy)
+        return is_stopped
--- a/rhubarbwinch/gateway/platforminterface.py
+++ b/rhubarbwinch/gateway/platforminterface.py
@@ -141,13 +141,19 @@
 
 
 class MoveState(enum.StrEnum):
-    """How a call to copy a run's KV cache ended."""
+    """How a call to copy a run's KV cache ended.
+
+    `BUSY` means that the engine executes another call about the run, and has
+    not begun this one. After `UNREACHABLE` nothing was sent; after `FAILED` the
+    engine may have executed the call.
+    """
 
     COPIED = "copied"
     NO_RUN = "no-run"
     BUSY = "busy"
     NO_ROOM = "no-room"
     FAILED = "failed"
+    UNREACHABLE = "unreachable"
 
 
 class FreeState(enum.StrEnum):
--- a/rhubarbwinch/platform/enginecalls.py
+++ b/rhubarbwinch/platform/enginecalls.py
@@ -61,7 +61,12 @@
             events.MOVE_CALL_FAILED.log(
                 request=request_id, endpoint=address, error=repr(error)
             )
-            return CopyResult(MoveState.FAILED)
+            is_unsent = isinstance(
+                error, httpx.ConnectError | httpx.ConnectTimeout
+            )
+            return CopyResult(
+                MoveState.UNREACHABLE if is_unsent else MoveState.FAILED
+            )
         state = _STATES_BY_STATUS.get(response.status_code, MoveState.FAILED)
         if not isinstance(reply, dict):
             reply = {}
--- a/rhubarbwinch/shared/events.py
+++ b/rhubarbwinch/shared/events.py
@@ -814,3 +814,12 @@
     logging.DEBUG,
     "The system did not tell how much of a response a caller has not taken.",
 )
+RUN_NOT_STOPPED = Event(
+    775,
+    "run-not-stopped",
+    logging.WARNING,
+    (
+        "An engine whose stream of a run broke has not stopped the run; "
+        "whether the run has resumed at another one."
+    ),
+)
--- a/tests/gateway/test_streams.py
+++ b/tests/gateway/test_streams.py
@@ -327,6 +327,30 @@
         # The first engine may be alive, so the migration request stops its run.
         self.assertTrue(first.migration_requests[0]["last"])
 
+    @asynchronous
+    async def test_a_run_resumes_only_when_its_engine_has_stopped_it(self):
+        # The engine refuses to stop a run while it copies it. The refusal was
+        # taken as a stop, and two engines executed the run.
+        async with running_gateway(table=WITH_STANDBY) as gateway:
+            for engine in gateway.engines:
+                engine.migration_status = 409
+            generation = Generation()
+            generation.break_after = 3
+            self._script(gateway, generation)
+            reader, writer = await _start(gateway)
+            with anyio.fail_after(5):
+                while (
+                    sum(len(e.migration_requests) for e in gateway.engines) < 3
+                ):
+                    await anyio.sleep(0.01)
+            first = next(e for e in gateway.engines if e.migration_requests)
+            self.assertEqual(len(gateway.received), 1)
+            first.migration_status = 200
+            found = await read_response(reader)
+            writer.close()
+        self.assertEqual(found.body, ALL)
+        self.assertEqual(len(gateway.received), 2)
+
     @asynchronous
     async def test_a_run_that_broke_before_its_first_event_is_not_refused(
         self,
