--- a/rhubarbwinch/gateway/edge.py
+++ b/rhubarbwinch/gateway/edge.py
@@ -21,15 +21,17 @@
 from rhubarbwinch.gateway.decisions.bufferlimits import CallerUse
 from rhubarbwinch.gateway.platforminterface import Headers
 from rhubarbwinch.gateway.routes import HttpLimits
-from rhubarbwinch.http.transport import set_dead_peer_timeout
+from rhubarbwinch.http import peerliveness
 from rhubarbwinch.shared import events, netaddress
 from rhubarbwinch.shared.clock import Clock
 
 BACKLOG = 1024
 # Reading from the socket pauses while more than this is buffered.
 MAX_BUFFERED_BYTES = 64 << 10
-# A caller's VM that acknowledges no data for this time is taken as dead.
+# A caller's VM that acknowledges neither data nor probes for this time is taken
+# as dead. A caller that only reads nothing acknowledges the probes.
 CALLER_ACK_TIMEOUT_MS = 8_000
+PEER_CHECK_MS = 1_000
 # A caller whose body was refused unread gets this time to take the response.
 # Closing earlier would reset the connection, which can destroy the response.
 REFUSED_BODY_TIMEOUT_S = 1.0
@@ -194,7 +196,7 @@
         self._server.connections.add(self)
         sock: socket.socket = transport.get_extra_info("socket")
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        set_dead_peer_timeout(sock, CALLER_ACK_TIMEOUT_MS)
+        peerliveness.set_keepalive(sock, CALLER_ACK_TIMEOUT_MS)
         self._server.start(self)
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -267,6 +269,23 @@
             return self.waiting_bytes
         return self.waiting_bytes + int(struct.unpack("i", sent)[0])
 
+    def check_peer(self) -> None:
+        """Closes the connection if the caller's VM is dead."""
+        sock: socket.socket = self._transport.get_extra_info("socket")
+        if self._is_lost or sock.fileno() < 0:
+            return
+        try:
+            is_silent = peerliveness.is_silent(sock, CALLER_ACK_TIMEOUT_MS)
+        except OSError as error:
+            # The request's deadline bounds how long the connection is kept.
+            events.SEND_QUEUE_UNREADABLE.log(error=repr(error))
+            return
+        if is_silent:
+            events.CALLER_SILENT.log(
+                caller=self.peer[0], waiting_bytes=self.waiting_bytes
+            )
+            self.reset()
+
     def _release(self) -> None:
         """Ends the count of the connection when nothing uses it any more."""
         buffers = self._server.buffers
@@ -611,10 +630,18 @@
                 lambda: EdgeConnection(self), host, port, backlog=BACKLOG
             )
             try:
-                await anyio.sleep_forever()
+                await self._check_peers()
             finally:
                 self._listener.close()
 
+    async def _check_peers(self) -> None:
+        """Closes connections to dead callers until cancelled."""
+        while True:
+            await self._clock.sleep(PEER_CHECK_MS)
+            for connection in list(self.connections):
+                if connection not in self.idle or connection.waiting_bytes:
+                    connection.check_peer()
+
     def stop_reading_requests(self) -> None:
         """Accepts no connection and reads no request any more.
 
--- a/rhubarbwinch/http/transport.py
+++ b/rhubarbwinch/http/transport.py
@@ -16,6 +16,7 @@
 import h11
 import httpx
 
+from rhubarbwinch.http import peerliveness
 from rhubarbwinch.http.httpbody import Body, make_body
 
 MAX_HEAD_BYTES = 64 << 10
@@ -35,6 +36,8 @@
 # Several round-trip times, since with a shorter time-out a lost packet makes a
 # live endpoint look unreachable.
 PROBE_TIMEOUT_S = 0.4
+# An endpoint that does not read a longer body may close its window.
+MAX_WINDOW_BYTES = 16 << 10
 _KEEP_ALIVE = re.compile(rb"timeout=(\d{1,6})")
 
 # Returns whether a response head belongs to the request that was sent.
@@ -143,6 +146,8 @@
         self._timer = _Timer(self)
         self._is_expected: ResponseCheck | None = None
         self._stale_responses = 0
+        self._dead_peer_ms = 0
+        self._peer_check: asyncio.TimerHandle | None = None
         self.is_open = False
         self.is_used = False
         self.has_sent = False
@@ -154,6 +159,12 @@
         """The connection's socket."""
         return self._transport.get_extra_info("socket")
 
+    def limit_silence(self, limit_ms: int) -> None:
+        """Closes the connection when its peer is dead for a time."""
+        self._dead_peer_ms = limit_ms
+        peerliveness.set_keepalive(self.socket, limit_ms)
+        peerliveness.set_send_timeout(self.socket, limit_ms)
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Keeps the transport."""
         self._transport = transport  # type: ignore[assignment]
@@ -163,6 +174,7 @@
         """Completes a body without a length; otherwise fails the request."""
         self.is_open = False
         self._timer.close()
+        self._stop_peer_checks()
         has_no_length = self._body is not None and (
             self._body.ends_with_connection
         )
@@ -214,6 +226,7 @@
         self._buffers.bytes -= self._buffered_bytes
         self._buffered_bytes = 0
         self._timer.close()
+        self._stop_peer_checks()
         self.is_open = False
         self._transport.abort()
 
@@ -238,6 +251,11 @@
         head = h11.Request(
             method=method, target=target, headers=request.headers.raw
         )
+        body_bytes = int(request.headers.get("content-length", 0))
+        if self._dead_peer_ms and body_bytes > MAX_WINDOW_BYTES:
+            # The system's timeout would cut off an endpoint that reads slowly.
+            peerliveness.set_send_timeout(self.socket, 0)
+            self._schedule_peer_check()
         # The start of the body is sent with the head, in one packet.
         data = self._http.send(head) or b""
         assert isinstance(request.stream, httpx.AsyncByteStream)
@@ -290,12 +308,34 @@
             h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES
         )
         self._timer.stop()
+        if self._stop_peer_checks():
+            peerliveness.set_send_timeout(self.socket, self._dead_peer_ms)
         self.is_used = False
         match = _KEEP_ALIVE.search(dict(head.headers).get(b"keep-alive", b""))
         self.keep_alive_s = float(match[1]) if match else None
         self.idle_since = self._loop.time()
         return True
 
+    def _schedule_peer_check(self) -> None:
+        self._peer_check = self._loop.call_later(
+            self._dead_peer_ms / 4000, self._check_peer
+        )
+
+    def _stop_peer_checks(self) -> bool:
+        """Ends the checks of the peer; returns whether there were any."""
+        check, self._peer_check = self._peer_check, None
+        if check is None:
+            return False
+        check.cancel()
+        return True
+
+    def _check_peer(self) -> None:
+        """Fails the request if its endpoint is dead."""
+        if peerliveness.is_silent(self.socket, self._dead_peer_ms):
+            self.fail(httpx.ReadError("the peer acknowledges nothing"))
+        else:
+            self._schedule_peer_check()
+
     async def _send(self, data: bytes | None) -> None:
         if not data:
             return
@@ -575,21 +615,5 @@
     except OSError as error:
         raise httpx.ConnectError(f"{host}:{port}: {error}") from error
     if options.dead_peer_ms:
-        set_dead_peer_timeout(connection.socket, options.dead_peer_ms)
+        connection.limit_silence(options.dead_peer_ms)
     return connection
-
-
-def set_dead_peer_timeout(sock: socket.socket, limit_ms: int) -> None:
-    """Makes the operating system close a connection to a silent peer.
-
-    Args:
-        sock: The socket of the connection.
-        limit_ms: How long sent bytes or probes may stay unacknowledged.
-    """
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, limit_ms)
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-    # These options are in whole seconds.
-    seconds = max(1, limit_ms // 2000)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, seconds)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, seconds)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 2)
--- a/rhubarbwinch/shared/events.py
+++ b/rhubarbwinch/shared/events.py
@@ -823,3 +823,12 @@
         "whether the run has resumed at another one."
     ),
 )
+CALLER_SILENT = Event(
+    776,
+    "caller-silent",
+    logging.WARNING,
+    (
+        "A caller was disconnected whose VM acknowledged neither data nor "
+        "probes of its closed window for some seconds."
+    ),
+)
--- a/tests/gateway/test_slowreaders.py
+++ b/tests/gateway/test_slowreaders.py
@@ -3,12 +3,13 @@
 import asyncio
 import socket
 import unittest
+from unittest import mock
 
 import anyio
 import attrs
 
 from lab.standins.platformengine import ScriptedEngine, engine_headers
-from rhubarbwinch.gateway import gatewaymetrics
+from rhubarbwinch.gateway import edge, gatewaymetrics
 from rhubarbwinch.gateway.decisions.bufferlimits import HARD_FACTOR
 from rhubarbwinch.gateway.routes import CallKind
 from rhubarbwinch.shared.verdict import Reason
@@ -27,6 +28,7 @@
 EVENT_BYTES = 32 << 10
 # More than the kernel's buffers of two connections hold.
 LONG_EVENTS = 1_600
+PAUSED_EVENTS = 400
 # With this limit all callers together may hold 2 MiB.
 SMALL_MEMORY_MB = 8
 TICK_S = 0.02
@@ -155,6 +157,40 @@
         self.assertEqual([whole for _, whole in ends].count(False), cut)
         self.assertEqual(stopped, cut)
 
+    @asynchronous
+    async def test_a_caller_that_pauses_is_not_taken_as_dead(self):
+        # The kernel's timeout for unacknowledged data also ended connections of
+        # callers that acknowledged the probes of their closed window.
+        generation = Generation(PAUSED_EVENTS)
+        with mock.patch.object(edge, "CALLER_ACK_TIMEOUT_MS", 500):
+            async with running_gateway(1, STREAM) as gateway:
+                gateway.engines[0].handler = generation.run
+                gateway.receive_buffer = 64 << 10
+                reader, writer = await gateway.open()
+                await anyio.sleep(3)
+                self.assertLess(generation.sent, PAUSED_EVENTS)
+                size, is_whole = await _read_all(reader)
+                writer.close()
+        self.assertTrue(is_whole)
+        self.assertGreater(size, PAUSED_EVENTS * EVENT_BYTES)
+
+    @asynchronous
+    async def test_a_caller_whose_vm_is_dead_is_disconnected(self):
+        generation = Generation(PAUSED_EVENTS)
+        async with running_gateway(1, STREAM) as gateway:
+            gateway.engines[0].handler = generation.run
+            port = int(gateway.address.split(":")[1])
+            with mock.patch.object(
+                edge.peerliveness,
+                "is_silent",
+                lambda sock, limit_ms: sock.getsockname()[1] == port,
+            ):
+                reader, writer = await gateway.open()
+                await _until(lambda: gateway.engines[0].disconnects)
+                _, is_whole = await _read_all(reader)
+                writer.close()
+        self.assertFalse(is_whole)
+
     @asynchronous
     async def test_a_cut_caller_sees_a_reset(self):
         # An orderly end would look complete to a caller of HTTP/1.0.
@@ -192,8 +228,6 @@
                 gateway.engines[0].handler = handler
                 reader, writer = await gateway.open(Deadline_Ms="900")
                 writer.transport.pause_reading()
-                # Some KB at a time keep the connection's window moving, so that
-                # the kernel does not end the connection as dead.
                 sock = socket.fromfd(
                     writer.get_extra_info("socket").fileno(),
                     socket.AF_INET,
--- a/tests/http/test_transport.py
+++ b/tests/http/test_transport.py
@@ -9,7 +9,11 @@
 import httpx
 
 from rhubarbwinch.http.httpbody import make_body
-from rhubarbwinch.http.transport import MAX_BUFFERED_BYTES, Transport
+from rhubarbwinch.http.transport import (
+    MAX_BUFFERED_BYTES,
+    Transport,
+    TransportOptions,
+)
 from tests.helpers import asynchronous, free_address
 
 CHUNKED = b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n"
@@ -280,3 +284,44 @@
             )
             await server.client.send(fresh_request)
         self.assertEqual(server.connections, 2)
+
+
+class SlowServerTest(unittest.TestCase):
+    """A server that reads nothing for a while."""
+
+    @asynchronous
+    async def test_an_endpoint_that_pauses_in_a_body_is_not_taken_as_dead(self):
+        # The kernel's timeout for unacknowledged data also ended connections to
+        # endpoints that acknowledged the probes of their closed window.
+        body = bytes(4 << 20)
+        host, port = free_address().split(":")
+        sizes = []
+
+        async def serve(reader, writer):
+            for _ in range(2):
+                head = await reader.readuntil(b"\r\n\r\n")
+                size = int(
+                    head.lower().split(b"content-length: ")[1].split(b"\r\n")[0]
+                )
+                if size:
+                    await asyncio.sleep(2.5)
+                sizes.append(len(await reader.readexactly(size)))
+                writer.write(SIZED)
+            writer.close()
+
+        with socket.socket() as listener:
+            listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4 << 10)
+            listener.bind((host, int(port)))
+            server = await asyncio.start_server(serve, sock=listener, limit=512)
+            transport = Transport(TransportOptions(dead_peer_ms=500))
+            async with (
+                server,
+                httpx.AsyncClient(transport=transport, timeout=20) as client,
+            ):
+                for content in (body, b""):
+                    found = await client.post(
+                        f"http://{host}:{port}/", content=content
+                    )
+                    self.assertEqual(found.content, b"ok")
+        self.assertEqual(sizes, [len(body), 0])
+        self.assertEqual(transport.new_connections, 1)
