--- a/rhubarbwinch/gateway/clusterview.py
+++ b/rhubarbwinch/gateway/clusterview.py
@@ -5,12 +5,14 @@
 from rhubarbwinch.gateway import gatewaymetrics
 from rhubarbwinch.gateway.context import Context
 from rhubarbwinch.gateway.decisions.evacuations import Evacuations
+from rhubarbwinch.gateway.decisions.serviceversions import ServiceVersion
 from rhubarbwinch.gateway.messages import (
     GoneNotice,
     LeavingNotice,
     PeerAddress,
 )
 from rhubarbwinch.gateway.routes import RoutingTable
+from rhubarbwinch.gateway.state import versionrecords
 from rhubarbwinch.gateway.streams import StreamCalls
 from rhubarbwinch.http.transport import Transport
 from rhubarbwinch.shared import codec, events
@@ -54,6 +56,8 @@
                 self._apply_peer_registration(change)
             elif change.key.startswith(platform.evacuation_prefix):
                 self._apply_evacuation(change, after_outage)
+            elif change.key.startswith(platform.version_prefix):
+                self._apply_version_record(change, after_outage)
         self._streams.handle_capacity_change()
 
     def apply_leaving_notice(self, notice: LeavingNotice) -> None:
@@ -163,6 +167,19 @@
         )
         self._streams.handle_evacuation()
 
+    def _apply_version_record(self, change: Change, after_outage: bool) -> None:
+        """Applies a record of a service's software version."""
+        context = self._context
+        version = versionrecords.parse_record_key(
+            context.platform.version_prefix, change.key
+        )
+        if change.entry is None:
+            context.versions.apply_deletion(version, after_outage)
+        else:
+            context.versions.apply_record(
+                version, change.revision, context.clock.now()
+            )
+
     def _apply_config(self, change: Change) -> None:
         if change.entry is None:
             events.TABLE_UNREADABLE.log(
@@ -221,6 +238,10 @@
             )
             context.fleet.mark_unreadable(endpoint_id)
             return
+        context.versions.see(
+            [ServiceVersion(endpoint.service, endpoint.version)],
+            context.clock.now(),
+        )
         known = context.fleet.get(endpoint_id)
         before = known.endpoint if known is not None else None
         superseded_before = context.fleet.superseded(endpoint.address)
--- a/rhubarbwinch/gateway/context.py
+++ b/rhubarbwinch/gateway/context.py
@@ -15,6 +15,7 @@
 from rhubarbwinch.gateway.decisions.accountshares import AccountShares
 from rhubarbwinch.gateway.decisions.configfreshness import ConfigFreshness
 from rhubarbwinch.gateway.decisions.eligibility import Needs, Regions
+from rhubarbwinch.gateway.decisions.serviceversions import ServiceVersions
 from rhubarbwinch.gateway.endpoints import Endpoint
 from rhubarbwinch.gateway.failurereports import (
     WINDOW_MS,
@@ -77,6 +78,7 @@
         copies: Manages the migrated copies of KV caches.
         crashes: The requests during which endpoints crashed.
         takeups: Finds where streams began that callers take up again.
+        versions: The software versions that may have begun streams.
         isolation: Knows from which services this gateway is cut off.
         isolation_monitor: Probes endpoints to which connections fail.
         slots: Holds calls to brittle endpoints back until a slot is free.
@@ -115,6 +117,7 @@
     slots: SlotGate
     permits: Permits
     takeups: TakeUps
+    versions: ServiceVersions
     accounts: AccountShares
     regions: Regions
     freshness: ConfigFreshness
--- a/rhubarbwinch/gateway/fleet.py
+++ b/rhubarbwinch/gateway/fleet.py
@@ -8,6 +8,7 @@
 import attrs
 
 from rhubarbwinch.gateway.decisions.restartedendpoints import GoneStarts
+from rhubarbwinch.gateway.decisions.serviceversions import ServiceVersion
 from rhubarbwinch.gateway.endpoints import Endpoint, EndpointState
 from rhubarbwinch.stores import positions
 
@@ -131,6 +132,14 @@
             if known.endpoint.service == service
         }
 
+    def service_versions(self) -> set[ServiceVersion]:
+        """Returns the software versions of all endpoints that may serve."""
+        return {
+            ServiceVersion(known.endpoint.service, known.endpoint.version)
+            for known in self._known.values()
+            if not known.is_leaving
+        }
+
     def apply_registration(
         self, endpoint: Endpoint, now_ms: int, position: int = 0
     ) -> bool:
--- a/rhubarbwinch/gateway/platforminterface.py
+++ b/rhubarbwinch/gateway/platforminterface.py
@@ -233,6 +233,7 @@
     endpoint_prefix: str
     evacuation_prefix: str
     member_prefix: str
+    version_prefix: str
     max_directory_addresses: int
 
     def decode_call(
--- a/rhubarbwinch/gateway/program.py
+++ b/rhubarbwinch/gateway/program.py
@@ -16,6 +16,7 @@
 from rhubarbwinch.gateway.crashsuspects import CrashSuspects
 from rhubarbwinch.gateway.decisions.accountshares import AccountShares
 from rhubarbwinch.gateway.decisions.configfreshness import ConfigFreshness
+from rhubarbwinch.gateway.decisions.serviceversions import ServiceVersions
 from rhubarbwinch.gateway.decisions.warmups import Warmups
 from rhubarbwinch.gateway.edge import EdgeServer
 from rhubarbwinch.gateway.endpoints import Endpoint
@@ -58,6 +59,7 @@
 from rhubarbwinch.gateway.settings import GatewaySettings
 from rhubarbwinch.gateway.slotgate import SlotGate
 from rhubarbwinch.gateway.slotshares import SlotShares
+from rhubarbwinch.gateway.state.versionrecords import VersionRecorder
 from rhubarbwinch.gateway.statusapi import StatusApi
 from rhubarbwinch.gateway.storefeed import StoreFeed
 from rhubarbwinch.gateway.streamorigins import StreamOrigins
@@ -151,6 +153,7 @@
         self._broadcast = Broadcast(settings.address.broadcast)
         loads = LoadTracker()
         fleet = Fleet()
+        versions = ServiceVersions()
         heartbeat = Heartbeat(
             settings.name,
             incarnation,
@@ -217,8 +220,13 @@
                 clock,
             ),
             takeups=TakeUps(
-                StreamOrigins(settings.name), self._peers, fleet, clock
+                StreamOrigins(settings.name),
+                self._peers,
+                fleet,
+                versions,
+                clock,
             ),
+            versions=versions,
             accounts=AccountShares(),
             regions=settings.regions,
             freshness=ConfigFreshness(settings.config_apply_ms),
@@ -260,6 +268,14 @@
             heartbeat.address,
             lambda: self._store_feed.era,
         )
+        self._version_recorder = VersionRecorder(
+            dependencies.store,
+            clock,
+            fleet,
+            versions,
+            dependencies.platform.version_prefix,
+            self._peers.owns,
+        )
         router = Router(self._context, PlainCalls(self._context), self._streams)
         self._outage = OutageMonitor(
             clock,
@@ -346,6 +362,7 @@
         supervisor.add("fetches", self._store_feed.run_fetches)
         supervisor.add("bootstrap", self._bootstrap)
         supervisor.add("registration", self._registration.run)
+        supervisor.add("version-records", self._version_recorder.run)
         supervisor.add("front", self._front.run)
         supervisor.add("forwarded", self._forwarded.run)
         supervisor.add("caller-buffers", self._buffers.run)
--- /dev/null
+++ b/rhubarbwinch/gateway/state/__init__.py
@@ -0,0 +1,1 @@
+"""State that gateways share through the store."""
--- a/rhubarbwinch/gateway/takeups.py
+++ b/rhubarbwinch/gateway/takeups.py
@@ -4,6 +4,7 @@
 
 import anyio
 
+from rhubarbwinch.gateway.decisions.serviceversions import ServiceVersions
 from rhubarbwinch.gateway.fleet import Fleet
 from rhubarbwinch.gateway.messages import (
     OriginBatch,
@@ -32,15 +33,22 @@
         origins: The origins that this gateway knows.
         peers: The other gateways.
         fleet: The known endpoints.
+        versions: The versions that may have begun streams.
         clock: The source of time.
     """
 
     def __init__(
-        self, origins: StreamOrigins, peers: Peers, fleet: Fleet, clock: Clock
+        self,
+        origins: StreamOrigins,
+        peers: Peers,
+        fleet: Fleet,
+        versions: ServiceVersions,
+        clock: Clock,
     ) -> None:
         self._origins = origins
         self._peers = peers
         self._fleet = fleet
+        self._versions = versions
         self._clock = clock
 
     def record(self, origin: StreamOrigin) -> None:
@@ -112,6 +120,7 @@
             (service, version)
             for service in _services(route)
             for version in self._fleet.versions(service)
+            | self._versions.of_service(service)
         }
         if len(places) != 1:
             return None
--- a/rhubarbwinch/platform/adapter.py
+++ b/rhubarbwinch/platform/adapter.py
@@ -20,6 +20,7 @@
     # The prefix of the gateway's own keys; the platform reserves `op/` and
     # `servers/` for itself.
     member_prefix = "rhubarbwinch/members/"
+    version_prefix = "rhubarbwinch/versions/"
     max_directory_addresses = 64
 
     decode_call = staticmethod(headers.decode_call)
--- a/rhubarbwinch/shared/events.py
+++ b/rhubarbwinch/shared/events.py
@@ -832,3 +832,18 @@
         "probes of its closed window for some seconds."
     ),
 )
+VERSION_RECORDED = Event(
+    777,
+    "version-recorded",
+    logging.INFO,
+    "A software version of a service was recorded in the store.",
+)
+VERSION_RECORD_FAILED = Event(
+    778,
+    "version-record-failed",
+    logging.WARNING,
+    (
+        "A record of a software version could not be written or deleted; it is "
+        "tried again."
+    ),
+)
--- /dev/null
+++ b/tests/gateway/state/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the state that gateways share through the store."""
--- a/tests/gateway/test_gateway.py
+++ b/tests/gateway/test_gateway.py
@@ -116,6 +116,28 @@
             self.assertEqual((await d.call(2, "q2")).status_code, 503)
             self.assertEqual(len(d.engine.received), served)
 
+    @asynchronous
+    async def test_a_stream_of_a_version_that_left_joins_no_other(self):
+        # Gateways that were all killed knew only the versions of the endpoints
+        # that were there when they started again.
+        async with deployment() as d:
+            d.start(1)
+            await d.until(lambda: d.is_ready(1))
+
+            async def recorded():
+                return "version-recorded" in {e["name"] for e in d.events(1)}
+
+            await d.until(recorded)
+            d.processes.signal("g1", signal.SIGKILL)
+            await anyio.to_thread.run_sync(d.processes.wait, "g1")
+            d.engine.version = "v2"
+            await d.register(d.engine)
+            d.start(1)
+            await d.until(lambda: d.is_ready(1))
+            found = await d.call(1, "q1", path="/s/x", last_event_id="3")
+        self.assertEqual(found.status_code, 503)
+        self.assertIn("not known where the stream began", found.text)
+
     @asynchronous
     async def test_sigterm_lets_open_requests_finish(self):
         await self._end_under_an_open_request()
--- a/tests/gateway/test_takeups.py
+++ b/tests/gateway/test_takeups.py
@@ -5,9 +5,11 @@
 import attrs
 
 from lab.standins.platformengine import engine_headers, stream_event
+from rhubarbwinch.gateway.clusterview import ClusterView
 from rhubarbwinch.gateway.endpoints import EndpointState
 from rhubarbwinch.gateway.messages import OriginBatch, StreamOrigin
 from rhubarbwinch.gateway.routes import CallKind, ServiceSpec, WeightedService
+from rhubarbwinch.http.transport import Transport
 from tests import gatewaybuilders as build
 from tests.gatewayharness import running_gateway
 from tests.helpers import asynchronous
@@ -142,6 +144,44 @@
             await gateway.call("q2", Last_Event_Id="5", Resumes="q0")
         self.assertEqual(set(gateway.received), set(first))
 
+    @asynchronous
+    async def test_a_version_that_left_before_the_start_counts_as_possible(
+        self,
+    ):
+        # A gateway that starts has seen no endpoint of the version, and joined
+        # events of the other one to the stream.
+        async with running_gateway(table=table()) as gateway:
+            self._register(gateway, "v2", "v2")
+            cluster = ClusterView(
+                gateway.context, gateway.streams, Transport(), lambda table: 0
+            )
+            key = f"{gateway.platform.version_prefix}svc/v1"
+            cluster.apply_changes([build.write(key, 9)], False)
+            found = await self._take_up(gateway)
+            self.assertEqual(found.status, 503)
+            cluster.apply_changes([build.deletion(key, 10)], False)
+            found = await self._take_up(gateway)
+            self.assertEqual(found.status, 200)
+
+    @asynchronous
+    async def test_a_version_that_an_endpoint_had_counts_as_possible(self):
+        # An endpoint may start again with a new version under its id.
+        async with running_gateway(1, table=table()) as gateway:
+            cluster = ClusterView(
+                gateway.context, gateway.streams, Transport(), lambda table: 0
+            )
+            engine = gateway.engines[0]
+            engine.handler = generate
+            prefix = gateway.platform.endpoint_prefix
+            for revision, version in enumerate(("v1", "v2"), 5):
+                engine.version = version
+                change = build.write(
+                    prefix + engine.name, revision, engine.ready_entry
+                )
+                cluster.apply_changes([change], False)
+            found = await self._take_up(gateway)
+        self.assertEqual(found.status, 503)
+
     def test_endpoints_of_another_service_are_no_version(self):
         endpoints = [
             build.endpoint("e1", version="v1"),
