--- a/lab/standins/cutgateway.py
+++ b/lab/standins/cutgateway.py
@@ -16,6 +16,7 @@
 
 from rhubarbwinch import __main__ as program
 from rhubarbwinch.http import transport
+from rhubarbwinch.http.buffercount import BufferCount
 
 FILE_VARIABLE = "CUT_FILE"
 SOURCE_VARIABLE = "CUT_SOURCE_IP"
@@ -62,7 +63,7 @@
             port: int,
             timeout_s: float | None,
             options: transport.TransportOptions,
-            buffers: transport.BufferCount,
+            buffers: BufferCount,
         ) -> transport.Connection:
             await self._check(f"{host}:{port}", timeout_s)
             connection = await connect(host, port, timeout_s, options, buffers)
--- a/rhubarbwinch/endpoints/endpointclient.py
+++ b/rhubarbwinch/endpoints/endpointclient.py
@@ -16,6 +16,8 @@
 CONNECT_TIMEOUT_S = 1.0
 GENERATION_HEADER = "x-generation-id"
 PRIORITY_HEADER = "x-priority"
+MAX_RESPONSE_BYTES = 8 << 20
+_BOUNDED = {"max_body_bytes": MAX_RESPONSE_BYTES}
 
 
 class EndpointClient:
@@ -84,7 +86,7 @@
         """Cancels a generation; if the engine is unreachable, logs that."""
         url = f"http://{address}/v1/generations/{generation}"
         try:
-            await self._client.delete(url)
+            await self._client.delete(url, extensions=_BOUNDED)
         except httpx.HTTPError as error:
             # The next call to this engine decides whether it is unreachable.
             events.ENDPOINT_UNREACHED.log(url=url, error=repr(error))
@@ -99,7 +101,9 @@
         """
         url = f"http://{address}/v1/generations/{generation}"
         try:
-            await self._client.patch(url, json={"priority": priority})
+            await self._client.patch(
+                url, json={"priority": priority}, extensions=_BOUNDED
+            )
         except httpx.HTTPError as error:
             events.ENDPOINT_UNREACHED.log(url=url, error=repr(error))
 
@@ -114,7 +118,11 @@
         try:
             with tracing.stream_span("endpoint", headers, url=url):
                 return await self._client.request(
-                    method, url, content=body, headers=headers
+                    method,
+                    url,
+                    content=body,
+                    headers=headers,
+                    extensions=_BOUNDED,
                 )
         except (httpx.ConnectError, httpx.ConnectTimeout) as error:
             raise EndpointError(f"{url}: {error!r}", sent=False) from error
--- a/rhubarbwinch/gateway/callerbuffers.py
+++ b/rhubarbwinch/gateway/callerbuffers.py
@@ -4,7 +4,7 @@
 
 from rhubarbwinch.gateway import gatewaymetrics
 from rhubarbwinch.gateway.decisions.bufferlimits import BufferLimits, CallerUse
-from rhubarbwinch.http.transport import BufferCount
+from rhubarbwinch.http.buffercount import BufferCount
 from rhubarbwinch.shared import events
 from rhubarbwinch.shared.clock import Clock
 
@@ -118,12 +118,14 @@
             self.check()
 
     def check(self) -> None:
-        """Disconnects the caller that the bound requires, if any.
+        """Ends responses or disconnects the caller that the bound requires.
 
         One caller is disconnected at a time. What is buffered of its endpoint's
         response is released only when its task has ended.
         """
         now = self._clock.now()
+        if self._end_responses() <= self._count.limit_bytes:
+            return
         if self._closing or now < self._next_check_ms:
             return
         self._next_check_ms = now + MIN_CHECK_INTERVAL_MS
@@ -132,6 +134,31 @@
         if use is not None:
             self._disconnect(use, now, "memory")
 
+    def _end_responses(self) -> int:
+        """Ends the responses that the bound requires.
+
+        Returns:
+            The bytes that are buffered besides those of ended responses, which
+            are released when their tasks have ended.
+        """
+        held = self._count.held
+        ended_bytes = sum(r.bytes for r in held if r.is_failed)
+        chosen = self.limits.choose_responses(
+            [r for r in held if not r.is_failed],
+            self._count.bytes - ended_bytes,
+        )
+        for response in chosen:
+            events.RESPONSE_ENDED.log(
+                response_bytes=response.bytes,
+                held_bytes=self._count.bytes,
+                limit_bytes=self._count.limit_bytes,
+            )
+            gatewaymetrics.RESPONSES_ENDED.inc()
+            ended_bytes += response.bytes
+            response.is_failed = True
+            response.fail("no memory for the response")
+        return self._count.bytes - ended_bytes
+
     async def run(self) -> None:
         """Checks the callers periodically."""
         while True:
--- a/rhubarbwinch/gateway/decisions/bufferlimits.py
+++ b/rhubarbwinch/gateway/decisions/bufferlimits.py
@@ -10,6 +10,8 @@
 
 import attrs
 
+from rhubarbwinch.http.buffercount import HeldResponse
+
 # A gateway without callers takes about 40 MB of at least 136 MB. With hundreds
 # of stalled callers it grows by 2 to 2.5 bytes for each that is counted, by
 # copies that are parsed or encoded, and by the state of the connections.
@@ -17,6 +19,9 @@
 # Request bodies may take this share of the bound, so that bodies which wait for
 # a slow endpoint do not cause callers to be disconnected.
 BODY_SHARE = 0.5
+# Responses that are kept until they are complete may take this share of the
+# bound before they are ended to make room.
+RESPONSE_SHARE = 0.5
 # A caller that has read within this time reads steadily. It is disconnected
 # only over the bound times `HARD_FACTOR`, which memory can still hold.
 MIN_STALL_MS = 1_000
@@ -84,6 +89,34 @@
             and body_bytes + more_bytes <= self.total_bytes * BODY_SHARE
         )
 
+    def choose_responses(
+        self, responses: Iterable[HeldResponse], held_bytes: int
+    ) -> list[HeldResponse]:
+        """Returns the responses of endpoints to end, the largest first.
+
+        A response that is kept until it is complete has no bound that makes its
+        endpoint wait. If such responses take most of the memory, they give way
+        before callers that read slowly.
+
+        Args:
+            responses: The responses that are kept, without those that were
+                ended.
+            held_bytes: Bytes buffered for all callers, without those of
+                responses that were ended.
+        """
+        ordered = sorted(responses, key=lambda r: r.bytes)
+        kept_bytes = sum(response.bytes for response in ordered)
+        chosen = []
+        while (
+            held_bytes > self.total_bytes
+            and kept_bytes > self.total_bytes * RESPONSE_SHARE
+        ):
+            largest = ordered.pop()
+            chosen.append(largest)
+            held_bytes -= largest.bytes
+            kept_bytes -= largest.bytes
+        return chosen
+
     def choose_caller(
         self, callers: Iterable[CallerUse], held_bytes: int, now_ms: int
     ) -> CallerUse | None:
--- a/rhubarbwinch/gateway/eventrelay.py
+++ b/rhubarbwinch/gateway/eventrelay.py
@@ -63,6 +63,7 @@
             ) as chunk_stream:
                 async for chunk in chunk_stream:
                     await self._relay_chunk(run, response, splitter, chunk)
+                    response.hold(len(splitter.rest))
             if splitter.rest:
                 raise EndpointError("the stream ended in an event", sent=True)
             if not run.events and not response.is_framed:
@@ -78,6 +79,7 @@
             )
             return False
         finally:
+            response.hold(0)
             await response.close()
         await self._finish(run, response)
         return True
--- a/rhubarbwinch/gateway/gatewaymetrics.py
+++ b/rhubarbwinch/gateway/gatewaymetrics.py
@@ -121,6 +121,11 @@
     ["reason"],
     registry=REGISTRY,
 )
+RESPONSES_ENDED = Counter(
+    "rhubarbwinch_responses_ended",
+    "Responses of endpoints that were ended for want of memory.",
+    registry=REGISTRY,
+)
 LOG_LINES_DROPPED = Counter(
     "rhubarbwinch_log_lines_dropped",
     "Log lines that were not written, over the budget or to a slow reader.",
--- a/rhubarbwinch/gateway/upstream.py
+++ b/rhubarbwinch/gateway/upstream.py
@@ -15,7 +15,8 @@
     ResponseHead,
 )
 from rhubarbwinch.gateway.requestspans import Tracer
-from rhubarbwinch.http.transport import BufferCount, Transport
+from rhubarbwinch.http.buffercount import BufferCount, HeldResponse
+from rhubarbwinch.http.transport import Transport
 from rhubarbwinch.shared.exceptions import EndpointError
 
 # Round trips take a few milliseconds, and a lost packet is retransmitted after
@@ -41,6 +42,23 @@
 
     head: ResponseHead
     _response: httpx.Response
+    _held: HeldResponse = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Prepares the count of the bytes that are kept."""
+        self._held = HeldResponse(self._fail)
+
+    def _fail(self, reason: str) -> None:
+        self._response.extensions["fail"](httpx.ReadError(reason))
+
+    def hold(self, total_bytes: int) -> None:
+        """Counts what its reader keeps of the body until it has more.
+
+        If memory runs out, the response that keeps most of all is ended.
+        """
+        if total_bytes or self._held.bytes:
+            buffers: BufferCount = self._response.extensions["buffers"]
+            buffers.hold(self._held, total_bytes)
 
     async def read(self) -> bytes:
         """Returns the whole body.
@@ -48,19 +66,18 @@
         Raises:
             EndpointError: The body was cut, garbled, altered or too long.
         """
-        buffers: BufferCount = self._response.extensions["buffers"]
         parts: list[bytes] = []
         size = 0
         try:
             async for data in self.chunks():
                 parts.append(data)
                 size += len(data)
-                buffers.bytes += len(data)
+                self.hold(size)
                 if size > MAX_RESPONSE_BYTES:
                     raise EndpointError("the answer is too long", sent=True)
         finally:
             # From here the body is counted when it is written to the caller.
-            buffers.bytes -= size
+            self.hold(0)
         if self.head.is_altered:
             raise EndpointError("the answer has an encoding", sent=True)
         return b"".join(parts)
--- a/rhubarbwinch/http/httpbody.py
+++ b/rhubarbwinch/http/httpbody.py
@@ -55,6 +55,10 @@
         Raises:
             ValueError: The chunks are malformed.
         """
+        if self.is_complete:
+            # Bytes after the body are not collected.
+            self.rest = data
+            return b""
         data = self.rest + data if self.rest else data
         parts: list[bytes] = []
         position = 0
--- a/rhubarbwinch/http/transport.py
+++ b/rhubarbwinch/http/transport.py
@@ -8,7 +8,6 @@
 import asyncio
 import re
 import socket
-import sys
 from collections import deque
 from collections.abc import AsyncIterator, Callable
 
@@ -17,12 +16,10 @@
 import httpx
 
 from rhubarbwinch.http import peerliveness
+from rhubarbwinch.http.buffercount import BufferCount
 from rhubarbwinch.http.httpbody import Body, make_body
 
 MAX_HEAD_BYTES = 64 << 10
-# Reading is paused when more bytes than this wait for the caller, and resumed
-# when the caller has taken them.
-MAX_BUFFERED_BYTES = 256 << 10
 # Bytes of a body that are passed on at once. A blocked reader holds them beyond
 # what is counted, so they are few.
 MAX_PART_BYTES = 64 << 10
@@ -59,24 +56,6 @@
     dead_peer_ms: int = 0
 
 
-@attrs.define
-class BufferCount:
-    """Counts bytes that are buffered, for all connections together.
-
-    Attributes:
-        bytes: The bytes that are buffered.
-        limit_bytes: Over this bound, a connection that has received bytes is
-            not read until they are taken.
-        stream_bytes: The same bound for the bytes of one response.
-        on_full: Called when bytes are received over `limit_bytes`.
-    """
-
-    bytes: int = 0
-    limit_bytes: int = sys.maxsize
-    stream_bytes: int = MAX_BUFFERED_BYTES
-    on_full: Callable[[], None] = lambda: None
-
-
 class _Timer:
     """Fails a wait for bytes at its deadline.
 
@@ -210,6 +189,10 @@
                 data = self._read_head(data)
             if self._body is not None and data:
                 self._buffer(self._body.feed(data))
+                if self._body.is_complete and self._body.rest:
+                    # The connection can't be used again, so no more of it is
+                    # read.
+                    self._transport.pause_reading()
         except (h11.RemoteProtocolError, ValueError) as error:
             self.fail(httpx.RemoteProtocolError(str(error)))
         self._wake()
@@ -270,18 +253,25 @@
             await self._wait(timeout_s)
         return self._head
 
-    async def body(self, timeout_s: float | None) -> AsyncIterator[bytes]:
+    async def body(
+        self, timeout_s: float | None, max_bytes: int | None = None
+    ) -> AsyncIterator[bytes]:
         """Yields the body as it arrives, at most `MAX_PART_BYTES` at once.
 
         Raises:
-            httpx.TransportError: The body was cut off, was malformed or timed
-                out.
+            httpx.TransportError: The body was cut off, was malformed, timed out
+                or has more than `max_bytes`.
         """
         body = self._body
         assert body is not None
+        size = 0
         while True:
             if self._received:
-                yield self._take_buffered()
+                part = self._take_buffered()
+                size += len(part)
+                if max_bytes is not None and size > max_bytes:
+                    raise httpx.RemoteProtocolError("the body is too long")
+                yield part
             elif body.is_complete:
                 return
             else:
@@ -455,14 +445,16 @@
         key: str,
         connection: Connection,
         timeout_s: float | None,
+        max_bytes: int | None,
     ) -> None:
         self._transport = transport
         self._key = key
         self._connection = connection
         self._timeout_s = timeout_s
+        self._max_bytes = max_bytes
 
     def __aiter__(self) -> AsyncIterator[bytes]:
-        return self._connection.body(self._timeout_s)
+        return self._connection.body(self._timeout_s, self._max_bytes)
 
     async def aclose(self) -> None:
         """Releases the connection, or closes it within an unfinished body."""
@@ -493,8 +485,10 @@
         """Sends a request; the response body is streamed.
 
         The request extension `max_idle_s` limits how long the connection may
-        have been idle; 0 demands a new one. The response extension
-        `is_new_connection` says whether the connection was opened for it.
+        have been idle; 0 demands a new one. The extension `max_body_bytes`
+        bounds the response body. The response extension `is_new_connection`
+        says whether the connection was opened for it; `fail` ends the response
+        with an exception.
 
         Raises:
             httpx.ConnectError: No connection was made; nothing was sent.
@@ -525,10 +519,17 @@
         return httpx.Response(
             head.status_code,
             headers=list(head.headers.raw_items()),
-            stream=_Stream(self, key, connection, read_s),
+            stream=_Stream(
+                self,
+                key,
+                connection,
+                read_s,
+                request.extensions.get("max_body_bytes"),
+            ),
             extensions={
                 "is_new_connection": is_new,
                 "buffers": self.buffers,
+                "fail": connection.fail,
             },
         )
 
--- a/rhubarbwinch/platform/enginecalls.py
+++ b/rhubarbwinch/platform/enginecalls.py
@@ -2,6 +2,7 @@
 
 import urllib.parse
 
+import anyio
 import httpx
 import orjson
 
@@ -21,6 +22,7 @@
 CONNECT_TIMEOUT_S = 0.3
 REPORT_TIMEOUT_S = 1.0
 FREE_TIMEOUT_S = 0.5
+MAX_REPLY_BYTES = 1 << 20
 
 _STATES_BY_STATUS: dict[int, MoveState] = {
     httpx.codes.OK: MoveState.COPIED,
@@ -48,13 +50,11 @@
         if stop_first:
             body["last"] = True
         try:
-            response = await self._client.post(
+            response = await self._call(
+                "POST",
                 f"http://{address}/kv-move",
-                content=orjson.dumps(body),
-                headers={"Content-Type": "application/json"},
-                timeout=httpx.Timeout(
-                    COPY_TIMEOUT_S, connect=CONNECT_TIMEOUT_S
-                ),
+                COPY_TIMEOUT_S,
+                orjson.dumps(body),
             )
             reply = orjson.loads(response.content or b"{}")
         except (httpx.HTTPError, orjson.JSONDecodeError) as error:
@@ -81,11 +81,10 @@
         """Frees a copy: at both engines if called at the source."""
         quoted_handle = urllib.parse.quote(handle, safe="")
         try:
-            response = await self._client.delete(
+            response = await self._call(
+                "DELETE",
                 f"http://{address}/kv-handle/{quoted_handle}",
-                timeout=httpx.Timeout(
-                    FREE_TIMEOUT_S, connect=CONNECT_TIMEOUT_S
-                ),
+                FREE_TIMEOUT_S,
             )
         except httpx.HTTPError as error:
             events.FREE_CALL_FAILED.log(
@@ -108,12 +107,32 @@
             EndpointError: There was no response, or it is malformed.
         """
         try:
-            response = await self._client.get(
-                f"http://{address}/report",
-                timeout=httpx.Timeout(
-                    REPORT_TIMEOUT_S, connect=CONNECT_TIMEOUT_S
-                ),
+            response = await self._call(
+                "GET", f"http://{address}/report", REPORT_TIMEOUT_S
             )
             return documents.decode_report(response.content)
         except (httpx.HTTPError, PlatformFormatError) as error:
             raise EndpointError(f"{address}: {error!r}", sent=True) from error
+
+    async def _call(
+        self, method: str, url: str, timeout_s: float, content: bytes = b""
+    ) -> httpx.Response:
+        """Calls an engine; bounds the time and the size of the whole reply.
+
+        Raises:
+            httpx.HTTPError: There was no whole reply within the bounds.
+        """
+        try:
+            with anyio.fail_after(timeout_s + CONNECT_TIMEOUT_S):
+                return await self._client.request(
+                    method,
+                    url,
+                    content=content,
+                    headers={"Content-Type": "application/json"}
+                    if content
+                    else {},
+                    timeout=httpx.Timeout(timeout_s, connect=CONNECT_TIMEOUT_S),
+                    extensions={"max_body_bytes": MAX_REPLY_BYTES},
+                )
+        except TimeoutError as error:
+            raise httpx.ReadTimeout("the reply did not end in time") from error
--- a/rhubarbwinch/shared/events.py
+++ b/rhubarbwinch/shared/events.py
@@ -847,3 +847,12 @@
         "tried again."
     ),
 )
+RESPONSE_ENDED = Event(
+    779,
+    "response-ended",
+    logging.WARNING,
+    (
+        "The memory for all callers was used up by responses that were kept "
+        "until they were complete, and the largest one was ended."
+    ),
+)
--- a/tests/gateway/decisions/test_bufferlimits.py
+++ b/tests/gateway/decisions/test_bufferlimits.py
@@ -8,6 +8,7 @@
     BufferLimits,
     CallerUse,
 )
+from rhubarbwinch.http.buffercount import HeldResponse
 
 SMALLEST_MB = 136
 DEPLOYED_MB = 205
@@ -84,3 +85,23 @@
         limits = BufferLimits(DEPLOYED_MB)
         longest = 4 << 20
         self.assertTrue(limits.admits_body(4 * longest, 4 * longest, longest))
+
+    def test_the_largest_responses_are_ended_until_the_rest_fits(self):
+        # Responses without end grow together; small ones are spared.
+        part = self.limits.total_bytes // 3
+        kept = [HeldResponse(lambda reason: None, part + i) for i in range(5)]
+        small = HeldResponse(lambda reason: None, 1)
+        held = sum(response.bytes for response in (*kept, small))
+        chosen = self.limits.choose_responses([small, *kept], held)
+        self.assertEqual(chosen, kept[4:1:-1])
+
+    def test_responses_are_spared_if_callers_take_the_memory(self):
+        kept = HeldResponse(lambda reason: None, self.limits.total_bytes // 3)
+        held = 3 * self.limits.total_bytes
+        self.assertEqual(self.limits.choose_responses([kept], held), [])
+        self.assertEqual(self.limits.choose_responses([], held), [])
+
+    def test_no_response_is_ended_within_the_bound(self):
+        kept = HeldResponse(lambda reason: None, self.limits.total_bytes)
+        held = kept.bytes
+        self.assertEqual(self.limits.choose_responses([kept], held), [])
--- a/tests/gateway/test_slowreaders.py
+++ b/tests/gateway/test_slowreaders.py
@@ -8,7 +8,11 @@
 import anyio
 import attrs
 
-from lab.standins.platformengine import ScriptedEngine, engine_headers
+from lab.standins.platformengine import (
+    ScriptedEngine,
+    engine_headers,
+    stream_event,
+)
 from rhubarbwinch.gateway import edge, gatewaymetrics
 from rhubarbwinch.gateway.decisions.bufferlimits import HARD_FACTOR
 from rhubarbwinch.gateway.routes import CallKind
@@ -31,6 +35,8 @@
 PAUSED_EVENTS = 400
 # With this limit all callers together may hold 2 MiB.
 SMALL_MEMORY_MB = 8
+MEDIUM_MEMORY_MB = 40
+ENDLESS = 30
 TICK_S = 0.02
 
 
@@ -191,11 +197,56 @@
                 writer.close()
         self.assertFalse(is_whole)
 
+    @asynchronous
+    async def test_responses_without_end_do_not_use_up_the_memory(self):
+        # Each response had a bound of its own, but their sum had none.
+        async def send_endlessly(received_request, responder):
+            if received_request.id == "sound":
+                await responder.send(
+                    200, engine_headers(received_request), stream_event(1)
+                )
+                return
+            await responder.start_stream(200, engine_headers(received_request))
+            while True:
+                await responder.write(bytes(EVENT_BYTES))
+                await anyio.sleep(0)
+
+        for table in (PLAIN, STREAM):
+            found, largest = [], []
+            async with running_gateway(1, table) as gateway:
+                gateway.buffers.configure(MEDIUM_MEMORY_MB)
+                gateway.engines[0].handler = send_endlessly
+                limits = gateway.buffers.limits
+
+                async def call(number, gateway=gateway, found=found):
+                    found.append(await gateway.call(f"q{number}"))
+
+                async def measure(gateway=gateway, largest=largest):
+                    while True:
+                        largest.append(gateway.buffers.held_bytes)
+                        await anyio.sleep(0)
+
+                async with anyio.create_task_group() as tasks:
+                    tasks.start_soon(measure)
+                    async with anyio.create_task_group() as calls:
+                        for number in range(ENDLESS):
+                            calls.start_soon(call, number)
+                    tasks.cancel_scope.cancel()
+                self.assertEqual(gateway.buffers.held_bytes, 0)
+                sound = await gateway.call("sound")
+            with self.subTest(kind=table.find_route("h.example", "/r/x").kind):
+                self.assertEqual({r.status for r in found}, {502})
+                self.assertEqual(sound.status, 200)
+                # All connections may be read once before the first one ends.
+                self.assertLess(
+                    max(largest),
+                    limits.total_bytes + ENDLESS * limits.stream_bytes,
+                )
+
     @asynchronous
     async def test_a_cut_caller_sees_a_reset(self):
         # An orderly end would look complete to a caller of HTTP/1.0.
         async with running_gateway(1, PLAIN) as gateway:
-            gateway.buffers.configure(SMALL_MEMORY_MB)
             gateway.receive_buffer = 4 << 10
 
             async def send_long(received_request, responder):
@@ -205,6 +256,10 @@
             gateway.engines[0].handler = send_long
             before = _cuts("memory") or 0
             reader, _ = await gateway.open()
+            await _until(lambda: gateway.engines[0].received)
+            await _until(lambda: not gateway.transport.buffers.held)
+            await _until(lambda: gateway.buffers.held_bytes)
+            gateway.buffers.configure(SMALL_MEMORY_MB)
             await _until(lambda: (_cuts("memory") or 0) > before)
             with self.assertRaises(ConnectionResetError):
                 while await reader.read(1 << 20):
