--- a/rhubarbwinch/gateway/context.py
+++ b/rhubarbwinch/gateway/context.py
@@ -14,6 +14,7 @@
 from rhubarbwinch.gateway.crashsuspects import Crash
 from rhubarbwinch.gateway.decisions.accountshares import AccountShares
 from rhubarbwinch.gateway.decisions.configfreshness import ConfigFreshness
+from rhubarbwinch.gateway.decisions.drains import Drain
 from rhubarbwinch.gateway.decisions.eligibility import Needs, Regions
 from rhubarbwinch.gateway.decisions.serviceversions import ServiceVersions
 from rhubarbwinch.gateway.endpoints import Endpoint
@@ -92,7 +93,7 @@
             is gone, with the position in the store's history that was known
             before.
         table: The active configuration; None before the first one.
-        is_draining: Whether the gateway is shutting down.
+        drain: The times of the shutdown; None while there is none.
         store_confirmed_ms: Returns the milliseconds since the store has last
             confirmed to this gateway or a peer that it knows all changes.
         store_position: Returns the highest position in the store's history that
@@ -125,7 +126,7 @@
     on_gone: Callable[[GoneNotice], None]
     tracer: Tracer | None = None
     table: RoutingTable | None = None
-    is_draining: bool = False
+    drain: Drain | None = None
     store_confirmed_ms: Callable[[], int] = lambda: 0
     store_position: Callable[[], int] = lambda: 0
     _last_response_ms: dict[str, int] = attrs.field(factory=dict)
@@ -134,6 +135,11 @@
         """Connects the permits with what is known of cold endpoints."""
         self.permits.cold_rate = self.cold_rate
 
+    @property
+    def is_draining(self) -> bool:
+        """Whether the gateway is shutting down."""
+        return self.drain is not None
+
     def engine_spec(self, service: str) -> EngineSpec | None:
         """Returns the capabilities of a service's engines, or None."""
         spec = self.table.services.get(service) if self.table else None
--- a/rhubarbwinch/gateway/forwarding.py
+++ b/rhubarbwinch/gateway/forwarding.py
@@ -104,6 +104,7 @@
             if target is None or left_ms < MIN_LEFT_MS:
                 break
             tried.append(target.name)
+            job.is_passed_on = True
             try:
                 result = await self._call(job, target, left_ms, responder)
                 answered.append(target.name)
@@ -121,6 +122,7 @@
             )
             if result is None:
                 return None
+            job.is_passed_on = result.verdict is not Verdict.NOT_RUN
             failure = result
             if failure.verdict is not Verdict.NOT_RUN:
                 break
--- a/rhubarbwinch/gateway/job.py
+++ b/rhubarbwinch/gateway/job.py
@@ -31,6 +31,8 @@
         request_key: Identifies equal requests, such as retries.
         part_keys: Identify the parts of the prompt that requests share.
         sends: Number of attempts at endpoints.
+        not_run: Number of them that are known not to have run the request.
+        is_passed_on: Whether another gateway has the request and may run it.
         sent_ms: When the last of them began.
         unreachable: Number of attempts for which no connection could be made.
         home_regions: The only regions that may serve the request; None if all
@@ -54,6 +56,8 @@
     request_key: str
     part_keys: tuple[str, ...] = ()
     sends: int = 0
+    not_run: int = 0
+    is_passed_on: bool = False
     sent_ms: int = 0
     unreachable: int = 0
     home_regions: frozenset[str] | None = None
@@ -71,6 +75,11 @@
         """Number of attempts that may have reached an endpoint."""
         return self.sends - self.unreachable
 
+    @property
+    def may_have_run(self) -> bool:
+        """Whether an endpoint may have run the request, or still runs it."""
+        return self.sends > self.not_run or self.is_passed_on
+
     @property
     def counted_sends(self) -> int:
         """Number of attempts that count towards the maximum of a route."""
--- a/rhubarbwinch/gateway/plaincalls.py
+++ b/rhubarbwinch/gateway/plaincalls.py
@@ -108,6 +108,7 @@
                 may_have_run += 1
                 continue
             failure = result
+            job.not_run += failure.verdict is Verdict.NOT_RUN
             if failure.verdict is not Verdict.NOT_RUN:
                 may_have_run += 1
                 if not self._may_repeat(job, may_have_run - 1):
--- a/rhubarbwinch/gateway/program.py
+++ b/rhubarbwinch/gateway/program.py
@@ -16,6 +16,7 @@
 from rhubarbwinch.gateway.crashsuspects import CrashSuspects
 from rhubarbwinch.gateway.decisions.accountshares import AccountShares
 from rhubarbwinch.gateway.decisions.configfreshness import ConfigFreshness
+from rhubarbwinch.gateway.decisions.drains import make_drain
 from rhubarbwinch.gateway.decisions.serviceversions import ServiceVersions
 from rhubarbwinch.gateway.decisions.warmups import Warmups
 from rhubarbwinch.gateway.edge import EdgeServer
@@ -85,16 +86,6 @@
 TICK_MS = 100
 BOOTSTRAP_DELAY_MS = 200
 SETTINGS_CHECK_MS = 5_000
-# How long a draining gateway still accepts connections of callers that have
-# resolved its address before.
-DRAIN_ACCEPT_MS = 3_000
-# The process ends this long before the end of the grace period, at which it
-# would be killed.
-GRACE_MARGIN_MS = 500
-# A draining gateway reads no request in the last part of its grace period, in
-# which it could not finish the request. Plain calls take up to this time;
-# generations are refused throughout a drain.
-LAST_REQUEST_MS = 2_500
 DRAIN_CHECK_MS = 50
 # Timeout of the last call to the store, which removes the registration. If the
 # call fails, the lease expires.
@@ -276,7 +267,9 @@
             dependencies.platform.version_prefix,
             self._peers.owns,
         )
-        router = Router(self._context, PlainCalls(self._context), self._streams)
+        router = self._router = Router(
+            self._context, PlainCalls(self._context), self._streams
+        )
         self._outage = OutageMonitor(
             clock,
             dependencies.engine_calls,
@@ -634,22 +627,19 @@
 
     async def _drain(self) -> None:
         """Announces the shutdown and waits until all responses are sent."""
-        started_ms = self._clock.now()
         events.DRAINING.log(name=self._settings.name, open=self._open_requests)
-        self._context.is_draining = True
+        drain = make_drain(self._clock.now(), self._settings.grace_ms)
+        self._context.drain = drain
         for server in (self._front, self._forwarded):
             server.status.is_closing = True
         self._peers.announce()
-        end = started_ms + self._settings.grace_ms - GRACE_MARGIN_MS
-        accept_until = started_ms + min(
-            DRAIN_ACCEPT_MS, self._settings.grace_ms // 2
-        )
-        while self._clock.now() < end:
-            if self._clock.now() >= end - LAST_REQUEST_MS:
+        while (now := self._clock.now()) < drain.end_ms:
+            self._router.end_requests(drain, now)
+            if now >= drain.last_read_ms:
                 for server in (self._front, self._forwarded):
                     server.stop_reading_requests()
             if (
-                self._clock.now() >= accept_until
+                now >= drain.accept_until_ms
                 and not self._open_requests
                 and not self._unsent_connections
             ):
--- a/rhubarbwinch/gateway/router.py
+++ b/rhubarbwinch/gateway/router.py
@@ -1,9 +1,11 @@
 """Routes callers' requests to the part that serves them."""
 
 import anyio
+import attrs
 
 from rhubarbwinch.gateway import requestspans
 from rhubarbwinch.gateway.context import Context
+from rhubarbwinch.gateway.decisions.drains import Drain
 from rhubarbwinch.gateway.edge import EdgeRequest, EdgeResponder
 from rhubarbwinch.gateway.failureresponses import send_failure
 from rhubarbwinch.gateway.forwarding import MAX_OPEN_FORWARDED, Forwarder
@@ -32,6 +34,27 @@
 NO_SHARE = "no share of what the endpoints accept"
 
 
+@attrs.define(eq=False)
+class _OpenRequest:
+    """A request that is being served.
+
+    Attributes:
+        job: The request.
+        responder: Sends its response.
+        scope: Cancels the work for it.
+    """
+
+    job: Job
+    responder: EdgeResponder
+    scope: anyio.CancelScope
+
+
+def _is_taken(drain: Drain, job: Job, now_ms: int) -> bool:
+    """Returns whether a request is sent to an endpoint during a shutdown."""
+    is_generation = job.route.kind is CallKind.STREAM
+    return drain.takes(is_generation, job.deadline_ms, now_ms)
+
+
 class Router:
     """Authenticates and routes callers' requests.
 
@@ -49,6 +72,7 @@
         self._streams = streams
         self._forwarder = Forwarder(context)
         self._open_forwarded = 0
+        self._open: set[_OpenRequest] = set()
 
     async def handle(
         self, request: EdgeRequest, responder: EdgeResponder
@@ -130,6 +154,17 @@
             request, call, route, account, priority, self._choose_service(route)
         )
         responder.set_deadline(job.deadline_ms)
+        drain = context.drain
+        if drain is not None and not _is_taken(drain, job, context.clock.now()):
+            await send_failure(
+                context.platform,
+                responder,
+                call.request_id,
+                not_run(
+                    Reason.DRAINING, "this gateway leaves", DRAIN_RETRY_AFTER_MS
+                ),
+            )
+            return
         refusal = context.refuse_suspect(job)
         if refusal is not None:
             await send_job_failure(context, job, responder, refusal)
@@ -139,7 +174,7 @@
             # The gateway that has passed it on has counted it.
             context.budget.add_request(job.service, context.clock.now())
         try:
-            failure = await self._serve(job, responder)
+            failure = await self._serve_until_ended(job, responder)
             if failure is not None:
                 await send_job_failure(context, job, responder, failure)
         except anyio.get_cancelled_exc_class():
@@ -150,6 +185,55 @@
             )
             raise
 
+    def end_requests(self, drain: Drain, now_ms: int) -> None:
+        """Ends open requests that this gateway can't serve before its end.
+
+        Their callers get a response: requests that wait for an endpoint are
+        refused as not run, as soon as they would not be taken any more; the
+        others fail shortly before the end.
+
+        Args:
+            drain: The times of the shutdown.
+            now_ms: The current time.
+        """
+        for request in list(self._open):
+            if request.responder.is_started:
+                continue
+            is_waiting = not request.job.may_have_run
+            if now_ms >= drain.last_answer_ms or (
+                is_waiting and not _is_taken(drain, request.job, now_ms)
+            ):
+                request.scope.cancel()
+
+    async def _serve_until_ended(
+        self, job: Job, responder: EdgeResponder
+    ) -> Failure | None:
+        """Serves a request unless it is ended before.
+
+        Returns:
+            None if the caller got a response, else why there is none.
+        """
+        with anyio.CancelScope() as scope:
+            request = _OpenRequest(job, responder, scope)
+            self._open.add(request)
+            try:
+                return await self._serve(job, responder)
+            finally:
+                self._open.discard(request)
+        detail = "this gateway leaves"
+        if responder.is_started:
+            # The caller detects the failure by the incomplete response.
+            events.STREAM_BROKEN.log(
+                request=job.call.request_id,
+                events=None,
+                detail=detail,
+                took_ms=self._context.clock.now() - job.received_ms,
+            )
+            return None
+        if job.may_have_run:
+            return Failure(Verdict.MAY_HAVE_RUN, Reason.DRAINING, detail)
+        return not_run(Reason.DRAINING, detail, DRAIN_RETRY_AFTER_MS)
+
     async def _serve(
         self, job: Job, responder: EdgeResponder
     ) -> Failure | None:
@@ -210,7 +294,7 @@
                 call, table, "route", not_run(Reason.NOT_FOUND, "no such route")
             )
         if not table.requires_key or route.is_public:
-            return self._check_drain(route, None, route.priority)
+            return route, None, route.priority
         account = table.accounts.get(call.api_key or "")
         if account is None:
             failure = not_run(Reason.UNAUTHENTICATED, "unknown API key")
@@ -218,15 +302,6 @@
         priority = (
             route.priority if account.priority is None else account.priority
         )
-        return self._check_drain(route, account, priority)
-
-    def _check_drain(
-        self, route: Route, account: Account | None, priority: int
-    ) -> tuple[Route, Account | None, int] | Failure:
-        if self._context.is_draining and route.kind is CallKind.STREAM:
-            return not_run(
-                Reason.DRAINING, "this gateway leaves", DRAIN_RETRY_AFTER_MS
-            )
         return route, account, priority
 
     def _choose_service(self, route: Route) -> str:
--- a/rhubarbwinch/gateway/streams.py
+++ b/rhubarbwinch/gateway/streams.py
@@ -142,6 +142,7 @@
             run.release()
             if result is None:
                 return None
+            job.not_run += result.verdict is Verdict.NOT_RUN
             failure = _combine(failure, result)
             job.tried.add(run.reservation.endpoint.id)
             if not _may_try_again(job, result):
--- a/tests/gateway/test_forwarding.py
+++ b/tests/gateway/test_forwarding.py
@@ -14,6 +14,7 @@
     stream_event,
 )
 from rhubarbwinch.gateway import router as routers
+from rhubarbwinch.gateway.decisions.drains import make_drain
 from rhubarbwinch.gateway.edge import EdgeServer
 from rhubarbwinch.gateway.forwarding import MAX_TARGETS, choose_target
 from rhubarbwinch.gateway.messages import Heartbeat
@@ -23,7 +24,7 @@
 from rhubarbwinch.gateway.slotshares import SlotShares
 from rhubarbwinch.shared.clock import SystemClock
 from tests import gatewaybuilders as build
-from tests.gatewayharness import NoPeers, running_gateway
+from tests.gatewayharness import NoPeers, read_response, running_gateway
 from tests.helpers import asynchronous, free_address
 
 CALLS = build.table(build.route())
@@ -295,6 +296,24 @@
                     found = await gateway.call(Deadline_Ms="600")
         self.assertEqual(found.status, 200)
 
+    @asynchronous
+    async def test_a_request_that_is_passed_on_may_run_after_a_drain(self):
+        table = build.table(build.route(CallKind.NON_IDEMPOTENT))
+        async with two_gateways(table) as (gateway, target):
+
+            async def hang(received_request, responder):
+                await anyio.sleep_forever()
+
+            target.engines[0].handler = hang
+            reader, writer = await gateway.open()
+            while not target.received:
+                await anyio.sleep(0.01)
+            drain = make_drain(gateway.context.clock.now(), 8_000)
+            gateway.router.end_requests(drain, drain.last_answer_ms)
+            found = await read_response(reader)
+            writer.close()
+        self.assertEqual(found.status, 502)
+
     @asynchronous
     async def test_a_new_connection_that_serves_a_call_ends_the_isolation(self):
         async with running_gateway(1) as gateway:
