--- a/rhubarbwinch/gateway/decisions/serviceversions.py
+++ b/rhubarbwinch/gateway/decisions/serviceversions.py
@@ -9,8 +9,7 @@
 
 import attrs
 
-# Longer than the time limit of a stream.
-RETENTION_MS = 90_000
+from rhubarbwinch.gateway.streamorigins import RETENTION_MS
 
 
 @attrs.frozen
@@ -25,7 +24,8 @@
     """The versions that this gateway has seen, and those recorded in the store.
 
     A record outlives the gateways that have seen its version. It is deleted
-    when the version has had no endpoint for `RETENTION_MS`.
+    when the version has had no endpoint for as long as origins of streams are
+    kept.
     """
 
     def __init__(self) -> None:
--- a/rhubarbwinch/gateway/migratedcopies.py
+++ b/rhubarbwinch/gateway/migratedcopies.py
@@ -114,6 +114,18 @@
             self.settled.set()
 
 
+def _may_execute(state: MoveState, failed: int) -> bool:
+    """Returns whether an engine may execute a run after a call to stop it.
+
+    Args:
+        state: How the call ended.
+        failed: The number of such calls that failed.
+    """
+    if state is MoveState.FAILED:
+        return failed < MAX_FAILED_STOPS
+    return state is MoveState.BUSY
+
+
 class CopyManager:
     """Makes, refreshes and frees copies of KV caches at engines.
 
@@ -134,22 +146,19 @@
             self._tasks = tasks
             await anyio.sleep_forever()
 
-    async def refresh(
-        self, copy: MigratedCopy, stop_first: bool, relayed: int
-    ) -> CopyResult:
+    async def refresh(self, copy: MigratedCopy, relayed: int) -> CopyResult:
         """Makes a copy, or updates an existing one.
 
         The call to the engine continues if this method is cancelled.
 
         Args:
             copy: The copy.
-            stop_first: Whether the engine stops the run before it copies.
             relayed: Number of events sent to the caller, for the log.
 
         Returns:
             The engine's reply.
         """
-        call = self._start_call(copy, stop_first, relayed)
+        call = self._start_call(copy, False, relayed)
         await call.ended.wait()
         return call.result
 
@@ -185,13 +194,13 @@
                 with anyio.move_on_after(STOP_ANSWER_MS / 1000) as scope:
                     await call.ended.wait()
                 if scope.cancelled_caught:
+                    # The run may resume. If the engine refuses the call after
+                    # all, it is called again.
                     outcome.settle(True)
                     await call.ended.wait()
                 state = call.result.state
                 failed += state is MoveState.FAILED
-                if state is not MoveState.BUSY and (
-                    state is not MoveState.FAILED or failed >= MAX_FAILED_STOPS
-                ):
+                if not _may_execute(state, failed):
                     outcome.settle(True)
                     return
                 if self._clock.now() - started_ms >= STOP_LIMIT_MS:
--- a/rhubarbwinch/gateway/migration.py
+++ b/rhubarbwinch/gateway/migration.py
@@ -154,7 +154,7 @@
         try:
             while True:
                 wait_ms = migrationtargets.COPY_REFRESH_MS
-                result = await copies.refresh(migrated_copy, False, run.events)
+                result = await copies.refresh(migrated_copy, run.events)
                 if result.state is MoveState.COPIED:
                     location = KvCacheLocation(source.address, result.handle)
                     run.target = MigrationTarget(reservation, location, source)
