--- a/rhubarbwinch/gateway/edge.py
+++ b/rhubarbwinch/gateway/edge.py
@@ -31,7 +31,6 @@
 # A caller's VM that acknowledges neither data nor probes for this time is taken
 # as dead. A caller that only reads nothing acknowledges the probes.
 CALLER_ACK_TIMEOUT_MS = 8_000
-PEER_CHECK_MS = 1_000
 # A caller whose body was refused unread gets this time to take the response.
 # Closing earlier would reset the connection, which can destroy the response.
 REFUSED_BODY_TIMEOUT_S = 1.0
@@ -630,17 +629,15 @@
                 lambda: EdgeConnection(self), host, port, backlog=BACKLOG
             )
             try:
-                await self._check_peers()
+                await anyio.sleep_forever()
             finally:
                 self._listener.close()
 
-    async def _check_peers(self) -> None:
-        """Closes connections to dead callers until cancelled."""
-        while True:
-            await self._clock.sleep(PEER_CHECK_MS)
-            for connection in list(self.connections):
-                if connection not in self.idle or connection.waiting_bytes:
-                    connection.check_peer()
+    def check_peers(self) -> None:
+        """Closes connections to dead callers."""
+        for connection in list(self.connections):
+            if connection not in self.idle or connection.waiting_bytes:
+                connection.check_peer()
 
     def stop_reading_requests(self) -> None:
         """Accepts no connection and reads no request any more.
--- a/rhubarbwinch/gateway/program.py
+++ b/rhubarbwinch/gateway/program.py
@@ -84,6 +84,7 @@
 # ones may be silent for a second or so.
 ENDPOINT_ACK_TIMEOUT_MS = 2_500
 TICK_MS = 100
+PEER_CHECK_MS = 1_000
 BOOTSTRAP_DELAY_MS = 200
 SETTINGS_CHECK_MS = 5_000
 DRAIN_CHECK_MS = 50
@@ -540,8 +541,13 @@
 
     async def _tick(self) -> None:
         """Runs the periodic work every `TICK_MS`."""
+        next_peer_check_ms = 0
         while True:
             await self._clock.sleep(TICK_MS)
+            if self._clock.now() >= next_peer_check_ms:
+                next_peer_check_ms = self._clock.now() + PEER_CHECK_MS
+                self._front.check_peers()
+                self._forwarded.check_peers()
             self._cluster_view.expire_endpoints(
                 self._store_feed.reliable_since_ms
             )
--- a/rhubarbwinch/gateway/state/versionrecords.py
+++ b/rhubarbwinch/gateway/state/versionrecords.py
@@ -13,7 +13,7 @@
 from rhubarbwinch.shared.exceptions import StoreError
 from rhubarbwinch.stores.store import Store
 
-CHECK_MS = 500
+CHECK_MS = 1_000
 # Gateways that start together know each other by then, and one of them writes.
 START_DELAY_MS = 2_000
 # In an outage of the store each call is billed.
